Serve the platform's protocol on real sockets with one reducer round the module

Seen: the module had only an adapter for the simulator; no program listened anywhere.

Settings are read by the adapter's own reader.

Checked: aiohttp's client resends GET and PUT by itself on a dropped keep-alive connection (client.py, retry_persistent_connection). A client middleware that turns these errors into one of our own switches it off by a public interface. Whether the last byte was written is told by a request class that drains a write buffer of limit 0.

--- /dev/null
+++ b/stoatrouter/config.py
@@ -0,0 +1,80 @@
+"""What a head is told at its start: the platform's JSON and an operator's own file."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass, replace
+from datetime import timedelta
+from pathlib import Path
+from typing import Any
+
+from cypressworks import interface as api
+from cypressworks.simhost import read_settings
+from stoatrouter.core.spans import micros, span
+
+
+class ConfigError(Exception):
+    """The configuration cannot be used; the text says why in one line."""
+
+
+@dataclass(slots=True, frozen=True)
+class Config:
+    """All that a head is told."""
+
+    name: str
+    listen: str
+    discovery: str
+    seed: int
+    settings: api.Settings
+    known: dict[str, Any]
+    sockets: int
+    memory_mb: int
+    connect_timeout: timedelta
+    conn_idle: timedelta
+    max_open: int
+
+
+def load(environ: Mapping[str, str]) -> Config:
+    """Read the file that NODE_CONFIG names; the other variables of the environment go before it."""
+    path = environ.get("NODE_CONFIG")
+    if not path:
+        raise ConfigError("NODE_CONFIG is not set")
+    try:
+        data = json.loads(Path(path).read_text())
+    except (OSError, ValueError) as error:
+        raise ConfigError(f"cannot read {path}: {error}") from None
+    for key, variable in (("name", "NODE_NAME"), ("listen", "NODE_LISTEN"), ("discovery", "NODE_DISCOVERY")):
+        data[key] = environ.get(variable) or data.get(key)
+    try:
+        return parse(data)
+    except (KeyError, ValueError, TypeError, AttributeError) as error:
+        raise ConfigError(f"bad configuration in {path}: {type(error).__name__}: {error}") from None
+
+
+def parse(data: dict[str, Any]) -> Config:
+    """Build the configuration; fails with the field that is wrong."""
+    raw, limits = data["settings"], data.get("limits") or {}
+    connect_timeout = span(raw["Limits"].get("ConnectTimeout") or 250_000)
+    return Config(
+        name=str(data["name"]), listen=str(data["listen"]), discovery=str(data["discovery"]),
+        seed=int(str(data.get("seed") or "0"), 16), settings=on_sockets(read_settings(raw), connect_timeout),
+        known=data.get("known") or {}, sockets=int(limits.get("sockets") or 1024),
+        memory_mb=int(limits.get("memory_mb") or 192), connect_timeout=connect_timeout,
+        conn_idle=span(raw["Limits"].get("ConnIdle") or 30_000_000),
+        max_open=int(raw["Limits"].get("MaxOpen") or 1 << 20))
+
+
+def on_sockets(settings: api.Settings, connect_timeout: timedelta) -> api.Settings:
+    """The settings as they bind on real sockets."""
+    # Guards the rule on drains: a send decided within the grace may first have to connect.
+    grace = max(0, settings.rules.drain_grace - micros(connect_timeout))
+    return replace(settings, rules=replace(settings.rules, drain_grace=grace))
+
+
+def address(text: str) -> tuple[str, int]:
+    """Split host:port."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit():
+        raise ConfigError(f"not an address: {text!r}")
+    return host.strip("[]"), int(port)
--- /dev/null
+++ b/stoatrouter/core/model.py
@@ -0,0 +1,199 @@
+"""Requests, answers, events and effects of the core. Times are since the Unix epoch."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+from typing import Any
+
+from cypressworks import interface as api
+
+
+@dataclass(slots=True, frozen=True)
+class Request:
+    """What a front asks of the core. The core reads the upper fields; the lower ones are for the node."""
+
+    id: str
+    request_class: int
+    plan: int
+    volume: str
+    key: str
+    shard: int  # -1: a new object, any node takes it
+    units: float
+    hosts: int
+    time_left: timedelta
+    write: bool
+    repeat: bool = False
+
+    method: str = "GET"
+    target: str = "/"
+    body: bytes = b""
+    idempotency_key: str | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class Served:
+    """A node's answer, unchanged; shard tells where it was served."""
+
+    body: bytes
+    shard: int = -1
+
+
+@dataclass(slots=True, frozen=True)
+class Refused:
+    """Turned away: trying again is harmless, and best after retry_in."""
+
+    retry_in: timedelta
+
+
+@dataclass(slots=True, frozen=True)
+class Failed:
+    """Failed, with no promise about what happened."""
+
+
+Answer = Served | Refused | Failed
+
+
+@dataclass(slots=True, frozen=True)
+class NodeInfo:
+    """One line of the node list."""
+
+    id: str
+    address: str
+    shard: int
+    phase: api.Phase
+    zone: int = 0
+    weight: float = 1.0
+    started: timedelta = timedelta(0)  # since the epoch; 0: long ago
+
+
+# -- events: what has happened, and when --------------------------------------------------------------------
+@dataclass(slots=True, frozen=True)
+class Arrived:
+    at: timedelta
+    request: Request
+
+
+@dataclass(slots=True, frozen=True)
+class AttemptEnded:
+    at: timedelta
+    request: str
+    attempt: int
+    outcome: api.Outcome
+    body: bytes = b""
+    units_by_others: float = 0.0
+    load: dict[str, float] | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class ProbeEnded:
+    at: timedelta
+    node: str
+    outcome: api.Outcome
+    took: timedelta
+    load: dict[str, float] | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class ListTold:
+    at: timedelta
+    kind: api.ListKind
+    nodes: tuple[NodeInfo, ...] = ()
+
+
+@dataclass(slots=True, frozen=True)
+class ClientLeft:
+    at: timedelta
+    request: str
+
+
+@dataclass(slots=True, frozen=True)
+class TimerDue:
+    at: timedelta
+    token: int
+
+
+@dataclass(slots=True, frozen=True)
+class Overdue:
+    """The last moment for a final answer; it comes for every request and should find it answered."""
+
+    at: timedelta
+    request: str
+
+
+Event = Arrived | AttemptEnded | ProbeEnded | ListTold | ClientLeft | TimerDue | Overdue
+
+
+# -- effects: what is to be done ----------------------------------------------------------------------------
+@dataclass(slots=True, frozen=True)
+class SendAttempt:
+    request: Request
+    attempt: int
+    address: str
+    timeout: timedelta  # for all of it, connecting included
+
+
+@dataclass(slots=True, frozen=True)
+class CancelAttempt:
+    request: str
+    attempt: int
+
+
+@dataclass(slots=True, frozen=True)
+class Probe:
+    node: str
+    address: str
+
+
+@dataclass(slots=True, frozen=True)
+class SetTimer:
+    after: timedelta
+    token: int
+
+
+@dataclass(slots=True, frozen=True)
+class WatchOverdue:
+    after: timedelta
+    request: str
+
+
+@dataclass(slots=True, frozen=True)
+class GiveAnswer:
+    request: str
+    answer: Answer
+
+
+Effect = SendAttempt | CancelAttempt | Probe | SetTimer | WatchOverdue | GiveAnswer
+
+
+# -- what the reducer keeps ---------------------------------------------------------------------------------
+@dataclass(slots=True)
+class Attempt:
+    node: str
+    shard: int
+    sent: timedelta
+    out: bool = True
+
+
+@dataclass(slots=True)
+class Record:
+    request: Request
+    answered: bool = False
+    attempts: list[Attempt] = field(default_factory=list)
+
+    def over(self) -> bool:
+        return self.answered and not any(a.out for a in self.attempts)
+
+
+@dataclass(slots=True)
+class Tally:
+    """Counts for the log."""
+
+    counts: dict[str, int] = field(default_factory=dict)
+
+    def add(self, name: str) -> None:
+        self.counts[name] = self.counts.get(name, 0) + 1
+
+    def take(self) -> dict[str, Any]:
+        taken, self.counts = self.counts, {}
+        return taken
--- /dev/null
+++ b/stoatrouter/core/reducer.py
@@ -0,0 +1,192 @@
+"""The one reducer: every state change of a head is reduce(event) -> effects.
+
+It drives the decision module and adds what a module in a simulator did not have to know: where nodes
+listen, which answers are still owed, and that each request gets exactly one.
+"""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+from loguru import logger
+
+from cypressworks import Scheduler
+from cypressworks import interface as api
+from stoatrouter.core import model
+from stoatrouter.core.invariants import invariant
+from stoatrouter.core.spans import NO_TIME, micros, span
+
+# Longest wait past the client's deadline before the core answers by itself, should a decision be missing.
+OVERDUE_AFTER = timedelta(milliseconds=15)
+
+
+class Reducer:
+    """State of one head; all of it changes in reduce and nowhere else."""
+
+    def __init__(self, settings: api.Settings, seed: int, max_open: int = 1 << 30) -> None:
+        self.scheduler = Scheduler(settings, seed)
+        self.max_open = max_open
+        self.records: dict[str, model.Record] = {}
+        self.nodes: dict[str, model.NodeInfo] = {}
+        self.tally = model.Tally()
+        self.now = NO_TIME
+
+    def reduce(self, event: model.Event) -> list[model.Effect]:
+        """Take one event and return what is to be done, in order."""
+        # Guards against events stamped before one already taken: the module's time never goes back.
+        self.now = max(self.now, event.at)
+        match event:
+            case model.Arrived():
+                return self._arrived(event.request)
+            case model.AttemptEnded():
+                return self._ended(event)
+            case model.TimerDue():
+                return self._decide(api.TimerFired(event.token))
+            case model.ListTold():
+                return self._listed(event)
+            case model.ProbeEnded():
+                return self._decide(api.ProbeEnded(event.node, event.outcome, micros(event.took), event.load))
+            case model.ClientLeft():
+                return self._left(event.request)
+            case model.Overdue():
+                return self._overdue(event.request)
+
+    @property
+    def open(self) -> int:
+        """How many requests are owed an answer or have an attempt out."""
+        return len(self.records)
+
+    # -- requests -----------------------------------------------------------------------------------------
+    def _arrived(self, request: model.Request) -> list[model.Effect]:
+        # Guards against an id used twice: the module drops the second, and its client would wait in vain.
+        if request.id in self.records:
+            self.tally.add("duplicate_id")
+            return [model.GiveAnswer(request.id, model.Failed())]
+        # Guards against a flood: beyond what the settings let a head hold, nothing reaches the module.
+        if len(self.records) >= self.max_open:
+            self.tally.add("over_max_open")
+            return [model.GiveAnswer(request.id, model.Refused(NO_TIME))]
+        self.records[request.id] = model.Record(request)
+        self.tally.add("taken")
+        effects: list[model.Effect] = [model.WatchOverdue(request.time_left + OVERDUE_AFTER, request.id)]
+        return effects + self._decide(api.RequestArrived(
+            request=request.id, volume=request.volume, plan=request.plan,
+            request_class=request.request_class, shard=request.shard, time_left=micros(request.time_left),
+            units=request.units, hosts=request.hosts, key=request.key, repeat=request.repeat,
+            write=request.write))
+
+    def _left(self, name: str) -> list[model.Effect]:
+        record = self.records.get(name)
+        if record is None or record.answered:
+            return []
+        self.tally.add("client_gone")
+        record.answered = True
+        effects = self._decide(api.ClientGone(name))
+        # nobody waits for it any more: nodes stop work that is cancelled
+        effects += [model.CancelAttempt(name, i) for i, a in enumerate(record.attempts) if a.out]
+        self._forget(name)
+        return effects
+
+    def _overdue(self, name: str) -> list[model.Effect]:
+        record = self.records.get(name)
+        if record is None:
+            return []
+        effects: list[model.Effect] = []
+        # Guards against a decision that never came (the module failed on it): no request goes unanswered.
+        if not invariant(record.answered, "a request had no answer at its deadline", request=name):
+            effects += self._answer(name, model.Failed())
+        effects += [model.CancelAttempt(name, i) for i, a in enumerate(record.attempts) if a.out]
+        return effects
+
+    def _answer(self, name: str, answer: model.Answer) -> list[model.Effect]:
+        """Exactly one final answer: whatever would be a second one is dropped."""
+        record = self.records.get(name)
+        if record is None or record.answered:
+            return []
+        record.answered = True
+        self.tally.add(type(answer).__name__.lower())
+        self._forget(name)
+        return [model.GiveAnswer(name, answer)]
+
+    def _forget(self, name: str) -> None:
+        if self.records[name].over():
+            del self.records[name]
+
+    # -- attempts -----------------------------------------------------------------------------------------
+    def _ended(self, event: model.AttemptEnded) -> list[model.Effect]:
+        record = self.records.get(event.request)
+        # Guards against an outcome told twice (an attempt cancelled as its answer came): the first counts.
+        if record is None or event.attempt >= len(record.attempts) or not record.attempts[event.attempt].out:
+            return []
+        attempt = record.attempts[event.attempt]
+        attempt.out = False
+        ok = event.outcome is api.Outcome.OK
+        self.tally.add(event.outcome.name.lower())
+        finished = ok or record.answered
+        effects = self._answer(event.request, model.Served(event.body, attempt.shard)) if ok else []
+        effects += self._decide(api.AttemptEnded(
+            request=event.request, attempt=event.attempt, node=attempt.node, outcome=event.outcome,
+            took=micros(self.now - attempt.sent), finished=finished,
+            units_by_others=event.units_by_others, load=event.load))
+        if event.request in self.records:
+            self._forget(event.request)
+        return effects
+
+    def _send(self, action: api.Send) -> list[model.Effect]:
+        record, node = self.records.get(action.request), self.nodes.get(action.node)
+        if not invariant(record is not None and not record.answered, "a send for a request that is over",
+                         request=action.request):
+            return []
+        assert record is not None
+        record.attempts.append(model.Attempt(action.node, node.shard if node else -1, self.now))
+        number = len(record.attempts) - 1
+        # Guards against a node that left the list between a decision and its sending: it never ran.
+        if node is None:
+            return self._ended(model.AttemptEnded(self.now, action.request, number, api.Outcome.MOOT))
+        return [model.SendAttempt(record.request, number, node.address, span(action.timeout))]
+
+    # -- the node list ------------------------------------------------------------------------------------
+    def _listed(self, event: model.ListTold) -> list[model.Effect]:
+        if event.kind in (api.ListKind.FULL, api.ListKind.RESTORED):
+            self.nodes = {}
+        for node in event.nodes:
+            if node.phase is api.Phase.GONE:
+                self.nodes.pop(node.id, None)
+            else:
+                self.nodes[node.id] = node
+        return self._decide(api.NodeList(event.kind, tuple(
+            api.NodeEntry(n.id, n.shard, n.zone, n.phase, n.weight, micros(n.started)) for n in event.nodes)))
+
+    # -- the decision module ------------------------------------------------------------------------------
+    def _decide(self, event: api.Event) -> list[model.Effect]:
+        """Put an event to the decision module and turn its actions into effects."""
+        try:
+            actions = self.scheduler.handle(micros(self.now), event)
+        except Exception:
+            if __debug__:
+                raise
+            # Guards against a fault in a decision: this head goes on, and Overdue answers what it left.
+            logger.exception("decision failed on {}", type(event).__name__)
+            self.tally.add("decision_failed")
+            return []
+        effects: list[model.Effect] = []
+        for action in list(actions):
+            effects += self._effects(action)
+        return effects
+
+    def _effects(self, action: api.Action) -> list[model.Effect]:
+        match action:
+            case api.Send():
+                return self._send(action)
+            case api.Refuse():
+                return self._answer(action.request, model.Refused(span(action.retry_in)))
+            case api.Fail():
+                return self._answer(action.request, model.Failed())
+            case api.SetTimer():
+                return [model.SetTimer(span(action.after), action.token)]
+            case api.CancelAttempt():
+                return [model.CancelAttempt(action.request, action.attempt)]
+            case api.ProbeNode() if action.node in self.nodes:
+                return [model.Probe(action.node, self.nodes[action.node].address)]
+            case _:
+                return []  # the list is always watched: nothing is to be asked for
--- /dev/null
+++ b/stoatrouter/fronts/objects/__init__.py
@@ -0,0 +1,1 @@
+"""An object API over HTTP in front of the core."""
--- /dev/null
+++ b/stoatrouter/importer/__init__.py
@@ -0,0 +1,1 @@
+"""Reads the balancer settings of other servers."""
--- /dev/null
+++ b/stoatrouter/net/engine.py
@@ -0,0 +1,127 @@
+"""The engine: puts events to the reducer, one at a time, and runs the effects it asks for."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+from datetime import timedelta
+from typing import Any
+
+from loguru import logger
+
+from cypressworks.interface import ListKind, Outcome
+from stoatrouter.core import model
+from stoatrouter.core.reducer import Reducer
+from stoatrouter.net.clock import Clock
+from stoatrouter.net.nodes import NodeClient, Reply
+
+
+class Engine:
+    """Holds what is under way: answers waited for and attempts out. Decides nothing."""
+
+    def __init__(self, reducer: Reducer, clock: Clock, nodes: NodeClient) -> None:
+        self.reducer, self.clock, self.nodes = reducer, clock, nodes
+        self.loop = asyncio.get_running_loop()
+        self.waiting: dict[str, asyncio.Future[model.Answer]] = {}
+        self.attempts: dict[tuple[str, int], asyncio.Task[None]] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    # -- for fronts ---------------------------------------------------------------------------------------
+    async def serve(self, request: model.Request) -> model.Answer:
+        """The final answer to a request; cancelling the caller tells the core that its client has gone."""
+        # Guards against an id that is still in use: the first one's waiter must not be lost.
+        if request.id in self.waiting or request.id in self.reducer.records:
+            return model.Failed()
+        waiter = self.waiting[request.id] = self.loop.create_future()
+        try:
+            self.put(model.Arrived(self.clock.now(), request))
+            return await waiter
+        except asyncio.CancelledError:
+            self.put(model.ClientLeft(self.clock.now(), request.id))
+            raise
+        finally:
+            self.waiting.pop(request.id, None)
+
+    def told(self, kind: ListKind, nodes: tuple[model.NodeInfo, ...]) -> None:
+        """Pass on what discovery has told."""
+        logger.info("discovery: {} with {} entries", kind.value, len(nodes))
+        self.put(model.ListTold(self.clock.now(), kind, nodes))
+
+    @property
+    def busy(self) -> bool:
+        """Whether an answer is still owed."""
+        return bool(self.waiting)
+
+    # -- events in, effects out ---------------------------------------------------------------------------
+    def put(self, event: model.Event) -> None:
+        for effect in self.reducer.reduce(event):
+            self.run(effect)
+
+    def run(self, effect: model.Effect) -> None:
+        match effect:
+            case model.SendAttempt():
+                key = (effect.request.id, effect.attempt)
+                self.attempts[key] = self.spawn(self.attempt(effect))
+            case model.GiveAnswer():
+                waiter = self.waiting.get(effect.request)
+                if waiter is not None and not waiter.done():
+                    waiter.set_result(effect.answer)
+            case model.SetTimer():
+                self.loop.call_later(effect.after.total_seconds(), self.timer, effect.token)
+            case model.WatchOverdue():
+                self.loop.call_later(effect.after.total_seconds(), self.overdue, effect.request)
+            case model.CancelAttempt():
+                if (task := self.attempts.get((effect.request, effect.attempt))) is not None:
+                    task.cancel()
+            case model.Probe():
+                self.spawn(self.probe(effect))
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        task = self.loop.create_task(work)
+        self.tasks.add(task)  # the loop itself holds tasks only weakly
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    def timer(self, token: int) -> None:
+        self.put(model.TimerDue(self.clock.now(), token))
+
+    def overdue(self, request: str) -> None:
+        self.put(model.Overdue(self.clock.now(), request))
+
+    async def attempt(self, effect: model.SendAttempt) -> None:
+        """One attempt, whose end is told exactly once, however it ends."""
+        reply = Reply(Outcome.RESET)
+        try:
+            reply = await self.nodes.attempt(effect)
+        except asyncio.CancelledError:
+            reply = Reply(Outcome.CANCELLED)
+        except Exception:
+            # Guards against a fault in the client library: the attempt may have run, the head goes on.
+            logger.exception("attempt failed in an unforeseen way")
+        self.attempts.pop((effect.request.id, effect.attempt), None)
+        self.put(model.AttemptEnded(self.clock.now(), effect.request.id, effect.attempt, reply.outcome,
+                                    reply.body, reply.units_by_others, reply.load))
+
+    async def probe(self, effect: model.Probe) -> None:
+        began = self.clock.now()
+        reply = await self.nodes.probe(effect)
+        now = self.clock.now()
+        self.put(model.ProbeEnded(now, effect.node, reply.outcome, now - began, reply.load))
+
+
+async def watch_loop(engine: Engine, every: timedelta, lag_limit: timedelta, tally_every: int = 100) -> None:
+    """Watches the loop's lag, and logs now and then what has been done."""
+    loop, rounds, worst = asyncio.get_running_loop(), 0, 0.0
+    while True:
+        due = loop.time() + every.total_seconds()
+        await asyncio.sleep(every.total_seconds())
+        lag, rounds = loop.time() - due, rounds + 1
+        worst = max(worst, lag)
+        if lag > lag_limit.total_seconds():
+            logger.warning("loop: lagged by {:.0f} ms", lag * 1000)
+        if rounds % tally_every == 0:
+            counts = engine.reducer.tally.take()
+            if counts:
+                logger.info("tally: open={} worst_lag_ms={:.0f} {}", engine.reducer.open, worst * 1000,
+                            " ".join(f"{k}={v}" for k, v in sorted(counts.items())))
+            worst = 0.0
--- /dev/null
+++ b/stoatrouter/net/listener.py
@@ -0,0 +1,80 @@
+"""Listening for clients, and the end of a head that was asked to stop."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+
+from aiohttp import web
+from loguru import logger
+
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+BACKLOG = 1024
+# After SIGTERM new connections keep coming for 0.4 s; they are accepted a little longer than that.
+ACCEPT_FOR = timedelta(milliseconds=480)
+
+
+class Drain:
+    """Whether this head is stopping, and what its answers say of their connections."""
+
+    def __init__(self, most_connections: int) -> None:
+        self.most_connections = most_connections
+        self.stopping = False
+        self.server: web.Server | None = None
+
+    def mark(self, response: web.Response) -> web.Response:
+        """While stopping, a connection ends with its answer: clients go elsewhere by themselves."""
+        if self.stopping:
+            response.force_close()
+        return response
+
+    def crowded(self) -> bool:
+        return self.server is not None and len(self.server.connections) > self.most_connections
+
+
+class Listener:
+    """One listening address with one front behind it."""
+
+    def __init__(self, handler: Handler, drain: Drain) -> None:
+        self.drain = drain
+        # handler_cancellation: a client that closes its connection has gone, and its request with it
+        self.server = web.Server(handler, handler_cancellation=True, access_log=None, auto_decompress=False,
+                                 lingering_time=0.0)
+        drain.server = self.server
+        self.sockets: asyncio.Server | None = None
+
+    async def start(self, host: str, port: int) -> None:
+        loop = asyncio.get_running_loop()
+        self.sockets = await loop.create_server(self.server, host, port, backlog=BACKLOG)
+
+    @property
+    def port(self) -> int:
+        assert self.sockets is not None
+        return int(self.sockets.sockets[0].getsockname()[1])
+
+    async def stop(self, busy: Callable[[], bool]) -> None:
+        """Accept for a little longer, finish all that was taken, then end the connections."""
+        self.drain.stopping = True
+        await asyncio.sleep(ACCEPT_FOR.total_seconds())
+        if self.sockets is not None:
+            self.sockets.close()
+        self.close_idle()
+        while busy() or self.in_progress():
+            await asyncio.sleep(0.01)
+            self.close_idle()
+        logger.info("stop: all that was taken is answered")
+        await self.server.shutdown(1.0)
+
+    def in_progress(self) -> int:
+        return sum(not idle(c) for c in self.server.connections)
+
+    def close_idle(self) -> None:
+        for connection in self.server.connections:
+            if idle(connection):
+                connection.close()
+
+
+def idle(connection: web.RequestHandler) -> bool:
+    """Whether a connection is between requests: nothing read of a request, nothing owed."""
+    return connection._waiter is not None and not connection._messages
--- /dev/null
+++ b/stoatrouter/net/nodes.py
@@ -0,0 +1,175 @@
+"""The node client: one attempt, one exchange, one outcome."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from dataclasses import dataclass
+from datetime import timedelta
+
+import aiohttp
+from aiohttp.abc import AbstractStreamWriter
+from aiohttp.client_middlewares import ClientHandlerType
+from loguru import logger
+from multidict import CIMultiDictProxy
+from yarl import URL
+
+from cypressworks.interface import Outcome
+from stoatrouter.core import model
+
+LARGEST_BODY = 64 * 1024
+PROBE_TIMEOUT = timedelta(milliseconds=400)
+# Idle connections are given up at this part of the time after which a node closes them: a request written
+# as the node closes would end as a reset.
+IDLE_PART = 0.5
+SKIPPED = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
+
+
+@dataclass(slots=True, frozen=True)
+class Reply:
+    """What came of an attempt or a probe."""
+
+    outcome: Outcome
+    body: bytes = b""
+    units_by_others: float = 0.0
+    load: dict[str, float] | None = None
+
+
+class Broken(Exception):
+    """An exchange broke; written tells whether the request's last byte had gone out."""
+
+    def __init__(self, written: bool, cause: BaseException) -> None:
+        super().__init__(f"{type(cause).__name__}: {cause}")
+        self.written = written
+
+
+class TrackedRequest(aiohttp.ClientRequest):
+    """A client request that knows whether its last byte was handed to the system.
+
+    A node can start a request only once that byte has come; what breaks before never ran.
+    """
+
+    written = False
+
+    async def send(self, conn: aiohttp.connector.Connection) -> aiohttp.ClientResponse:
+        transport = conn.transport
+        if transport is not None:
+            transport.set_write_buffer_limits(high=0)  # drain() then waits for the last byte
+        response = await super().send(conn)
+        if not self.body and transport is not None:
+            self.written = not transport.is_closing() and transport.get_write_buffer_size() == 0
+        return response
+
+    async def write_bytes(self, writer: AbstractStreamWriter, conn: aiohttp.connector.Connection,
+                          content_length: int | None = None) -> None:
+        transport = conn.transport
+        await super().write_bytes(writer, conn, content_length)
+        await writer.drain()
+        self.written = transport is not None and not transport.is_closing()
+
+
+async def only_once(request: aiohttp.ClientRequest, handler: ClientHandlerType) -> aiohttp.ClientResponse:
+    """Guards against the client's own resending of GET and PUT over a dropped connection, which would be
+    one more attempt that no decision knows of: its retry is set off by the errors that are turned here."""
+    try:
+        return await handler(request)
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+        raise  # never retried by the client
+    except (aiohttp.ClientError, OSError) as error:
+        raise Broken(getattr(request, "written", True), error) from error
+
+
+class NodeClient:
+    """Connections to all nodes, in one bounded pool."""
+
+    def __init__(self, connect_timeout: timedelta, conn_idle: timedelta, most: int) -> None:
+        connector = aiohttp.TCPConnector(
+            limit=most, keepalive_timeout=conn_idle.total_seconds() * IDLE_PART, use_dns_cache=False)
+        self.session = aiohttp.ClientSession(
+            connector=connector, request_class=TrackedRequest, middlewares=(only_once,),
+            cookie_jar=aiohttp.DummyCookieJar(), auto_decompress=False, trust_env=False,
+            skip_auto_headers=SKIPPED,
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_timeout.total_seconds()))
+
+    async def close(self) -> None:
+        await self.session.close()
+
+    async def attempt(self, effect: model.SendAttempt) -> Reply:
+        """Make one attempt; whatever happens to it becomes an outcome."""
+        r = effect.request
+        wait_ms = max(1, effect.timeout // timedelta(milliseconds=1))
+        headers = {"Req-Id": r.id, "Req-Deadline-Ms": str(wait_ms)}
+        if r.idempotency_key is not None:
+            headers["Idempotency-Key"] = r.idempotency_key
+        url = URL(f"http://{effect.address}{r.target}", encoded=True)  # encoded: bytes pass unchanged
+        try:
+            async with asyncio.timeout(effect.timeout.total_seconds()):
+                async with self.session.request(r.method, url, headers=headers, data=r.body or None,
+                                                allow_redirects=False) as response:
+                    body = await read_body(response)
+                    return judge(response.status, response.headers, body)
+        except TimeoutError as error:
+            never = isinstance(error, aiohttp.ConnectionTimeoutError)
+            return Reply(Outcome.CONNECT_FAILED if never else Outcome.TIMEOUT)
+        except aiohttp.ClientConnectorError:
+            return Reply(Outcome.CONNECT_FAILED)
+        except Broken as error:
+            return Reply(Outcome.RESET if error.written else Outcome.CONNECT_FAILED)
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            # the answer broke off or could not be read: the attempt may have run
+            logger.debug("attempt at {}: {!r}", effect.address, error)
+            return Reply(Outcome.RESET)
+
+    async def probe(self, effect: model.Probe) -> Reply:
+        """Ask a node for its load."""
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT.total_seconds()):
+                async with self.session.get(URL(f"http://{effect.address}/load", encoded=True),
+                                            allow_redirects=False) as response:
+                    body = await read_body(response)
+                    load = read_load(response.headers.get("Srv-Load") or body.decode("ascii", "replace"))
+                    return Reply(Outcome.OK if response.status == 200 else Outcome.FULL, load=load)
+        except TimeoutError:
+            return Reply(Outcome.TIMEOUT)
+        except (aiohttp.ClientConnectorError, Broken):
+            return Reply(Outcome.CONNECT_FAILED)
+        except (aiohttp.ClientError, OSError, ValueError):
+            return Reply(Outcome.RESET)
+
+
+async def read_body(response: aiohttp.ClientResponse) -> bytes:
+    """Read an answer's body, within the bound that the protocol sets."""
+    chunks, size = [], 0
+    async for chunk in response.content.iter_any():
+        size += len(chunk)
+        # Guards memory against a node that never ends its answer.
+        if size > LARGEST_BODY:
+            response.close()
+            raise ValueError("answer over 64 KiB")
+        chunks.append(chunk)
+    return b"".join(chunks)
+
+
+def judge(status: int, headers: CIMultiDictProxy[str], body: bytes) -> Reply:
+    """What an answer of a node means."""
+    units, load = read_number(headers.get("X-Served-Elsewhere")), read_load(headers.get("Srv-Load"))
+    if status == 200:
+        return Reply(Outcome.OK, body, units, load)
+    declined = status in (503, 504) and headers.get("Srv-Declined") == "1"
+    return Reply(Outcome.FULL if declined else Outcome.ERROR, b"", units, load)
+
+
+def read_number(text: str | None) -> float:
+    """A count that a node tells; 0 where it is absent or no number."""
+    try:
+        number = float(text or 0)
+    except ValueError:
+        return 0.0
+    return number if math.isfinite(number) and number >= 0 else 0.0  # NaN would poison a volume's stores
+
+
+def read_load(text: str | None) -> dict[str, float] | None:
+    """Read a load report, as inflight=7,queue=2,util=0.61; None where there is none."""
+    pairs = (pair.partition("=") for pair in (text or "").split(","))
+    load = {name.strip(): read_number(value.strip()) for name, _, value in pairs if name.strip() and value}
+    return load or None
