Serve an object API on the same core: ranges, multipart uploads, manifests on nodes

Seen: the head spoke the platform's protocol alone. Built: fronts/objects, off unless STOATROUTER_OBJECTS names an operator's file. A body lies in pieces of at most 64 KiB, each one request of the core under its volume's plan; pages of references and a manifest make them an object. Upload ids and part ETags are authenticated and carry what a head would else have to remember, so any head completes what another began.

--- a/stoatrouter/__main__.py
+++ b/stoatrouter/__main__.py
@@ -3,16 +3,19 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import os
 import signal
 import sys
 from datetime import timedelta
+from pathlib import Path
 
 from loguru import logger
 
 from stoatrouter import config
 from stoatrouter.core.reducer import Reducer
+from stoatrouter.fronts.objects.front import ObjectFront
+from stoatrouter.fronts.objects.settings import ObjectSettings
+from stoatrouter.fronts.objects.settings import load as load_objects
 from stoatrouter.fronts.platform import PlatformFront
 from stoatrouter.net.clock import Clock
 from stoatrouter.net.discovery import Watch
@@ -20,32 +23,58 @@
 from stoatrouter.net.listener import Drain, Listener
 from stoatrouter.net.nodes import NodeClient
 
-NODE_SHARE, CLIENT_SHARE = 0.45, 0.45  # of the descriptors; the rest is for files, discovery and probes
+# Of the descriptors; the rest is for files, discovery and probes.
+NODE_SHARE, CLIENT_SHARE = 0.22, 0.7
 LAG_EVERY, LAG_LIMIT = timedelta(milliseconds=100), timedelta(milliseconds=100)
 
 
-async def run(conf: config.Config) -> None:
+class Head:
+    """The parts of one head, put together."""
+
+    def __init__(self, conf: config.Config, objects: ObjectSettings | None = None) -> None:
+        self.conf, self.object_settings = conf, objects
+        nodes = NodeClient(conf.connect_timeout, conf.conn_idle, int(conf.sockets * NODE_SHARE))
+        self.engine = Engine(Reducer(conf.settings, conf.seed, conf.max_open), Clock(), nodes)
+        self.watch = Watch(conf.discovery, conf.known, self.engine.told)
+        self.drain = Drain(int(conf.sockets * CLIENT_SHARE))
+        self.platform = Listener(PlatformFront(self.engine, conf.settings, self.drain).handle, self.drain)
+        self.object_front = self.objects = None
+        if objects is not None:
+            self.object_front = ObjectFront(self.engine.serve, conf.settings, objects, self.drain)
+            self.objects = Listener(self.object_front.handle, self.drain)
+        self.background: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Restore the list, then listen, then follow discovery."""
+        self.watch.restore()
+        await self.platform.start(*config.address(self.conf.listen))
+        if self.objects is not None and self.object_settings is not None:
+            await self.objects.start(*config.address(self.object_settings.listen))
+        loop = asyncio.get_running_loop()
+        self.background = [loop.create_task(self.watch.run()),
+                           loop.create_task(watch_loop(self.engine, LAG_EVERY, LAG_LIMIT))]
+        logger.info("start: {} listens on {}", self.conf.name, self.conf.listen)
+
+    async def stop(self) -> None:
+        """Finish what was taken, then end everything."""
+        logger.info("stop: asked to, {} requests open", self.engine.reducer.open)
+        listeners = [listener for listener in (self.platform, self.objects) if listener is not None]
+        await asyncio.gather(*(listener.stop(lambda: self.engine.busy) for listener in listeners))
+        for task in self.background:
+            task.cancel()
+        await asyncio.gather(*self.background, return_exceptions=True)
+        await self.engine.close()
+
+
+async def run(conf: config.Config, objects: ObjectSettings | None) -> None:
     """Serve until asked to stop."""
     loop, stop = asyncio.get_running_loop(), asyncio.Event()
     for sign in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(sign, stop.set)
-    nodes = NodeClient(conf.connect_timeout, conf.conn_idle, int(conf.sockets * NODE_SHARE))
-    engine = Engine(Reducer(conf.settings, conf.seed, conf.max_open), Clock(), nodes)
-    watch = Watch(conf.discovery, conf.known, engine.told)
-    watch.restore()
-    drain = Drain(int(conf.sockets * CLIENT_SHARE))
-    listener = Listener(PlatformFront(engine, conf.settings, drain).handle, drain)
-    await listener.start(*config.address(conf.listen))
-    background = [loop.create_task(watch.run()), loop.create_task(watch_loop(engine, LAG_EVERY, LAG_LIMIT))]
-    logger.info("start: {} listens on {}", conf.name, conf.listen)
+    head = Head(conf, objects)
+    await head.start()
     await stop.wait()
-    logger.info("stop: asked to, {} requests open", engine.reducer.open)
-    await listener.stop(lambda: engine.busy)
-    for task in background:
-        task.cancel()
-    with contextlib.suppress(asyncio.CancelledError):
-        await asyncio.gather(*background, return_exceptions=True)
-    await nodes.close()
+    await head.stop()
 
 
 def main() -> int:
@@ -54,7 +83,8 @@
                diagnose=False)
     try:
         conf = config.load(os.environ)
-        asyncio.run(run(conf))
+        objects = load_objects(Path(conf.objects), conf.settings, conf.shards) if conf.objects else None
+        asyncio.run(run(conf, objects))
     except (config.ConfigError, OSError) as error:
         logger.error("start: {}", error)
         return 2
--- a/stoatrouter/config.py
+++ b/stoatrouter/config.py
@@ -33,6 +33,8 @@
     connect_timeout: timedelta
     conn_idle: timedelta
     max_open: int
+    shards: int  # 0: not told
+    objects: str | None = None  # the operator's file of the object front; None: the front is off
 
 
 def load(environ: Mapping[str, str]) -> Config:
@@ -47,7 +49,7 @@
     for key, variable in (("name", "NODE_NAME"), ("listen", "NODE_LISTEN"), ("discovery", "NODE_DISCOVERY")):
         data[key] = environ.get(variable) or data.get(key)
     try:
-        return parse(data)
+        return replace(parse(data), objects=environ.get("STOATROUTER_OBJECTS") or None)
     except (KeyError, ValueError, TypeError, AttributeError) as error:
         raise ConfigError(f"bad configuration in {path}: {type(error).__name__}: {error}") from None
 
@@ -62,7 +64,8 @@
         known=data.get("known") or {}, sockets=int(limits.get("sockets") or 1024),
         memory_mb=int(limits.get("memory_mb") or 192), connect_timeout=connect_timeout,
         conn_idle=span(raw["Limits"].get("ConnIdle") or 30_000_000),
-        max_open=int(raw["Limits"].get("MaxOpen") or 1 << 20))
+        max_open=int(raw["Limits"].get("MaxOpen") or 1 << 20),
+        shards=int((raw.get("Extra") or {}).get("Shards") or 0))
 
 
 def on_sockets(settings: api.Settings, connect_timeout: timedelta) -> api.Settings:
--- a/stoatrouter/net/discovery.py
+++ b/stoatrouter/net/discovery.py
@@ -76,7 +76,11 @@
                 raw += chunk
                 if len(raw) > LARGEST_LIST:  # guards memory against an answer without end
                     raise ValueError("list too large")
-        generation, whole, nodes = read_list(json.loads(raw))
+        self.take(json.loads(raw))
+
+    def take(self, data: Any) -> None:
+        """Take one message, if it makes sense as what follows the list that is held."""
+        generation, whole, nodes = read_list(data)
         if not whole and self.generation is None:
             raise ValueError("changes to a list that is not held")
         self.generation = generation
--- a/stoatrouter/net/engine.py
+++ b/stoatrouter/net/engine.py
@@ -52,6 +52,13 @@
         """Whether an answer is still owed."""
         return bool(self.waiting)
 
+    async def close(self) -> None:
+        """End what is still out once nothing is owed any more."""
+        for task in list(self.tasks):
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.nodes.close()
+
     # -- events in, effects out ---------------------------------------------------------------------------
     def put(self, event: model.Event) -> None:
         for effect in self.reducer.reduce(event):
--- a/stoatrouter/net/listener.py
+++ b/stoatrouter/net/listener.py
@@ -5,32 +5,41 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
+from typing import TypeVar
 
 from aiohttp import web
 from loguru import logger
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+Response = TypeVar("Response", bound=web.StreamResponse)
 BACKLOG = 1024
+CROWDED = 0.85  # of the connections that may be held
 # After SIGTERM new connections keep coming for 0.4 s; they are accepted a little longer than that.
 ACCEPT_FOR = timedelta(milliseconds=480)
 
 
 class Drain:
-    """Whether this head is stopping, and what its answers say of their connections."""
+    """Whether this head is stopping or crowded, and what its answers say of their connections."""
 
     def __init__(self, most_connections: int) -> None:
         self.most_connections = most_connections
         self.stopping = False
-        self.server: web.Server | None = None
+        self.servers: list[web.Server] = []
 
-    def mark(self, response: web.Response) -> web.Response:
-        """While stopping, a connection ends with its answer: clients go elsewhere by themselves."""
-        if self.stopping:
+    def mark(self, response: Response) -> Response:
+        """A connection ends with its answer while this head stops, so that clients go elsewhere, or while
+        it has nearly all the connections it may hold: those in use leave room for those that come."""
+        if self.stopping or self.connections > CROWDED * self.most_connections:
             response.force_close()
         return response
 
+    @property
+    def connections(self) -> int:
+        return sum(len(server.connections) for server in self.servers)
+
     def crowded(self) -> bool:
-        return self.server is not None and len(self.server.connections) > self.most_connections
+        """Whether what comes on further connections is to be turned away."""
+        return self.connections > self.most_connections
 
 
 class Listener:
@@ -41,7 +50,7 @@
         # handler_cancellation: a client that closes its connection has gone, and its request with it
         self.server = web.Server(handler, handler_cancellation=True, access_log=None, auto_decompress=False,
                                  lingering_time=0.0)
-        drain.server = self.server
+        drain.servers.append(self.server)
         self.sockets: asyncio.Server | None = None
 
     async def start(self, host: str, port: int) -> None:
--- /dev/null
+++ b/tests/test_objects.py
@@ -0,0 +1,392 @@
+"""The object API, whole paths: a client over loopback, a head, and storage nodes that follow a script."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import hashlib
+import re
+from collections import Counter
+
+import aiohttp
+import pytest
+
+from stoatrouter.__main__ import Head
+from stoatrouter.core import model
+from stoatrouter.fronts.objects import ranges
+from stoatrouter.fronts.objects.errors import ObjectError
+from stoatrouter.fronts.objects.extents import HEADER, PAYLOAD, BadPiece, Ref, frame, overlapping, unframe
+from stoatrouter.fronts.objects.settings import parse
+from stoatrouter.fronts.objects.tokens import Part, Tokens
+from tests.peers import HOST, Node, head_config, nodes_up, piece, run, told
+
+SECRET = b"a secret of at least thirty-two bytes"
+OPERATOR = {
+    "listen": f"{HOST}:0", "read_class": "stats-export", "write_class": "event-write", "window": 3,
+    "buckets": {"footage": {"volume": "00000000f0a70001", "plan": "premium", "hosts": 1},
+                "exports": {"volume": "00000000f0a70002", "plan": "basic", "hosts": 1}}}
+BODY = bytes(i * 7 % 251 for i in range(3 * PAYLOAD + 1234))
+
+
+class Client:
+    """A client of the object API that counts the final answer of each call."""
+
+    def __init__(self, session: aiohttp.ClientSession, port: int, head: Head) -> None:
+        self.session, self.base, self.head = session, f"http://{HOST}:{port}", head
+        self.answers: Counter[str] = Counter()
+
+    async def call(self, method: str, path: str, body: bytes | None = None, **headers: str):
+        name = f"{len(self.answers)} {method} {path}"
+        self.answers[name] = 0
+        url = aiohttp.client.URL(self.base + path, encoded=True)
+        async with self.session.request(method, url, data=body, headers=headers) as response:
+            data = await response.read()
+            self.answers[name] += 1
+            return response.status, response.headers, data
+
+    async def initiate(self, path: str) -> str:
+        _, _, data = await self.call("POST", f"{path}?uploads", **{"Content-Type": "video/mp4"})
+        return re.search("<UploadId>(.*)</UploadId>", data.decode())[1]
+
+    async def part(self, path: str, upload: str, number: int, body: bytes) -> str:
+        status, headers, data = await self.call(
+            "PUT", f"{path}?partNumber={number}&uploadId={upload}", body)
+        assert status == 200, data
+        return headers["ETag"]
+
+    async def complete(self, path: str, upload: str, etags: list[tuple[int, str]]):
+        listed = "".join(f"<Part><PartNumber>{n}</PartNumber><ETag>{e}</ETag></Part>" for n, e in etags)
+        return await self.call("POST", f"{path}?uploadId={upload}",
+                               f"<CompleteMultipartUpload>{listed}</CompleteMultipartUpload>".encode())
+
+
+@contextlib.asynccontextmanager
+async def gateway(*nodes: Node, operator: dict | None = None):
+    """A head with the object front before these nodes, and a client of it."""
+    async with nodes_up(*nodes):
+        conf = head_config(*nodes)
+        head = Head(conf, parse({**OPERATOR, **(operator or {})}, SECRET, conf.settings, conf.shards))
+        await head.start()
+        async with aiohttp.ClientSession() as session:
+            try:
+                yield Client(session, head.objects.port, head)
+            finally:
+                await head.stop()
+
+
+def two() -> tuple[Node, Node]:
+    return Node("a", 0), Node("b", 1)
+
+
+def settled(client: Client) -> None:
+    """Each call had exactly one final answer, and nothing of it is left in the head."""
+    assert set(client.answers.values()) == {1}
+    assert not client.head.engine.waiting and not client.head.engine.attempts
+
+
+def error_code(data: bytes) -> str:
+    return re.search("<Code>(.*)</Code>", data.decode())[1]
+
+
+# -- whole objects and ranges ----------------------------------------------------------------------------
+def test_an_object_is_written_and_read_back():
+    async def story():
+        nodes = two()
+        async with gateway(*nodes) as client:
+            status, headers, _ = await client.call(
+                "PUT", "/footage/derby%20night/a%2Fb.mp4", BODY, **{"Content-Type": "video/mp4",
+                                                                   "x-amz-meta-camera": "4"})
+            assert status == 200 and headers["ETag"] == f'"{hashlib.md5(BODY).hexdigest()}"'
+            status, headers, data = await client.call("GET", "/footage/derby%20night/a/b.mp4")
+            assert (status, data) == (200, BODY)
+            assert headers["Content-Type"] == "video/mp4" and headers["x-amz-meta-camera"] == "4"
+            status, headers, data = await client.call("HEAD", "/footage/derby%20night/a/b.mp4")
+            assert (status, data, headers["Content-Length"]) == (200, b"", str(len(BODY)))
+            settled(client)
+            assert max(Counter(r.headers["Req-Id"] for n in nodes for r in n.requests).values()) == 1
+            assert all(r.headers.get("Idempotency-Key") for n in nodes for r in n.requests
+                       if r.method == "PUT")
+    run(story())
+
+
+@pytest.mark.parametrize(("asked", "status", "start", "stop"), [
+    ("bytes=0-99", 206, 0, 100),
+    (f"bytes={PAYLOAD - 5}-{PAYLOAD + 4}", 206, PAYLOAD - 5, PAYLOAD + 5),  # over the edge of two pieces
+    (f"bytes={len(BODY) - 10}-", 206, len(BODY) - 10, len(BODY)),
+    ("bytes=-7", 206, len(BODY) - 7, len(BODY)),
+    (f"bytes=5-{10 ** 12}", 206, 5, len(BODY)),
+    (f"bytes={len(BODY)}-", 416, 0, 0),
+    ("bytes=-0", 416, 0, 0),
+    ("bytes=9-3", 200, 0, len(BODY)),
+    ("bytes=0-1,4-5", 200, 0, len(BODY)),
+    ("lines=1-2", 200, 0, len(BODY)),
+])
+def test_ranges(asked, status, start, stop):
+    async def story():
+        async with gateway(*two()) as client:
+            await client.call("PUT", "/footage/o", BODY)
+            got, headers, data = await client.call("GET", "/footage/o", Range=asked)
+            assert got == status
+            if status == 416:
+                assert error_code(data) == "InvalidRange"
+                assert headers["Content-Range"] == f"bytes */{len(BODY)}"
+            else:
+                assert data == BODY[start:stop]
+            if status == 206:
+                assert headers["Content-Range"] == f"bytes {start}-{stop - 1}/{len(BODY)}"
+            settled(client)
+    run(story())
+
+
+@pytest.mark.parametrize(("headers", "whole"), [
+    ({"If-Range": '"{etag}"'}, False), ({"If-Range": '"other"'}, True), ({"If-Range": 'W/"{etag}"'}, True),
+    ({"If-Range": "{date}"}, False), ({"If-Range": "Thu, 01 Jan 1970 00:00:00 GMT"}, True),
+    ({"If-Range": "nonsense"}, True)])
+def test_if_range_joins_only_what_belongs_together(headers, whole):
+    filled = {k: v.format(etag="e1", date=ranges.http_date(1_700_000_000)) for k, v in headers.items()}
+    found = ranges.wanted_range({"Range": "bytes=2-4", **filled}, "e1", 1_700_000_000, 10)
+    assert found == (None if whole else (2, 5))
+
+
+@pytest.mark.parametrize(("headers", "outcome"), [
+    ({}, True), ({"If-None-Match": '"e1"'}, False), ({"If-None-Match": '"x", W/"e1"'}, False),
+    ({"If-Match": '"x"'}, ObjectError), ({"If-Match": "*"}, True),
+    ({"If-Modified-Since": ranges.http_date(1_700_000_000)}, False),
+    ({"If-Unmodified-Since": ranges.http_date(1_600_000_000)}, ObjectError)])
+def test_preconditions(headers, outcome):
+    if outcome is ObjectError:
+        with pytest.raises(ObjectError, match="PreconditionFailed"):
+            ranges.check_preconditions(headers, "e1", 1_700_000_000)
+    else:
+        assert ranges.check_preconditions(headers, "e1", 1_700_000_000) is outcome
+
+
+def test_a_ranged_read_cut_halfway_is_seen_and_resent():
+    async def story():
+        a, b = two()
+        async with gateway(a, b) as client:
+            await client.call("PUT", "/footage/o", BODY)
+            wanted = f"bytes=10-{len(BODY) - 20}"
+            # the last piece is the only one of its size; its node breaks each time, after the others came
+            last = {target.split("/", 2)[2] for n in (a, b) for _, target, _, size in n.seen
+                    if size == len(BODY) % PAYLOAD + HEADER}
+            assert len(last) == 1
+
+            async def break_last(request):
+                if piece(request) in last:
+                    request.transport.abort()
+                    await asyncio.sleep(0)
+            a.gate = b.gate = break_last
+            with pytest.raises(aiohttp.ClientPayloadError):
+                await client.call("GET", "/footage/o", Range=wanted)
+            cut = [name for name, count in client.answers.items() if not count]
+            assert len(cut) == 1  # it has no final answer: what came of it is not whole, and that shows
+            del client.answers[cut[0]]
+            a.gate = b.gate = None
+            status, _, data = await client.call("GET", "/footage/o", Range=wanted)
+            assert (status, data) == (206, BODY[10:len(BODY) - 19])
+            settled(client)
+    run(story())
+
+
+def test_a_client_that_goes_halfway_leaves_nothing_behind():
+    async def story():
+        a, b = two()
+        async with gateway(a, b) as client:
+            await client.call("PUT", "/footage/o", BODY)
+            reached, never = asyncio.Event(), asyncio.Event()
+
+            async def stall(request):
+                reached.set()
+                await never.wait()
+            a.gate = b.gate = stall
+            call = asyncio.create_task(client.call("GET", "/footage/o"))
+            await reached.wait()
+            call.cancel()
+            await asyncio.gather(call, return_exceptions=True)
+            while client.head.engine.waiting or client.head.engine.attempts:
+                await asyncio.sleep(0.005)
+            assert client.head.engine.reducer.open == 0
+            never.set()
+    run(story())
+
+
+# -- multipart uploads -----------------------------------------------------------------------------------
+def test_parts_land_while_a_node_drains():
+    async def story():
+        a, b = two()
+        async with gateway(a, b) as client:
+            upload = await client.initiate("/footage/m")
+            parts = {n: bytes([n]) * (PAYLOAD + n) for n in range(1, 7)}
+            etags = [(1, await client.part("/footage/m", upload, 1, parts[1]))]
+            # manifests have places of their own, so a second node holds shard 1 by the time the first goes
+            c = Node("c", 1)
+            c.pieces = b.pieces
+            async with nodes_up(c):
+                b.lifecycle = "DRAINING"
+                client.head.watch.take(told(2, b.entry(), c.entry(), reset=False))
+                drained_from = len(b.seen)
+                done = await asyncio.gather(*(client.part("/footage/m", upload, n, parts[n])
+                                              for n in range(2, 7)))
+                etags += list(zip(range(2, 7), done, strict=True))
+                status, _, data = await client.complete("/footage/m", upload, etags)
+                assert status == 200, data
+                status, headers, data = await client.call("GET", "/footage/m")
+                assert (status, data) == (200, b"".join(parts.values()))
+                assert headers["Content-Type"] == "video/mp4" and headers["ETag"].endswith('-6"')
+                settled(client)
+                assert len(b.seen) == drained_from  # one that is on holds its shard: nothing new went there
+                assert max(Counter(r.headers["Req-Id"] for n in (a, b, c) for r in n.requests).values()) == 1
+    run(story())
+
+
+def test_another_head_completes_what_one_began():
+    async def story():
+        nodes = two()
+        async with gateway(*nodes) as client:
+            upload = await client.initiate("/footage/m")
+            etag = await client.part("/footage/m", upload, 1, BODY)
+        async with gateway(*nodes) as client:  # a head that has just started and knows nothing
+            status, _, first = await client.complete("/footage/m", upload, [(1, etag)])
+            assert status == 200
+            status, _, again = await client.complete("/footage/m", upload, [(1, etag)])
+            assert (status, again) == (200, first)
+            assert (await client.call("GET", "/footage/m"))[2] == BODY
+            status, _, data = await client.call("PUT", f"/footage/m?partNumber=2&uploadId={upload}", b"x")
+            assert (status, error_code(data)) == (404, "NoSuchUpload")
+    run(story())
+
+
+def test_uploads_end_as_the_protocol_says():
+    async def story():
+        async with gateway(*two()) as client:
+            path, other = "/footage/m", "/footage/n"
+            upload, second = await client.initiate(path), await client.initiate(path)
+            one, two_ = [await client.part(path, upload, n, b"%d" % n) for n in (1, 2)]
+            foreign = await client.part(path, second, 1, b"1")
+
+            async def code(call):
+                status, _, data = await call
+                return status, error_code(data)
+            assert await code(client.complete(path, upload, [(2, two_), (1, one)])) == (
+                400, "InvalidPartOrder")
+            assert await code(client.complete(path, upload, [(1, foreign)])) == (400, "InvalidPart")
+            assert await code(client.complete(path, upload, [(3, one)])) == (400, "InvalidPart")
+            assert await code(client.complete(path, upload, [(1, "AAAA")])) == (400, "InvalidPart")
+            assert await code(client.complete(path, upload, [])) == (400, "MalformedXML")
+            assert await code(client.complete(path, "made-up", [(1, one)])) == (404, "NoSuchUpload")
+            assert await code(client.complete(other, upload, [(1, one)])) == (404, "NoSuchUpload")
+            assert (await client.call("DELETE", f"{path}?uploadId={upload}"))[0] == 204
+            assert await code(client.complete(path, upload, [(1, one)])) == (404, "NoSuchUpload")
+            assert await code(client.call("GET", path)) == (404, "NoSuchKey")
+            settled(client)
+    run(story())
+
+
+# -- refusals, limits, what is not served ----------------------------------------------------------------
+def test_a_basic_volume_stays_within_its_limit_and_is_told_when_to_come_back():
+    async def story():
+        nodes = two()
+        async with gateway(*nodes) as client:
+            answers = await asyncio.gather(*(
+                client.call("PUT", f"/exports/o{i}", b"x" * (2 * PAYLOAD)) for i in range(8)))
+            slow = [(headers, data) for status, headers, data in answers if status == 503]
+            assert slow and {status for status, _, _ in answers} <= {200, 503}
+            assert all(error_code(d) == "SlowDown" and int(h["Retry-After"]) >= 1 for h, d in slow)
+            settled(client)
+            # units as the front counts them; the store starts full and fills at the limit's rate
+            sent = sorted((at, max(1, -(-8 * size // 65536))) for n in nodes for _, _, at, size in n.seen)
+            spent, began = 0, sent[0][0]
+            for at, units in sent:
+                spent += units
+                assert spent <= 48 + 8 + 19 * (at - began + 0.15)
+    run(story())
+
+
+def test_what_the_core_refuses_is_told_at_once_and_not_asked_again():
+    async def story():
+        conf = head_config()
+        head = Head(conf, parse(OPERATOR, SECRET, conf.settings, conf.shards))
+        asked = []
+
+        async def refuse(request):
+            asked.append(request)
+            return model.Refused(model.timedelta(milliseconds=400))
+        await head.start()
+        head.object_front.serve = refuse
+        async with aiohttp.ClientSession() as session:
+            client = Client(session, head.objects.port, head)
+            status, headers, data = await client.call("GET", "/footage/o")
+            assert (status, error_code(data), headers["Retry-After"]) == (503, "SlowDown", "1")
+            assert len(asked) == 1
+        await head.stop()
+    run(story())
+
+
+@pytest.mark.parametrize(("method", "path", "headers", "status", "code"), [
+    ("GET", "/footage/none", {}, 404, "NoSuchKey"),
+    ("GET", "/nowhere/o", {}, 404, "NoSuchBucket"),
+    ("GET", "/footage", {}, 501, "NotImplemented"),
+    ("GET", "/footage/?list-type=2", {}, 501, "NotImplemented"),
+    ("DELETE", "/footage/o", {}, 501, "NotImplemented"),
+    ("GET", "/footage/o?acl", {}, 501, "NotImplemented"),
+    ("PUT", "/footage/o", {"x-amz-copy-source": "/footage/p"}, 501, "NotImplemented"),
+    ("PUT", "/footage/o", {"If-None-Match": "*"}, 501, "NotImplemented"),
+    ("PUT", "/footage/o", {"x-amz-content-sha256": "STREAMING-AWS4-HMAC-SHA256-PAYLOAD"}, 501,
+     "NotImplemented"),
+    ("PUT", "/footage/o", {"Content-MD5": "AAAAAAAAAAAAAAAAAAAAAA=="}, 400, "BadDigest"),
+    ("PUT", "/footage/o", {"Content-MD5": "?"}, 400, "InvalidDigest"),
+    ("PUT", "/footage/o?partNumber=0&uploadId=x", {}, 400, "InvalidArgument"),
+    ("PUT", "/footage/" + "k" * 1025, {}, 400, "KeyTooLongError"),
+    ("PUT", "/footage/%ff", {}, 400, "InvalidArgument"),
+    ("POST", "/footage/o?uploadId=x", {}, 404, "NoSuchUpload"),
+])
+def test_errors_are_worded_as_the_protocol_words_them(method, path, headers, status, code):
+    async def story():
+        async with gateway(*two()) as client:
+            body = b"body" if method == "PUT" else None
+            got, _, data = await client.call(method, path, body, **headers)
+            assert (got, error_code(data)) == (status, code)
+            settled(client)
+    run(story())
+
+
+def test_a_write_that_may_have_run_is_sent_again_only_to_its_own_shard():
+    async def story():
+        a, b = Node("a", 0, "reset"), Node("b", 1, "reset")
+        async with gateway(a, b) as client:
+            assert (await client.call("PUT", "/footage/o", b"x"))[0] == 200
+            for node in (a, b):
+                targets = {r.raw_path for r in node.requests}
+                assert not targets & {r.raw_path for n in (a, b) if n is not node for r in n.requests}
+            assert (await client.call("GET", "/footage/o"))[2] == b"x"
+            settled(client)
+    run(story())
+
+
+# -- the parts, without any socket -----------------------------------------------------------------------
+def test_pieces_know_when_they_are_not_themselves():
+    assert unframe("a" * 16, frame("a" * 16, b"data")) == b"data"
+    assert unframe("a" * 16, b"") is None
+    for wrong in (frame("b" * 16, b"data"), frame("a" * 16, b"data")[:-1], b"nonsense"):
+        with pytest.raises(BadPiece):
+            unframe("a" * 16, wrong)
+
+
+def test_references_are_found_by_range():
+    refs = [Ref(f"{i:016x}", 0, 10) for i in range(3)]
+    assert overlapping(refs, 5, 21) == [(refs[0], 5, 10), (refs[1], 0, 10), (refs[2], 0, 1)]
+    assert overlapping(refs, 7, 7) == []
+
+
+def test_etags_of_parts_are_authenticated():
+    tokens, other = Tokens(SECRET), Tokens(SECRET[::-1])
+    upload = tokens.new_upload("bucket", "key")
+    part = Part(3, b"m" * 16, Ref("ab" * 8, 5, 1 << 33, 2))
+    etag = tokens.part_etag(upload, part)
+    assert tokens.read_part(upload, etag) == part
+    assert tokens.read_part(tokens.new_upload("bucket", "key"), etag) is None
+    assert other.read_part(upload, etag) is None
+    changed = ("B" if etag[0] == "A" else "A") + etag[1:]
+    assert tokens.read_part(upload, changed) is None and tokens.read_part(upload, "") is None
+    assert tokens.is_upload("bucket", "key", upload) and not tokens.is_upload("bucke", "tkey", upload)
