Order what a node holds only where there is room; make the guard cheaper

At fault: logic.py, pump, which sorted before it asked for room; barred, which listed attempts where there are none; Volume.at, which filled its stores again in the same microsecond.

--- a/cypressworks/logic.py
+++ b/cypressworks/logic.py
@@ -45,6 +45,8 @@
             self.store = min(self.store, self.lowest)
 
     def at(self, now: int) -> Volume:
+        if now == self.stamp:  # nothing has passed
+            return self
         passed, self.stamp, p = (now - self.stamp) / SECOND, now, self.plan
         self.reserve = min(self.full, self.reserve + p.reserve * passed)
         self.store = min(p.burst / self.hosts, self.store + p.limit / self.hosts * passed)
@@ -358,15 +360,8 @@
         if r.done or max(now, r.wait_until) >= r.deadline or len(r.attempts) >= self.settings.max_attempts:
             return NEVER
         # 2: effects: never two at once, and repeats only where they are harmless
-        ran = [a for a in r.attempts if a.may_have_run()]
-        if r.out() or ran and kind.effect is Effect.UNSAFE:
+        if again and self.barred_again(r, node):
             return NEVER
-        if ran and kind.effect is Effect.KEYED:
-            home = ran[0].node
-            if (max(now, r.wait_until) >= ran[0].sent + kind.repeat_window
-                    or kind.group is Group.SHARD and home.shard != node.shard
-                    or kind.group is Group.ZONE and home.zone != node.zone):
-                return NEVER
         # 3: drains: a draining node is used within the grace, as long as none that is on has its shard
         if not node.takes(now):
             return soon
@@ -385,6 +380,17 @@
         barred = again and rules.budget_time is not None and not self.affordable(now - rules.budget_time)
         return soon if barred else 0
 
+    def barred_again(self, r: Request, node: Node) -> bool:
+        kind, ran = r.kind, [a for a in r.attempts if a.may_have_run()]
+        if r.out() or ran and kind.effect is Effect.UNSAFE:
+            return True
+        if not ran or kind.effect is not Effect.KEYED:
+            return False
+        home = ran[0].node
+        return (max(self.now, r.wait_until) >= ran[0].sent + kind.repeat_window
+                or kind.group is Group.SHARD and home.shard != node.shard
+                or kind.group is Group.ZONE and home.zone != node.zone)
+
     def cold_room(self, r: Request, node: Node, at: int) -> bool:
         """This host's part in any window, scaled by the warming promised. With many hosts that is less than
         a request: then three quarters are earned over time, with turns by host number for the first."""
@@ -428,9 +434,16 @@
         return self.threshold / 4 + 4 * node.answers
 
     def pump(self, node: Node) -> None:
-        """Send what the node's window lets through, the best first."""
+        """Send what the node's window lets through; answer what is given up."""
         if not node.held or not node.takes(self.now):
             return
+        if node.room(self.now, self.patience(node)):  # else all that is held need not be ordered
+            self.fill(node)
+        for r in [r for r in node.held.values() if self.given_up(r, node)]:
+            self.finish(r)
+
+    def fill(self, node: Node) -> None:
+        """The best first, as long as there is room."""
         busy = [r.volume for r in node.held.values()]
         self.fair = sum(v.excess for v in busy) / max(1.0, sum(v.plan.share for v in busy))
         for r in sorted(node.held.values(), key=lambda r: self.worth(r, node), reverse=True):
@@ -442,8 +455,6 @@
             if self.late(r, node, self.now) and (node.out or self.now < node.cut_at + PRESSED):
                 break
             self.send(r, node)
-        for r in [r for r in node.held.values() if self.given_up(r, node)]:
-            self.finish(r)
 
     def send(self, r: Request, node: Node) -> None:
         now, volume = self.now, r.volume.at(self.now)
