--- a/stoatrouter/net/listener.py
+++ b/stoatrouter/net/listener.py
@@ -64,8 +64,8 @@
 
     async def stop(self, busy: Callable[[], bool]) -> None:
         """Accept for a little longer, finish all that was taken, then end the connections."""
-        self.drain.stopping = True
         await asyncio.sleep(ACCEPT_FOR.total_seconds())
+        self.drain.stopping = True
         if self.sockets is not None:
             self.sockets.close()
         self.close_idle()
@@ -80,10 +80,13 @@
 
     def close_idle(self) -> None:
         for connection in self.server.connections:
+            # force_close, as close() leaves the socket open and reads it no more: a request that came there
+            # would be swallowed without any answer, and the end of this head would never come
             if idle(connection):
-                connection.close()
+                connection.force_close()
 
 
 def idle(connection: web.RequestHandler) -> bool:
-    """Whether a connection is between requests: nothing read of a request, nothing owed."""
+    """Whether a connection is between requests: nothing read of a request, nothing owed. aiohttp has no
+    public word for it; a handler's own count would miss a request that is read but not yet handled."""
     return connection._waiter is not None and not connection._messages
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -97,6 +97,31 @@
     run(story())
 
 
+def test_a_stopping_head_ends_idle_connections_and_not_only_its_ear_for_them(tmp_path):
+    """A connection that looks open but is read no more would swallow a request without any answer."""
+    async def story():
+        node, taken, go = Node("a", 0), asyncio.Event(), asyncio.Event()
+
+        async def hold(_):
+            taken.set()
+            await go.wait()
+        node.gate = hold
+        async with program(tmp_path, node) as (process, session, base, _):
+            reader, writer = await asyncio.open_connection(HOST, int(base.rpartition(":")[2]))
+            writer.write(b"GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n")
+            await reader.readuntil(b"ok\n")
+            held = asyncio.create_task(read(session, base, "held"))
+            await taken.wait()
+            process.send_signal(signal.SIGTERM)
+            assert await reader.read() == b""  # ended, though an answer is still owed elsewhere
+            assert not held.done()
+            writer.close()
+            go.set()
+            assert (await held)[0] == 200
+            assert await process.wait() == 0
+    run(story())
+
+
 def test_the_object_front_is_off_unless_an_operator_sets_it_up(tmp_path):
     async def story():
         async with program(tmp_path, Node("a", 0)) as (_, session, _, objects):
