Accept what is sent again while a stopping head ends its connections

Seen in review: connections were ended 0.48 s after SIGTERM, in the same step as the listening socket; a request that crosses such an end is sent once more over a new connection, which was then refused. Now: connections end between requests from 0.45 s on, new ones are accepted up to 0.65 s, within the 0.7 s after which a kill may lose what came.

--- a/stoatrouter/net/listener.py
+++ b/stoatrouter/net/listener.py
@@ -17,8 +17,11 @@
 Response = TypeVar("Response", bound=web.StreamResponse)
 BACKLOG = 1024
 CROWDED = 0.85  # of the connections that may be held
-# After SIGTERM new connections keep coming for 0.4 s; they are accepted a little longer than that.
-ACCEPT_FOR = timedelta(milliseconds=480)
+# After SIGTERM new connections keep coming for 0.4 s; all is as ever a little longer than that.
+ACCEPT_FOR = timedelta(milliseconds=450)
+# Then connections end between requests. A request that crosses such an end is sent once more over a new one:
+# these are still accepted, up to 0.7 s after the signal.
+RESENT_FOR = timedelta(milliseconds=200)
 
 
 class Drain:
@@ -69,6 +72,8 @@
         """Accept for a little longer, finish all that was taken, then end the connections."""
         await asyncio.sleep(ACCEPT_FOR.total_seconds())
         self.drain.stopping = True
+        self.close_idle()
+        await asyncio.sleep(RESENT_FOR.total_seconds())
         if self.sockets is not None:
             self.sockets.close()
         self.close_idle()
