--- a/stoatrouter/core/model.py
+++ b/stoatrouter/core/model.py
@@ -163,7 +163,14 @@
     answer: Answer
 
 
-Effect = SendAttempt | CancelAttempt | Probe | SetTimer | WatchOverdue | GiveAnswer
+@dataclass(slots=True, frozen=True)
+class TurnAway:
+    """The answer to an arrival that was not taken up; another request may be open under its id."""
+
+    answer: Answer
+
+
+Effect = SendAttempt | CancelAttempt | Probe | SetTimer | WatchOverdue | GiveAnswer | TurnAway
 
 
 # -- what the reducer keeps ---------------------------------------------------------------------------------
--- a/stoatrouter/core/reducer.py
+++ b/stoatrouter/core/reducer.py
@@ -61,11 +61,11 @@
         # Guards against an id used twice: the module drops the second, and its client would wait in vain.
         if request.id in self.records:
             self.tally.add("duplicate_id")
-            return [model.GiveAnswer(request.id, model.Failed())]
+            return [model.TurnAway(model.Failed())]
         # Guards against a flood: beyond what the settings let a head hold, nothing reaches the module.
         if len(self.records) >= self.max_open:
             self.tally.add("over_max_open")
-            return [model.GiveAnswer(request.id, model.Refused(NO_TIME))]
+            return [model.TurnAway(model.Refused(NO_TIME))]
         self.records[request.id] = model.Record(request)
         self.tally.add("taken")
         effects: list[model.Effect] = [model.WatchOverdue(request.time_left + OVERDUE_AFTER, request.id)]
--- a/stoatrouter/net/engine.py
+++ b/stoatrouter/net/engine.py
@@ -29,12 +29,13 @@
     # -- for fronts ---------------------------------------------------------------------------------------
     async def serve(self, request: model.Request) -> model.Answer:
         """The final answer to a request; cancelling the caller tells the core that its client has gone."""
-        # Guards against an id that is still in use: the first one's waiter must not be lost.
-        if request.id in self.waiting or request.id in self.reducer.records:
-            return model.Failed()
+        effects = self.reducer.reduce(model.Arrived(self.clock.now(), request))
+        # Guards the waiter of a request that is open under the same id: this answer is not for it.
+        if effects and isinstance(effects[0], model.TurnAway):
+            return effects[0].answer
         waiter = self.waiting[request.id] = self.loop.create_future()
         try:
-            self.put(model.Arrived(self.clock.now(), request))
+            self.run_all(effects)
             return await waiter
         except asyncio.CancelledError:
             self.put(model.ClientLeft(self.clock.now(), request.id))
@@ -61,7 +62,10 @@
 
     # -- events in, effects out ---------------------------------------------------------------------------
     def put(self, event: model.Event) -> None:
-        for effect in self.reducer.reduce(event):
+        self.run_all(self.reducer.reduce(event))
+
+    def run_all(self, effects: list[model.Effect]) -> None:
+        for effect in effects:
             self.run(effect)
 
     def run(self, effect: model.Effect) -> None:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -70,9 +70,8 @@
 def test_an_id_in_use_and_a_flood_never_reach_the_module():
     r = reducer(node(), max_open=1)
     r.reduce(model.Arrived(START, request()))
-    assert r.reduce(model.Arrived(START, request())) == [model.GiveAnswer("r", model.Failed())]
-    assert r.reduce(model.Arrived(START, request("s"))) == [
-        model.GiveAnswer("s", model.Refused(timedelta(0)))]
+    assert r.reduce(model.Arrived(START, request())) == [model.TurnAway(model.Failed())]
+    assert r.reduce(model.Arrived(START, request("s"))) == [model.TurnAway(model.Refused(timedelta(0)))]
     assert list(r.scheduler.requests) == ["r"]
 
 
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -238,3 +238,22 @@
             async with session.get(PATH, headers=HEADERS) as response:
                 assert response.status == 503 and response.headers["Connection"] == "close"
     run(story())
+
+
+def test_an_id_in_use_is_turned_away_and_its_owner_still_answered():
+    async def story():
+        node, go = Node("a", 0), asyncio.Event()
+
+        async def hold(_):
+            await go.wait()
+        node.gate = hold
+        async with started(node) as (head, session):
+            first = asyncio.create_task(session.get(PATH, headers=HEADERS))
+            await until(lambda: bool(node.seen))
+            async with session.get(PATH, headers=HEADERS) as second:
+                assert second.status == 502
+            assert not first.done()
+            go.set()
+            assert (await first).status == 200
+            assert len(node.seen) == 1 and head.engine.reducer.tally.counts["duplicate_id"] == 1
+    run(story())
