Tell the end of attempts that are called off before they began; pace an agent that holds no call

Seen in review: an attempt is a task, and a task cancelled before its first step runs none of its code. Checked with a probe, now a test: a client that leaves in the same turn of the loop as its request arrived; the attempt stayed out for ever in the engine, the reducer and the module (the test hung until its limit). At fault: net/engine.py, attempt, which told the end from inside the task. It is told by the task's callback now. Also: a discovery agent that answers a watch at once with nothing new was asked again without any pause; it is paced to 100 ms, within the 200 ms in which a watch continues. The test fails without the guard.

--- a/stoatrouter/net/discovery.py
+++ b/stoatrouter/net/discovery.py
@@ -18,7 +18,7 @@
 
 HOLD = timedelta(seconds=20)
 ANSWER_WITHIN = HOLD + timedelta(seconds=2)  # silence past this: the watch is started anew
-PAUSE_AFTER_ERROR = timedelta(milliseconds=100)  # within the 200 ms in which a watch continues
+PAUSE = timedelta(milliseconds=100)  # after an error; within the 200 ms in which a watch continues
 LARGEST_LIST = 4 * 1024 * 1024
 PHASES = {"SERVING": Phase.ON, "DRAINING": Phase.DRAINING, "DELETED": Phase.GONE}
 
@@ -54,16 +54,20 @@
                 trust_env=False, timeout=timeout) as session:
             while True:
                 try:
-                    await self.call(session)
+                    began = asyncio.get_running_loop().time()
+                    news = await self.call(session)
                     self.recovered()
+                    # Guards the core against an agent that does not hold calls: asking is paced then.
+                    if not news and asyncio.get_running_loop().time() - began < PAUSE.total_seconds():
+                        await asyncio.sleep(PAUSE.total_seconds())
                 except asyncio.CancelledError:
                     raise
                 except (aiohttp.ClientError, Broken, OSError, ValueError, TimeoutError) as error:
                     self.failed(error)
-                    await asyncio.sleep(PAUSE_AFTER_ERROR.total_seconds())
+                    await asyncio.sleep(PAUSE.total_seconds())
 
-    async def call(self, session: aiohttp.ClientSession) -> None:
-        """One call: the whole list where none is held, else what is newer than it."""
+    async def call(self, session: aiohttp.ClientSession) -> bool:
+        """One call: the whole list where none is held, else what is newer than it. Whether it told any."""
         query = ""
         if self.generation is not None:
             query = f"?from={self.generation}&hold_ms={HOLD // timedelta(milliseconds=1)}"
@@ -76,9 +80,9 @@
                 raw += chunk
                 if len(raw) > LARGEST_LIST:  # guards memory against an answer without end
                     raise ValueError("list too large")
-        self.take(json.loads(raw))
+        return self.take(json.loads(raw))
 
-    def take(self, data: Any) -> None:
+    def take(self, data: Any) -> bool:
         """Take one message, if it makes sense as what follows the list that is held."""
         generation, whole, nodes = read_list(data)
         if not whole and self.generation is None:
@@ -86,6 +90,7 @@
         self.generation = generation
         if whole or nodes:
             self.told(ListKind.FULL if whole else ListKind.CHANGES, nodes)
+        return whole or bool(nodes)
 
     def failed(self, error: BaseException) -> None:
         if not self.failing:
--- a/stoatrouter/net/engine.py
+++ b/stoatrouter/net/engine.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Coroutine
 from datetime import timedelta
+from functools import partial
 from typing import Any
 
 from loguru import logger
@@ -23,7 +24,7 @@
         self.reducer, self.clock, self.nodes = reducer, clock, nodes
         self.loop = asyncio.get_running_loop()
         self.waiting: dict[str, asyncio.Future[model.Answer]] = {}
-        self.attempts: dict[tuple[str, int], asyncio.Task[None]] = {}
+        self.attempts: dict[tuple[str, int], asyncio.Task[Reply]] = {}
         self.tasks: set[asyncio.Task[None]] = set()
 
     # -- for fronts ---------------------------------------------------------------------------------------
@@ -55,9 +56,10 @@
 
     async def close(self) -> None:
         """End what is still out once nothing is owed any more."""
-        for task in list(self.tasks):
+        ending = [*self.tasks, *self.attempts.values()]
+        for task in ending:
             task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await asyncio.gather(*ending, return_exceptions=True)
         await self.nodes.close()
 
     # -- events in, effects out ---------------------------------------------------------------------------
@@ -71,8 +73,9 @@
     def run(self, effect: model.Effect) -> None:
         match effect:
             case model.SendAttempt():
-                key = (effect.request.id, effect.attempt)
-                self.attempts[key] = self.spawn(self.attempt(effect))
+                task = self.loop.create_task(self.nodes.attempt(effect))
+                self.attempts[(effect.request.id, effect.attempt)] = task
+                task.add_done_callback(partial(self.ended, effect))
             case model.GiveAnswer():
                 waiter = self.waiting.get(effect.request)
                 if waiter is not None and not waiter.done():
@@ -99,16 +102,17 @@
     def overdue(self, request: str) -> None:
         self.put(model.Overdue(self.clock.now(), request))
 
-    async def attempt(self, effect: model.SendAttempt) -> None:
-        """One attempt, whose end is told exactly once, however it ends."""
+    def ended(self, effect: model.SendAttempt, task: asyncio.Task[Reply]) -> None:
+        """An attempt's end, told exactly once. A callback, as a task that is cancelled before its first step
+        runs none of its own code: such an attempt would stay out for ever."""
         reply = Reply(Outcome.RESET)
-        try:
-            reply = await self.nodes.attempt(effect)
-        except asyncio.CancelledError:
+        if task.cancelled():
             reply = Reply(Outcome.CANCELLED)
-        except Exception:
+        elif (fault := task.exception()) is not None:
             # Guards against a fault in the client library: the attempt may have run, the head goes on.
-            logger.exception("attempt failed in an unforeseen way")
+            logger.opt(exception=fault).error("attempt failed in an unforeseen way")
+        else:
+            reply = task.result()
         self.attempts.pop((effect.request.id, effect.attempt), None)
         self.put(model.AttemptEnded(self.clock.now(), effect.request.id, effect.attempt, reply.outcome,
                                     reply.body, reply.units_by_others, reply.load))
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -159,6 +159,22 @@
     run(story())
 
 
+def test_an_agent_that_holds_no_call_is_asked_at_a_pace():
+    async def story():
+        peer = Discovery(*(told(1, reset=False) for _ in range(3)))
+        async with listening(peer.handle) as port:
+            watch = Watch(f"{HOST}:{port}", told(1), lambda *_: None)
+            watch.restore()
+            task = asyncio.create_task(watch.run())
+            await until(lambda: len(peer.calls) == 3)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+        times = [at for at, _ in peer.calls]
+        assert times[2] - times[0] >= discovery.PAUSE.total_seconds()
+        assert not watch.failing
+    run(story())
+
+
 def test_silence_ends_in_a_new_call(monkeypatch):
     monkeypatch.setattr(discovery, "ANSWER_WITHIN", timedelta(milliseconds=50))
 
@@ -257,3 +273,18 @@
             assert (await first).status == 200
             assert len(node.seen) == 1 and head.engine.reducer.tally.counts["duplicate_id"] == 1
     run(story())
+
+
+def test_an_attempt_called_off_before_it_began_is_told_of_too():
+    """A task cancelled before its first step runs none of its code: its end must not hang on that."""
+    async def story():
+        node = Node("a", 0)
+        async with started(node) as (head, _):
+            engine, now = head.engine, head.engine.clock.now()
+            request = model.Request("r", 0, 1, "v", "k", 0, 1.0, 1, timedelta(seconds=2), False)
+            engine.put(model.Arrived(now, request))
+            assert engine.attempts
+            engine.put(model.ClientLeft(now, "r"))
+            await until(lambda: not engine.attempts)
+            assert engine.reducer.open == 0 and not engine.reducer.scheduler.requests
+    run(story(), limit=10)
