Take SIGHUP from the first moment: move the watch, keep the list, never end

Checked: 129 is 128 + SIGHUP; no handler was installed (__main__.run set SIGTERM and SIGINT only). Ruled out: a fault in the watch; no traceback in any log. NODE_DISCOVERY goes before the file in config.load, so rereading alone would have kept the old address. Done: hangup.py takes the signal before the other imports; config.reload lets the file go first and checks all of it; Watch.move asks the new agent from the generation that is held. Found beside it: a fault in the core on a list, or a list nested too deeply, ended the watch for good.

--- a/stoatrouter/__main__.py
+++ b/stoatrouter/__main__.py
@@ -2,10 +2,16 @@
 
 from __future__ import annotations
 
+from stoatrouter.net.hangup import hangups
+
+if __name__ == "__main__":
+    hangups.hold()  # before the imports below: they take most of a start
+
 import asyncio
 import os
 import signal
 import sys
+from collections.abc import Mapping
 from datetime import timedelta
 from pathlib import Path
 
@@ -55,6 +61,21 @@
                            loop.create_task(watch_loop(self.engine, LAG_EVERY, LAG_LIMIT))]
         logger.info("start: {} listens on {}", self.conf.name, self.conf.listen)
 
+    def reload(self, environ: Mapping[str, str]) -> None:
+        """Read the configuration again; all of it must be good. Discovery's address is taken over at once."""
+        try:
+            conf = config.reload(environ)
+        except config.ConfigError as error:
+            # Guards a serving head against a file that is half written or wrong.
+            logger.error("reload: the configuration in force stays: {}", error)
+            return
+        fixed = ("name", "listen", "settings", "sockets", "memory_mb", "conn_idle", "max_open")
+        later = [name for name in fixed if getattr(conf, name) != getattr(self.conf, name)]
+        if later:
+            logger.warning("reload: changes of {} wait for the next start", ", ".join(later))
+        logger.info("reload: discovery at {}, was {}", conf.discovery, self.watch.address)
+        self.watch.move(conf.discovery)
+
     async def stop(self) -> None:
         """Finish what was taken, then end everything."""
         logger.info("stop: asked to, {} requests open", self.engine.reducer.open)
@@ -72,6 +93,9 @@
     for sign in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(sign, stop.set)
     head = Head(conf, objects)
+    loop.add_signal_handler(signal.SIGHUP, head.reload, os.environ)
+    if hangups.came:  # after the file was read, perhaps
+        head.reload(os.environ)
     await head.start()
     await stop.wait()
     await head.stop()
--- a/stoatrouter/config.py
+++ b/stoatrouter/config.py
@@ -13,6 +13,8 @@
 from cypressworks.simhost import read_settings
 from stoatrouter.core.spans import micros, span
 
+VARIABLES = {"name": "NODE_NAME", "listen": "NODE_LISTEN", "discovery": "NODE_DISCOVERY"}
+
 
 class ConfigError(Exception):
     """The configuration cannot be used; the text says why in one line."""
@@ -39,19 +41,31 @@
 
 def load(environ: Mapping[str, str]) -> Config:
     """Read the file that NODE_CONFIG names; the other variables of the environment go before it."""
+    return read(environ, {key: environ.get(variable) for key, variable in VARIABLES.items()})
+
+
+def reload(environ: Mapping[str, str]) -> Config:
+    """Read the file anew. It goes before the environment, which is as old as the process."""
+    return read(environ, {})
+
+
+def read(environ: Mapping[str, str], first: Mapping[str, str | None]) -> Config:
+    """Read and check the whole file; these values go before its own, the environment's after them."""
     path = environ.get("NODE_CONFIG")
     if not path:
         raise ConfigError("NODE_CONFIG is not set")
     try:
         data = json.loads(Path(path).read_text())
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         raise ConfigError(f"cannot read {path}: {error}") from None
-    for key, variable in (("name", "NODE_NAME"), ("listen", "NODE_LISTEN"), ("discovery", "NODE_DISCOVERY")):
-        data[key] = environ.get(variable) or data.get(key)
     try:
-        return replace(parse(data), objects=environ.get("STOATROUTER_OBJECTS") or None)
-    except (KeyError, ValueError, TypeError, AttributeError) as error:
+        for key, variable in VARIABLES.items():
+            data[key] = first.get(key) or data.get(key) or environ.get(variable)
+        conf = replace(parse(data), objects=environ.get("STOATROUTER_OBJECTS") or None)
+        address(conf.listen), address(conf.discovery)
+    except (KeyError, ValueError, TypeError, AttributeError, OverflowError) as error:
         raise ConfigError(f"bad configuration in {path}: {type(error).__name__}: {error}") from None
+    return conf
 
 
 def parse(data: dict[str, Any]) -> Config:
--- a/stoatrouter/net/discovery.py
+++ b/stoatrouter/net/discovery.py
@@ -33,6 +33,7 @@
         self.generation: int | None = None
         self.known = known
         self.failing = False
+        self.moved = asyncio.Event()
 
     def restore(self) -> None:
         """Tell the list as this head last had it; it may be out of date."""
@@ -44,8 +45,27 @@
         self.generation = generation
         self.told(ListKind.RESTORED, nodes)
 
+    def move(self, address: str) -> None:
+        """Watch at another address from now on. The list and its generation stay: the next call asks there
+        for what is newer, so that nothing is missed and nothing is forgotten."""
+        if address != self.address:
+            self.address = address
+            self.moved.set()
+
     async def run(self) -> None:
-        """Watch for as long as the program runs."""
+        """Watch for as long as the program runs, wherever the list is to be had."""
+        while True:
+            self.moved.clear()
+            following = asyncio.create_task(self.follow())
+            try:
+                await self.moved.wait()
+            finally:
+                # Guards a moved watch against the old agent, which may be silent from now on.
+                following.cancel()
+                await asyncio.gather(following, return_exceptions=True)
+
+    async def follow(self) -> None:
+        """Watch at one address."""
         # one connection of its own: nothing of the pool to nodes can hold it up
         connector = aiohttp.TCPConnector(limit=2, keepalive_timeout=ANSWER_WITHIN.total_seconds())
         timeout = aiohttp.ClientTimeout(total=ANSWER_WITHIN.total_seconds(), sock_connect=2.0)
@@ -60,11 +80,13 @@
                     # Guards the core against an agent that does not hold calls: asking is paced then.
                     if not news and asyncio.get_running_loop().time() - began < PAUSE.total_seconds():
                         await asyncio.sleep(PAUSE.total_seconds())
-                except asyncio.CancelledError:
-                    raise
                 except (aiohttp.ClientError, Broken, OSError, ValueError, TimeoutError) as error:
                     self.failed(error)
                     await asyncio.sleep(PAUSE.total_seconds())
+                except Exception:
+                    # Guards against a list that sets off a fault elsewhere: the watch must outlive it.
+                    logger.exception("discovery: what was told could not be taken")
+                    await asyncio.sleep(PAUSE.total_seconds())
 
     async def call(self, session: aiohttp.ClientSession) -> bool:
         """One call: the whole list where none is held, else what is newer than it. Whether it told any."""
@@ -80,12 +102,18 @@
                 raw += chunk
                 if len(raw) > LARGEST_LIST:  # guards memory against an answer without end
                     raise ValueError("list too large")
-        return self.take(json.loads(raw))
+        try:
+            data = json.loads(raw)
+        except RecursionError:  # brackets without end
+            raise ValueError("list nested too deeply") from None
+        return self.take(data)
 
     def take(self, data: Any) -> bool:
         """Take one message, if it makes sense as what follows the list that is held."""
         generation, whole, nodes = read_list(data)
-        if not whole and self.generation is None:
+        if not whole and (self.generation is None or generation < self.generation):
+            # Guards against changes to another list than the one held, as from an agent that counts anew.
+            self.generation = None  # the next call asks for the whole
             raise ValueError("changes to a list that is not held")
         self.generation = generation
         if whole or nodes:
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -175,6 +175,39 @@
     run(story())
 
 
+def test_a_moved_watch_keeps_what_it_holds_and_leaves_a_silent_agent():
+    async def story():
+        a, heard = Node("a", 0), []
+        old = Discovery(told(2, a.entry(), reset=True))  # then silence
+        new = Discovery(told(3, a.entry(lifecycle="DRAINING"), reset=False), told(2, reset=False))
+        async with listening(old.handle) as before, listening(new.handle) as after:
+            watch = Watch(f"{HOST}:{before}", told(1), lambda kind, nodes: heard.append((kind, len(nodes))))
+            watch.restore()
+            task = asyncio.create_task(watch.run())
+            await until(lambda: len(old.calls) == 2)
+            watch.move(f"{HOST}:{after}")
+            await until(lambda: len(new.calls) == 3)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+        assert [path.partition("&")[0] for _, path in new.calls] == [
+            "/v1/servers?from=2", "/v1/servers?from=3", "/v1/servers"]  # one that goes back fits no more
+        assert heard == [(ListKind.RESTORED, 0), (ListKind.FULL, 1), (ListKind.CHANGES, 1)]
+    run(story())
+
+
+def test_a_fault_set_off_by_a_list_does_not_end_the_watch():
+    async def story():
+        def told_badly(*_):
+            raise RuntimeError("no such thing")
+        peer = Discovery(b"[" * 100_000, told(2), told(3))
+        async with listening(peer.handle) as port:
+            task = asyncio.create_task(Watch(f"{HOST}:{port}", {}, told_badly).run())
+            await until(lambda: len(peer.calls) == 4)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+    run(story())
+
+
 def test_silence_ends_in_a_new_call(monkeypatch):
     monkeypatch.setattr(discovery, "ANSWER_WITHIN", timedelta(milliseconds=50))
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -14,7 +14,8 @@
 import aiohttp
 import pytest
 
-from tests.peers import HOST, Discovery, Node, config_data, listening, nodes_up, run, told
+from stoatrouter.net.hangup import Hangups
+from tests.peers import HOST, Discovery, Node, config_data, listening, nodes_up, run, told, until
 
 ROOT = Path(__file__).parent.parent
 PATH = "/score-read/00000003b4d60021/7f3a9c21e0b4d655"
@@ -35,7 +36,8 @@
     async with nodes_up(*nodes), listening(Discovery().handle) as discovery:
         data = config_data(told(1, *(n.entry() for n in nodes)), discovery, port)
         (tmp_path / "config.json").write_text(json.dumps(data))
-        environ = os.environ | {"NODE_CONFIG": str(tmp_path / "config.json"), "PYTHONPATH": str(ROOT)}
+        environ = os.environ | {"NODE_CONFIG": str(tmp_path / "config.json"), "PYTHONPATH": str(ROOT),
+                                "NODE_DISCOVERY": data["discovery"]}
         if objects:
             operator = (ROOT / "deploy" / "objects.toml").read_text().replace("8480", str(object_port))
             (tmp_path / "objects.toml").write_text(operator)
@@ -122,6 +124,43 @@
     run(story())
 
 
+def test_a_new_configuration_moves_discovery_and_a_bad_one_nothing(tmp_path):
+    """By default SIGHUP ends a process; the environment still names the old discovery."""
+    async def story():
+        a, b, second = Node("a", 0), Node("b", 0), Discovery()
+        b.pieces[PATH.split("/", 2)[2]] = b"the other"
+        async with program(tmp_path, a) as (process, session, base, _), nodes_up(b), listening(
+                second.handle) as port:
+            file = tmp_path / "config.json"
+            good = json.loads(file.read_text())
+            file.write_text('{"name": "n0", "settings": ')
+            process.send_signal(signal.SIGHUP)
+            while b"reload: the configuration in force stays" not in await process.stderr.readline():
+                pass
+            assert (await read(session, base, "one"))[0] == 200 and len(a.seen) == 1
+            file.write_text(json.dumps(good | {"discovery": f"{HOST}:{port}"}))
+            process.send_signal(signal.SIGHUP)
+            await until(lambda: bool(second.calls))
+            assert "from=1&" in second.calls[0][1]  # the list that is held still counts
+            second.script.put_nowait(told(2, b.entry()))
+            await until(lambda: len(second.calls) == 2)
+            assert await read(session, base, "two") == (200, b"the other")
+            process.send_signal(signal.SIGHUP)
+            process.send_signal(signal.SIGTERM)
+            assert await process.wait() == 0
+    run(story())
+
+
+def test_a_hangup_before_the_program_can_take_it_is_kept():
+    held, before = Hangups(), signal.getsignal(signal.SIGHUP)
+    try:
+        held.hold()
+        signal.raise_signal(signal.SIGHUP)
+        assert held.came
+    finally:
+        signal.signal(signal.SIGHUP, before)
+
+
 def test_the_object_front_is_off_unless_an_operator_sets_it_up(tmp_path):
     async def story():
         async with program(tmp_path, Node("a", 0)) as (_, session, _, objects):
