Frame node answers strictly: spoilt ones fail at once, leftovers reach nobody

Checked by probes: with noise in one segment behind a good answer aiohttp's parser raises and drops the answer too; an answer that comes while a connection is idle is queued, and connector._get, which asks only is_connected(), gives it to the next request; a length over the body, or a head that does not end, is waited for until the client's deadline. Ruled out: resending by aiohttp, still off. Done: pool.py splits off one head, demands one length within 64 KiB or chunks, feeds the parser this answer's bytes only, gives an answer that has begun as long as the tightest aim, asks the socket itself before a connection is used again, and counts idle connections among those that may be held. Load and use figures that cannot be read are absent, no longer zero.

--- a/stoatrouter/__main__.py
+++ b/stoatrouter/__main__.py
@@ -19,6 +19,7 @@
 
 from stoatrouter import config
 from stoatrouter.core.reducer import Reducer
+from stoatrouter.core.spans import span
 from stoatrouter.fronts.objects.front import ObjectFront
 from stoatrouter.fronts.objects.settings import ObjectSettings
 from stoatrouter.fronts.objects.settings import load as load_objects
@@ -40,7 +41,8 @@
 
     def __init__(self, conf: config.Config, objects: ObjectSettings | None = None) -> None:
         self.conf, self.object_settings = conf, objects
-        nodes = NodeClient(conf.connect_timeout, conf.conn_idle, int(conf.sockets * NODE_SHARE))
+        nodes = NodeClient(conf.connect_timeout, conf.conn_idle, int(conf.sockets * NODE_SHARE),
+                           span(min(c.aim for c in conf.settings.classes)))
         self.engine = Engine(Reducer(conf.settings, conf.seed, conf.max_open), Clock(), nodes)
         self.watch = Watch(conf.discovery, conf.known, self.engine.told)
         self.door = Door(int(conf.sockets * CLIENT_SHARE))
--- a/stoatrouter/net/nodes.py
+++ b/stoatrouter/net/nodes.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import math
+import re
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -16,12 +16,15 @@
 
 from cypressworks.interface import Outcome
 from stoatrouter.core import model
+from stoatrouter.net.pool import LARGEST_BODY, NodePool
 
-LARGEST_BODY = 64 * 1024
 PROBE_TIMEOUT = timedelta(milliseconds=400)
 # Idle connections are given up at this part of the time after which a node closes them: a request written
 # as the node closes would end as a reset.
 IDLE_PART = 0.5
+REST_WITHIN = timedelta(milliseconds=400)  # once an answer has begun, its end
+LARGEST_COUNT = 1e6  # that a node can mean
+NUMBER = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?")
 SKIPPED = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 
@@ -82,11 +85,11 @@
 class NodeClient:
     """Connections to all nodes, in one bounded pool."""
 
-    def __init__(self, connect_timeout: timedelta, conn_idle: timedelta, most: int) -> None:
-        connector = aiohttp.TCPConnector(
-            limit=most, keepalive_timeout=conn_idle.total_seconds() * IDLE_PART, use_dns_cache=False)
+    def __init__(self, connect_timeout: timedelta, conn_idle: timedelta, most: int,
+                 rest_within: timedelta = REST_WITHIN) -> None:
         self.session = aiohttp.ClientSession(
-            connector=connector, request_class=TrackedRequest, middlewares=(only_once,),
+            connector=NodePool(most, conn_idle * IDLE_PART, rest_within),
+            request_class=TrackedRequest, middlewares=(only_once,),
             cookie_jar=aiohttp.DummyCookieJar(), auto_decompress=False, trust_env=False,
             skip_auto_headers=SKIPPED,
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_timeout.total_seconds()))
@@ -152,24 +155,24 @@
 
 def judge(status: int, headers: CIMultiDictProxy[str], body: bytes) -> Reply:
     """What an answer of a node means."""
-    units, load = read_number(headers.get("X-Served-Elsewhere")), read_load(headers.get("Srv-Load"))
+    units, load = read_number(headers.get("X-Served-Elsewhere")) or 0.0, read_load(headers.get("Srv-Load"))
     if status == 200:
         return Reply(Outcome.OK, body, units, load)
     declined = status in (503, 504) and headers.get("Srv-Declined") == "1"
     return Reply(Outcome.FULL if declined else Outcome.ERROR, b"", units, load)
 
 
-def read_number(text: str | None) -> float:
-    """A count that a node tells; 0 where it is absent or no number."""
-    try:
-        number = float(text or 0)
-    except ValueError:
-        return 0.0
-    return number if math.isfinite(number) and number >= 0 else 0.0  # NaN would poison a volume's stores
+def read_number(text: str | None) -> float | None:
+    """A figure that a node tells; None where it is absent or cannot be read. Guards the module: what is no
+    number would poison a volume's stores, and an unreadable load is not no load."""
+    if text is None or not NUMBER.fullmatch(text.strip()):
+        return None
+    number = float(text)
+    return number if number <= LARGEST_COUNT else None
 
 
 def read_load(text: str | None) -> dict[str, float] | None:
     """Read a load report, as inflight=7,queue=2,util=0.61; None where there is none."""
     pairs = (pair.partition("=") for pair in (text or "").split(","))
-    load = {name.strip(): read_number(value.strip()) for name, _, value in pairs if name.strip() and value}
-    return load or None
+    figures = {name.strip(): read_number(value) for name, _, value in pairs if name.strip()}
+    return {name: figure for name, figure in figures.items() if figure is not None} or None
--- /dev/null
+++ b/stoatrouter/net/pool.py
@@ -0,0 +1,187 @@
+"""Connections to nodes: only a whole, well-formed answer comes through, and nothing that follows one.
+
+aiohttp's client does the rest. Three things it does were shown by probes to be in the way: noise in one
+segment with a good answer makes its parser drop that answer too; an answer that comes while a connection is
+idle is kept and given to the next request on it; a message without a length is read until the connection ends.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import select
+from datetime import timedelta
+from functools import partial
+from typing import Any
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+
+LARGEST_HEAD, LARGEST_BODY = 16 * 1024, 64 * 1024
+HEAD_END = b"\r\n\r\n"
+
+
+class Spoilt(aiohttp.ClientPayloadError):
+    """What a node sent is no answer; its request may have run."""
+
+
+class NodeConnection(ResponseHandler):
+    """One connection; at most one exchange at a time."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, pool: NodePool, rest_within: timedelta) -> None:
+        super().__init__(loop)
+        self.pool, self.rest_within = pool, rest_within
+        self.asked = self.chunked = False  # asked: an answer is due
+        self.head, self.left = b"", 0  # of the present answer: what has come of its head, what its body lacks
+        self.in_body = False
+        self.stall: asyncio.TimerHandle | None = None
+
+    # -- what aiohttp calls -------------------------------------------------------------------------------
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        self.pool.alive.add(self)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        self.pool.alive.discard(self)
+        self._whole()
+        super().connection_lost(exc)
+
+    def set_response_params(self, **params: Any) -> None:
+        """A request is about to be written."""
+        self.asked, self.in_body, self.head = True, False, b""
+        super().set_response_params(**params)
+
+    def is_connected(self) -> bool:
+        """Asked before each reuse. Guards against what came behind the last answer, or an end, that the loop
+        has not yet come to read: it would be taken for the next request's answer."""
+        return super().is_connected() and (self.asked or not self.should_close and not self._unread())
+
+    def data_received(self, data: bytes) -> None:
+        if not data:
+            super().data_received(data)  # aiohttp goes on with what it has
+        elif not self.asked:
+            # Guards the next request on this connection: bytes behind an answer belong to nobody.
+            self._end()
+        elif not self.in_body:
+            self._take_head(data)
+        elif self.chunked:
+            self._take_chunked(data)
+        else:
+            self._take_body(data)
+
+    # -- one answer ---------------------------------------------------------------------------------------
+    def _take_head(self, data: bytes) -> None:
+        if not self.head and self.stall is None:
+            self.stall = self._loop.call_later(self.rest_within.total_seconds(), self._spoilt, "it stalled")
+        self.head += data
+        while (end := self.head.find(HEAD_END)) >= 0:
+            head, rest = self.head[:end + len(HEAD_END)], self.head[end + len(HEAD_END):]
+            status = head[9:12]
+            if status == b"101":
+                return self._spoilt("another protocol, which nobody asked for")
+            if not status.isdigit() or status[:1] != b"1":
+                return self._begin(head, rest)
+            self.head = rest  # an interim answer: the one that counts is still to come
+        # Guards memory against a head that never ends, and time against what is no head at all.
+        if len(self.head) > LARGEST_HEAD or self.head[:7] != b"HTTP/1."[:len(self.head)]:
+            self._spoilt("no head")
+
+    def _begin(self, head: bytes, rest: bytes) -> None:
+        try:
+            length = body_length(head)
+        except ValueError as error:
+            return self._spoilt(str(error))
+        self.in_body, self.chunked, self.left = True, length is None, length or 0
+        if self.chunked:
+            self._take_chunked(head + rest)
+        else:
+            self._take_body(rest, head)
+
+    def _take_body(self, data: bytes, head: bytes = b"") -> None:
+        mine, more = data[:self.left], data[self.left:]
+        self.left -= len(mine)
+        if not self.left:
+            self._whole()
+        super().data_received(head + mine)
+        if more:
+            self._end()
+
+    def _take_chunked(self, data: bytes) -> None:
+        super().data_received(data)
+        if self._payload is not None and self._payload.is_eof():
+            self._whole()
+
+    def _whole(self) -> None:
+        self.asked = False
+        if self.stall is not None:
+            self.stall.cancel()
+            self.stall = None
+
+    # -- ends ---------------------------------------------------------------------------------------------
+    def _end(self) -> None:
+        """Never use this connection again; an answer that has come whole stays good."""
+        self.force_close()
+        if self.transport is not None:
+            self.transport.abort()
+
+    def _spoilt(self, why: str) -> None:
+        error = Spoilt(why)
+        if self._payload is not None and not self._payload.is_eof():
+            self._payload.set_exception(error)
+        self.set_exception(error)
+        self._end()
+
+    def _unread(self) -> bool:
+        handle = self.transport.get_extra_info("socket") if self.transport is not None else None
+        if handle is None or handle.fileno() < 0:
+            return True
+        poll = select.poll()
+        poll.register(handle.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
+
+class NodePool(aiohttp.TCPConnector):
+    """Connections to all nodes, those that are idle counted among the bound."""
+
+    def __init__(self, most: int, keep: timedelta, rest_within: timedelta) -> None:
+        super().__init__(limit=most, keepalive_timeout=keep.total_seconds(), use_dns_cache=False)
+        self.most = most
+        self.alive: set[NodeConnection] = set()
+        # aiohttp has no public way to say which connections a connector makes
+        self._factory = partial(NodeConnection, loop=asyncio.get_running_loop(), pool=self,  # type: ignore
+                                rest_within=rest_within)
+
+    async def connect(self, req: Any, traces: Any, timeout: Any) -> Any:
+        # Guards the descriptors: aiohttp's limit counts connections in use only.
+        if len(self.alive) >= self.most:
+            self._end_oldest_idle()
+        return await super().connect(req, traces, timeout)
+
+    def _end_oldest_idle(self) -> None:
+        waiting = ((conns[0][1], key) for key, conns in self._conns.items() if conns)
+        _, key = min(waiting, key=lambda pair: pair[0], default=(0.0, None))
+        if key is not None:
+            connection, _ = self._conns[key].popleft()
+            if not self._conns[key]:
+                del self._conns[key]
+            connection.close()
+
+
+def body_length(head: bytes) -> int | None:
+    """The length that a head states, None for chunks. Guards against an answer whose end cannot be told: two
+    lengths, none, one that is no number or over the bound, or a length with chunks."""
+    lengths, codings = [], []
+    for line in head[:-len(HEAD_END)].split(b"\r\n")[1:]:
+        name, colon, value = line.partition(b":")
+        if not colon or not name or name.strip() != name:
+            raise ValueError("a header that cannot be read")
+        if name.lower() == b"content-length":
+            lengths.append(value.strip())
+        elif name.lower() == b"transfer-encoding":
+            codings.append(value.strip().lower())
+    if codings == [b"chunked"] and not lengths:
+        return None
+    if codings or len(lengths) != 1 or not lengths[0].isdigit() or len(lengths[0]) > 9:
+        raise ValueError("no length that can be read")
+    if int(lengths[0]) > LARGEST_BODY:
+        raise ValueError("a body over 64 KiB")
+    return int(lengths[0])
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -125,13 +125,15 @@
 
 @pytest.mark.parametrize(("text", "load"), [
     ("inflight=7,queue=2,util=0.61", {"inflight": 7.0, "queue": 2.0, "util": 0.61}),
-    ("util=0.5,nonsense,x=", {"util": 0.5}), ("", None), (None, None), ("util=nan", {"util": 0.0})])
+    ("util=0.5,nonsense,x=", {"util": 0.5}), ("", None), (None, None), ("util=nan", None),
+    ("inflight=-1,util=0.2", {"util": 0.2})])
 def test_load_reports(text, load):
     assert read_load(text) == load
 
 
 @pytest.mark.parametrize(("text", "number"), [
-    ("3", 3.0), (None, 0.0), ("nan", 0.0), ("inf", 0.0), ("-2", 0.0), ("x", 0.0)])
+    ("3", 3.0), ("2.5", 2.5), (None, None), ("nan", None), ("inf", None), ("-2", None), ("x", None),
+    ("1e300", None), ("1_0", None), ("9" * 12, None), ("", None)])
 def test_counts_that_a_node_tells(text, number):
     assert read_number(text) == number
 
--- /dev/null
+++ b/tests/test_pool.py
@@ -0,0 +1,120 @@
+"""Stories of bad nodes, told byte by byte: only a whole answer that belongs to its request is served."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections import deque
+from datetime import timedelta
+
+import pytest
+
+from cypressworks.interface import Outcome
+from stoatrouter.net.nodes import NodeClient
+from tests.peers import HOST, run, until
+from tests.test_network import attempt
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
+REST = timedelta(milliseconds=100)
+
+
+class Script:
+    """A node that sends these bytes, one entry for each request, and keeps its connections."""
+
+    def __init__(self, *answers: bytes | tuple[bytes, bytes]) -> None:
+        self.answers, self.connections, self.more = deque(answers), 0, asyncio.Event()
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                answer = self.answers.popleft()
+                first, later = answer if isinstance(answer, tuple) else (answer, b"")
+                writer.write(first)
+                if later:
+                    await self.more.wait()
+                    writer.write(later)
+        writer.close()
+
+
+def address_of(server: asyncio.Server) -> str:
+    host, port = server.sockets[0].getsockname()
+    return f"{host}:{port}"
+
+
+@contextlib.asynccontextmanager
+async def client_of(script: Script, most: int = 16):
+    server = await asyncio.start_server(script.serve, HOST, 0)
+    nodes = NodeClient(timedelta(milliseconds=250), timedelta(seconds=30), most, rest_within=REST)
+    effect = attempt(address_of(server), timeout=timedelta(seconds=20))
+    async with server:
+        yield nodes, effect
+        await nodes.close()
+
+
+@pytest.mark.parametrize("answer", [
+    b"\xe2\xae\xa7 noise\r\n\r\n", b"noise without end", b"HTTP/1.1 2x0 OK\r\nContent-Length: 0\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nX: " + b"p" * 40_000, b"HTTP/1.1 200 OK\r\nX: y\r\n",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbody", b"HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\nbody",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 3\r\n\r\nbody",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 4x\r\n\r\nbody", b"HTTP/1.1 200 OK\r\n\r\nbody",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nbody\r\n0\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\n" + b"b" * 100_000,
+    b"HTTP/1.1 200 OK\r\nContent Length: 4\r\nContent-Length: 4\r\n\r\nbody",
+    b"HTTP/1.1 100 Continue\r\n\r\n", b"HTTP/1.1 101 Switching\r\nUpgrade: x\r\nContent-Length: 0\r\n\r\n"])
+def test_a_spoilt_answer_may_have_run_and_its_connection_is_of_no_more_use(answer):
+    """None is waited for until the client's deadline, none is served, none costs the next request."""
+    async def story():
+        script = Script(answer, OK + b"good")
+        async with client_of(script) as (nodes, effect):
+            assert (await nodes.attempt(effect)).outcome in (Outcome.RESET, Outcome.ERROR)
+            assert (await nodes.attempt(effect)).body == b"good"
+            assert script.connections == 2
+    run(story(), limit=10)
+
+
+@pytest.mark.parametrize("answer", [
+    b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n" + OK + b"body",
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nSrv-Load: util=%%,\r\nX-Served-Elsewhere: many\r\n\r\nbody"])
+def test_a_good_answer_is_served_and_its_connection_kept(answer):
+    async def story():
+        script = Script(answer, OK + b"good")
+        async with client_of(script) as (nodes, effect):
+            reply = await nodes.attempt(effect)
+            assert (reply.body, reply.load, reply.units_by_others) == (b"body", None, 0.0)
+            assert (await nodes.attempt(effect)).body == b"good"
+            assert script.connections == 1
+    run(story())
+
+
+@pytest.mark.parametrize("more", [b"noise", OK + b"body", OK + b"bo", b"HTTP/1.1 20", b"\r\n\r\n"])
+@pytest.mark.parametrize("later", [False, True])
+def test_bytes_behind_an_answer_are_nobodys(more, later):
+    """In one segment with the answer or after it: the answer counts, the connection is not used again."""
+    async def story():
+        script = Script((OK + b"body", more) if later else OK + b"body" + more, OK + b"good")
+        async with client_of(script) as (nodes, effect):
+            assert (await nodes.attempt(effect)).body == b"body"
+            script.more.set()
+            if later:  # they wait in the socket, where this loop has not yet read them
+                (connection,) = nodes.session.connector.alive
+                await until(lambda: connection._unread() or not connection.is_connected())
+            assert (await nodes.attempt(effect)).body == b"good"
+            assert script.connections == 2
+    run(story())
+
+
+def test_idle_connections_count_among_those_that_may_be_held():
+    async def story():
+        scripts = [Script(OK + b"body", OK + b"body") for _ in range(4)]
+        nodes = NodeClient(timedelta(milliseconds=250), timedelta(seconds=30), 2)
+        async with contextlib.AsyncExitStack() as stack:
+            for script in scripts:
+                server = await stack.enter_async_context(await asyncio.start_server(script.serve, HOST, 0))
+                assert (await nodes.attempt(attempt(address_of(server)))).outcome is Outcome.OK
+                await until(lambda: len(nodes.session.connector.alive) <= 2)
+            await nodes.close()
+    run(story())
