--- a/stoatrouter/net/pool.py
+++ b/stoatrouter/net/pool.py
@@ -2,7 +2,7 @@
 
 aiohttp's client does the rest. Three things it does were shown by probes to be in the way: noise in one
 segment with a good answer makes its parser drop that answer too; an answer that comes while a connection is
-idle is kept and given to the next request on it; a message without a length is read until the connection ends.
+idle is kept and given to the next request on it; a message with no length is read until the connection ends.
 """
 
 from __future__ import annotations
