--- a/stoatrouter/__main__.py
+++ b/stoatrouter/__main__.py
@@ -28,7 +28,7 @@
 from stoatrouter.net.discovery import Watch
 from stoatrouter.net.door import Door
 from stoatrouter.net.engine import Engine, watch_loop
-from stoatrouter.net.listener import Drain, Listener
+from stoatrouter.net.listener import Drain, Listener, farewell
 from stoatrouter.net.nodes import NodeClient
 
 # Of the descriptors: clients hold a third of them at most for requests; some more may say nothing.
@@ -81,10 +81,12 @@
         self.watch.move(conf.discovery)
 
     async def stop(self) -> None:
-        """Finish what was taken, then end everything."""
+        """Serve for as long as answers are sure, finish what was taken, then end everything."""
         logger.info("stop: asked to, {} requests open", self.engine.reducer.open)
+        times = farewell(span(max(c.deadline for c in self.conf.settings.classes)))
+        self.engine.answer_by = self.engine.clock.now() + times.answer_within
         listeners = [listener for listener in (self.platform, self.objects) if listener is not None]
-        await asyncio.gather(*(listener.stop(lambda: self.engine.busy) for listener in listeners))
+        await asyncio.gather(*(li.stop(lambda: self.engine.busy, times.take_for) for li in listeners))
         for task in self.background:
             task.cancel()
         await asyncio.gather(*self.background, return_exceptions=True)
--- a/stoatrouter/net/door.py
+++ b/stoatrouter/net/door.py
@@ -38,6 +38,7 @@
 
     def __init__(self, most: int) -> None:
         self.most = most
+        self.keep_idle = False  # a stopping head's clients cannot open new ones
         self.held: dict[State, dict[ClientConnection, float]] = {state: {} for state in State}
 
     def __len__(self) -> int:
@@ -75,6 +76,8 @@
     def sweep(self) -> None:
         """End what has been idle or silent for too long, heads that never end among it."""
         for state, after in ((State.SILENT, IDLE), (State.IDLE, IDLE), (State.ENDING, LINGER)):
+            if state is State.IDLE and self.keep_idle:
+                continue
             for connection, since in list(self.held[state].items()):
                 if connection.loop.time() - since < after.total_seconds():
                     break
--- a/stoatrouter/net/engine.py
+++ b/stoatrouter/net/engine.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Coroutine
+from dataclasses import replace
 from datetime import timedelta
 from functools import partial
 from typing import Any
@@ -26,11 +27,17 @@
         self.waiting: dict[str, asyncio.Future[model.Answer]] = {}
         self.attempts: dict[tuple[str, int], asyncio.Task[Reply]] = {}
         self.tasks: set[asyncio.Task[None]] = set()
+        self.answer_by: timedelta | None = None  # a stopping head's last moment
 
     # -- for fronts ---------------------------------------------------------------------------------------
     async def serve(self, request: model.Request) -> model.Answer:
         """The final answer to a request; cancelling the caller tells the core that its client has gone."""
-        effects = self.reducer.reduce(model.Arrived(self.clock.now(), request))
+        now = self.clock.now()
+        if self.answer_by is not None:
+            # Guards what a stopping head still takes: no answer is left to come after its end.
+            left = max(timedelta(0), min(request.time_left, self.answer_by - now))
+            request = replace(request, time_left=left)
+        effects = self.reducer.reduce(model.Arrived(now, request))
         # Guards the waiter of a request that is open under the same id: this answer is not for it.
         if effects and isinstance(effects[0], model.TurnAway):
             return effects[0].answer
--- a/stoatrouter/net/listener.py
+++ b/stoatrouter/net/listener.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from datetime import timedelta
 from typing import TypeVar
 
@@ -19,13 +20,31 @@
 # Connections accepted in one turn of the loop: those that end for their sake give up their descriptors in
 # the next one.
 ACCEPT_AT_ONCE = 16
-# After SIGTERM new connections keep coming for 0.4 s; all is as ever a little longer than that.
-ACCEPT_FOR = timedelta(milliseconds=450)
+# A stopping head is killed no sooner than this after the longest deadline, which counts as 3 s at most.
+KILLED_AFTER, LONGEST_COUNTED = timedelta(milliseconds=700), timedelta(seconds=3)
+ANSWERED_BEFORE = timedelta(milliseconds=350)  # the kill: by then all is answered that came since the signal
+LAST_TAKEN_BEFORE = timedelta(milliseconds=400)  # that: what comes later has too little time to be of use
+LONGEST_TAKE = timedelta(seconds=3)
 # Then connections end between requests. A request that crosses such an end is sent once more over a new one:
-# these are still accepted, up to 0.7 s after the signal.
+# these are still accepted.
 RESENT_FOR = timedelta(milliseconds=200)
 
 
+@dataclass(slots=True, frozen=True)
+class Farewell:
+    """How long a stopping head takes requests as ever, and by when it has answered them."""
+
+    take_for: timedelta
+    answer_within: timedelta
+
+
+def farewell(longest_deadline: timedelta) -> Farewell:
+    """Clients keep to the connections they have and can reach this head in no other way until it is back, so
+    it serves for as long as it can be sure to answer."""
+    within = min(longest_deadline, LONGEST_COUNTED) + KILLED_AFTER - ANSWERED_BEFORE
+    return Farewell(min(LONGEST_TAKE, within - LAST_TAKEN_BEFORE), within)
+
+
 class Drain:
     """Whether this head is stopping or crowded, and what its answers say of their connections."""
 
@@ -66,10 +85,11 @@
         assert self.sockets is not None
         return int(self.sockets.sockets[0].getsockname()[1])
 
-    async def stop(self, busy: Callable[[], bool]) -> None:
-        """Accept for a little longer, finish all that was taken, then end the connections."""
+    async def stop(self, busy: Callable[[], bool], take_for: timedelta) -> None:
+        """Serve for a little longer, finish all that was taken, then end the connections."""
         door = self.drain.door
-        await asyncio.sleep(ACCEPT_FOR.total_seconds())
+        door.keep_idle = True
+        await asyncio.sleep(take_for.total_seconds())
         self.drain.stopping = True
         door.end_idle()
         await asyncio.sleep(RESENT_FOR.total_seconds())
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -13,7 +13,7 @@
 from cypressworks.interface import ListKind, Outcome, Phase
 from stoatrouter.__main__ import Head
 from stoatrouter.core import model
-from stoatrouter.net import discovery
+from stoatrouter.net import discovery, listener
 from stoatrouter.net.discovery import Watch
 from stoatrouter.net.nodes import NodeClient, read_load, read_number
 from tests.peers import HOST, Discovery, Node, head_config, listening, nodes_up, run, told, until
@@ -323,3 +323,21 @@
             await until(lambda: not engine.attempts)
             assert engine.reducer.open == 0 and not engine.reducer.scheduler.requests
     run(story(), limit=10)
+
+
+@pytest.mark.parametrize(("longest", "take", "answer"), [(2000, 1950, 2350), (6000, 2950, 3350)])
+def test_a_stopping_head_answers_before_it_may_be_killed(monkeypatch, longest, take, answer):
+    monkeypatch.undo()
+    ms = timedelta(milliseconds=1)
+    assert listener.farewell(longest * ms) == listener.Farewell(take * ms, answer * ms)
+
+
+def test_what_a_stopping_head_still_takes_has_no_more_time_than_the_head():
+    async def story():
+        node = Node("a", 0, "silent")
+        async with started(node) as (head, session):
+            head.engine.answer_by = head.engine.clock.now() + timedelta(milliseconds=200)
+            async with session.get(PATH, headers=HEADERS) as response:  # it would have 2 s
+                assert response.status == 503
+            assert head.engine.clock.now() < head.engine.answer_by + timedelta(seconds=1)
+    run(story())
