Hold idle client connections to an eighth of the descriptors, and spare new ones

A trace by connection: 123 to 128 connections (a third of 384 descriptors, all that clients may hold) had asked once and stayed, 64 to 94 said nothing, several hundred a second were ended to make room. At fault: Door let idle connections live 2 s whatever their number, so that those of clients that ask once filled the clients' third; and enter() ended silent connections before idle ones, even where they had come in the same turn and their request was not read yet. Done: at most an eighth of the descriptors are held by connections between requests, the oldest ends first; room for a new one is made from those that end, are silent for 250 ms or are idle, in this order.

--- a/stoatrouter/__main__.py
+++ b/stoatrouter/__main__.py
@@ -32,7 +32,7 @@
 from stoatrouter.net.nodes import NodeClient
 
 # Of the descriptors: clients hold a third of them at most for requests; some more may say nothing.
-NODE_SHARE, CLIENT_SHARE = 0.35, 0.5
+NODE_SHARE, CLIENT_SHARE, IDLE_SHARE = 0.3, 0.58, 0.125
 LAG_EVERY, LAG_LIMIT = timedelta(milliseconds=100), timedelta(milliseconds=100)
 
 
@@ -45,7 +45,7 @@
                            span(min(c.aim for c in conf.settings.classes)))
         self.engine = Engine(Reducer(conf.settings, conf.seed, conf.max_open), Clock(), nodes)
         self.watch = Watch(conf.discovery, conf.known, self.engine.told)
-        self.door = Door(int(conf.sockets * CLIENT_SHARE))
+        self.door = Door(int(conf.sockets * CLIENT_SHARE), int(conf.sockets * IDLE_SHARE))
         self.drain = Drain(self.door)
         self.platform = Listener(PlatformFront(self.engine, conf.settings, self.drain).handle, self.drain)
         self.object_front = self.objects = None
--- a/stoatrouter/net/door.py
+++ b/stoatrouter/net/door.py
@@ -14,6 +14,7 @@
 
 # A connection with no open request is ended after this time, whether it has said anything or not.
 IDLE = timedelta(seconds=2)
+JUST_COME = timedelta(milliseconds=250)
 SPARE = 8  # connections beyond the bound that are still heard, to be refused in words
 SWEEP_EVERY = timedelta(milliseconds=200)
 # From the time a client may begin a request to the time all of it must have come.
@@ -28,7 +29,7 @@
 
 
 class State(Enum):
-    """Of a client's connection; the order is that in which room is made."""
+    """Of a client's connection."""
 
     ENDING = 0  # has its last answer
     SILENT = 1  # nothing has come that is a request
@@ -39,8 +40,8 @@
 class Door:
     """All connections of clients, by state and in the order in which they came to it."""
 
-    def __init__(self, most: int) -> None:
-        self.most = most
+    def __init__(self, most: int, idle_most: int) -> None:
+        self.most, self.idle_most = most, idle_most
         self.keep_idle = False  # a stopping head's clients cannot open new ones
         self.held: dict[State, dict[ClientConnection, float]] = {state: {} for state in State}
 
@@ -51,6 +52,11 @@
         self.leave(connection)
         connection.state, connection.since = state, connection.loop.time()
         self.held[state][connection] = connection.since
+        idle = self.held[State.IDLE]
+        if len(idle) > self.idle_most and not self.keep_idle:
+            # Guards the other clients: what they may hold together is bounded, and those that ask once and
+            # keep their connection would take all of it. Those that ask again are not the oldest.
+            next(iter(idle)).end()
 
     def leave(self, connection: ClientConnection) -> None:
         self.held[connection.state].pop(connection, None)
@@ -59,14 +65,21 @@
         """Guards the descriptors against connections that are of no use at present: the one that has been so
         for longest ends for each that comes. What is open stays."""
         self.put(connection, State.SILENT)
-        if len(self) > self.most:
-            for state in (State.ENDING, State.SILENT, State.IDLE):
-                oldest = next(iter(self.held[state]), None)
-                if oldest is not None and oldest is not connection:
-                    return oldest.end()
+        if len(self) > self.most and (least := self.least_used(connection)) is not None:
+            return least.end()
         if len(self) > self.most + SPARE:
             connection.end()  # all others have a request open
 
+    def least_used(self, newest: ClientConnection) -> ClientConnection | None:
+        """Which connection to end for a new one. One that has just come is spared before those between
+        requests: its first request is on its way, and most likely has not been read yet."""
+        oldest = {state: next(iter(held), None) for state, held in self.held.items()}
+        silent = oldest[State.SILENT]
+        if silent is newest:
+            silent = None
+        long_silent = silent is not None and silent.loop.time() - silent.since > JUST_COME.total_seconds()
+        return oldest[State.ENDING] or (silent if long_silent else None) or oldest[State.IDLE] or silent
+
     @property
     def open(self) -> int:
         """How many connections have a request open."""
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -80,6 +80,45 @@
     run(story())
 
 
+def test_one_that_has_just_come_is_not_ended_for_the_next_while_others_are_idle():
+    async def story():
+        node = Node("a", 0)
+        async with started(node, sockets=64) as (head, _), contextlib.AsyncExitStack() as stack:
+            head.door.idle_most = head.door.most
+            for i in range(head.door.most):  # asked once, then kept
+                reader, writer = await asyncio.open_connection(HOST, head.platform.port)
+                stack.callback(writer.close)
+                writer.write(GOOD.replace(b"9b1f", b"%04d" % i))
+                await reader.readuntil(b"\r\n\r\n")
+            fresh = [await asyncio.open_connection(HOST, head.platform.port) for _ in range(10)]
+            await until(lambda: len(head.door.held[door.State.SILENT]) == 10)
+            for i, (reader, writer) in enumerate(fresh):
+                stack.callback(writer.close)
+                writer.write(GOOD.replace(b"9b1f", b"f%03d" % i))
+                assert b" 200 " in await reader.readuntil(b"\r\n\r\n")
+    run(story())
+
+
+def test_clients_that_ask_once_and_stay_hold_a_few_connections_only():
+    """The oldest of those between requests ends at once: all clients together may hold only so many."""
+    async def story():
+        async with started(Node("a", 0), sockets=64) as (head, session), contextlib.AsyncExitStack() as stack:
+            assert head.door.idle_most == 8
+            kept = []
+            for i in range(8):
+                async with session.get(PATH, headers=HEADERS | {"Req-Id": f"s{i}"}) as response:
+                    assert response.status == 200  # one that asks again keeps its connection
+                reader, writer = await asyncio.open_connection(HOST, head.platform.port)
+                stack.callback(writer.close)
+                writer.write(GOOD.replace(b"9b1f", b"%04d" % i))
+                await reader.readuntil(b"\r\n\r\n")
+                kept.append(reader)
+            await until(lambda: len(head.door) == 8)
+            assert kept[0].at_eof() or await kept[0].read() == b""
+            assert len(session.connector._conns) == 1 and not kept[-1].at_eof()
+    run(story())
+
+
 def test_unreadable_input_ends_a_connection_though_a_request_is_open_on_it():
     async def story():
         node = Node("a", 0, "silent")
