--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -119,6 +119,20 @@
     run(story())
 
 
+def test_connections_that_ask_again_are_not_held_to_that_bound():
+    """At a high rate many are between two requests at any moment, and new ones cost a core its time."""
+    async def story():
+        async with started(Node("a", 0), sockets=64) as (head, _), contextlib.AsyncExitStack() as stack:
+            clients = [await asyncio.open_connection(HOST, head.platform.port) for _ in range(20)]
+            for i in range(2 * len(clients)):
+                reader, writer = clients[i // 2]
+                writer.write(GOOD.replace(b"9b1f", b"%04d" % i))
+                assert b" 200 " in await reader.readuntil(b"\r\n\r\n")
+                stack.callback(writer.close)
+            assert len(head.door.held[door.State.IDLE]) == 20 > head.door.idle_most
+    run(story())
+
+
 def test_unreadable_input_ends_a_connection_though_a_request_is_open_on_it():
     async def story():
         node = Node("a", 0, "silent")
