Operators' address with ready and draining of a head

Design: a listener and a door of its own (the same code as for clients), so that callers are bounded, silent ones swept and no client's load counts against them; calls are looked up and put to the part concerned, with no decision in them. One Drain holds both ends of service: out of service and SIGTERM. Rejected: serving the calls on the clients' address by path, as a crowd of clients would keep operators out; and a thread, as state changes belong to the one loop.

--- a/stoatrouter/__main__.py
+++ b/stoatrouter/__main__.py
@@ -24,6 +24,7 @@
 from stoatrouter.fronts.objects.settings import ObjectSettings
 from stoatrouter.fronts.objects.settings import load as load_objects
 from stoatrouter.fronts.platform import PlatformFront
+from stoatrouter.management.calls import MOST_CALLERS, Management
 from stoatrouter.net.clock import Clock
 from stoatrouter.net.discovery import Watch
 from stoatrouter.net.door import Door
@@ -52,17 +53,26 @@
         if objects is not None:
             self.object_front = ObjectFront(self.engine.serve, conf.settings, objects, self.drain)
             self.objects = Listener(self.object_front.handle, self.drain)
+        # a door of its own: however many clients come, operators are heard
+        self.management_door = Door(MOST_CALLERS, MOST_CALLERS)
+        self.serving = False
+        calls = Management(self.drain, lambda: self.serving)
+        self.management = Listener(calls.handle, Drain(self.management_door))
         self.background: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
         """Restore the list, then listen, then follow discovery."""
+        if self.conf.management is not None:
+            await self.management.start(*config.address(self.conf.management))
         self.watch.restore()
         await self.platform.start(*config.address(self.conf.listen))
         if self.objects is not None and self.object_settings is not None:
             await self.objects.start(*config.address(self.object_settings.listen))
         loop = asyncio.get_running_loop()
         self.background = [loop.create_task(self.watch.run()), loop.create_task(self.door.keep_swept()),
+                           loop.create_task(self.management_door.keep_swept()),
                            loop.create_task(watch_loop(self.engine, LAG_EVERY, LAG_LIMIT))]
+        self.serving = True
         logger.info("start: {} listens on {}", self.conf.name, self.conf.listen)
 
     def reload(self, environ: Mapping[str, str]) -> None:
@@ -83,10 +93,13 @@
     async def stop(self) -> None:
         """Serve for as long as answers are sure, finish what was taken, then end everything."""
         logger.info("stop: asked to, {} requests open", self.engine.reducer.open)
+        self.serving = False
         times = farewell(span(max(c.deadline for c in self.conf.settings.classes)))
         self.engine.answer_by = self.engine.clock.now() + times.answer_within
         listeners = [listener for listener in (self.platform, self.objects) if listener is not None]
         await asyncio.gather(*(li.stop(lambda: self.engine.busy, times.take_for) for li in listeners))
+        self.drain.rest()
+        await self.management.close()
         for task in self.background:
             task.cancel()
         await asyncio.gather(*self.background, return_exceptions=True)
--- a/stoatrouter/config.py
+++ b/stoatrouter/config.py
@@ -13,7 +13,8 @@
 from cypressworks.simhost import read_settings
 from stoatrouter.core.spans import micros, span
 
-VARIABLES = {"name": "NODE_NAME", "listen": "NODE_LISTEN", "discovery": "NODE_DISCOVERY"}
+VARIABLES = {"name": "NODE_NAME", "listen": "NODE_LISTEN", "discovery": "NODE_DISCOVERY",
+             "management": "NODE_MANAGEMENT"}
 
 
 class ConfigError(Exception):
@@ -36,6 +37,7 @@
     conn_idle: timedelta
     max_open: int
     shards: int  # 0: not told
+    management: str | None = None  # the operators' address; None: there is none
     objects: str | None = None  # the operator's file of the object front; None: the front is off
 
 
@@ -62,7 +64,7 @@
         for key, variable in VARIABLES.items():
             data[key] = first.get(key) or data.get(key) or environ.get(variable)
         conf = replace(parse(data), objects=environ.get("STOATROUTER_OBJECTS") or None)
-        address(conf.listen), address(conf.discovery)
+        address(conf.listen), address(conf.discovery), conf.management and address(conf.management)
     except (KeyError, ValueError, TypeError, AttributeError, OverflowError) as error:
         raise ConfigError(f"bad configuration in {path}: {type(error).__name__}: {error}") from None
     return conf
@@ -79,7 +81,7 @@
         memory_mb=int(limits.get("memory_mb") or 192), connect_timeout=connect_timeout,
         conn_idle=span(raw["Limits"].get("ConnIdle") or 30_000_000),
         max_open=int(raw["Limits"].get("MaxOpen") or 1 << 20),
-        shards=int((raw.get("Extra") or {}).get("Shards") or 0))
+        shards=int((raw.get("Extra") or {}).get("Shards") or 0), management=data.get("management") or None)
 
 
 def on_sockets(settings: api.Settings, connect_timeout: timedelta) -> api.Settings:
--- a/stoatrouter/fronts/objects/front.py
+++ b/stoatrouter/fronts/objects/front.py
@@ -54,7 +54,7 @@
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """One call, and its one final answer."""
         if request.raw_path == "/healthz":
-            return self.drain.mark(web.Response(text="ok\n"))
+            return self.drain.mark(self.drain.health())
         name = secrets.token_hex(8)
         self.operations += 1
         try:
--- a/stoatrouter/fronts/platform.py
+++ b/stoatrouter/fronts/platform.py
@@ -39,7 +39,7 @@
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.raw_path == "/healthz":
-            return self.drain.mark(web.Response(text="ok\n"))
+            return self.drain.mark(self.drain.health())
         try:
             body = await read_body(request)
             wanted = self.translate(request, body)
--- /dev/null
+++ b/stoatrouter/management/__init__.py
@@ -0,0 +1,1 @@
+"""The second address, for operators alone: thin calls, no decisions."""
--- a/stoatrouter/net/door.py
+++ b/stoatrouter/net/door.py
@@ -112,9 +112,9 @@
             await asyncio.sleep(SWEEP_EVERY.total_seconds())
             self.sweep()
 
-    def end_idle(self) -> None:
-        """End all that is between requests."""
-        for state in (State.SILENT, State.ONCE, State.IDLE):
+    def end_idle(self, silent: bool = True) -> None:
+        """End all that is between requests; where wanted, also what has not begun one."""
+        for state in (State.SILENT, State.ONCE, State.IDLE)[0 if silent else 1:]:
             for connection in list(self.held[state]):
                 connection.end()
 
--- a/stoatrouter/net/listener.py
+++ b/stoatrouter/net/listener.py
@@ -28,6 +28,8 @@
 # Then connections end between requests. A request that crosses such an end is sent once more over a new one:
 # these are still accepted.
 RESENT_FOR = timedelta(milliseconds=200)
+# After a head was drained: its front asks ten times a second and then needs 0.2 s.
+NEW_ONES_STOP, AWAY_EVERY = timedelta(milliseconds=1000), timedelta(milliseconds=100)
 
 
 @dataclass(slots=True, frozen=True)
@@ -46,17 +48,54 @@
 
 
 class Drain:
-    """Whether this head is stopping or crowded, and what its answers say of their connections."""
+    """Whether this head sends its clients away, and what its answers say of their connections."""
 
     def __init__(self, door: Door) -> None:
-        self.door, self.stopping = door, False
+        self.door = door
+        self.asked_to_end = self.stopping = self.out = False
+        self.sending_away: asyncio.Task[None] | None = None
+
+    @property
+    def open(self) -> bool:
+        """Whether this head wants clients."""
+        return not (self.out or self.asked_to_end)
+
+    def health(self) -> web.Response:
+        """What /healthz says, at either front."""
+        return web.Response(text="ok\n") if self.open else web.Response(status=503, text="draining\n")
 
     def mark(self, response: Response) -> Response:
-        """A connection ends with its answer while this head stops, so that clients go elsewhere."""
-        if self.stopping:
+        """A connection ends with its answer while clients are sent away."""
+        if self.stopping or self.out:
             response.force_close()
         return response
 
+    def out_of_service(self) -> None:
+        """Send clients away; called again, nothing changes."""
+        if not self.out:
+            logger.info("drain: out of service, {} connections", len(self.door))
+            self.out = True
+            self.sending_away = asyncio.get_running_loop().create_task(self.send_away())
+
+    def in_service(self) -> None:
+        if self.out:
+            logger.info("drain: back in service")
+            self.out = False
+        self.rest()
+
+    def rest(self) -> None:
+        if self.sending_away is not None:
+            self.sending_away.cancel()
+            self.sending_away = None
+
+    async def send_away(self) -> None:
+        """End what is idle, again and again. Guards requests against crossing such an end: it waits until no
+        new connections come, and by then those in use have ended with their answers."""
+        await asyncio.sleep(NEW_ONES_STOP.total_seconds())
+        while True:
+            self.door.end_idle(silent=False)  # what has just come is still heard; the sweep ends it later
+            await asyncio.sleep(AWAY_EVERY.total_seconds())
+
     def crowded(self) -> bool:
         return self.door.crowded()
 
@@ -88,7 +127,7 @@
     async def stop(self, busy: Callable[[], bool], take_for: timedelta) -> None:
         """Serve for a little longer, finish all that was taken, then end the connections."""
         door = self.drain.door
-        door.keep_idle = True
+        self.drain.asked_to_end, door.keep_idle = True, True
         await asyncio.sleep(take_for.total_seconds())
         self.drain.stopping = True
         door.end_idle()
@@ -100,4 +139,10 @@
             await asyncio.sleep(0.01)
             door.end_idle()
         logger.info("stop: all that was taken is answered")
+        await self.close()
+
+    async def close(self) -> None:
+        """Listen no more and end every connection."""
+        if self.sockets is not None:
+            self.sockets.close()
         await self.server.shutdown(1.0)
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -132,10 +132,11 @@
         yield list(nodes)
 
 
-def config_data(known: dict[str, Any], discovery: int = 9, listen: int = 0, **limits: Any) -> dict[str, Any]:
+def config_data(known: dict[str, Any], discovery: int = 9, listen: int = 0, management: str | None = None,
+                **limits: Any) -> dict[str, Any]:
     return {"name": "n0", "listen": f"{HOST}:{listen}", "discovery": f"{HOST}:{discovery}",
             "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024} | limits,
-            "known": known, "settings": SETTINGS}
+            "known": known, "settings": SETTINGS, "management": management}
 
 
 def head_config(*nodes: Node, **more: Any) -> config.Config:
--- /dev/null
+++ b/tests/test_management.py
@@ -0,0 +1,86 @@
+"""Stories of the operators' address, over loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import pytest
+
+from stoatrouter.management.calls import MOST_CALLERS
+from stoatrouter.net import listener
+from tests.peers import HOST, Node, run, until
+from tests.test_network import HEADERS, PATH, started
+
+READY = "/control/ready"
+
+
+async def call(head, method: str, path: str) -> tuple[int, str]:
+    """One call on a connection of its own, which the answer ends."""
+    reader, writer = await asyncio.open_connection(HOST, head.management.port)
+    writer.write(f"{method} {path} HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n".encode())
+    said = (await reader.read()).decode()
+    writer.close()
+    return int(said.split()[1]), said.partition("\r\n\r\n")[2]
+
+
+def managed(*nodes: Node, **conf):
+    return started(*nodes, management=f"{HOST}:0", **conf)
+
+
+@pytest.mark.parametrize(("method", "path", "status"), [
+    ("GET", READY, 200), ("POST", READY, 405), ("GET", "/control/out-of-service", 405),
+    ("GET", "/control", 404), ("GET", "/healthz", 404), ("POST", "/control/ready/", 404)])
+def test_calls_are_looked_up_by_path_and_method(method, path, status):
+    async def story():
+        async with managed(Node("a", 0)) as (head, _):
+            assert (await call(head, method, path))[0] == status
+    run(story())
+
+
+def test_ready_is_yes_only_while_the_head_serves():
+    async def story():
+        async with managed(Node("a", 0)) as (head, _):
+            head.serving = False
+            assert (await call(head, "GET", READY))[0] == 503
+    run(story())
+
+
+def test_callers_that_finish_no_call_do_not_keep_out_one_that_does():
+    async def story():
+        async with managed(Node("a", 0)) as (head, _), contextlib.AsyncExitStack() as stack:
+            for i in range(3 * MOST_CALLERS):
+                _, writer = await asyncio.open_connection(HOST, head.management.port)
+                stack.callback(writer.close)
+                writer.write(b"GET /control/re" if i % 2 else b"")
+            assert (await call(head, "GET", READY))[0] == 200
+            assert len(head.management_door) <= MOST_CALLERS + 8
+    run(story())
+
+
+def test_a_drained_head_says_so_and_sends_its_clients_away(monkeypatch):
+    """Answers end their connections; idle ones end once new ones have stopped; what comes is still served."""
+    async def story():
+        node = Node("a", 0)
+        async with managed(node) as (head, session):
+            idle, writer = await asyncio.open_connection(HOST, head.platform.port)
+            writer.write(b"GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n")
+            await idle.readuntil(b"ok\n")
+            for _ in range(2):  # called twice is as good as once
+                assert (await call(head, "POST", "/control/out-of-service"))[0] == 200
+            async with session.get("/healthz") as response:
+                assert response.status == 503
+            async with session.get(PATH, headers=HEADERS) as response:
+                assert response.status == 200 and response.headers["Connection"] == "close"
+            assert (await call(head, "GET", READY))[0] == 200  # the process can serve
+            assert await idle.read() == b""
+            writer.close()
+            for _ in range(2):
+                assert (await call(head, "POST", "/control/in-service"))[0] == 200
+            async with session.get(PATH, headers=HEADERS | {"Req-Id": "next"}) as response:
+                assert response.status == 200 and "Connection" not in response.headers
+            async with session.get("/healthz") as response:
+                assert response.status == 200
+            await until(lambda: head.door.open == 0)
+    monkeypatch.setattr(listener, "NEW_ONES_STOP", listener.RESENT_FOR)
+    run(story())
