Leave a brick out by hand: an overlay on the list that no list undoes

Design: the core keeps which nodes are out (core/by_hand.py) and lays that over each listed node on its way to the module, which sees a node that drains. Put back, a node counts as started then, until a list tells of a later start than the call out. It is kept in TMPDIR before the yes, written aside and renamed. Rejected: changing the list that discovery told, as the next whole list would undo it; and refusing sends in the net, as the module would go on queueing for the node.

Ruled out by tests: lists of all kinds undo nothing, unknown ids change nothing.

--- a/stoatrouter/__main__.py
+++ b/stoatrouter/__main__.py
@@ -29,6 +29,7 @@
 from stoatrouter.net.discovery import Watch
 from stoatrouter.net.door import Door
 from stoatrouter.net.engine import Engine, watch_loop
+from stoatrouter.net.keep import Keep
 from stoatrouter.net.listener import Drain, Listener, farewell
 from stoatrouter.net.nodes import NodeClient
 
@@ -44,7 +45,9 @@
         self.conf, self.object_settings = conf, objects
         nodes = NodeClient(conf.connect_timeout, conf.conn_idle, int(conf.sockets * NODE_SHARE),
                            span(min(c.aim for c in conf.settings.classes)))
-        self.engine = Engine(Reducer(conf.settings, conf.seed, conf.max_open), Clock(), nodes)
+        self.engine = Engine(Reducer(conf.settings, conf.seed, conf.max_open), Clock(), nodes,
+                             Keep(conf.folder))
+        self.engine.reducer.by_hand = self.engine.keep.read()
         self.watch = Watch(conf.discovery, conf.known, self.engine.told)
         self.door = Door(int(conf.sockets * CLIENT_SHARE), int(conf.sockets * IDLE_SHARE))
         self.drain = Drain(self.door)
@@ -56,7 +59,7 @@
         # a door of its own: however many clients come, operators are heard
         self.management_door = Door(MOST_CALLERS, MOST_CALLERS)
         self.serving = False
-        calls = Management(self.drain, lambda: self.serving)
+        calls = Management(self.engine, self.drain, lambda: self.serving)
         self.management = Listener(calls.handle, Drain(self.management_door))
         self.background: list[asyncio.Task[None]] = []
 
--- a/stoatrouter/config.py
+++ b/stoatrouter/config.py
@@ -38,6 +38,7 @@
     max_open: int
     shards: int  # 0: not told
     management: str | None = None  # the operators' address; None: there is none
+    folder: str | None = None  # where an upgrade finds what this head keeps; None: nothing is kept
     objects: str | None = None  # the operator's file of the object front; None: the front is off
 
 
@@ -63,7 +64,8 @@
     try:
         for key, variable in VARIABLES.items():
             data[key] = first.get(key) or data.get(key) or environ.get(variable)
-        conf = replace(parse(data), objects=environ.get("STOATROUTER_OBJECTS") or None)
+        conf = replace(parse(data), objects=environ.get("STOATROUTER_OBJECTS") or None,
+                       folder=environ.get("TMPDIR") or None)
         address(conf.listen), address(conf.discovery), conf.management and address(conf.management)
     except (KeyError, ValueError, TypeError, AttributeError, OverflowError) as error:
         raise ConfigError(f"bad configuration in {path}: {type(error).__name__}: {error}") from None
--- a/stoatrouter/core/model.py
+++ b/stoatrouter/core/model.py
@@ -121,7 +121,16 @@
     request: str
 
 
-Event = Arrived | AttemptEnded | ProbeEnded | ListTold | ClientLeft | TimerDue | Overdue
+@dataclass(slots=True, frozen=True)
+class PutByHand:
+    """An operator leaves a node out, or puts it back."""
+
+    at: timedelta
+    node: str
+    out: bool
+
+
+Event = Arrived | AttemptEnded | ProbeEnded | ListTold | ClientLeft | TimerDue | Overdue | PutByHand
 
 
 # -- effects: what is to be done ----------------------------------------------------------------------------
@@ -170,7 +179,12 @@
     answer: Answer
 
 
-Effect = SendAttempt | CancelAttempt | Probe | SetTimer | WatchOverdue | GiveAnswer | TurnAway
+@dataclass(slots=True, frozen=True)
+class KeepByHand:
+    """Keep which nodes are out before anybody is told that they are."""
+
+
+Effect = SendAttempt | CancelAttempt | Probe | SetTimer | WatchOverdue | GiveAnswer | TurnAway | KeepByHand
 
 
 # -- what the reducer keeps ---------------------------------------------------------------------------------
--- a/stoatrouter/core/reducer.py
+++ b/stoatrouter/core/reducer.py
@@ -13,6 +13,7 @@
 from cypressworks import Scheduler
 from cypressworks import interface as api
 from stoatrouter.core import model
+from stoatrouter.core.by_hand import ByHand
 from stoatrouter.core.invariants import invariant
 from stoatrouter.core.spans import NO_TIME, micros, span
 
@@ -27,7 +28,8 @@
         self.scheduler = Scheduler(settings, seed)
         self.max_open = max_open
         self.records: dict[str, model.Record] = {}
-        self.nodes: dict[str, model.NodeInfo] = {}
+        self.nodes: dict[str, model.NodeInfo] = {}  # as listed
+        self.by_hand = ByHand()
         self.tally = model.Tally()
         self.now = NO_TIME
 
@@ -50,6 +52,8 @@
                 return self._left(event.request)
             case model.Overdue():
                 return self._overdue(event.request)
+            case model.PutByHand():
+                return self._put(event)
 
     @property
     def open(self) -> int:
@@ -154,8 +158,21 @@
                 self.nodes.pop(node.id, None)
             else:
                 self.nodes[node.id] = node
-        return self._decide(api.NodeList(event.kind, tuple(
-            api.NodeEntry(n.id, n.shard, n.zone, n.phase, n.weight, micros(n.started)) for n in event.nodes)))
+        return self._tell(event.kind, event.nodes)
+
+    def _tell(self, kind: api.ListKind, nodes: tuple[model.NodeInfo, ...]) -> list[model.Effect]:
+        seen = (self.by_hand.seen(node) for node in nodes)
+        return self._decide(api.NodeList(kind, tuple(
+            api.NodeEntry(n.id, n.shard, n.zone, n.phase, n.weight, micros(n.started)) for n in seen)))
+
+    def _put(self, event: model.PutByHand) -> list[model.Effect]:
+        """A node out or back, by hand; no effects where it is not known."""
+        node = self.nodes.get(event.node)
+        if node is None and event.node not in self.by_hand.out:
+            return []
+        (self.by_hand.put_out if event.out else self.by_hand.put_back)(event.node, self.now)
+        effects: list[model.Effect] = [model.KeepByHand()]
+        return effects + (self._tell(api.ListKind.CHANGES, (node,)) if node is not None else [])
 
     # -- the decision module ------------------------------------------------------------------------------
     def _decide(self, event: api.Event) -> list[model.Effect]:
--- a/stoatrouter/management/calls.py
+++ b/stoatrouter/management/calls.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
+from urllib.parse import unquote
 
 from aiohttp import web
 
+from stoatrouter.net.engine import Engine
 from stoatrouter.net.listener import Drain
 
 READY, OUT, BACK = "/control/ready", "/control/out-of-service", "/control/in-service"
+BRICKS = "/control/bricks/"
 # Callers at once: a few that finish no call must not keep out one that does, nor take clients' descriptors.
 MOST_CALLERS = 8
 
@@ -16,8 +20,8 @@
 class Management:
     """Answers the operators' calls."""
 
-    def __init__(self, drain: Drain, serving: Callable[[], bool]) -> None:
-        self.drain, self.serving = drain, serving
+    def __init__(self, engine: Engine, drain: Drain, serving: Callable[[], bool]) -> None:
+        self.engine, self.drain, self.serving = engine, drain, serving
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """One call; its connection ends with the answer."""
@@ -42,8 +46,17 @@
                 return {"POST": self.out_of_service}
             case _ if path == BACK:
                 return {"POST": self.in_service}
+        name, slash, word = path.removeprefix(BRICKS).rpartition("/")
+        if path.startswith(BRICKS) and slash and name and word in ("offline", "online"):
+            return {"POST": partial(self.brick, unquote(name), word == "offline")}
         return None
 
+    def brick(self, name: str, out: bool) -> web.Response:
+        kept = self.engine.put_by_hand(name, out)
+        if kept is None:
+            return say(404, "no such brick")
+        return say(200, "out" if out else "back") if kept else say(500, "done, but not kept")
+
     def ready(self) -> web.Response:
         return say(200, "ready") if self.serving() else say(503, "not ready")
 
--- a/stoatrouter/net/engine.py
+++ b/stoatrouter/net/engine.py
@@ -15,14 +15,16 @@
 from stoatrouter.core import model
 from stoatrouter.core.reducer import Reducer
 from stoatrouter.net.clock import Clock
+from stoatrouter.net.keep import Keep
 from stoatrouter.net.nodes import NodeClient, Reply
 
 
 class Engine:
     """Holds what is under way: answers waited for and attempts out. Decides nothing."""
 
-    def __init__(self, reducer: Reducer, clock: Clock, nodes: NodeClient) -> None:
-        self.reducer, self.clock, self.nodes = reducer, clock, nodes
+    def __init__(self, reducer: Reducer, clock: Clock, nodes: NodeClient, keep: Keep) -> None:
+        self.reducer, self.clock, self.nodes, self.keep = reducer, clock, nodes, keep
+        self.kept = True  # whether what is out by hand is kept
         self.loop = asyncio.get_running_loop()
         self.waiting: dict[str, asyncio.Future[model.Answer]] = {}
         self.attempts: dict[tuple[str, int], asyncio.Task[Reply]] = {}
@@ -56,6 +58,14 @@
         logger.info("discovery: {} with {} entries", kind.value, len(nodes))
         self.put(model.ListTold(self.clock.now(), kind, nodes))
 
+    def put_by_hand(self, node: str, out: bool) -> bool | None:
+        """Leave a node out or put it back: whether that is kept; None where the node is not known."""
+        effects = self.reducer.reduce(model.PutByHand(self.clock.now(), node, out))
+        if effects:
+            logger.info("bricks: {} is {} by hand", node, "out" if out else "back")
+        self.run_all(effects)
+        return self.kept if effects else None
+
     @property
     def busy(self) -> bool:
         """Whether an answer is still owed."""
@@ -94,6 +104,8 @@
             case model.CancelAttempt():
                 if (task := self.attempts.get((effect.request, effect.attempt))) is not None:
                     task.cancel()
+            case model.KeepByHand():
+                self.kept = self.keep.write(self.reducer.by_hand)
             case model.Probe():
                 self.spawn(self.probe(effect))
 
--- /dev/null
+++ b/stoatrouter/net/keep.py
@@ -0,0 +1,41 @@
+"""What a head keeps in $TMPDIR, which an upgrade's new process finds there."""
+
+from __future__ import annotations
+
+import json
+import os
+from pathlib import Path
+
+from loguru import logger
+
+from stoatrouter.core.by_hand import ByHand
+
+
+class Keep:
+    """The file of nodes that are out by hand; without a folder nothing is kept."""
+
+    def __init__(self, folder: str | None) -> None:
+        self.path = Path(folder) / "stoatrouter-bricks.json" if folder else None
+
+    def write(self, by_hand: ByHand) -> bool:
+        """Whether it is kept. Written aside and renamed: a process that dies here spoils nothing."""
+        if self.path is None:
+            return True
+        aside = self.path.with_suffix(".new")
+        try:
+            aside.write_text(json.dumps(by_hand.dump()))
+            os.replace(aside, self.path)
+        except OSError as error:
+            logger.error("bricks: cannot be kept: {}", error)
+            return False
+        return True
+
+    def read(self) -> ByHand:
+        """What was kept. Guards a start against a file that is spoilt: it is as none."""
+        if self.path is None or not self.path.exists():
+            return ByHand()
+        try:
+            return ByHand.load(json.loads(self.path.read_text()))
+        except (OSError, ValueError, RecursionError) as error:
+            logger.error("bricks: what was kept cannot be read, no brick is out: {}", error)
+            return ByHand()
--- /dev/null
+++ b/tests/test_by_hand.py
@@ -0,0 +1,86 @@
+"""Nodes out by hand: an overlay that no list, restart of the node or new process undoes."""
+
+from __future__ import annotations
+
+import json
+from datetime import timedelta
+
+import pytest
+
+from cypressworks.interface import ListKind, Phase
+from stoatrouter.core import model
+from stoatrouter.core.by_hand import ByHand
+from stoatrouter.core.spans import micros
+from stoatrouter.net.keep import Keep
+from tests.test_core import MS, START, node, only, reducer, request
+
+SECOND = 1000 * MS
+
+
+def put(r, out: bool, at: timedelta = START, name: str = "n1"):
+    return r.reduce(model.PutByHand(at, name, out))
+
+
+def sends(r, at: timedelta, name: str) -> bool:
+    return bool(only(r.reduce(model.Arrived(at, request(name))), model.SendAttempt))
+
+
+@pytest.mark.parametrize("kind", [ListKind.CHANGES, ListKind.FULL, ListKind.RESTORED])
+def test_what_is_out_gets_nothing_new_whatever_is_listed(kind):
+    r = reducer(node())
+    assert only(put(r, True), model.KeepByHand)
+    r.reduce(model.ListTold(START + SECOND, kind, (node(),)))
+    assert r.scheduler.nodes["n1"].phase is Phase.DRAINING
+    assert not sends(r, START + 3 * SECOND, "late")
+    assert r.nodes["n1"].phase is Phase.ON  # what is listed stays known
+
+
+def test_out_twice_is_out_once():
+    r = reducer(node())
+    put(r, True), put(r, True, START + SECOND)
+    assert put(r, False, START + 2 * SECOND)
+    assert sends(r, START + 3 * SECOND, "r")
+
+
+def test_an_unknown_node_is_owed_a_no_and_one_that_is_out_stays_known():
+    r = reducer(node())
+    assert put(r, True, name="n2") == [] and put(r, False, name="n2") == []
+    put(r, True)
+    r.reduce(model.ListTold(START, ListKind.FULL, ()))
+    assert put(r, True) and put(r, False)
+
+
+@pytest.mark.parametrize("restarted", [False, True])
+def test_put_back_it_is_cold_until_a_list_tells_of_its_restart(restarted):
+    """The list may be late: taken for warm, the node would be pushed over."""
+    r = reducer(node())
+    put(r, True)
+    if restarted:
+        told = model.NodeInfo("n1", "n1:80", 0, Phase.ON, started=START + 2 * SECOND)
+        r.reduce(model.ListTold(START + 3 * SECOND, ListKind.CHANGES, (told,)))
+    put(r, False, START + 5 * SECOND)
+    r.reduce(model.ListTold(START + 6 * SECOND, ListKind.FULL, tuple(r.nodes.values())))
+    since = START + (2 if restarted else 5) * SECOND
+    assert r.scheduler.nodes["n1"].up_since == micros(since)
+    assert sends(r, START + 7 * SECOND, "r")
+
+
+def test_what_is_out_is_kept_for_a_new_process(tmp_path):
+    out = ByHand()
+    out.put_out("n1", START)
+    out.put_out("n2", START), out.put_back("n2", START + SECOND)
+    assert Keep(str(tmp_path)).write(out)
+    assert Keep(str(tmp_path)).read() == out
+    assert [p.name for p in tmp_path.iterdir()] == ["stoatrouter-bricks.json"]
+
+
+@pytest.mark.parametrize("text", [
+    "", "{", "[]", '{"out": {"n1": null}, "back": {}}', '{"out": 3, "back": {}}',
+    json.dumps({"out": {"n1": 10**30}, "back": {}})])
+def test_a_spoilt_file_is_as_none(tmp_path, text):
+    (tmp_path / "stoatrouter-bricks.json").write_text(text)
+    assert Keep(str(tmp_path)).read() == ByHand()
+
+
+def test_a_file_that_cannot_be_written_is_told(tmp_path):
+    assert not Keep(str(tmp_path / "absent")).write(ByHand())
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -84,3 +84,18 @@
             await until(lambda: head.door.open == 0)
     monkeypatch.setattr(listener, "NEW_ONES_STOP", listener.RESENT_FOR)
     run(story())
+
+
+def test_a_brick_is_left_out_and_put_back():
+    async def story():
+        node = Node("a", 0)
+        async with managed(node) as (head, session):
+            assert (await call(head, "POST", "/control/bricks/b/offline"))[0] == 404
+            assert (await call(head, "POST", "/control/bricks//offline"))[0] == 404
+            assert (await call(head, "GET", "/control/bricks/a/offline"))[0] == 405
+            assert (await call(head, "POST", "/control/bricks/%61/offline"))[0] == 200
+            assert list(head.engine.reducer.by_hand.out) == ["a"]
+            assert (await call(head, "POST", "/control/bricks/a/online"))[0] == 200
+            async with session.get(PATH, headers=HEADERS) as response:
+                assert response.status == 200
+    run(story())
