Report what the head does: requests by class and end, attempts, what is open

Design: the core counts where it ends a request, so that each request has one class and one end; the node client counts an attempt where its last byte has gone out. Lines are made when asked for.

--- a/cypressworks/logic.py
+++ b/cypressworks/logic.py
@@ -197,6 +197,12 @@
         return self.actions
 
     # -- the node list ------------------------------------------------------------------------------------
+    def avoids(self, name: str) -> bool:
+        """Whether a node gets nothing new, as it drains, is gone, or is kept to a pace of seconds."""
+        node = self.nodes.get(name)
+        return node is not None and (node.phase is not Phase.ON or node.opens(self.now, self.patience(node))
+                                     > self.now + SECOND)
+
     def listed(self, e: api.NodeList) -> None:
         if e.kind is ListKind.UNAVAILABLE:
             self.subscribed = False
--- a/stoatrouter/core/model.py
+++ b/stoatrouter/core/model.py
@@ -74,6 +74,14 @@
     request: Request
 
 
+@dataclass(slots=True, frozen=True)
+class TurnedAway:
+    """A request for which there was no room, refused before it was taken up."""
+
+    at: timedelta
+    request: Request
+
+
 @dataclass(slots=True, frozen=True)
 class AttemptEnded:
     at: timedelta
@@ -130,7 +138,8 @@
     out: bool
 
 
-Event = Arrived | AttemptEnded | ProbeEnded | ListTold | ClientLeft | TimerDue | Overdue | PutByHand
+Event = (Arrived | TurnedAway | AttemptEnded | ProbeEnded | ListTold | ClientLeft | TimerDue | Overdue
+         | PutByHand)
 
 
 # -- effects: what is to be done ----------------------------------------------------------------------------
@@ -206,6 +215,21 @@
         return self.answered and not any(a.out for a in self.attempts)
 
 
+@dataclass(slots=True)
+class Figures:
+    """What the operators are told of: counts since the start, by class, and what is open now."""
+
+    ok: list[int]
+    shed: list[int]
+    errors: list[int]
+    active: int = 0
+
+    def count(self, request_class: int, answer: Answer) -> None:
+        """One request, one class, one of three ends."""
+        ends = {Served: self.ok, Refused: self.shed, Failed: self.errors}[type(answer)]
+        ends[request_class] += 1
+
+
 @dataclass(slots=True)
 class Tally:
     """Counts for the log."""
--- a/stoatrouter/core/reducer.py
+++ b/stoatrouter/core/reducer.py
@@ -31,6 +31,7 @@
         self.nodes: dict[str, model.NodeInfo] = {}  # as listed
         self.by_hand = ByHand()
         self.tally = model.Tally()
+        self.figures = model.Figures(*([0] * len(settings.classes) for _ in range(3)))
         self.now = NO_TIME
 
     def reduce(self, event: model.Event) -> list[model.Effect]:
@@ -40,6 +41,8 @@
         match event:
             case model.Arrived():
                 return self._arrived(event.request)
+            case model.TurnedAway():
+                return self._turn_away(event.request, model.Refused(NO_TIME), "crowded")
             case model.AttemptEnded():
                 return self._ended(event)
             case model.TimerDue():
@@ -60,18 +63,22 @@
         """How many requests are owed an answer or have an attempt out."""
         return len(self.records)
 
+    @property
+    def avoided(self) -> int:
+        """How many listed nodes get nothing new at present: draining, out by hand, or left by choice."""
+        return sum(self.scheduler.avoids(name) for name in self.nodes)
+
     # -- requests -----------------------------------------------------------------------------------------
     def _arrived(self, request: model.Request) -> list[model.Effect]:
         # Guards against an id used twice: the module drops the second, and its client would wait in vain.
         if request.id in self.records:
-            self.tally.add("duplicate_id")
-            return [model.TurnAway(model.Failed())]
+            return self._turn_away(request, model.Failed(), "duplicate_id")
         # Guards against a flood: beyond what the settings let a head hold, nothing reaches the module.
         if len(self.records) >= self.max_open:
-            self.tally.add("over_max_open")
-            return [model.TurnAway(model.Refused(NO_TIME))]
+            return self._turn_away(request, model.Refused(NO_TIME), "over_max_open")
         self.records[request.id] = model.Record(request)
         self.tally.add("taken")
+        self.figures.active += 1
         effects: list[model.Effect] = [model.WatchOverdue(request.time_left + OVERDUE_AFTER, request.id)]
         return effects + self._decide(api.RequestArrived(
             request=request.id, volume=request.volume, plan=request.plan,
@@ -79,11 +86,17 @@
             units=request.units, hosts=request.hosts, key=request.key, repeat=request.repeat,
             write=request.write))
 
+    def _turn_away(self, request: model.Request, answer: model.Answer, why: str) -> list[model.Effect]:
+        self.tally.add(why)
+        self.figures.count(request.request_class, answer)
+        return [model.TurnAway(answer)]
+
     def _left(self, name: str) -> list[model.Effect]:
         record = self.records.get(name)
         if record is None or record.answered:
             return []
         self.tally.add("client_gone")
+        self.figures.active -= 1
         record.answered = True
         effects = self._decide(api.ClientGone(name))
         # nobody waits for it any more: nodes stop work that is cancelled
@@ -109,6 +122,8 @@
             return []
         record.answered = True
         self.tally.add(type(answer).__name__.lower())
+        self.figures.active -= 1
+        self.figures.count(record.request.request_class, answer)
         self._forget(name)
         return [model.GiveAnswer(name, answer)]
 
--- a/stoatrouter/fronts/platform.py
+++ b/stoatrouter/fronts/platform.py
@@ -49,7 +49,7 @@
             return response
         # Guards the descriptors: beyond the bound a connection gets its refusal and ends.
         if self.drain.crowded():
-            response = answer(model.Refused(timedelta(0)))
+            response = answer(self.engine.turn_away(wanted))
             response.force_close()
             return response
         return self.drain.mark(answer(await self.engine.serve(wanted)))
--- a/stoatrouter/management/calls.py
+++ b/stoatrouter/management/calls.py
@@ -11,7 +11,8 @@
 from stoatrouter.net.engine import Engine
 from stoatrouter.net.listener import Drain
 
-READY, OUT, BACK = "/control/ready", "/control/out-of-service", "/control/in-service"
+COUNTERS, READY = "/control/counters", "/control/ready"
+OUT, BACK = "/control/out-of-service", "/control/in-service"
 BRICKS = "/control/bricks/"
 # Callers at once: a few that finish no call must not keep out one that does, nor take clients' descriptors.
 MOST_CALLERS = 8
@@ -42,6 +43,8 @@
         match path:
             case _ if path == READY:
                 return {"GET": self.ready}
+            case _ if path == COUNTERS:
+                return {"GET": self.counters}
             case _ if path == OUT:
                 return {"POST": self.out_of_service}
             case _ if path == BACK:
@@ -60,6 +63,9 @@
     def ready(self) -> web.Response:
         return say(200, "ready") if self.serving() else say(503, "not ready")
 
+    def counters(self) -> web.Response:
+        return say(200, "\n".join(lines(self.engine)))
+
     def out_of_service(self) -> web.Response:
         self.drain.out_of_service()
         return say(200, "out of service")
@@ -69,5 +75,16 @@
         return say(200, "in service")
 
 
+def lines(engine: Engine) -> list[str]:
+    """All figures; each line is there from the start."""
+    core = engine.reducer
+    told = [f"app.responses.{kind.name}.{end}:{counts[i]}|c"
+            for i, kind in enumerate(core.scheduler.settings.classes)
+            for end, counts in (("ok", core.figures.ok), ("shed", core.figures.shed),
+                                ("errors", core.figures.errors))]
+    return [*told, f"app.tries:{engine.nodes.pool.tries}|c", f"app.active:{core.figures.active}|g",
+            f"app.pool_size:{len(core.nodes)}|g", f"app.pool_ejected:{core.avoided}|g"]
+
+
 def say(status: int, text: str) -> web.Response:
     return web.Response(status=status, text=text + "\n")
--- a/stoatrouter/net/engine.py
+++ b/stoatrouter/net/engine.py
@@ -53,6 +53,12 @@
         finally:
             self.waiting.pop(request.id, None)
 
+    def turn_away(self, request: model.Request) -> model.Answer:
+        """The answer to a request for which there is no room."""
+        effects = self.reducer.reduce(model.TurnedAway(self.clock.now(), request))
+        assert isinstance(effects[0], model.TurnAway)
+        return effects[0].answer
+
     def told(self, kind: ListKind, nodes: tuple[model.NodeInfo, ...]) -> None:
         """Pass on what discovery has told."""
         logger.info("discovery: {} with {} entries", kind.value, len(nodes))
--- a/stoatrouter/net/nodes.py
+++ b/stoatrouter/net/nodes.py
@@ -16,7 +16,7 @@
 
 from cypressworks.interface import Outcome
 from stoatrouter.core import model
-from stoatrouter.net.pool import LARGEST_BODY, NodePool
+from stoatrouter.net.pool import LARGEST_BODY, NodeConnection, NodePool
 
 PROBE_TIMEOUT = timedelta(milliseconds=400)
 # Idle connections are given up at this part of the time after which a node closes them: a request written
@@ -55,13 +55,18 @@
 
     written = False
 
+    def mark_written(self, written: bool, conn: aiohttp.connector.Connection) -> None:
+        self.written = written
+        if written and "Req-Id" in self.headers and isinstance(conn.protocol, NodeConnection):
+            conn.protocol.pool.tries += 1  # probes are none
+
     async def send(self, conn: aiohttp.connector.Connection) -> aiohttp.ClientResponse:
         transport = conn.transport
         if transport is not None:
             transport.set_write_buffer_limits(high=0)  # drain() then waits for the last byte
         response = await super().send(conn)
         if not self.body and transport is not None:
-            self.written = not transport.is_closing() and transport.get_write_buffer_size() == 0
+            self.mark_written(not transport.is_closing() and transport.get_write_buffer_size() == 0, conn)
         return response
 
     async def write_bytes(self, writer: AbstractStreamWriter, conn: aiohttp.connector.Connection,
@@ -69,7 +74,7 @@
         transport = conn.transport
         await super().write_bytes(writer, conn, content_length)
         await writer.drain()
-        self.written = transport is not None and not transport.is_closing()
+        self.mark_written(transport is not None and not transport.is_closing(), conn)
 
 
 async def only_once(request: aiohttp.ClientRequest, handler: ClientHandlerType) -> aiohttp.ClientResponse:
@@ -88,8 +93,9 @@
 
     def __init__(self, connect_timeout: timedelta, conn_idle: timedelta, most: int,
                  rest_within: timedelta = REST_WITHIN) -> None:
+        self.pool = NodePool(most, conn_idle * IDLE_PART, rest_within)
         self.session = aiohttp.ClientSession(
-            connector=NodePool(most, conn_idle * IDLE_PART, rest_within),
+            connector=self.pool,
             request_class=TrackedRequest, middlewares=(only_once,),
             cookie_jar=aiohttp.DummyCookieJar(), auto_decompress=False, trust_env=False,
             skip_auto_headers=SKIPPED, read_bufsize=READ_AHEAD,
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -142,3 +142,26 @@
             address(text)
     else:
         assert address(text) == read
+
+
+@pytest.mark.parametrize(("events", "counts"), [
+    ([model.AttemptEnded(START + MS, "r", 0, Outcome.OK, b"")] * 2, (1, 0, 0)),
+    ([model.ClientLeft(START + MS, "r")] * 2, (0, 0, 0)),
+    ([model.ClientLeft(START + MS, "r"), model.AttemptEnded(START + MS, "r", 0, Outcome.OK)], (0, 0, 0))])
+def test_a_request_counts_once_and_none_stays_active(events, counts):
+    r = reducer(node())
+    r.reduce(model.Arrived(START, request()))
+    assert r.figures.active == 1
+    for event in events:
+        r.reduce(event)
+    f = r.figures
+    assert (sum(f.ok), sum(f.shed), sum(f.errors), f.active) == (*counts, 0)
+
+
+def test_what_is_turned_away_counts_as_shed_or_failed():
+    r = reducer(node(), max_open=1)
+    for arrived in request(), request(), request("s"):
+        r.reduce(model.Arrived(START, arrived))
+    r.reduce(model.TurnedAway(START, request("t")))
+    f = r.figures
+    assert (sum(f.ok), sum(f.shed), sum(f.errors), f.active) == (0, 2, 1, 1)
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -10,7 +10,7 @@
 from stoatrouter.management.calls import MOST_CALLERS
 from stoatrouter.net import listener
 from tests.peers import HOST, Node, run, until
-from tests.test_network import HEADERS, PATH, started
+from tests.test_network import HEADERS, PATH, WRITE, started
 
 READY = "/control/ready"
 
@@ -99,3 +99,42 @@
             async with session.get(PATH, headers=HEADERS) as response:
                 assert response.status == 200
     run(story())
+
+
+def figures(text: str) -> dict[str, int]:
+    pairs = (line.partition("|")[0].rpartition(":") for line in text.splitlines())
+    return {name: int(value) for name, _, value in pairs}
+
+
+def test_the_figures_are_there_from_the_start_and_count_each_request_once():
+    async def story():
+        node = Node("a", 0, "serve", "error", "error", "error", "error", "decline")
+        async with managed(node) as (head, session):
+            _, text = await call(head, "GET", "/control/counters")
+            assert "app.responses.score-read.ok:0|c" in text.splitlines()
+            assert "app.active:0|g" in text.splitlines() and "app.pool_size:1|g" in text.splitlines()
+            start = figures(text)
+            assert len(start) == 3 * 3 + 4 and sum(start.values()) == 1  # the node in the list
+            hold = asyncio.Event()
+
+            async def wait(_):
+                await hold.wait()
+            node.gate = wait
+            asking = asyncio.create_task(session.get(PATH, headers=HEADERS))
+            await until(lambda: bool(node.seen))
+            held = figures((await call(head, "GET", "/control/counters"))[1])
+            assert (held["app.active"], held["app.tries"]) == (1, 1)
+            async with session.get(PATH, headers=HEADERS) as response:  # an id that is open
+                assert response.status == 502
+            hold.set()
+            async with await asking as response:
+                assert response.status == 200
+            async with session.put(WRITE, headers=HEADERS | {"Req-Id": "w"}, data=b"x") as response:
+                assert response.status == 502  # a write that may have run
+            assert (await call(head, "POST", "/control/bricks/a/offline"))[0] == 200
+            end = figures((await call(head, "GET", "/control/counters"))[1])
+            assert {k: v for k, v in end.items() if v} == {
+                "app.responses.score-read.ok": 1, "app.responses.score-read.errors": 1,
+                "app.responses.event-write.errors": 1, "app.tries": len(node.seen), "app.pool_size": 1,
+                "app.pool_ejected": 1}
+    run(story())
