A new version under load: old and new process are one head

Stores of limits are dealt out between the two, only the new one's fills; cold nodes get work from the new one alone. Listening sockets are duplicates of the inherited one, closed but never shut down. Rejected: both accepting until SIGTERM, as both would spend the same stores; and passing clients' sockets on, as what has been read of them lives in the old process.

--- /dev/null
+++ b/cypressworks/handover.py
@@ -0,0 +1,85 @@
+"""What one process of a host hands to the next: all that the decision module has learnt, as plain data.
+
+Together the two keep every limit as one host. What is left of a limit's store is dealt out between them, and
+only the new one's part fills; a cold node gets work from the new one only; its windows count what the old one
+still has out.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import Any
+
+from cypressworks import interface as api
+from cypressworks.logic import KEYS_KEPT, Node, Scheduler, Volume
+
+# Of what is left of a store beyond what the old process holds for: its clients come until their answers.
+OLD_PART = 0.2
+VOLUME = ("hosts", "stamp", "excess", "reserve", "store", "lowest")
+NODE = ("closes", "up_since", "known", "spent", "window", "cut_at", "last_sent", "reads", "answers", "trip",
+        "step", "output", "pinned", "heard", "read_at", "newest", "quiet", "crowd", "crowd_at")
+
+
+def hand_over(scheduler: Scheduler, now: int) -> dict[str, Any]:
+    """Give up all but a part of the stores, and tell what the next process needs."""
+    held: dict[int, float] = {}
+    for r in scheduler.requests.values():
+        if not r.done and not r.attempts:
+            held[id(r.volume)] = held.get(id(r.volume), 0.0) + r.units
+    scheduler.handed = True
+    plans = scheduler.settings.plans
+    volumes = {}
+    for name, volume in scheduler.volumes.items():
+        volume.at(now).fills = False
+        told = {key: getattr(volume, key) for key in VOLUME}
+        if volume.plan.limit:
+            left = max(0.0, volume.store - volume.lowest)
+            needed = min(left, held.get(id(volume), 0.0))
+            kept = needed + OLD_PART * (left - needed)
+            told["store"] = volume.store - kept
+            volume.store = volume.lowest + kept
+        volumes[name] = told | {"plan": plans.index(volume.plan)}
+    nodes = {name: {key: getattr(node, key) for key in NODE}
+             | {"shard": node.shard, "zone": node.zone, "errors": list(node.errors), "writes": node.writes,
+                "throttled": sorted(node.throttled), "sent": [list(pair) for pair in node.sent],
+                "keys": list(node.keys)}
+             for name, node in scheduler.nodes.items()}
+    return {"born": scheduler.born, "vanish": scheduler.vanish, "rests": scheduler.rests,
+            "volumes": volumes, "nodes": nodes}
+
+
+def take_back(scheduler: Scheduler, now: int) -> None:
+    """The next process died: the stores fill again, from what is left of them here."""
+    scheduler.handed = False
+    for volume in scheduler.volumes.values():
+        volume.at(now).fills = True
+
+
+def take_over(scheduler: Scheduler, data: dict[str, Any]) -> None:
+    """Know what the process before knew. Its list has been told already; what is in none is not taken."""
+    settings = scheduler.settings
+    scheduler.born, scheduler.vanish = int(data["born"]), float(data["vanish"])
+    scheduler.rests = {str(key): int(at) for key, at in data["rests"].items()}
+    for name, told in data["volumes"].items():
+        volume = Volume(told["stamp"], settings.plans[told["plan"]], told["hosts"], settings.max_units)
+        for key in VOLUME:
+            setattr(volume, key, told[key])
+        scheduler.volumes[name] = volume
+    for name, told in data["nodes"].items():
+        node = scheduler.nodes.get(name)
+        if node is None:
+            # it is gone from the list, yet what was sent to it counts should it come back
+            entry = api.NodeEntry(name, told["shard"], told["zone"], api.Phase.GONE)
+            node = scheduler.nodes[name] = Node(entry, settings.hosts, told["known"])
+        learn(node, told)
+
+
+def learn(node: Node, told: dict[str, Any]) -> None:
+    node.sent = deque((int(at), float(units)) for at, units in told["sent"])
+    if node.up_since != told["up_since"]:
+        return  # it was restarted since
+    for key in NODE:
+        setattr(node, key, told[key])
+    node.errors = tuple(told["errors"])
+    node.writes, node.throttled = dict(told["writes"]), set(told["throttled"])
+    node.keys = deque(told["keys"], maxlen=KEYS_KEPT)
--- a/cypressworks/logic.py
+++ b/cypressworks/logic.py
@@ -36,6 +36,7 @@
         # A restarted host cannot know what it spent, so its part of the limit's store was at the lowest
         # that it may have reached when this host started (now: that time), and only time fills it.
         self.lowest = self.store = -plan.tolerance / self.hosts
+        self.fills = True  # not once this host's next process has taken over: only its part fills
 
     def follow(self, now: int, hosts: int) -> None:
         """Another number of hosts: what those who left have spent is unknown, so the part starts anew."""
@@ -49,13 +50,15 @@
             return self
         passed, self.stamp, p = (now - self.stamp) / SECOND, now, self.plan
         self.reserve = min(self.full, self.reserve + p.reserve * passed)
-        self.store = min(p.burst / self.hosts, self.store + p.limit / self.hosts * passed)
+        self.store = min(p.burst / self.hosts, self.store + p.limit / self.hosts * passed * self.fills)
         self.excess *= 0.5 ** passed  # units lately served beyond the reserve
         return self
 
     def filled(self, now: int, units: float) -> int:
         """From when this host's part of the limit's store holds these units above its lowest."""
         lack = units + self.lowest + TINY - self.at(now).store if self.plan.limit else 0.0
+        if lack > 0 and not self.fills:
+            return NEVER
         return now + math.ceil(lack * self.hosts / self.plan.limit * SECOND) if lack > 0 else now
 
     def idle(self, now: int, span: int) -> bool:
@@ -75,6 +78,7 @@
         self.id, self.shard, self.zone, self.phase = e.node, e.shard, e.zone, e.phase
         self.held: dict[str, Request] = {}
         self.out: dict[tuple[str, int], int] = {}  # attempts out, and since when
+        self.elsewhere = 0  # attempts that this host's process before still has out
         self.sent: deque[tuple[int, float]] = deque()  # units sent lately, kept over a restart
         self.restart(e.up_since, now)
 
@@ -118,7 +122,7 @@
 
     def room(self, now: int, patience: float) -> bool:
         """Whether the window has a place."""
-        taken = sum(now - sent <= patience for sent in self.out.values())
+        taken = self.elsewhere + sum(now - sent <= patience for sent in self.out.values())
         return taken < max(1, int(self.window)) and now >= self.opens(now, patience)
 
     def opens(self, now: int, patience: float) -> int:
@@ -164,6 +168,7 @@
         self.given: dict[tuple, tuple[int, int]] = {}  # given up lately: aim and deadline
         self.now = self.last_token = self.rebuilt = self.ask_at = 0
         self.born, self.woke, self.subscribed, self.fair, self.vanish = -1, 0, False, 0.0, 0.0
+        self.handed = False  # to this host's next process, while this one ends what it has
         self.actions: list[api.Action] = []
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
@@ -217,7 +222,9 @@
             known = max(entry.up_since, self.now - (self.now > self.born) * self.rules.fall_time)
             node = self.nodes.setdefault(entry.node, Node(entry, self.settings.hosts, known))
             if entry.phase is not node.phase:  # the word has just come
-                node.phase, node.closes = entry.phase, self.now + self.rules.drain_grace - self.settings.tick
+                # one that was gone gets no grace: it may have been told to drain long before
+                grace = self.rules.drain_grace - self.settings.tick if node.phase is Phase.ON else 0
+                node.phase, node.closes = entry.phase, self.now + grace
             if entry.up_since != node.up_since:
                 node.restart(entry.up_since, known)
         for r in self.requests.values():
@@ -241,6 +248,7 @@
         now, kind = self.now, self.settings.classes[e.request_class]
         fresh = Volume(self.born, self.settings.plans[e.plan], e.hosts, self.settings.max_units)
         volume = self.volumes.setdefault(e.volume, fresh)
+        volume.fills = not self.handed
         volume.follow(now, e.hosts)
         end = now + max(0, e.time_left)  # clients may leave before the aim
         # a client that comes back with what was given up has not got a new aim
@@ -405,6 +413,8 @@
         """This host's part in any window, scaled by the warming promised. With many hosts that is less than
         a request: then three quarters are earned over time, with turns by host number for the first."""
         rules, s = self.rules, self.settings
+        if self.handed:
+            return False  # all of this host's part is the next process's
         growth = (1 / rules.cold_from - 1) / rules.cold_time
         # what is late leaves half of it to what will come and earn more
         part = rules.cold_units / s.hosts * (0.5 if self.late(r, node, at) else 1.0)
--- a/stoatrouter/__main__.py
+++ b/stoatrouter/__main__.py
@@ -29,6 +29,7 @@
 from stoatrouter.net.discovery import Watch
 from stoatrouter.net.door import Door
 from stoatrouter.net.engine import Engine, watch_loop
+from stoatrouter.net.generations import Generations
 from stoatrouter.net.keep import Keep
 from stoatrouter.net.listener import Drain, Listener, farewell
 from stoatrouter.net.nodes import NodeClient
@@ -47,7 +48,6 @@
                            span(min(c.aim for c in conf.settings.classes)))
         self.engine = Engine(Reducer(conf.settings, conf.seed, conf.max_open), Clock(), nodes,
                              Keep(conf.folder))
-        self.engine.reducer.by_hand = self.engine.keep.read()
         self.watch = Watch(conf.discovery, conf.known, self.engine.told)
         self.door = Door(int(conf.sockets * CLIENT_SHARE), int(conf.sockets * IDLE_SHARE))
         self.drain = Drain(self.door)
@@ -58,6 +58,8 @@
             self.objects = Listener(self.object_front.handle, self.drain)
         # a door of its own: however many clients come, operators are heard
         self.management_door = Door(MOST_CALLERS, MOST_CALLERS)
+        self.generations = Generations(self.engine, self.watch, self.door, self.drain, conf.folder, self.rest,
+                                       self.accept)
         self.serving = False
         calls = Management(self.engine, self.drain, lambda: self.serving)
         self.management = Listener(calls.handle, Drain(self.management_door))
@@ -67,17 +69,32 @@
         """Restore the list, then listen, then follow discovery."""
         if self.conf.management is not None:
             await self.management.start(*config.address(self.conf.management))
-        self.watch.restore()
-        await self.platform.start(*config.address(self.conf.listen))
-        if self.objects is not None and self.object_settings is not None:
-            await self.objects.start(*config.address(self.object_settings.listen))
+        if not await self.generations.take_over():
+            self.engine.reducer.by_hand = self.engine.keep.read()
+            self.watch.restore()
+        await self.accept()
+        await self.generations.listen()
         loop = asyncio.get_running_loop()
         self.background = [loop.create_task(self.watch.run()), loop.create_task(self.door.keep_swept()),
+                           loop.create_task(self.generations.follow()),
                            loop.create_task(self.management_door.keep_swept()),
                            loop.create_task(watch_loop(self.engine, LAG_EVERY, LAG_LIMIT))]
-        self.serving = True
         logger.info("start: {} listens on {}", self.conf.name, self.conf.listen)
 
+    async def accept(self) -> None:
+        """Accept clients at both fronts."""
+        await self.platform.start(*config.address(self.conf.listen), inherited=self.conf.inherited)
+        if self.objects is not None and self.object_settings is not None:
+            await self.objects.start(*config.address(self.object_settings.listen))
+        self.serving = True
+
+    async def rest(self) -> None:
+        """Accept no more: another process of this head does."""
+        self.serving = False
+        for listener in (self.platform, self.objects):
+            if listener is not None:
+                listener.rest()
+
     def reload(self, environ: Mapping[str, str]) -> None:
         """Read the configuration again; all of it must be good. Discovery's address is taken over at once."""
         try:
@@ -102,6 +119,7 @@
         listeners = [listener for listener in (self.platform, self.objects) if listener is not None]
         await asyncio.gather(*(li.stop(lambda: self.engine.busy, times.take_for) for li in listeners))
         self.drain.rest()
+        await self.generations.close()
         await self.management.close()
         for task in self.background:
             task.cancel()
--- a/stoatrouter/config.py
+++ b/stoatrouter/config.py
@@ -38,6 +38,7 @@
     max_open: int
     shards: int  # 0: not told
     management: str | None = None  # the operators' address; None: there is none
+    inherited: int | None = None  # the descriptor of a listening socket that is held for this head
     folder: str | None = None  # where an upgrade finds what this head keeps; None: nothing is kept
     objects: str | None = None  # the operator's file of the object front; None: the front is off
 
@@ -65,13 +66,24 @@
         for key, variable in VARIABLES.items():
             data[key] = first.get(key) or data.get(key) or environ.get(variable)
         conf = replace(parse(data), objects=environ.get("STOATROUTER_OBJECTS") or None,
-                       folder=environ.get("TMPDIR") or None)
+                       folder=environ.get("TMPDIR") or None,
+                       inherited=descriptor(environ.get("NODE_INHERITED_FD")))
         address(conf.listen), address(conf.discovery), conf.management and address(conf.management)
     except (KeyError, ValueError, TypeError, AttributeError, OverflowError) as error:
         raise ConfigError(f"bad configuration in {path}: {type(error).__name__}: {error}") from None
     return conf
 
 
+def descriptor(text: str | None) -> int | None:
+    """A descriptor's number; None where none is named."""
+    if not text:
+        return None
+    number = int(text)
+    if number < 3:
+        raise ValueError(f"NODE_INHERITED_FD is {text}")
+    return number
+
+
 def parse(data: dict[str, Any]) -> Config:
     """Build the configuration; fails with the field that is wrong."""
     raw, limits = data["settings"], data.get("limits") or {}
--- a/stoatrouter/core/model.py
+++ b/stoatrouter/core/model.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from datetime import timedelta
 from typing import Any
 
@@ -67,6 +67,32 @@
     started: timedelta = timedelta(0)  # since the epoch; 0: long ago
 
 
+@dataclass(slots=True)
+class ByHand:
+    """Which nodes are out by hand, laid over what discovery lists. It outlives lists and processes."""
+
+    out: dict[str, timedelta] = field(default_factory=dict)  # since when
+    back: dict[str, tuple[timedelta, timedelta]] = field(default_factory=dict)  # out since, back since
+
+    def put_out(self, node: str, now: timedelta) -> None:
+        since, _ = self.back.pop(node, (now, now))
+        self.out.setdefault(node, min(since, now))
+
+    def put_back(self, node: str, now: timedelta) -> None:
+        if (since := self.out.pop(node, None)) is not None:
+            self.back[node] = (since, now)
+
+    def seen(self, node: NodeInfo) -> NodeInfo:
+        """A listed node as the module is to see it."""
+        if node.id in self.out:
+            return node if node.phase is api.Phase.GONE else replace(node, phase=api.Phase.DRAINING)
+        since, back = self.back.get(node.id, (node.started, node.started))
+        if node.started < since:
+            # Guards a node that was restarted while it was out, which the list may not tell yet: it is cold.
+            return replace(node, started=back)
+        return node
+
+
 # -- events: what has happened, and when --------------------------------------------------------------------
 @dataclass(slots=True, frozen=True)
 class Arrived:
@@ -138,8 +164,41 @@
     out: bool
 
 
+@dataclass(slots=True, frozen=True)
+class HandedOver:
+    """The next process takes over: it is told all, and this one only ends what it has."""
+
+    at: timedelta
+
+
+@dataclass(slots=True, frozen=True)
+class TakenBack:
+    """The next process is gone; nodes may be out or back by hand since."""
+
+    at: timedelta
+    by_hand: ByHand
+
+
+@dataclass(slots=True, frozen=True)
+class TakenOver:
+    """The process before has told all that it knew."""
+
+    at: timedelta
+    nodes: tuple[NodeInfo, ...]
+    by_hand: ByHand
+    module: dict[str, Any]
+
+
+@dataclass(slots=True, frozen=True)
+class OutElsewhere:
+    """How many attempts the process before still has out, by node."""
+
+    at: timedelta
+    counts: dict[str, int]
+
+
 Event = (Arrived | TurnedAway | AttemptEnded | ProbeEnded | ListTold | ClientLeft | TimerDue | Overdue
-         | PutByHand)
+         | PutByHand | HandedOver | TakenBack | TakenOver | OutElsewhere)
 
 
 # -- effects: what is to be done ----------------------------------------------------------------------------
@@ -193,7 +252,17 @@
     """Keep which nodes are out before anybody is told that they are."""
 
 
-Effect = SendAttempt | CancelAttempt | Probe | SetTimer | WatchOverdue | GiveAnswer | TurnAway | KeepByHand
+@dataclass(slots=True, frozen=True)
+class TellNext:
+    """All that the next process needs of the core."""
+
+    nodes: tuple[NodeInfo, ...]
+    by_hand: ByHand
+    module: dict[str, Any]
+
+
+Effect = (SendAttempt | CancelAttempt | Probe | SetTimer | WatchOverdue | GiveAnswer | TurnAway | KeepByHand
+          | TellNext)
 
 
 # -- what the reducer keeps ---------------------------------------------------------------------------------
--- a/stoatrouter/core/reducer.py
+++ b/stoatrouter/core/reducer.py
@@ -10,10 +10,9 @@
 
 from loguru import logger
 
-from cypressworks import Scheduler
+from cypressworks import Scheduler, handover
 from cypressworks import interface as api
 from stoatrouter.core import model
-from stoatrouter.core.by_hand import ByHand
 from stoatrouter.core.invariants import invariant
 from stoatrouter.core.spans import NO_TIME, micros, span
 
@@ -29,7 +28,7 @@
         self.max_open = max_open
         self.records: dict[str, model.Record] = {}
         self.nodes: dict[str, model.NodeInfo] = {}  # as listed
-        self.by_hand = ByHand()
+        self.by_hand = model.ByHand()
         self.tally = model.Tally()
         self.figures = model.Figures(*([0] * len(settings.classes) for _ in range(3)))
         self.now = NO_TIME
@@ -57,12 +56,29 @@
                 return self._overdue(event.request)
             case model.PutByHand():
                 return self._put(event)
+            case model.HandedOver():
+                module = handover.hand_over(self.scheduler, micros(self.now))
+                return [model.TellNext(tuple(self.nodes.values()), self.by_hand, module)]
+            case model.TakenBack():
+                handover.take_back(self.scheduler, micros(self.now))
+                self.by_hand = event.by_hand
+                return self._tell(api.ListKind.CHANGES, tuple(self.nodes.values()))
+            case model.TakenOver():
+                return self._taken_over(event)
+            case model.OutElsewhere():
+                for name, node in self.scheduler.nodes.items():
+                    node.elsewhere = event.counts.get(name, 0)
+                return []
 
     @property
     def open(self) -> int:
         """How many requests are owed an answer or have an attempt out."""
         return len(self.records)
 
+    def nodes_out(self) -> list[str]:
+        """The node of each attempt that is out."""
+        return [a.node for record in self.records.values() for a in record.attempts if a.out]
+
     @property
     def avoided(self) -> int:
         """How many listed nodes get nothing new at present: draining, out by hand, or left by choice."""
@@ -175,6 +191,16 @@
                 self.nodes[node.id] = node
         return self._tell(event.kind, event.nodes)
 
+    def _taken_over(self, event: model.TakenOver) -> list[model.Effect]:
+        self.by_hand = event.by_hand
+        effects = self._listed(model.ListTold(event.at, api.ListKind.RESTORED, event.nodes))
+        try:
+            handover.take_over(self.scheduler, event.module)
+        except (KeyError, TypeError, ValueError, AttributeError, IndexError) as error:
+            # Guards a start against what another version of the program wrote: it then starts from nothing.
+            logger.error("upgrade: what the old process learnt cannot be read: {!r}", error)
+        return effects
+
     def _tell(self, kind: api.ListKind, nodes: tuple[model.NodeInfo, ...]) -> list[model.Effect]:
         seen = (self.by_hand.seen(node) for node in nodes)
         return self._decide(api.NodeList(kind, tuple(
--- a/stoatrouter/net/engine.py
+++ b/stoatrouter/net/engine.py
@@ -64,6 +64,12 @@
         logger.info("discovery: {} with {} entries", kind.value, len(nodes))
         self.put(model.ListTold(self.clock.now(), kind, nodes))
 
+    def hand_over(self) -> model.TellNext:
+        """All that the next process needs; from now on this one only ends what it has."""
+        (known,) = self.reducer.reduce(model.HandedOver(self.clock.now()))
+        assert isinstance(known, model.TellNext)
+        return known
+
     def put_by_hand(self, node: str, out: bool) -> bool | None:
         """Leave a node out or put it back: whether that is kept; None where the node is not known."""
         effects = self.reducer.reduce(model.PutByHand(self.clock.now(), node, out))
--- /dev/null
+++ b/stoatrouter/net/generations.py
@@ -0,0 +1,120 @@
+"""One head in two processes: what each does as the new one takes over and the old one ends."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+
+from loguru import logger
+
+from stoatrouter.core import model
+from stoatrouter.net.discovery import Watch
+from stoatrouter.net.door import Door
+from stoatrouter.net.engine import Engine
+from stoatrouter.net.listener import Drain
+from stoatrouter.net.state import read_by_hand, read_node, write_by_hand, write_node
+from stoatrouter.net.succession import TELL_EVERY, VERSION, Predecessor, State, Succession, tell
+
+
+class Generations:
+    """This process between the one before it and the one after."""
+
+    def __init__(self, engine: Engine, watch: Watch, door: Door, drain: Drain, folder: str | None,
+                 rest: Callable[[], Awaitable[None]], resume: Callable[[], Awaitable[None]]) -> None:
+        self.engine, self.watch, self.door, self.drain = engine, watch, door, drain
+        self.rest, self.resume = rest, resume  # stop accepting, and accept again
+        self.succession = Succession(folder)
+        self.clients_most, self.nodes_most = door.most, engine.nodes.pool.most
+        self.predecessor: Predecessor | None = None
+        self.asking: set[asyncio.Task[None]] = set()
+
+    # -- the new process ----------------------------------------------------------------------------------
+    async def take_over(self) -> bool:
+        """Take over from the old process; False where there is none, or nothing it says can be read."""
+        self.predecessor = await self.succession.take_over()
+        if self.predecessor is None:
+            return False
+        try:
+            state = self.predecessor.state
+            nodes = tuple(read_node(node) for node in state["nodes"])
+            self.engine.put(model.TakenOver(self.engine.clock.now(), nodes, read_by_hand(state["by_hand"]),
+                                            state["module"]))
+            self.watch.generation = state["generation"]
+            if state["out_of_service"]:
+                self.drain.out_of_service()
+            self.told(state["holds"])
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            logger.error("upgrade: what the old process told cannot be read: {!r}", error)
+            return False
+        logger.info("upgrade: taken over, the old process holds {}", state["holds"])
+        return True
+
+    async def follow(self) -> None:
+        if self.predecessor is not None:
+            await self.predecessor.follow(self.told)
+
+    def told(self, holds: State) -> None:
+        """What the old process holds. Guards the limits, which the two keep together as one head."""
+        self.door.most = max(1, self.clients_most - int(holds.get("clients", 0)))
+        self.engine.nodes.pool.allow(max(1, self.nodes_most - int(holds.get("connections", 0))))
+        self.engine.put(model.OutElsewhere(self.engine.clock.now(), dict(holds.get("out", {}))))
+
+    # -- the old process ----------------------------------------------------------------------------------
+    async def listen(self) -> None:
+        await self.succession.listen(self.came)
+
+    def came(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.get_running_loop().create_task(self.asked(reader, writer))
+        self.asking.add(task)
+        task.add_done_callback(self.asking.discard)
+
+    async def asked(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """A new process asks: it is told all, and this one ends what it has, unless the new one dies."""
+        try:
+            line = await reader.readline()
+            if not line or json.loads(line).get("take") != VERSION or self.drain.handed:
+                return
+        except (OSError, ValueError, AttributeError):
+            return
+        else:
+            await self.hand_over(reader, writer)
+        finally:
+            writer.close()
+
+    async def hand_over(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        logger.info("upgrade: handing over, {} requests open", self.engine.reducer.open)
+        self.drain.handed = True
+        await self.rest()
+        try:
+            known = self.engine.hand_over()
+            await tell(writer, {
+                "v": VERSION, "generation": self.watch.generation, "out_of_service": self.drain.out,
+                "nodes": [write_node(node) for node in known.nodes], "by_hand": write_by_hand(known.by_hand),
+                "module": known.module, "holds": self.holds()})
+            ended = asyncio.ensure_future(reader.read())
+            while not ended.done():
+                await asyncio.wait([ended], timeout=TELL_EVERY.total_seconds())
+                await tell(writer, self.holds())
+        except OSError as error:
+            logger.warning("upgrade: the new process broke off: {!r}", error)
+        except Exception:
+            # Guards against a fault on the way: without this, nobody would accept clients.
+            logger.exception("upgrade: handing over failed")
+        logger.warning("upgrade: the new process is gone, this one serves on")
+        self.engine.put(model.TakenBack(self.engine.clock.now(), self.engine.keep.read()))
+        self.drain.handed = False
+        await self.resume()
+        await self.listen()
+
+    def holds(self) -> State:
+        out: dict[str, int] = {}
+        for node in self.engine.reducer.nodes_out():
+            out[node] = out.get(node, 0) + 1
+        return {"clients": len(self.door), "connections": len(self.engine.nodes.pool.alive), "out": out}
+
+    async def close(self) -> None:
+        await self.succession.close()
+        for task in list(self.asking):
+            task.cancel()
+        await asyncio.gather(*self.asking, return_exceptions=True)
--- a/stoatrouter/net/keep.py
+++ b/stoatrouter/net/keep.py
@@ -8,7 +8,8 @@
 
 from loguru import logger
 
-from stoatrouter.core.by_hand import ByHand
+from stoatrouter.core.model import ByHand
+from stoatrouter.net.state import read_by_hand, write_by_hand
 
 
 class Keep:
@@ -23,7 +24,7 @@
             return True
         aside = self.path.with_suffix(".new")
         try:
-            aside.write_text(json.dumps(by_hand.dump()))
+            aside.write_text(json.dumps(write_by_hand(by_hand)))
             os.replace(aside, self.path)
         except OSError as error:
             logger.error("bricks: cannot be kept: {}", error)
@@ -35,7 +36,7 @@
         if self.path is None or not self.path.exists():
             return ByHand()
         try:
-            return ByHand.load(json.loads(self.path.read_text()))
+            return read_by_hand(json.loads(self.path.read_text()))
         except (OSError, ValueError, RecursionError) as error:
             logger.error("bricks: what was kept cannot be read, no brick is out: {}", error)
             return ByHand()
--- a/stoatrouter/net/listener.py
+++ b/stoatrouter/net/listener.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import os
 import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -53,12 +55,13 @@
     def __init__(self, door: Door) -> None:
         self.door = door
         self.asked_to_end = self.stopping = self.out = False
+        self.handed = False  # a new process of this head takes what is new
         self.sending_away: asyncio.Task[None] | None = None
 
     @property
     def open(self) -> bool:
         """Whether this head wants clients."""
-        return not (self.out or self.asked_to_end)
+        return not self.out and (self.handed or not self.asked_to_end)
 
     def health(self) -> web.Response:
         """What /healthz says, at either front."""
@@ -66,7 +69,7 @@
 
     def mark(self, response: Response) -> Response:
         """A connection ends with its answer while clients are sent away."""
-        if self.stopping or self.out:
+        if self.stopping or self.out or self.handed:
             response.force_close()
         return response
 
@@ -100,6 +103,17 @@
         return self.door.crowded()
 
 
+class Ear(socket.socket):
+    """A listening socket with a backlog of its own, whatever asyncio sets."""
+
+    keeps = False
+
+    def listen(self, backlog: int = BACKLOG) -> None:
+        # Guards connections on their way: a backlog that shrinks, if for a moment, leaves them unanswered.
+        if not self.keeps:
+            super().listen(BACKLOG)
+
+
 class Listener:
     """One listening address with one front behind it."""
 
@@ -110,14 +124,25 @@
                              auto_decompress=False)
         self.sockets: asyncio.Server | None = None
 
-    async def start(self, host: str, port: int) -> None:
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        ear = socket.create_server((host, port), family=family, backlog=BACKLOG)
+    async def start(self, host: str, port: int, inherited: int | None = None) -> None:
+        """Listen at an address, or on a socket that is held for this head and all its processes."""
+        if inherited is None:
+            family = socket.AF_INET6 if ":" in host else socket.AF_INET
+            with contextlib.closing(socket.create_server((host, port), family=family)) as made:
+                ear = Ear(fileno=made.detach())
+        else:
+            ear = Ear(fileno=os.dup(inherited))  # closing ours leaves theirs
+        ear.keeps = inherited is not None
         ear.setblocking(False)
         # Guards the descriptors: asyncio accepts as many at once as it believes the backlog to be.
         self.sockets = await asyncio.get_running_loop().create_server(
             self.server, sock=ear, backlog=ACCEPT_AT_ONCE)
-        ear.listen(BACKLOG)
+
+    def rest(self) -> None:
+        """Accept no more. What waits at an inherited socket is for the process that accepts there."""
+        if self.sockets is not None:
+            self.sockets.close()
+            self.sockets = None
 
     @property
     def port(self) -> int:
@@ -128,12 +153,12 @@
         """Serve for a little longer, finish all that was taken, then end the connections."""
         door = self.drain.door
         self.drain.asked_to_end, door.keep_idle = True, True
-        await asyncio.sleep(take_for.total_seconds())
+        await self.wait(take_for)
         self.drain.stopping = True
         door.end_idle()
-        await asyncio.sleep(RESENT_FOR.total_seconds())
-        if self.sockets is not None:
-            self.sockets.close()
+        if not self.drain.handed:
+            await asyncio.sleep(RESENT_FOR.total_seconds())
+        self.rest()
         door.end_idle()
         while busy() or door.open:
             await asyncio.sleep(0.01)
@@ -141,8 +166,14 @@
         logger.info("stop: all that was taken is answered")
         await self.close()
 
+    async def wait(self, take_for: timedelta) -> None:
+        """Serve what comes. A head that has handed over ends sooner, once all its clients have gone."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + take_for.total_seconds()
+        while loop.time() < until and not (self.drain.handed and not len(self.drain.door)):
+            await asyncio.sleep(min(0.02, until - loop.time()))
+
     async def close(self) -> None:
         """Listen no more and end every connection."""
-        if self.sockets is not None:
-            self.sockets.close()
+        self.rest()
         await self.server.shutdown(1.0)
--- a/stoatrouter/net/pool.py
+++ b/stoatrouter/net/pool.py
@@ -182,6 +182,10 @@
         self._factory = partial(NodeConnection, loop=asyncio.get_running_loop(), pool=self,  # type: ignore
                                 rest_within=rest_within)
 
+    def allow(self, most: int) -> None:
+        """Another bound, as the process before this one still holds connections."""
+        self.most = self._limit = most
+
     def broke(self, idle: float) -> None:
         """A connection broke under a request before any answer. Guards against a path that drops what is idle
         without a word, far earlier than nodes say they do: what has been idle as long is not used again."""
--- /dev/null
+++ b/stoatrouter/net/state.py
@@ -0,0 +1,39 @@
+"""What processes of one head tell each other, and keep, as JSON."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from cypressworks.interface import Phase
+from stoatrouter.core.model import ByHand, NodeInfo
+from stoatrouter.core.spans import micros, span
+
+UNREADABLE = (KeyError, TypeError, AttributeError, OverflowError, ValueError)
+
+
+def write_by_hand(by_hand: ByHand) -> dict[str, Any]:
+    return {"out": {node: micros(at) for node, at in by_hand.out.items()},
+            "back": {node: [micros(a), micros(b)] for node, (a, b) in by_hand.back.items()}}
+
+
+def read_by_hand(data: Any) -> ByHand:
+    """Read what write_by_hand wrote; ValueError where it is anything else."""
+    try:
+        return ByHand({str(node): span(int(at)) for node, at in data["out"].items()},
+                      {str(node): (span(int(a)), span(int(b))) for node, (a, b) in data["back"].items()})
+    except UNREADABLE as error:
+        raise ValueError(f"{type(error).__name__}: {error}") from None
+
+
+def write_node(node: NodeInfo) -> list[Any]:
+    return [node.id, node.address, node.shard, node.phase.name, node.zone, node.weight, micros(node.started)]
+
+
+def read_node(data: Any) -> NodeInfo:
+    """Read what write_node wrote; ValueError where it is anything else."""
+    try:
+        name, address, shard, phase, zone, weight, started = data
+        return NodeInfo(str(name), str(address), int(shard), Phase[phase], int(zone), float(weight),
+                        span(int(started)))
+    except UNREADABLE as error:
+        raise ValueError(f"{type(error).__name__}: {error}") from None
--- a/tests/test_by_hand.py
+++ b/tests/test_by_hand.py
@@ -9,7 +9,6 @@
 
 from cypressworks.interface import ListKind, Phase
 from stoatrouter.core import model
-from stoatrouter.core.by_hand import ByHand
 from stoatrouter.core.spans import micros
 from stoatrouter.net.keep import Keep
 from tests.test_core import MS, START, node, only, reducer, request
@@ -35,6 +34,15 @@
     assert r.nodes["n1"].phase is Phase.ON  # what is listed stays known
 
 
+def test_gone_from_the_list_and_back_gives_no_new_grace():
+    """A node that is restarted while it is out leaves the list and comes back."""
+    r = reducer(node())
+    put(r, True)
+    r.reduce(model.ListTold(START + 3 * SECOND, ListKind.CHANGES, (node(phase=Phase.GONE),)))
+    r.reduce(model.ListTold(START + 5 * SECOND, ListKind.CHANGES, (node(),)))
+    assert not sends(r, START + 5 * SECOND, "late")
+
+
 def test_out_twice_is_out_once():
     r = reducer(node())
     put(r, True), put(r, True, START + SECOND)
@@ -66,7 +74,7 @@
 
 
 def test_what_is_out_is_kept_for_a_new_process(tmp_path):
-    out = ByHand()
+    out = model.ByHand()
     out.put_out("n1", START)
     out.put_out("n2", START), out.put_back("n2", START + SECOND)
     assert Keep(str(tmp_path)).write(out)
@@ -79,8 +87,8 @@
     json.dumps({"out": {"n1": 10**30}, "back": {}})])
 def test_a_spoilt_file_is_as_none(tmp_path, text):
     (tmp_path / "stoatrouter-bricks.json").write_text(text)
-    assert Keep(str(tmp_path)).read() == ByHand()
+    assert Keep(str(tmp_path)).read() == model.ByHand()
 
 
 def test_a_file_that_cannot_be_written_is_told(tmp_path):
-    assert not Keep(str(tmp_path / "absent")).write(ByHand())
+    assert not Keep(str(tmp_path / "absent")).write(model.ByHand())
--- /dev/null
+++ b/tests/test_upgrade.py
@@ -0,0 +1,242 @@
+"""A new version under load: two processes of the program, one head."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import socket
+import sys
+from pathlib import Path
+
+import aiohttp
+import pytest
+
+from cypressworks import Scheduler, handover
+from cypressworks import interface as api
+from cypressworks.logic import SECOND
+from stoatrouter.net.keep import Keep
+from stoatrouter.net.succession import NAME, Succession
+from tests.bench_free import CLASSES, PLAN, READ
+from tests.peers import HOST, Discovery, Node, config_data, listening, nodes_up, run, told, until
+from tests.test_program import PATH, ROOT, free_port, read
+
+LIMITED = api.Plan("limited", usual_rate=5, reserve=1, share=1, limit=20, burst=40, tolerance=4)
+
+
+class Process:
+    """One process of the program, and the operators' view of it."""
+
+    def __init__(self, process: asyncio.subprocess.Process, management: str) -> None:
+        self.process, self.management = process, management
+
+    async def call(self, path: str, method: str = "GET") -> tuple[int, str]:
+        async with aiohttp.ClientSession() as session:
+            with contextlib.suppress(aiohttp.ClientConnectionError):
+                async with session.request(method, f"http://{self.management}/control/{path}") as response:
+                    return response.status, await response.text()
+        return 0, ""
+
+    async def ready(self) -> Process:
+        while (await self.call("ready"))[0] != 200:
+            await asyncio.sleep(0.02)
+        return self
+
+
+class Platform:
+    """Holds the clients' socket and starts processes of one head, as the platform does."""
+
+    def __init__(self, folder: Path, discovery: int, nodes: tuple[Node, ...], stack) -> None:
+        self.ear = socket.create_server((HOST, 0), backlog=128)
+        self.folder, self.stack = folder, stack
+        self.base = f"http://{HOST}:{self.ear.getsockname()[1]}"
+        data = config_data(told(1, *(n.entry() for n in nodes)), discovery, self.ear.getsockname()[1])
+        (folder / "config.json").write_text(json.dumps(data))
+        (folder / "tmp").mkdir()
+        stack.callback(self.ear.close)
+
+    async def start(self) -> Process:
+        management = f"{HOST}:{free_port()}"
+        environ = os.environ | {
+            "NODE_CONFIG": str(self.folder / "config.json"), "PYTHONPATH": str(ROOT),
+            "NODE_MANAGEMENT": management, "TMPDIR": str(self.folder / "tmp"),
+            "NODE_INHERITED_FD": str(self.ear.fileno())}
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-O", "-B", "-m", "stoatrouter", cwd=self.folder, env=environ,
+            pass_fds=[self.ear.fileno()])
+
+        async def end():
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
+        self.stack.push_async_callback(end)
+        return Process(process, management)
+
+
+@contextlib.asynccontextmanager
+async def platform(folder: Path, *nodes: Node):
+    async with contextlib.AsyncExitStack() as stack:
+        await stack.enter_async_context(nodes_up(*nodes))
+        discovery = await stack.enter_async_context(listening(Discovery().handle))
+        yield Platform(folder, discovery, nodes, stack)
+
+
+def test_the_new_process_takes_what_is_new_and_the_old_one_ends_what_it_has(tmp_path):
+    async def story():
+        node, other, go = Node("a", 0), Node("b", 1), asyncio.Event()
+
+        async def hold(request):
+            if request.headers["Req-Id"] == "held":
+                await go.wait()
+        node.gate = hold
+        async with platform(tmp_path, node, other) as there, aiohttp.ClientSession() as kept:
+            old = await (await there.start()).ready()
+            assert (await old.call("bricks/b/offline", "POST"))[0] == 200
+            assert (await read(kept, there.base, "zero"))[0] == 200
+            path = PATH.replace("score-read", "stats-export")
+            held = asyncio.create_task(read(kept, there.base, "held", path, **{"Req-Deadline-Ms": "6000"}))
+            await until(lambda: node.ran["zero"] == 1 and len(node.seen) == 2)
+            new = await (await there.start()).ready()
+            assert (await old.call("ready"))[0] == 503
+            old.process.send_signal(signal.SIGTERM)
+            for i in range(5):
+                async with aiohttp.ClientSession() as fresh:
+                    assert (await read(fresh, there.base, f"new{i}"))[0] == 200
+            _, figures = await new.call("counters")
+            assert "app.responses.score-read.ok:5|c" in figures and "app.pool_ejected:1|g" in figures
+            go.set()
+            assert (await held)[0] == 200
+            assert await old.process.wait() == 0
+            async with aiohttp.ClientSession() as fresh:
+                assert (await read(fresh, there.base, "after"))[0] == 200
+            assert set(node.ran.values()) == {1}
+    run(story())
+
+
+@pytest.mark.parametrize("dies", ["old", "new"])
+def test_whichever_dies_the_other_serves_on(tmp_path, dies):
+    async def story():
+        async with platform(tmp_path, Node("a", 0)) as there:
+            old = await (await there.start()).ready()
+            new = await (await there.start()).ready()
+            gone, left = (old, new) if dies == "old" else (new, old)
+            gone.process.kill()
+            await gone.process.wait()
+            await left.ready()
+            async with aiohttp.ClientSession() as session:
+                assert (await read(session, there.base, "r"))[0] == 200
+            # and it hands over once more
+            third = await (await there.start()).ready()
+            assert (await left.call("ready"))[0] == 503
+            async with aiohttp.ClientSession() as session:
+                assert (await read(session, there.base, "s"))[0] == 200
+            assert "score-read.ok:1|c" in (await third.call("counters"))[1]
+    run(story())
+
+
+@pytest.mark.parametrize("left_behind", ["socket", "file"])
+def test_what_a_dead_process_left_behind_stops_no_start(tmp_path, left_behind):
+    async def story():
+        folder = tmp_path / ("long" * 30)
+        folder.mkdir()
+        if left_behind == "file":
+            (folder / NAME).write_text("")
+        else:
+            dead = Succession(str(folder))
+            await dead.listen(lambda *_: None)
+            await dead.close()
+        one = Succession(str(folder))
+        assert await one.take_over() is None
+        asked = asyncio.Event()
+        await one.listen(lambda *_: asked.set())
+        taking = asyncio.create_task(Succession(str(folder)).take_over())
+        await asked.wait()
+        taking.cancel()
+        await one.close()
+    run(story())
+
+
+# -- what the decision module hands over -------------------------------------------------------------------
+def scheduler(**more) -> Scheduler:
+    made = Scheduler(api.Settings(classes=CLASSES, plans=(PLAN, LIMITED), max_units=4, **more), seed=1)
+    made.handle(SECOND, api.NodeList(api.ListKind.RESTORED, (api.NodeEntry("n", 0),)))
+    return made
+
+
+def ask(made: Scheduler, now: int, name: str, units: float = 4.0) -> bool:
+    actions = made.handle(now, api.RequestArrived(name, "v", 1, CLASSES.index(READ), 0, 2 * SECOND, units))
+    return any(isinstance(a, api.Send) for a in actions)
+
+
+def passed_on(old: Scheduler, now: int) -> Scheduler:
+    new = Scheduler(old.settings, seed=2)
+    entries = (api.NodeEntry(n.id, n.shard, phase=n.phase, up_since=n.up_since) for n in old.nodes.values())
+    new.handle(now, api.NodeList(api.ListKind.RESTORED, tuple(entries)))
+    handover.take_over(new, json.loads(json.dumps(handover.hand_over(old, now))))
+    return new
+
+
+def test_old_and_new_together_keep_a_limit_as_one():
+    alone, old = scheduler(), scheduler()
+    now = 30 * SECOND
+    for made in alone, old:
+        made.volumes["v"] = made.volumes.get("v") or handover.Volume(SECOND, LIMITED, 1, 4)
+        made.volumes["v"].at(now)
+    new = passed_on(old, now)
+    full = alone.volumes["v"].store - alone.volumes["v"].lowest
+    parts = sum(made.volumes["v"].store - made.volumes["v"].lowest for made in (old, new))
+    assert parts == pytest.approx(full)
+    later = now + SECOND  # only the new one's part fills
+    kept = old.volumes["v"].store
+    assert old.volumes["v"].at(later).store == kept
+    assert new.volumes["v"].at(later).store > new.volumes["v"].lowest
+    handover.take_back(old, later)
+    assert old.volumes["v"].at(later + SECOND).store > kept
+
+
+def test_an_old_process_gives_a_volume_it_never_saw_nothing():
+    old = scheduler()
+    passed_on(old, 30 * SECOND)
+    assert not ask(old, 31 * SECOND, "r")
+
+
+def test_what_was_learnt_of_nodes_is_passed_on():
+    old = scheduler()
+    assert ask(old, 10 * SECOND, "r", 1.0)
+    old.handle(10 * SECOND + 90_000, api.AttemptEnded("r", 0, "n", api.Outcome.OK, 90_000, True))
+    new = passed_on(old, 11 * SECOND)
+    for name in ("window", "answers", "reads", "sent", "keys", "spent", "throttled"):
+        assert getattr(new.nodes["n"], name) == getattr(old.nodes["n"], name)
+    assert new.born == old.born
+
+
+def test_windows_count_what_the_old_process_still_has_out():
+    new = passed_on(scheduler(), 30 * SECOND)
+    new.nodes["n"].window, new.nodes["n"].elsewhere = 2.0, 2
+    assert not ask(new, 31 * SECOND, "r", 1.0)
+    new.nodes["n"].elsewhere = 0
+    assert ask(new, 31 * SECOND, "s", 1.0)
+
+
+def test_a_cold_node_gets_nothing_from_the_old_process():
+    rules = api.Rules(cold_time=18 * SECOND, cold_units=34, fall_time=3 * SECOND)
+    for handed, sent in (False, True), (True, False):
+        old = scheduler(rules=rules)
+        cold = api.NodeEntry("n", 0, up_since=29 * SECOND)
+        old.handle(30 * SECOND, api.NodeList(api.ListKind.CHANGES, (cold,)))
+        if handed:
+            passed_on(old, 30 * SECOND)
+        actions = old.handle(31 * SECOND, api.RequestArrived("r", "w", 0, 0, 0, 2 * SECOND, 1.0))
+        assert any(isinstance(a, api.Send) for a in actions) is sent
+
+
+def test_the_kept_file_and_the_socket_share_the_folder(tmp_path):
+    async def story():
+        one = Succession(str(tmp_path))
+        await one.listen(lambda *_: None)
+        assert Keep(str(tmp_path)).write(Keep(str(tmp_path)).read())
+        await one.close()
+        assert sorted(p.name for p in tmp_path.iterdir()) == ["stoatrouter-bricks.json", NAME]
+    run(story())
