Serve bodies and answers of any size: kept in bounded room, passed on as they come

Design: a client's body up to 64 KiB stays in memory; a larger one goes to an unlinked file in TMPDIR, within a room that is bounded in sum and given out in turn (a body waits unread: backpressure), so that every attempt can send it anew. A node's answer up to 64 KiB is checked whole; above, its head and length are, and then it flows to the client. Rejected: passing bodies on as they come, as a declined attempt could not be sent anew; keeping answers whole, as the first bytes are timed and many of 32 MB do not fit.

Heads now have 2.6 s; those of which nothing comes make room first. An answer without a length ends with its connection, if it says so; Expect is answered.

--- a/stoatrouter/__main__.py
+++ b/stoatrouter/__main__.py
@@ -25,6 +25,7 @@
 from stoatrouter.fronts.objects.settings import load as load_objects
 from stoatrouter.fronts.platform import PlatformFront
 from stoatrouter.management.calls import MOST_CALLERS, Management
+from stoatrouter.net.bodies import SMALL, Room
 from stoatrouter.net.clock import Clock
 from stoatrouter.net.discovery import Watch
 from stoatrouter.net.door import Door
@@ -36,6 +37,7 @@
 
 # Of the descriptors: clients hold a third of them at most for requests; some more may say nothing.
 NODE_SHARE, CLIENT_SHARE, IDLE_SHARE = 0.3, 0.58, 0.125
+BASE = 46_000_000  # of memory: what a head needs beside the bodies it keeps
 LAG_EVERY, LAG_LIMIT = timedelta(milliseconds=100), timedelta(milliseconds=100)
 
 
@@ -51,10 +53,12 @@
         self.watch = Watch(conf.discovery, conf.known, self.engine.told)
         self.door = Door(int(conf.sockets * CLIENT_SHARE), int(conf.sockets * IDLE_SHARE))
         self.drain = Drain(self.door)
-        self.platform = Listener(PlatformFront(self.engine, conf.settings, self.drain).handle, self.drain)
+        self.room = Room(max(SMALL, conf.memory_mb * 1_000_000 - BASE), conf.folder)
+        front = PlatformFront(self.engine, conf.settings, self.drain, self.room)
+        self.platform = Listener(front.handle, self.drain)
         self.object_front = self.objects = None
         if objects is not None:
-            self.object_front = ObjectFront(self.engine.serve, conf.settings, objects, self.drain)
+            self.object_front = ObjectFront(self.engine.serve_whole, conf.settings, objects, self.drain)
             self.objects = Listener(self.object_front.handle, self.drain)
         # a door of its own: however many clients come, operators are heard
         self.management_door = Door(MOST_CALLERS, MOST_CALLERS)
--- a/stoatrouter/core/model.py
+++ b/stoatrouter/core/model.py
@@ -27,7 +27,7 @@
 
     method: str = "GET"
     target: str = "/"
-    body: bytes = b""
+    body: Any = b""  # bytes, or what the network keeps of a large one
     idempotency_key: str | None = None
 
 
@@ -37,6 +37,7 @@
 
     body: bytes
     shard: int = -1
+    flow: Any = None  # of a large one, what the network passes on as it comes
 
 
 @dataclass(slots=True, frozen=True)
@@ -117,6 +118,16 @@
     body: bytes = b""
     units_by_others: float = 0.0
     load: dict[str, float] | None = None
+    flow: Any = None
+
+
+@dataclass(slots=True, frozen=True)
+class FlowEnded:
+    """An answer that was passed on as it came has ended: whole, broken off, or its client has left (None)."""
+
+    at: timedelta
+    request: str
+    whole: bool | None
 
 
 @dataclass(slots=True, frozen=True)
@@ -197,8 +208,8 @@
     counts: dict[str, int]
 
 
-Event = (Arrived | TurnedAway | AttemptEnded | ProbeEnded | ListTold | ClientLeft | TimerDue | Overdue
-         | PutByHand | HandedOver | TakenBack | TakenOver | OutElsewhere)
+Event = (Arrived | TurnedAway | AttemptEnded | FlowEnded | ProbeEnded | ListTold | ClientLeft | TimerDue
+         | Overdue | PutByHand | HandedOver | TakenBack | TakenOver | OutElsewhere)
 
 
 # -- effects: what is to be done ----------------------------------------------------------------------------
--- a/stoatrouter/core/reducer.py
+++ b/stoatrouter/core/reducer.py
@@ -27,6 +27,7 @@
         self.scheduler = Scheduler(settings, seed)
         self.max_open = max_open
         self.records: dict[str, model.Record] = {}
+        self.flows: dict[str, int] = {}  # classes of requests whose answers are still being passed on
         self.nodes: dict[str, model.NodeInfo] = {}  # as listed
         self.by_hand = model.ByHand()
         self.tally = model.Tally()
@@ -44,6 +45,8 @@
                 return self._turn_away(event.request, model.Refused(NO_TIME), "crowded")
             case model.AttemptEnded():
                 return self._ended(event)
+            case model.FlowEnded():
+                return self._flow_ended(event)
             case model.TimerDue():
                 return self._decide(api.TimerFired(event.token))
             case model.ListTold():
@@ -73,7 +76,7 @@
     @property
     def open(self) -> int:
         """How many requests are owed an answer or have an attempt out."""
-        return len(self.records)
+        return len(self.records) + len(self.flows)
 
     def nodes_out(self) -> list[str]:
         """The node of each attempt that is out."""
@@ -87,7 +90,7 @@
     # -- requests -----------------------------------------------------------------------------------------
     def _arrived(self, request: model.Request) -> list[model.Effect]:
         # Guards against an id used twice: the module drops the second, and its client would wait in vain.
-        if request.id in self.records:
+        if request.id in self.records or request.id in self.flows:
             return self._turn_away(request, model.Failed(), "duplicate_id")
         # Guards against a flood: beyond what the settings let a head hold, nothing reaches the module.
         if len(self.records) >= self.max_open:
@@ -138,11 +141,28 @@
             return []
         record.answered = True
         self.tally.add(type(answer).__name__.lower())
-        self.figures.active -= 1
-        self.figures.count(record.request.request_class, answer)
+        if isinstance(answer, model.Served) and answer.flow is not None:
+            self.flows[name] = record.request.request_class  # it ends with its last byte
+        else:
+            self._count(record.request.request_class, answer)
         self._forget(name)
         return [model.GiveAnswer(name, answer)]
 
+    def _count(self, request_class: int, answer: model.Answer) -> None:
+        self.figures.active -= 1
+        self.figures.count(request_class, answer)
+
+    def _flow_ended(self, event: model.FlowEnded) -> list[model.Effect]:
+        request_class = self.flows.pop(event.request, None)
+        if request_class is None:
+            return []
+        if event.whole is None:
+            self.figures.active -= 1
+        else:
+            self._count(request_class, model.Served(b"") if event.whole else model.Failed())
+            self.tally.add("passed_on" if event.whole else "broken_off")
+        return []
+
     def _forget(self, name: str) -> None:
         if self.records[name].over():
             del self.records[name]
@@ -158,7 +178,8 @@
         ok = event.outcome is api.Outcome.OK
         self.tally.add(event.outcome.name.lower())
         finished = ok or record.answered
-        effects = self._answer(event.request, model.Served(event.body, attempt.shard)) if ok else []
+        served = model.Served(event.body, attempt.shard, event.flow)
+        effects = self._answer(event.request, served) if ok else []
         effects += self._decide(api.AttemptEnded(
             request=event.request, attempt=event.attempt, node=attempt.node, outcome=event.outcome,
             took=micros(self.now - attempt.sent), finished=finished,
--- a/stoatrouter/fronts/platform.py
+++ b/stoatrouter/fronts/platform.py
@@ -2,20 +2,19 @@
 
 from __future__ import annotations
 
-import asyncio
 import math
 import re
+from dataclasses import replace
 from datetime import timedelta
 
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 
 from cypressworks import interface as api
 from stoatrouter.core import model
-from stoatrouter.net.door import time_for_body
+from stoatrouter.net.bodies import Body, BrokenOff, Flow, Kept, NoRoom, Room, TooLarge, TooSlow, read_body
 from stoatrouter.net.engine import Engine
 from stoatrouter.net.listener import Drain
 
-LARGEST_BODY = 64 * 1024
 ID = re.compile(r"[0-9A-Za-z_.-]{1,64}")
 HEX16 = re.compile(r"[0-9A-Fa-f]{16}")
 
@@ -31,8 +30,8 @@
 class PlatformFront:
     """Serves the platform's clients."""
 
-    def __init__(self, engine: Engine, settings: api.Settings, drain: Drain) -> None:
-        self.engine, self.drain = engine, drain
+    def __init__(self, engine: Engine, settings: api.Settings, drain: Drain, room: Room) -> None:
+        self.engine, self.drain, self.room = engine, drain, room
         self.settings = settings
         self.classes = {c.name: i for i, c in enumerate(settings.classes)}
         self.plans = {p.name: i for i, p in enumerate(settings.plans)}
@@ -41,20 +40,66 @@
         if request.raw_path == "/healthz":
             return self.drain.mark(self.drain.health())
         try:
-            body = await read_body(request)
-            wanted = self.translate(request, body)
+            wanted = self.translate(request)
+            # Guards the descriptors: beyond the bound a connection gets its refusal and ends.
+            if self.drain.crowded():
+                return last(answer(self.engine.turn_away(wanted)))
+            body = await self.read(request)
         except BadRequest as error:
-            response = web.Response(status=error.status, text=f"{error.reason}\n")
-            response.force_close()  # what is left of such a request is not read
-            return response
-        # Guards the descriptors: beyond the bound a connection gets its refusal and ends.
-        if self.drain.crowded():
-            response = answer(self.engine.turn_away(wanted))
+            return last(web.Response(status=error.status, text=f"{error.reason}\n"))
+        except NoRoom:
+            return last(answer(self.engine.turn_away(wanted)))
+        try:
+            final = await self.engine.serve(replace(wanted, body=body))
+        finally:
+            if isinstance(body, Kept):
+                body.close()
+        if isinstance(final, model.Served) and final.flow is not None:
+            return await self.pass_on(request, wanted.id, final.flow)
+        return self.drain.mark(answer(final))
+
+    async def read(self, request: web.BaseRequest) -> Body:
+        """The body, all of it; or what is wrong with it."""
+        try:
+            body = await read_body(request, self.room)
+        except TooLarge:
+            raise BadRequest("the body is too large", 413) from None
+        except TooSlow:
+            raise BadRequest("the body did not come in time", 408) from None
+        except web.RequestPayloadError:
+            raise BadRequest("the body cannot be read") from None
+        if request.method == "GET" and len(body):
+            if isinstance(body, Kept):
+                body.close()
+            raise BadRequest("a read has no body")
+        return body
+
+    async def pass_on(self, request: web.BaseRequest, name: str, flow: Flow) -> web.StreamResponse:
+        """Pass an answer on as it comes. A broken one ends its connection, so that the client can tell."""
+        response = self.drain.mark(web.StreamResponse())
+        if flow.length is not None:
+            response.content_length = flow.length
+        elif request.version >= HttpVersion11:
+            response.enable_chunked_encoding()
+        else:
             response.force_close()
-            return response
-        return self.drain.mark(answer(await self.engine.serve(wanted)))
-
-    def translate(self, request: web.BaseRequest, body: bytes) -> model.Request:
+        whole: bool | None = None
+        try:
+            await response.prepare(request)
+            async for piece in flow.pieces():
+                await response.write(piece)
+            await response.write_eof()
+            whole = True
+        except BrokenOff:
+            whole = False
+            if request.transport is not None:
+                request.transport.close()  # what was written still goes out
+        finally:
+            flow.close()
+            self.engine.flow_ended(name, whole)
+        return response
+
+    def translate(self, request: web.BaseRequest) -> model.Request:
         """Read a request of the core out of the client's, or say what is wrong with it."""
         headers, target = request.headers, request.raw_path
         parts = target.partition("?")[0].split("/")
@@ -71,8 +116,8 @@
             raise BadRequest("unknown or missing X-Plan")
         if request.method not in ("GET", "PUT"):
             raise BadRequest("method is neither GET nor PUT", 405)
-        if request.method == "GET" and body:
-            raise BadRequest("a read has no body")
+        if request.headers.get("Expect", "100-continue").lower() != "100-continue":
+            raise BadRequest("an expectation that cannot be met", 417)
         units, shard, hosts = read_extras(headers.get("X-IO", ""))
         if units > self.settings.max_units:
             raise BadRequest("more units than a request may have")
@@ -80,7 +125,7 @@
             id=name, request_class=kind, plan=plan, volume=parts[2], key=parts[3], shard=shard, units=units,
             hosts=hosts, time_left=self.time_left(headers.get("Req-Deadline-Ms", ""), kind),
             write=request.method == "PUT", repeat=headers.get("Req-Retry") == "1", method=request.method,
-            target=target, body=body, idempotency_key=headers.get("Idempotency-Key"))
+            target=target, idempotency_key=headers.get("Idempotency-Key"))
 
     def time_left(self, text: str, kind: int) -> timedelta:
         if not text.isascii() or not text.isdigit():
@@ -102,25 +147,10 @@
     return units, shard, hosts
 
 
-async def read_body(request: web.BaseRequest) -> bytes:
-    """Read a body of at most 64 KiB."""
-    if (request.content_length or 0) > LARGEST_BODY:
-        raise BadRequest("body over 64 KiB", 413)
-    if not request.can_read_body:
-        return b""
-    body = bytearray()
-    try:
-        async with asyncio.timeout(time_for_body(request).total_seconds()):
-            async for chunk in request.content.iter_any():
-                body += chunk
-                if len(body) > LARGEST_BODY:
-                    raise BadRequest("body over 64 KiB", 413)
-    except TimeoutError:
-        # Guards the connections, and the end of a head that stops, against a body that never comes.
-        raise BadRequest("the body did not come in time", 408) from None
-    except web.RequestPayloadError:
-        raise BadRequest("the body cannot be read") from None
-    return bytes(body)
+def last(response: web.Response) -> web.Response:
+    """The last answer of a connection: what is left of its request is not read."""
+    response.force_close()
+    return response
 
 
 def answer(final: model.Answer) -> web.Response:
--- /dev/null
+++ b/stoatrouter/net/bodies.py
@@ -0,0 +1,233 @@
+"""Bodies of any size: clients' are kept so that they can be sent anew, nodes' answers flow as they come."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import tempfile
+from collections import deque
+from collections.abc import AsyncIterator
+from datetime import timedelta
+
+import aiohttp
+from aiohttp import web
+
+SMALL = 64 * 1024  # in memory, and checked whole
+LARGEST = 36 * 1024 * 1024  # honest work reaches 32 MB
+PIECE = 64 * 1024
+# A body that stops is left, and so is one far slower than clients in service (64 kB a second).
+STALL, SLOWEST = timedelta(seconds=1), 24 * 1024
+START = timedelta(milliseconds=2500)  # from when on its mean rate counts
+ROOM_WITHIN = timedelta(seconds=4)  # how long a body waits, unread, for others to be done with theirs
+SILENT = timedelta(seconds=10)  # how long an answer that has begun may stand still
+
+
+class NoRoom(Exception):
+    """The bodies kept leave no room for this one."""
+
+
+class TooLarge(Exception):
+    """A body over the bound."""
+
+
+class TooSlow(Exception):
+    """A body that does not come."""
+
+
+class BrokenOff(Exception):
+    """A node broke off its answer."""
+
+
+class Room:
+    """Bytes that kept bodies may take together, given out in turn. Files count: they lie in memory there."""
+
+    def __init__(self, most: int, folder: str | None = None) -> None:
+        self.most, self.folder, self.taken = most, folder, 0
+        self.waiting: deque[tuple[int, asyncio.Future[None]]] = deque()
+
+    async def take(self, size: int) -> None:
+        """Take room, or wait for it in turn: small ones do not starve a large one."""
+        if size > self.most:
+            raise TooLarge
+        if not self.waiting and self.taken + size <= self.most:
+            self.taken += size
+            return
+        entry = (size, asyncio.get_running_loop().create_future())
+        self.waiting.append(entry)
+        try:
+            async with asyncio.timeout(ROOM_WITHIN.total_seconds()):
+                await entry[1]
+        except BaseException as error:
+            if entry in self.waiting:
+                self.waiting.remove(entry)
+                self.pass_on()
+            elif not entry[1].cancelled():
+                self.free(size)  # it was given as the wait ended
+            if isinstance(error, TimeoutError):
+                raise NoRoom from None
+            raise
+
+    def free(self, size: int) -> None:
+        self.taken -= size
+        self.pass_on()
+
+    def pass_on(self) -> None:
+        while self.waiting and self.taken + self.waiting[0][0] <= self.most:
+            size, given = self.waiting.popleft()
+            self.taken += size
+            if given.done():
+                self.taken -= size
+            else:
+                given.set_result(None)
+
+
+class Kept:
+    """A large body in a file without a name, which any attempt can read from its start."""
+
+    def __init__(self, room: Room) -> None:
+        self.room, self.size, self.taken = room, 0, 0
+        self.file = tempfile.TemporaryFile(dir=room.folder, buffering=0)  # noqa: SIM115
+
+    async def grow(self, size: int) -> None:
+        """Make room for this many bytes in all."""
+        if size > self.taken:
+            await self.room.take(size - self.taken)
+            self.taken = size
+
+    def write(self, data: bytes) -> None:
+        view = memoryview(data)
+        try:
+            while view:
+                view = view[self.file.write(view):]
+        except OSError as error:  # guards against a folder that is full
+            raise NoRoom from error
+        self.size += len(data)
+
+    async def pieces(self) -> AsyncIterator[bytes]:
+        at = 0
+        while at < self.size:
+            if self.file.closed:
+                # Guards against an attempt that outlives its request: its descriptor may be another's by now.
+                raise OSError("the body is no longer kept")
+            piece = os.pread(self.file.fileno(), PIECE, at)
+            at += len(piece)
+            yield piece
+
+    def __len__(self) -> int:
+        return self.size
+
+    def close(self) -> None:
+        if not self.file.closed:
+            self.file.close()
+            self.room.free(self.taken)
+
+
+Body = bytes | Kept
+
+
+async def read_body(request: web.BaseRequest, room: Room) -> Body:
+    """Read a body whole; a large one into a file. Its caller closes that."""
+    stated = request.content_length or 0
+    if stated > LARGEST:
+        raise TooLarge
+    if not request.can_read_body:
+        return b""
+    small, kept, pace = bytearray(), None, Pace()
+    try:
+        if stated > SMALL:
+            kept = Kept(room)
+            await kept.grow(stated)
+        if request.headers.get("Expect", "").lower() == "100-continue":
+            await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            request.writer.output_size = 0  # it is no part of the answer
+        while data := await pace.wait(request.content):
+            size = len(data) + (len(small) if kept is None else kept.size)
+            if size > LARGEST:
+                raise TooLarge
+            if kept is None and size <= SMALL:
+                small += data
+                continue
+            if kept is None:  # it stated no length
+                kept = Kept(room)
+            if size > kept.taken:
+                await kept.grow(min(LARGEST, max(size, 2 * kept.taken)))
+            if small:
+                kept.write(bytes(small))
+                small.clear()
+            kept.write(data)
+    except BaseException:
+        if kept is not None:
+            kept.close()
+        raise
+    return bytes(small) if kept is None else kept
+
+
+class Pace:
+    """How fast a body comes, of the time in which it was waited for."""
+
+    def __init__(self) -> None:
+        self.spent, self.came = 0.0, 0
+
+    async def wait(self, content: aiohttp.StreamReader) -> bytes:
+        """What comes next. Guards connections, room and the end of a stopping head against a body that never
+        comes or only drips."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        try:
+            async with asyncio.timeout(STALL.total_seconds()):
+                data = await content.readany()
+        except TimeoutError:
+            raise TooSlow from None
+        self.spent += loop.time() - began
+        self.came += len(data)
+        if data and self.spent > START.total_seconds() and self.came < self.spent * SLOWEST:
+            raise TooSlow
+        return data
+
+
+class Flow:
+    """A node's answer that is passed on as it comes."""
+
+    def __init__(self, response: aiohttp.ClientResponse, first: bytes, length: int | None) -> None:
+        self.response, self.first, self.length = response, first, length
+        self.taken = False  # by whoever passes it on
+
+    async def pieces(self) -> AsyncIterator[bytes]:
+        """All of it. BrokenOff once all that came of a spoilt one has been passed on."""
+        size, data = len(self.first), self.first
+        while data:
+            for at in range(0, len(data), PIECE):
+                yield data[at:at + PIECE]
+            data = await self.next()
+            size += len(data)
+            if size > LARGEST:  # guards clients against an answer without end
+                raise BrokenOff("an answer over the bound")
+        if self.length is not None and size != self.length:
+            raise BrokenOff("an answer of another length than it said")
+
+    async def next(self) -> bytes:
+        content = self.response.content
+        try:
+            async with asyncio.timeout(SILENT.total_seconds()):
+                return await content.readany()
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            # what had come before the break is the client's; aiohttp has no public way to it
+            if content._buffer:
+                return content._read_nowait(-1)
+            raise BrokenOff(repr(error)) from error
+
+    async def whole(self, most: int) -> bytes:
+        """All of it at once, for a front that needs it so."""
+        data = bytearray()
+        with contextlib.closing(self):
+            async for piece in self.pieces():
+                data += piece
+                if len(data) > most:
+                    raise BrokenOff("an answer over this front's bound")
+        return bytes(data)
+
+    def close(self) -> None:
+        """Done with it; a connection with some of it still to come is of no more use."""
+        self.taken = True
+        self.response.close()
--- a/stoatrouter/net/door.py
+++ b/stoatrouter/net/door.py
@@ -17,9 +17,9 @@
 JUST_COME = timedelta(milliseconds=250)
 SPARE = 8  # connections beyond the bound that are still heard, to be refused in words
 SWEEP_EVERY = timedelta(milliseconds=200)
-# From the time a client may begin a request to the time all of it must have come.
-WHOLE_WITHIN = timedelta(milliseconds=2500)
-BODY_AT_LEAST = timedelta(milliseconds=500)  # of it, what a body has whatever its head took
+# A head: clients in service take up to 2 s for one, and those that never end theirs are owed a close in 3 s.
+HEAD_WITHIN = timedelta(milliseconds=2600)
+STALE = timedelta(milliseconds=700)  # a head of which nothing has come for so long makes room before others
 # How long what a client still sends is read and dropped after its last answer: closing over unread input
 # would reset the connection, and the client might never see that answer.
 LINGER = timedelta(seconds=2)
@@ -36,6 +36,7 @@
     ONCE = 2  # has asked once and not again
     IDLE = 3  # between requests
     BUSY = 4  # a request is open
+    BEGUN = 5  # a part of a head has come; in the order of the latest bytes
 
 
 class Door:
@@ -76,12 +77,13 @@
         """Which connection to end for a new one. One that has just come is spared before those between
         requests: its first request is on its way, and most likely has not been read yet."""
         oldest = {state: next(iter(held), None) for state, held in self.held.items()}
-        silent = oldest[State.SILENT]
+        silent, begun, now = oldest[State.SILENT], oldest[State.BEGUN], newest.loop.time()
         if silent is newest:
             silent = None
-        long_silent = silent is not None and silent.loop.time() - silent.since > JUST_COME.total_seconds()
-        return (oldest[State.ENDING] or (silent if long_silent else None) or oldest[State.ONCE]
-                or oldest[State.IDLE] or silent)
+        long_silent = silent is not None and now - silent.since > JUST_COME.total_seconds()
+        stale = begun is not None and now - begun.since > STALE.total_seconds()
+        return (oldest[State.ENDING] or (silent if long_silent else None) or (begun if stale else None)
+                or oldest[State.ONCE] or oldest[State.IDLE] or silent or begun)
 
     @property
     def open(self) -> int:
@@ -93,8 +95,11 @@
         return self.open > self.most
 
     def sweep(self) -> None:
-        """End what has been idle or silent for too long, heads without end among it, and what does not take
-        its answer."""
+        """End what has been idle or silent for too long, heads without end, and what does not take its
+        answer."""
+        for connection in list(self.held[State.BEGUN]):
+            if connection.loop.time() - connection.begun > HEAD_WITHIN.total_seconds():
+                connection.end()
         for connection in list(self.held[State.BUSY]):
             if connection.unread_for() > UNREAD.total_seconds():
                 connection.end()
@@ -114,7 +119,7 @@
 
     def end_idle(self, silent: bool = True) -> None:
         """End all that is between requests; where wanted, also what has not begun one."""
-        for state in (State.SILENT, State.ONCE, State.IDLE)[0 if silent else 1:]:
+        for state in (State.ONCE, State.IDLE, *((State.SILENT, State.BEGUN) if silent else ())):
             for connection in list(self.held[state]):
                 connection.end()
 
@@ -122,14 +127,14 @@
 class ClientConnection(RequestHandler):
     """aiohttp's server connection, with bounds on what a bad client can do to it."""
 
-    __slots__ = ("door", "loop", "state", "since", "whole_by", "unread", "unread_since", "answered")
+    __slots__ = ("door", "loop", "state", "since", "begun", "unread", "unread_since", "answered")
 
     def __init__(self, manager: web.Server, door: Door, loop: asyncio.AbstractEventLoop, **more: Any) -> None:
         # the door's sweep ends idle connections, long before aiohttp's own timer would
         super().__init__(manager, loop=loop, keepalive_timeout=10 * IDLE.total_seconds(), lingering_time=0,
                          **more)
         self.door, self.loop = door, loop
-        self.state, self.since, self.whole_by = State.SILENT, 0.0, 0.0
+        self.state, self.since, self.begun = State.SILENT, 0.0, 0.0
         self.unread, self.unread_since, self.answered = 0, 0.0, False
 
     def end(self) -> None:
@@ -161,6 +166,8 @@
         open_before = self.state is State.BUSY
         super().data_received(data)
         if not self._messages:
+            if not open_before:
+                self._begin()
             return
         if isinstance(self._messages[-1][0], _ErrInfo):
             if open_before or len(self._messages) > 1:
@@ -169,9 +176,14 @@
                 return self.end()
             self.door.put(self, State.ENDING)
         elif not open_before:
-            self.whole_by = self.since + WHOLE_WITHIN.total_seconds()
             self.door.put(self, State.BUSY)
 
+    def _begin(self) -> None:
+        """More of a head has come. A first one counts from the connection's start, whatever came when."""
+        if self.state is not State.BEGUN:
+            self.begun = self.since if self.state is State.SILENT else self.loop.time()
+        self.door.put(self, State.BEGUN)
+
     # -- answers ------------------------------------------------------------------------------------------
     def handle_error(self, request: web.BaseRequest, status: int = 500, exc: BaseException | None = None,
                      message: str | None = None) -> web.StreamResponse:
@@ -195,7 +207,6 @@
             if not self._messages:
                 self.door.put(self, State.IDLE if self.answered else State.ONCE)
                 self.answered = True
-            self.whole_by = self.loop.time() + WHOLE_WITHIN.total_seconds()
             return resp, reset
         self.door.put(self, State.ENDING)
         self._messages.clear()
@@ -217,13 +228,3 @@
 
     def __call__(self) -> RequestHandler:
         return ClientConnection(self, self.door, self._loop, **self._kwargs)
-
-
-def time_for_body(request: web.BaseRequest) -> timedelta:
-    """How long the rest of a request may still take to come."""
-    connection = request.protocol
-    if not isinstance(connection, ClientConnection):
-        return WHOLE_WITHIN
-    left = timedelta(seconds=connection.whole_by - connection.loop.time())
-    return max(BODY_AT_LEAST, left)
-
--- a/stoatrouter/net/engine.py
+++ b/stoatrouter/net/engine.py
@@ -14,10 +14,13 @@
 from cypressworks.interface import ListKind, Outcome
 from stoatrouter.core import model
 from stoatrouter.core.reducer import Reducer
+from stoatrouter.net.bodies import BrokenOff
 from stoatrouter.net.clock import Clock
 from stoatrouter.net.keep import Keep
 from stoatrouter.net.nodes import NodeClient, Reply
 
+LARGEST_PIECE = 1024 * 1024  # of an answer that a front needs whole
+
 
 class Engine:
     """Holds what is under way: answers waited for and attempts out. Decides nothing."""
@@ -48,11 +51,39 @@
             self.run_all(effects)
             return await waiter
         except asyncio.CancelledError:
+            if waiter.done() and not waiter.cancelled():
+                self.drop(request.id, waiter.result())
             self.put(model.ClientLeft(self.clock.now(), request.id))
             raise
         finally:
             self.waiting.pop(request.id, None)
 
+    async def serve_whole(self, request: model.Request) -> model.Answer:
+        """The same for a front that needs an answer whole."""
+        answer = await self.serve(request)
+        if not isinstance(answer, model.Served) or answer.flow is None:
+            return answer
+        whole: bool | None = None
+        try:
+            body = await answer.flow.whole(LARGEST_PIECE)
+            whole = True
+            return model.Served(body, answer.shard)
+        except BrokenOff:
+            whole = False
+            return model.Failed()
+        finally:
+            self.flow_ended(request.id, whole)
+
+    def flow_ended(self, request: str, whole: bool | None) -> None:
+        """An answer was passed on; None: its client has left."""
+        self.put(model.FlowEnded(self.clock.now(), request, whole))
+
+    def drop(self, request: str, answer: model.Answer) -> None:
+        """An answer that nobody takes any more."""
+        if isinstance(answer, model.Served) and answer.flow is not None:
+            answer.flow.close()
+            self.flow_ended(request, None)
+
     def turn_away(self, request: model.Request) -> model.Answer:
         """The answer to a request for which there is no room."""
         effects = self.reducer.reduce(model.TurnedAway(self.clock.now(), request))
@@ -108,6 +139,8 @@
             case model.GiveAnswer():
                 waiter = self.waiting.get(effect.request)
                 if waiter is not None and not waiter.done():
+                    if isinstance(effect.answer, model.Served) and effect.answer.flow is not None:
+                        effect.answer.flow.taken = True
                     waiter.set_result(effect.answer)
             case model.SetTimer():
                 self.loop.call_later(effect.after.total_seconds(), self.timer, effect.token)
@@ -146,7 +179,11 @@
             reply = task.result()
         self.attempts.pop((effect.request.id, effect.attempt), None)
         self.put(model.AttemptEnded(self.clock.now(), effect.request.id, effect.attempt, reply.outcome,
-                                    reply.body, reply.units_by_others, reply.load))
+                                    reply.body, reply.units_by_others, reply.load, reply.flow))
+        # Guards a connection against an answer that came after the one that was given.
+        if reply.flow is not None and not reply.flow.taken:
+            reply.flow.close()
+            self.flow_ended(effect.request.id, None)
 
     async def probe(self, effect: model.Probe) -> None:
         began = self.clock.now()
--- a/stoatrouter/net/nodes.py
+++ b/stoatrouter/net/nodes.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import re
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 
 import aiohttp
@@ -16,14 +16,15 @@
 
 from cypressworks.interface import Outcome
 from stoatrouter.core import model
-from stoatrouter.net.pool import LARGEST_BODY, NodeConnection, NodePool
+from stoatrouter.net.bodies import SMALL, Flow, Kept
+from stoatrouter.net.pool import NodeConnection, NodePool
 
 PROBE_TIMEOUT = timedelta(milliseconds=400)
 # Idle connections are given up at this part of the time after which a node closes them: a request written
 # as the node closes would end as a reset.
 IDLE_PART = 0.5
 REST_WITHIN = timedelta(milliseconds=400)  # once an answer has begun, its end
-READ_AHEAD = 512 * 1024  # of a body, before reading pauses
+READ_AHEAD = 64 * 1024  # of a body, before reading pauses
 LARGEST_COUNT = 1e6  # that a node can mean
 NUMBER = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?")
 SKIPPED = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
@@ -37,6 +38,7 @@
     body: bytes = b""
     units_by_others: float = 0.0
     load: dict[str, float] | None = None
+    flow: Flow | None = None  # of an answer that is too large to be checked whole
 
 
 class Broken(Exception):
@@ -111,13 +113,19 @@
         headers = {"Req-Id": r.id, "Req-Deadline-Ms": str(wait_ms)}
         if r.idempotency_key is not None:
             headers["Idempotency-Key"] = r.idempotency_key
+        if isinstance(r.body, Kept):
+            headers["Content-Length"] = str(r.body.size)
+        data = r.body.pieces() if isinstance(r.body, Kept) else r.body or None
         url = URL(f"http://{effect.address}{r.target}", encoded=True)  # encoded: bytes pass unchanged
+        response = None
         try:
             async with asyncio.timeout(effect.timeout.total_seconds()):
-                async with self.session.request(r.method, url, headers=headers, data=r.body or None,
-                                                allow_redirects=False) as response:
-                    body = await read_body(response)
-                    return judge(response.status, response.headers, body)
+                response = await self.session.request(r.method, url, headers=headers, data=data,
+                                                      allow_redirects=False)
+                reply = await take(response)
+            if reply.flow is not None:
+                response = None  # whoever passes it on closes it
+            return reply
         except TimeoutError as error:
             never = isinstance(error, aiohttp.ConnectionTimeoutError)
             return Reply(Outcome.CONNECT_FAILED if never else Outcome.TIMEOUT)
@@ -129,6 +137,9 @@
             # the answer broke off or could not be read: the attempt may have run
             logger.debug("attempt at {}: {!r}", effect.address, error)
             return Reply(Outcome.RESET)
+        finally:
+            if response is not None:
+                response.close()  # what came whole has given its connection back already
 
     async def probe(self, effect: model.Probe) -> Reply:
         """Ask a node for its load."""
@@ -136,7 +147,7 @@
             async with asyncio.timeout(PROBE_TIMEOUT.total_seconds()):
                 async with self.session.get(URL(f"http://{effect.address}/load", encoded=True),
                                             allow_redirects=False) as response:
-                    body = await read_body(response)
+                    body = await read_small(response)
                     load = read_load(response.headers.get("Srv-Load") or body.decode("ascii", "replace"))
                     return Reply(Outcome.OK if response.status == 200 else Outcome.FULL, load=load)
         except TimeoutError:
@@ -147,17 +158,30 @@
             return Reply(Outcome.RESET)
 
 
-async def read_body(response: aiohttp.ClientResponse) -> bytes:
-    """Read an answer's body, within the bound that the protocol sets."""
-    chunks, size = [], 0
-    async for chunk in response.content.iter_any():
-        size += len(chunk)
+async def take(response: aiohttp.ClientResponse) -> Reply:
+    """An answer: whole if it is small; else what came first, to be passed on with the rest."""
+    if response.status != 200:
+        return judge(response.status, response.headers, await read_small(response))
+    stated, body = response.content_length, b""
+    while len(body) <= SMALL and (stated is None or stated <= SMALL or not body):
+        data = await response.content.readany()
+        if not data:
+            return judge(200, response.headers, body)
+        body += data
+    if response.connection is not None and isinstance(response.connection.protocol, NodeConnection):
+        response.connection.protocol.let_flow()
+    return replace(judge(200, response.headers, b""), flow=Flow(response, body, stated))
+
+
+async def read_small(response: aiohttp.ClientResponse) -> bytes:
+    """A body that is no answer to a client, within a bound."""
+    body = b""
+    while data := await response.content.readany():
+        body += data
         # Guards memory against a node that never ends its answer.
-        if size > LARGEST_BODY:
-            response.close()
-            raise ValueError("answer over the bound")
-        chunks.append(chunk)
-    return b"".join(chunks)
+        if len(body) > SMALL:
+            raise ValueError("over the bound")
+    return body
 
 
 def judge(status: int, headers: CIMultiDictProxy[str], body: bytes) -> Reply:
--- a/stoatrouter/net/pool.py
+++ b/stoatrouter/net/pool.py
@@ -16,9 +16,10 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
+from stoatrouter.net.bodies import LARGEST
+
 LARGEST_HEAD = 16 * 1024
-# The protocol says 64 KiB, yet nodes in service answer with up to 400 KiB, whole and well-formed.
-LARGEST_BODY = 1024 * 1024
+RECEIVE = 64 * 1024  # at once: what asyncio takes by itself would cost each of many large answers more
 # For how long idle connections are used follows what becomes of those that are used.
 USE_WITHIN_LEAST, SHORTER, LONGER = 0.05, 0.8, 1.05
 HEAD_END = b"\r\n\r\n"
@@ -35,6 +36,8 @@
         super().__init__(loop)
         self.pool, self.rest_within = pool, rest_within
         self.asked = self.chunked = False  # asked: an answer is due
+        self.to_end = False  # its end is the connection's
+        self.flowing = False  # its client has the first of it, and waits for the rest however slowly it comes
         self.head, self.left = b"", 0  # of the present answer: what has come of its head, what its body lacks
         self.in_body = False
         self.stall: asyncio.TimerHandle | None = None
@@ -43,6 +46,7 @@
     # -- what aiohttp calls -------------------------------------------------------------------------------
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
+        transport.max_size = RECEIVE  # type: ignore[attr-defined]
         self.pool.alive.add(self)
 
     def connection_lost(self, exc: BaseException | None) -> None:
@@ -50,12 +54,16 @@
         by_peer = self.transport is not None  # an end of our own has dropped it already
         if by_peer and self.asked and not self.head and not self.in_body:
             self.pool.broke(self.idle_for)
+        if self.asked and self.to_end and exc is not None and self._payload is not None:
+            # Guards against a break that aiohttp takes for the end of an answer without a length.
+            self._payload.set_exception(Spoilt("it broke off"))
+            self._parser = None
         self._whole()
         super().connection_lost(exc)
 
     def set_response_params(self, **params: Any) -> None:
         """A request is about to be written."""
-        self.asked, self.in_body, self.head = True, False, b""
+        self.asked, self.in_body, self.head, self.to_end, self.flowing = True, False, b"", False, False
         self.idle_for = 0.0 if self.idle_since is None else self._loop.time() - self.idle_since
         super().set_response_params(**params)
 
@@ -76,11 +84,16 @@
             self._end()
         elif not self.in_body:
             self._take_head(data)
-        elif self.chunked:
+        elif self.chunked or self.to_end:
             self._take_chunked(data)
         else:
             self._take_body(data)
 
+    def let_flow(self) -> None:
+        """What has come is being passed on: from now on whoever does that watches for a standstill."""
+        self.flowing = True
+        self._calm()
+
     # -- one answer ---------------------------------------------------------------------------------------
     def _take_head(self, data: bytes) -> None:
         self.head += data
@@ -104,8 +117,9 @@
             return self._spoilt(str(error))
         # Guards memory: it may pin the large block that it was read into, as long as the connection lives.
         self.head = b""
-        self.in_body, self.chunked, self.left = True, length is None, length or 0
-        if self.chunked:
+        self.in_body, self.chunked, self.to_end = True, length == CHUNKED, length == TO_END
+        self.left = max(0, length)
+        if self.chunked or self.to_end:
             self._take_chunked(head + rest)
         else:
             self._take_body(rest, head)
@@ -131,10 +145,9 @@
     def _watch(self, anew: bool = False) -> None:
         """Guards the client's time against an answer that has begun and does not go on; a head has this long
         for all of it."""
-        if anew and self.stall is not None:
-            self.stall.cancel()
-            self.stall = None
-        if self.stall is None and self.asked:
+        if anew:
+            self._calm()
+        if self.stall is None and self.asked and not self.flowing:
             self.stall = self._loop.call_later(self.rest_within.total_seconds(), self._spoilt, "it stalled")
 
     def _whole(self) -> None:
@@ -142,6 +155,9 @@
         if self.asked and self.in_body:
             self.pool.worked(self.idle_for)
         self.asked, self.idle_since = False, self._loop.time()
+        self._calm()
+
+    def _calm(self) -> None:
         if self.stall is not None:
             self.stall.cancel()
             self.stall = None
@@ -213,10 +229,14 @@
             connection.close()
 
 
-def body_length(head: bytes) -> int | None:
-    """The length that a head states, None for chunks. Guards against an answer whose end cannot be told: two
-    lengths, none, one that is no number or over the bound, or a length with chunks."""
-    lengths, codings = [], []
+CHUNKED, TO_END = -1, -2
+
+
+def body_length(head: bytes) -> int:
+    """The length that a head states, or how its end is told. Guards against an answer whose end cannot be
+    told: two lengths, none on a connection that stays, one that is no number or over the bound, or a length
+    with chunks."""
+    lengths, codings, closes = [], [], head[:8] == b"HTTP/1.0"
     for line in head[:-len(HEAD_END)].split(b"\r\n")[1:]:
         name, colon, value = line.partition(b":")
         if not colon or not name or name.strip() != name:
@@ -225,10 +245,14 @@
             lengths.append(value.strip())
         elif name.lower() == b"transfer-encoding":
             codings.append(value.strip().lower())
+        elif name.lower() == b"connection":
+            closes = b"close" in value.lower()
     if codings == [b"chunked"] and not lengths:
-        return None
+        return CHUNKED
+    if not codings and not lengths and closes:
+        return TO_END
     if codings or len(lengths) != 1 or not lengths[0].isdigit() or len(lengths[0]) > 9:
         raise ValueError("no length that can be read")
-    if int(lengths[0]) > LARGEST_BODY:
+    if int(lengths[0]) > LARGEST:
         raise ValueError("a body over the bound")
     return int(lengths[0])
--- /dev/null
+++ b/tests/test_bodies.py
@@ -0,0 +1,288 @@
+"""Stories of size: bodies of any length and form, answers that flow, and the room that all of it takes."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import struct
+from collections import Counter
+from datetime import timedelta
+
+import aiohttp
+import pytest
+
+from cypressworks.interface import ListKind
+from stoatrouter.net import bodies, door
+from stoatrouter.net.bodies import NoRoom, Room, TooLarge
+from stoatrouter.net.discovery import read_node
+from tests.peers import HOST, Node, run, until
+from tests.test_door import GOOD, PUT, exchange
+from tests.test_network import HEADERS, PATH, started
+
+BODY = bytes(range(256)) * 1200  # 300 KiB
+KEY = PATH.split("/", 2)[2]
+
+
+def in_chunks(body: bytes, size: int = 50_000) -> bytes:
+    """A body in chunks, with extensions and a trailer."""
+    pieces = (body[at:at + size] for at in range(0, len(body), size))
+    return b"".join(b"%x;name=value\r\n%s\r\n" % (len(p), p) for p in pieces) + b"0\r\nX-Sum: 1\r\n\r\n"
+
+
+# -- clients' bodies ---------------------------------------------------------------------------------------
+@pytest.mark.parametrize("sent", [
+    f"{PUT}Connection: close\r\nContent-Length: {len(BODY)}\r\n\r\n".encode() + BODY,
+    f"{PUT}Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n".encode() + in_chunks(BODY)])
+def test_a_large_body_reaches_a_node_unchanged_and_can_be_sent_anew(sent):
+    async def story():
+        node = Node("a", 0, "decline")
+        async with started(node) as (head, _):
+            assert (await exchange(head, sent)).startswith(b"HTTP/1.1 200")
+            assert node.pieces[KEY] == BODY
+            assert [seen[3] for seen in node.seen] == [len(BODY)] * 2  # declined, then sent anew
+            assert {r.headers["Content-Length"] for r in node.requests} == {str(len(BODY))}
+            assert not head.room.taken
+    run(story())
+
+
+@pytest.mark.parametrize("head", [b"Content-Length: 70001\r\n\r\n", b"Transfer-Encoding: chunked\r\n\r\n"])
+def test_a_body_over_the_bound_is_turned_away(monkeypatch, head):
+    """A flood, however it comes, takes no room once it is known for one."""
+    async def story():
+        node = Node("a", 0)
+        async with started(node) as (there, _):
+            body = in_chunks(b"b" * 200_000) if b"chunked" in head else b""
+            assert b" 413 " in await exchange(there, PUT.encode() + head + body)
+            assert not node.seen and not there.room.taken
+    monkeypatch.setattr(bodies, "LARGEST", 70_000)
+    run(story())
+
+
+def test_a_client_that_asks_before_it_sends_is_told_to_go_on():
+    async def story():
+        node = Node("a", 0)
+        async with started(node) as (head, _):
+            reader, writer = await asyncio.open_connection(HOST, head.platform.port)
+            writer.write(f"{PUT}Expect: 100-continue\r\nContent-Length: 4\r\n\r\n".encode())
+            assert await reader.readuntil(b"\r\n\r\n") == b"HTTP/1.1 100 Continue\r\n\r\n"
+            writer.write(b"body")
+            assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 200 ")
+            assert node.pieces[KEY] == b"body"
+            writer.close()
+            refused = await exchange(head, f"{PUT}Expect: wonders\r\nContent-Length: 4\r\n\r\n".encode())
+            assert b" 417 " in refused
+    run(story())
+
+
+def test_a_body_that_only_drips_is_left(monkeypatch):
+    monkeypatch.setattr(bodies, "START", timedelta(0))
+    monkeypatch.setattr(bodies, "SLOWEST", 1 << 40)
+
+    async def story():
+        async with started(Node("a", 0)) as (head, _):
+            assert b" 408 " in await exchange(head, f"{PUT}Content-Length: 90000\r\n\r\n".encode() + b"b" * 9)
+            assert not head.room.taken
+    run(story())
+
+
+def test_a_client_that_leaves_in_the_middle_of_its_body_gives_its_room_back():
+    async def story():
+        async with started(Node("a", 0)) as (head, _):
+            _, writer = await asyncio.open_connection(HOST, head.platform.port)
+            writer.write(f"{PUT}Content-Length: 90000\r\n\r\n".encode() + b"b" * 9)
+            await until(lambda: head.room.taken == 90000)
+            writer.close()
+            await until(lambda: not head.room.taken)
+    run(story())
+
+
+def test_room_is_given_in_turn_and_nobody_waits_for_ever(monkeypatch):
+    async def story():
+        room = Room(100)
+        await room.take(60)
+        large, small = asyncio.create_task(room.take(90)), asyncio.create_task(room.take(10))
+        await asyncio.sleep(0)
+        assert room.taken == 60 and not small.done()  # it would keep the large one waiting
+        room.free(60)
+        await asyncio.gather(large, small)
+        assert room.taken == 100
+        monkeypatch.setattr(bodies, "ROOM_WITHIN", timedelta(0))
+        with pytest.raises(NoRoom):
+            await room.take(1)
+        with pytest.raises(TooLarge):
+            await room.take(101)
+        leaving = asyncio.create_task(room.take(1))
+        await asyncio.sleep(0)
+        leaving.cancel()
+        room.free(100)
+        await asyncio.gather(leaving, return_exceptions=True)
+        assert room.taken == 0 and not room.waiting
+    run(story())
+
+
+# -- nodes' answers ----------------------------------------------------------------------------------------
+class Raw(Node):
+    """A node that answers with these bytes, piece by piece as it is let; then it may break off."""
+
+    def __init__(self, *pieces: bytes, reset: bool = False) -> None:
+        super().__init__("a", 0)
+        self.parts, self.reset, self.go, self.tries = pieces, reset, asyncio.Semaphore(0), Counter()
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            await reader.readuntil(b"\r\n\r\n")
+            self.tries["all"] += 1
+            for part in self.parts:
+                await self.go.acquire()
+                writer.write(part)
+                await writer.drain()
+            await self.go.acquire()
+        if self.reset:
+            handle = writer.get_extra_info("socket")
+            handle.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        writer.close()
+
+
+@contextlib.asynccontextmanager
+async def served_by(node: Raw):
+    server = await asyncio.start_server(node.serve, HOST, 0)
+    port = server.sockets[0].getsockname()[1]
+    async with server, started(node) as (head, session):
+        node.port = port
+        head.engine.told(ListKind.FULL, (read_node(node.entry()),))  # there, and not where others are served
+        yield head, session
+
+
+def answered(head: bytes) -> bytes:
+    return b"HTTP/1.1 200 OK\r\n" + head + b"\r\n"
+
+
+FORMS = [answered(b"Content-Length: %d\r\n" % len(BODY)) + BODY,
+         answered(b"Transfer-Encoding: chunked\r\n") + in_chunks(BODY),
+         answered(b"Connection: close\r\n") + BODY]
+
+
+@pytest.mark.parametrize("answer", FORMS)
+def test_a_large_answer_is_passed_on_as_it_comes(answer):
+    """Its first bytes are the client's before its last have come."""
+    async def story():
+        node = Raw(answer[:100_000], answer[100_000:])
+        async with served_by(node) as (head, session):
+            node.go.release()
+            async with session.get(PATH, headers=HEADERS) as response:
+                assert response.status == 200
+                first = await response.content.readexactly(90_000)
+                assert head.engine.reducer.figures.active == 1
+                node.go.release(), node.go.release()
+                assert first + await response.read() == BODY
+            await until(lambda: not head.engine.reducer.open)
+            figures = head.engine.reducer.figures
+            assert (figures.ok[0], figures.errors[0], figures.active) == (1, 0, 0)
+    run(story())
+
+
+@pytest.mark.parametrize("reset", [False, True])
+@pytest.mark.parametrize("answer", FORMS[:2])
+def test_an_answer_that_breaks_off_is_never_ended_as_if_whole(answer, reset):
+    async def story():
+        node = Raw(answer[:100_000], reset=reset)
+        async with served_by(node) as (head, session):
+            node.go.release()
+            async with session.get(PATH, headers=HEADERS) as response:
+                got = await response.content.readexactly(90_000)
+                node.go.release()
+                with pytest.raises(aiohttp.ClientPayloadError):
+                    got += await response.read()
+                assert BODY.startswith(got)
+            await until(lambda: not head.engine.reducer.open)
+            assert head.engine.reducer.figures.errors[0] == 1 and node.tries["all"] == 1
+    run(story())
+
+
+def test_a_reset_is_no_end_of_an_answer_without_a_length():
+    async def story():
+        node = Raw(FORMS[2][:100_000], reset=True)
+        async with served_by(node) as (_, session):
+            node.go.release()
+            async with session.get(PATH, headers=HEADERS) as response:
+                await response.content.readexactly(90_000)
+                node.go.release()
+                with pytest.raises(aiohttp.ClientPayloadError):
+                    await response.read()
+    run(story())
+
+
+def test_a_client_that_leaves_a_large_answer_leaves_nothing_behind():
+    async def story():
+        node = Raw(FORMS[0][:100_000])
+        async with served_by(node) as (head, session):
+            node.go.release()
+            response = await session.get(PATH, headers=HEADERS)
+            await response.content.readexactly(90_000)
+            response.close()
+            await until(lambda: not head.engine.reducer.open and not head.engine.nodes.pool.alive)
+            assert head.engine.reducer.figures.active == 0
+    run(story())
+
+
+def test_an_id_stays_in_use_until_its_answer_has_ended():
+    async def story():
+        node = Raw(FORMS[0][:100_000])
+        async with served_by(node) as (_, session):
+            node.go.release()
+            async with session.get(PATH, headers=HEADERS):
+                async with session.get(PATH, headers=HEADERS) as second:
+                    assert second.status == 502
+                node.go.release()
+    run(story())
+
+
+# -- slow heads in a crowd ---------------------------------------------------------------------------------
+def test_a_head_that_comes_slowly_is_heard(monkeypatch):
+    """Idle connections may be ended long before; one on which a request has begun may not."""
+    monkeypatch.setattr(door, "IDLE", timedelta(milliseconds=20))
+    monkeypatch.setattr(door, "SWEEP_EVERY", timedelta(milliseconds=5))
+    monkeypatch.setattr(door, "HEAD_WITHIN", timedelta(seconds=60))
+
+    async def story():
+        async with started(Node("a", 0)) as (head, _):
+            sweeps = Counter()
+            sweep = head.door.sweep
+            monkeypatch.setattr(head.door, "sweep", lambda: (sweeps.update(["n"]), sweep()))
+            reader, writer = await asyncio.open_connection(HOST, head.platform.port)
+            for at in range(0, len(GOOD), 60):
+                writer.write(GOOD[at:at + 60])
+                before = sweeps["n"]
+                await until(lambda least=before + 6: sweeps["n"] >= least)  # past the time of idle ones
+            assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 200 ")
+            writer.close()
+    run(story())
+
+
+def test_heads_of_which_nothing_more_comes_make_room_for_those_that_go_on(monkeypatch):
+    monkeypatch.setattr(door, "STALE", timedelta(0))
+
+    async def story():
+        async with started(Node("a", 0), sockets=32) as (head, _), contextlib.AsyncExitStack() as stack:
+            begun = []
+            for _ in range(head.door.most - 1):
+                _, writer = await asyncio.open_connection(HOST, head.platform.port)
+                stack.callback(writer.close)
+                writer.write(b"GET /")
+                begun.append(writer)
+            slow, writer = await asyncio.open_connection(HOST, head.platform.port)
+            stack.callback(writer.close)
+            writer.write(GOOD[:50])
+            held = head.door.held[door.State.BEGUN]
+            await until(lambda: len(held) == head.door.most)
+            for _ in range(head.door.most - 1):
+                _, more = await asyncio.open_connection(HOST, head.platform.port)
+                stack.callback(more.close)
+                writer.write(b"")
+            writer.write(GOOD[50:])
+            assert (await slow.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 200 ")
+            assert len(head.door) <= head.door.most + door.SPARE
+    run(story())
+
+
