Send reads with an older place to where their data was put; shut trailers off

Probes of what came: all of them had their head written in pieces, and others that asked for the same data a moment later named another shard: the write had been answered in between. Ruled out: load (no 503 at all), draining, the class, the form of the head. 504 is moot now: the module sends once more to where this head saw the data put (logic.py moved), else it gives up at once.

Seen in the same traces: a trailer ('x-done') came as the first header of the next request on its connection; aiohttp's parser keeps it. Connections now go on with a parser of their own after a body in chunks.

--- a/cypressworks/logic.py
+++ b/cypressworks/logic.py
@@ -163,6 +163,7 @@
         self.volumes: dict[str, Volume] = {}
         self.turns: dict[str, deque[Request]] = {}  # of keys whose order is kept
         self.rests: dict[str, int] = {}  # until when such a key rests
+        self.put: dict[tuple, tuple[int, int]] = {}  # where new data was lately put, and when
         self.taken, self.extras = deque[int](), deque[int]()
         self.timers: dict[int, Request] = {}
         self.given: dict[tuple, tuple[int, int]] = {}  # given up lately: aim and deadline
@@ -310,6 +311,7 @@
         if self.now - self.rebuilt >= REBUILD_EVERY:
             self.rebuilt, self.rests = self.now, {k: t for k, t in self.rests.items() if t > self.now}
             self.given = {k: g for k, g in self.given.items() if g[1] > self.now}
+            self.put = {k: p for k, p in self.put.items() if self.now - p[1] < self.memory}
             self.turns = {k: turn for k, turn in self.turns.items() if turn}
             self.volumes = {k: v for k, v in self.volumes.items() if not v.idle(self.now, self.memory)}
             self.nodes = {k: n for k, n in self.nodes.items() if n.phase is not Phase.GONE or n.held or n.out
@@ -507,13 +509,20 @@
         r.wait_until = self.now + self.jitter(self.threshold / 10 * 2 ** len(r.attempts))
         if e.finished or r.done:
             self.close(r)
-        elif e.outcome is Outcome.MOOT or self.barred(r, node) >= NEVER:
+        elif e.outcome is Outcome.MOOT and not self.moved(r) or self.barred(r, node) >= NEVER:
             self.finish(r)
         else:
             self.place(r)
             self.wake(r.wait_until, r)
         self.pump(node)
 
+    def moved(self, r: Request) -> bool:
+        """Whether its data was put elsewhere through this host: a client may ask with an older place."""
+        shard, _ = self.put.get((r.volume, r.key), (r.shard, 0))
+        found = r.shard not in (shard, -1)
+        r.shard, r.wait_until = shard, self.now if found else r.wait_until
+        return found
+
     def observe(self, e: api.AttemptEnded, r: Request, node: Node) -> None:
         """What an outcome tells of its node (averages, window, health) and of its volume elsewhere."""
         r.volume.at(self.now).spend(e.units_by_others)
@@ -530,6 +539,8 @@
         lost = lost or silent and node.quiet == 1 and self.vanish >= VANISHING
         if ok or silent and not lost:
             node.trip = float(e.took)
+        if ok and r.write and r.shard == -1:
+            self.put[(r.volume, r.key)] = node.shard, self.now
         if ok:  # errors and refusals come quickly and must not feed the averages
             node.newest = max(node.newest, self.now - e.took)  # refusals come out of turn
             node.answers, node.heard = node.weigh(node.answers, node.heard, self.now, e.took), self.now
--- a/stoatrouter/net/door.py
+++ b/stoatrouter/net/door.py
@@ -8,8 +8,9 @@
 from typing import Any
 
 from aiohttp import web
+from aiohttp.http import HttpRequestParser
 from aiohttp.http_exceptions import HttpProcessingError
-from aiohttp.web_protocol import RequestHandler, _ErrInfo
+from aiohttp.web_protocol import MAX_MSG_QUEUE_SIZE, RequestHandler, _ErrInfo
 from loguru import logger
 
 # A connection with no open request is ended after this time, whether it has said anything or not.
@@ -18,7 +19,7 @@
 SPARE = 8  # connections beyond the bound that are still heard, to be refused in words
 SWEEP_EVERY = timedelta(milliseconds=200)
 # A head: clients in service take up to 2 s for one, and those that never end theirs are owed a close in 3 s.
-HEAD_WITHIN = timedelta(milliseconds=2600)
+HEAD_WITHIN = timedelta(milliseconds=2750)
 STALE = timedelta(milliseconds=700)  # a head of which nothing has come for so long makes room before others
 # How long what a client still sends is read and dropped after its last answer: closing over unread input
 # would reset the connection, and the client might never see that answer.
@@ -203,7 +204,7 @@
         transport = self.transport
         if reset or self._force_close or transport is None:
             return resp, reset
-        if resp.keep_alive and request.content.is_eof():
+        if resp.keep_alive and request.content.is_eof() and self._renew(request):
             if not self._messages:
                 self.door.put(self, State.IDLE if self.answered else State.ONCE)
                 self.answered = True
@@ -219,6 +220,21 @@
         return resp, reset
 
 
+    def _renew(self, request: web.BaseRequest) -> bool:
+        """Whether the connection can go on. Guards the next request against trailers of this one, which
+        aiohttp's parser takes for the first headers of whatever comes next."""
+        if "Transfer-Encoding" not in request.headers:
+            return True
+        if self._messages:
+            return False  # what comes next has them already
+        self._parser = HttpRequestParser(
+            self, self.loop, self._read_bufsize, max_line_size=self.max_line_size,
+            max_field_size=self.max_field_size, max_headers=self.max_headers,
+            payload_exception=web.RequestPayloadError, auto_decompress=False,
+            max_msg_queue_size=MAX_MSG_QUEUE_SIZE)
+        return True
+
+
 class Server(web.Server):
     """aiohttp's server, with these connections."""
 
--- a/stoatrouter/net/nodes.py
+++ b/stoatrouter/net/nodes.py
@@ -189,8 +189,10 @@
     units, load = read_number(headers.get("X-Served-Elsewhere")) or 0.0, read_load(headers.get("Srv-Load"))
     if status == 200:
         return Reply(Outcome.OK, body, units, load)
-    declined = status in (503, 504) and headers.get("Srv-Declined") == "1"
-    return Reply(Outcome.FULL if declined else Outcome.ERROR, b"", units, load)
+    if headers.get("Srv-Declined") != "1" or status not in (503, 504):
+        return Reply(Outcome.ERROR, b"", units, load)
+    # Guards a node's window: 504 tells nothing of its load. The request is over, or its data lies elsewhere.
+    return Reply(Outcome.FULL if status == 503 else Outcome.MOOT, b"", units, load)
 
 
 def read_number(text: str | None) -> float | None:
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -60,6 +60,8 @@
                           len(body or self.pieces.get(piece(request), b""))))
         if step == "decline":
             return web.Response(status=503, headers={"Srv-Declined": "1"})
+        if step == "elsewhere":
+            return web.Response(status=504, headers={"Srv-Declined": "1"})
         if step == "reset":
             request.transport.abort()
         if step == "silent":
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -121,6 +121,23 @@
     run(story())
 
 
+def test_trailers_of_one_request_are_no_headers_of_the_next():
+    """aiohttp's parser puts them before the next request's own."""
+    async def story():
+        node = Node("a", 0)
+        async with started(node) as (head, _):
+            reader, writer = await asyncio.open_connection(HOST, head.platform.port)
+            body = b"4\r\nbody\r\n0\r\nReq-Id: other\r\nIdempotency-Key: other\r\n\r\n"
+            for sent in PUT.encode() + b"Transfer-Encoding: chunked\r\n\r\n" + body, GOOD:
+                writer.write(sent)
+                assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 200 ")
+                if sent is not GOOD:
+                    await reader.readexactly(len(b"stored"))
+            assert [r.headers["Req-Id"] for r in node.requests] == [HEADERS["Req-Id"]] * 2
+            writer.close()
+    run(story())
+
+
 # -- nodes' answers ----------------------------------------------------------------------------------------
 class Raw(Node):
     """A node that answers with these bytes, piece by piece as it is let; then it may break off."""
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -4,6 +4,7 @@
 
 import subprocess
 import sys
+from dataclasses import replace
 from datetime import timedelta
 from pathlib import Path
 
@@ -165,3 +166,32 @@
     r.reduce(model.TurnedAway(START, request("t")))
     f = r.figures
     assert (sum(f.ok), sum(f.shed), sum(f.errors), f.active) == (0, 2, 1, 1)
+
+
+def moved_write(r):
+    """A new object is written through this head, and n2 takes it."""
+    new = replace(request("w"), shard=-1, write=True, key="new")
+    (sent,) = only(r.reduce(model.Arrived(START, new)), model.SendAttempt)
+    r.reduce(model.AttemptEnded(START + MS, "w", 0, Outcome.OK, b""))
+    return int(sent.address[1]) - 1  # n1 holds shard 0, n2 shard 1
+
+
+def test_a_read_with_an_older_place_is_sent_to_where_its_data_was_put():
+    """A client may have begun its request before the write of that data was answered."""
+    r = reducer(node(), replace(node("n2"), shard=1))
+    there = moved_write(r)
+    read = replace(request(), shard=1 - there, key="new")
+    (first,) = only(r.reduce(model.Arrived(START + 2 * MS, read)), model.SendAttempt)
+    window = r.scheduler.nodes[first.address[:2]].window
+    effects = r.reduce(model.AttemptEnded(START + 3 * MS, "r", 0, Outcome.MOOT))
+    assert r.scheduler.nodes[first.address[:2]].window == window  # it tells nothing of the node's load
+    (now,) = [e for e in only(effects, model.SetTimer) if not e.after]
+    (second,) = only(r.reduce(model.TimerDue(START + 3 * MS, now.token)), model.SendAttempt)
+    assert second.address == f"n{there + 1}:80"
+
+
+def test_what_no_node_holds_is_given_up_at_once():
+    r = reducer(node())
+    r.reduce(model.Arrived(START, request()))
+    effects = r.reduce(model.AttemptEnded(START + MS, "r", 0, Outcome.MOOT))
+    assert isinstance(only(effects, model.GiveAnswer)[0].answer, model.Refused)
