Give up what is worth least when waiting requests fill clients' connections

Traced: no connection was ended by the door in those seconds, none refused; 85 to 122 requests were open at the handover, with 128 connections that clients may hold. Waiting requests held them all (logic.py: what waits stays until half its time), before and through an upgrade. Also: a client that goes as its last answer is ended no longer logs a fault.

--- a/cypressworks/logic.py
+++ b/cypressworks/logic.py
@@ -169,6 +169,7 @@
         self.given: dict[tuple, tuple[int, int]] = {}  # given up lately: aim and deadline
         self.now = self.last_token = self.rebuilt = self.ask_at = 0
         self.born, self.woke, self.subscribed, self.fair, self.vanish = -1, 0, False, 0.0, 0.0
+        self.most_open = NEVER  # requests that clients can have open here; the least of use make room
         self.handed = False  # to this host's next process, while this one ends what it has
         self.actions: list[api.Action] = []
 
@@ -263,7 +264,9 @@
             self.turns.setdefault(r.key, deque()).append(r)
         self.place(r)
         self.wake(r.half, r)
-        if (node := r.node) is None:
+        if len(self.requests) > self.most_open:
+            self.make_room()
+        if (node := r.node) is None or r.done:
             return
         self.ask(node)
         node.writes[e.volume] = node.writes.get(e.volume, 0.0) + (e.units if r.write else 0.0)
@@ -273,6 +276,14 @@
             self.wake(r.wait_until, r)
         self.pump(node)
 
+    def make_room(self) -> None:
+        """Give up what is worth least of all that waits, a few at a time. Guards what comes next: clients'
+        connections are bounded, and once each holds a request that waits, the best finds none left."""
+        waiting = sorted((r for r in self.requests.values() if not r.done and not r.out()),
+                         key=lambda r: (r.node is not None, self.worth(r, r.node) if r.node else ()))
+        for r in waiting[:1 + len(waiting) // 16]:
+            self.finish(r)
+
     def place(self, r: Request) -> None:
         """File a request at a node of its shard, the least loaded that is on, else one that drains."""
         if r.node is not None:
--- a/stoatrouter/net/door.py
+++ b/stoatrouter/net/door.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from datetime import timedelta
 from enum import Enum
 from typing import Any
@@ -211,8 +212,9 @@
             return resp, reset
         self.door.put(self, State.ENDING)
         self._messages.clear()
-        if transport.can_write_eof():
-            transport.write_eof()
+        with contextlib.suppress(OSError):  # a client may have gone in this moment
+            if transport.can_write_eof():
+                transport.write_eof()
         if not transport.is_reading():
             transport.resume_reading()
         # the client's own close ends this at once, the sweep at the latest
--- a/stoatrouter/net/succession.py
+++ b/stoatrouter/net/succession.py
@@ -22,7 +22,7 @@
 NAME = "stoatrouter.sock"
 # A new process is due to serve within 6 s: an old one that says nothing is left alone after this time.
 ANSWER_WITHIN = timedelta(seconds=2)
-TELL_EVERY = timedelta(milliseconds=100)
+TELL_EVERY = timedelta(milliseconds=25)
 LARGEST_LINE = 16 * 1024 * 1024
 
 State = dict[str, Any]
