Keep half of clients' connections free of waiting requests in a surge

Seen by the tenth of a second: in a surge 93 requests waited of 100 open, with 120 of 128 connections busy and the loop lagging by 20 to 50 ms, as clients came back at once; at 150 to 250 served a second those at the end are late whatever comes. What makes room is told to come back after the longest advice.

--- a/cypressworks/logic.py
+++ b/cypressworks/logic.py
@@ -282,7 +282,7 @@
         waiting = sorted((r for r in self.requests.values() if not r.done and not r.out()),
                          key=lambda r: (r.node is not None, self.worth(r, r.node) if r.node else ()))
         for r in waiting[:1 + len(waiting) // 16]:
-            self.finish(r)
+            self.finish(r, self.longest_advice)  # sooner, they would find it as full
 
     def place(self, r: Request) -> None:
         """File a request at a node of its shard, the least loaded that is on, else one that drains."""
@@ -355,7 +355,7 @@
         return (opens + self.quick >= r.deadline or opens >= r.half and r.unsent()
                 or node.window < 1 and self.late(r, node, opens))
 
-    def finish(self, r: Request) -> None:
+    def finish(self, r: Request, after: int = 0) -> None:
         """The final answer: a refusal where trying again is harmless, else a failure."""
         ran, effect = any(a.may_have_run() for a in r.attempts), r.kind.effect
         harmless = not ran or effect is Effect.SAFE or effect is Effect.KEYED and r.kind.group is Group.ALL
@@ -363,7 +363,7 @@
         # to come back once the limit's store and the node's pace let such a request through
         opens = r.node.opens(self.now, self.patience(r.node)) if r.node is not None else self.now
         retry_in = min(self.longest_advice, max(opens, r.volume.filled(self.now, r.units)) - self.now)
-        self.actions.append(api.Refuse(r.id, max(0, retry_in)) if harmless else api.Fail(r.id))
+        self.actions.append(api.Refuse(r.id, max(0, after, retry_in)) if harmless else api.Fail(r.id))
         self.close(r)
 
     def close(self, r: Request) -> None:
--- a/stoatrouter/__main__.py
+++ b/stoatrouter/__main__.py
@@ -37,7 +37,7 @@
 
 # Of the descriptors: clients hold a third of them at most for requests; some more may say nothing.
 NODE_SHARE, CLIENT_SHARE, IDLE_SHARE = 0.3, 0.58, 0.125
-WAITING_SHARE = 0.85 / 3  # requests open: some of what clients may hold is kept free for what comes next
+WAITING_SHARE = 0.5 / 3  # requests open: half of what clients may hold is kept free for what comes next
 BASE = 46_000_000  # of memory: what a head needs beside the bodies it keeps
 LAG_EVERY, LAG_LIMIT = timedelta(milliseconds=100), timedelta(milliseconds=100)
 
