Take back the bound on waiting requests: it cost more than it kept

The new process's first sends wait for their connections and meet later ones at the node; the stores handed over now lack 0.3 s of their limit for that.

--- a/cypressworks/handover.py
+++ b/cypressworks/handover.py
@@ -15,6 +15,8 @@
 
 # Of what is left of a store beyond what the old process holds for: its clients come until their answers.
 OLD_PART = 0.2
+# Taken off each store: the new process opens its connections anew, and what it sends first comes late.
+LATE = 0.3  # seconds of its limit
 VOLUME = ("hosts", "stamp", "excess", "reserve", "store", "lowest")
 NODE = ("closes", "up_since", "known", "spent", "window", "cut_at", "last_sent", "reads", "answers", "trip",
         "step", "output", "pinned", "heard", "read_at", "newest", "quiet", "crowd", "crowd_at")
@@ -36,7 +38,8 @@
             left = max(0.0, volume.store - volume.lowest)
             needed = min(left, held.get(id(volume), 0.0))
             kept = needed + OLD_PART * (left - needed)
-            told["store"] = volume.store - kept
+            late = LATE * volume.plan.limit / volume.hosts
+            told["store"] = max(volume.lowest, volume.store - kept - late)
             volume.store = volume.lowest + kept
         volumes[name] = told | {"plan": plans.index(volume.plan)}
     nodes = {name: {key: getattr(node, key) for key in NODE}
--- a/cypressworks/logic.py
+++ b/cypressworks/logic.py
@@ -169,7 +169,6 @@
         self.given: dict[tuple, tuple[int, int]] = {}  # given up lately: aim and deadline
         self.now = self.last_token = self.rebuilt = self.ask_at = 0
         self.born, self.woke, self.subscribed, self.fair, self.vanish = -1, 0, False, 0.0, 0.0
-        self.most_open = NEVER  # requests that clients can have open here; the least of use make room
         self.handed = False  # to this host's next process, while this one ends what it has
         self.actions: list[api.Action] = []
 
@@ -264,9 +263,7 @@
             self.turns.setdefault(r.key, deque()).append(r)
         self.place(r)
         self.wake(r.half, r)
-        if len(self.requests) > self.most_open:
-            self.make_room()
-        if (node := r.node) is None or r.done:
+        if (node := r.node) is None:
             return
         self.ask(node)
         node.writes[e.volume] = node.writes.get(e.volume, 0.0) + (e.units if r.write else 0.0)
@@ -276,14 +273,6 @@
             self.wake(r.wait_until, r)
         self.pump(node)
 
-    def make_room(self) -> None:
-        """Give up what is worth least of all that waits, a few at a time. Guards what comes next: clients'
-        connections are bounded, and once each holds a request that waits, the best finds none left."""
-        waiting = sorted((r for r in self.requests.values() if not r.done and not r.out()),
-                         key=lambda r: (r.node is not None, self.worth(r, r.node) if r.node else ()))
-        for r in waiting[:1 + len(waiting) // 16]:
-            self.finish(r, self.longest_advice)  # sooner, they would find it as full
-
     def place(self, r: Request) -> None:
         """File a request at a node of its shard, the least loaded that is on, else one that drains."""
         if r.node is not None:
@@ -355,7 +344,7 @@
         return (opens + self.quick >= r.deadline or opens >= r.half and r.unsent()
                 or node.window < 1 and self.late(r, node, opens))
 
-    def finish(self, r: Request, after: int = 0) -> None:
+    def finish(self, r: Request) -> None:
         """The final answer: a refusal where trying again is harmless, else a failure."""
         ran, effect = any(a.may_have_run() for a in r.attempts), r.kind.effect
         harmless = not ran or effect is Effect.SAFE or effect is Effect.KEYED and r.kind.group is Group.ALL
@@ -363,7 +352,7 @@
         # to come back once the limit's store and the node's pace let such a request through
         opens = r.node.opens(self.now, self.patience(r.node)) if r.node is not None else self.now
         retry_in = min(self.longest_advice, max(opens, r.volume.filled(self.now, r.units)) - self.now)
-        self.actions.append(api.Refuse(r.id, max(0, after, retry_in)) if harmless else api.Fail(r.id))
+        self.actions.append(api.Refuse(r.id, max(0, retry_in)) if harmless else api.Fail(r.id))
         self.close(r)
 
     def close(self, r: Request) -> None:
--- a/stoatrouter/__main__.py
+++ b/stoatrouter/__main__.py
@@ -37,7 +37,6 @@
 
 # Of the descriptors: clients hold a third of them at most for requests; some more may say nothing.
 NODE_SHARE, CLIENT_SHARE, IDLE_SHARE = 0.3, 0.58, 0.125
-WAITING_SHARE = 0.5 / 3  # requests open: half of what clients may hold is kept free for what comes next
 BASE = 46_000_000  # of memory: what a head needs beside the bodies it keeps
 LAG_EVERY, LAG_LIMIT = timedelta(milliseconds=100), timedelta(milliseconds=100)
 
@@ -49,8 +48,7 @@
         self.conf, self.object_settings = conf, objects
         nodes = NodeClient(conf.connect_timeout, conf.conn_idle, int(conf.sockets * NODE_SHARE),
                            span(min(c.aim for c in conf.settings.classes)))
-        self.engine = Engine(Reducer(conf.settings, conf.seed, conf.max_open,
-                                     int(conf.sockets * WAITING_SHARE)), Clock(), nodes,
+        self.engine = Engine(Reducer(conf.settings, conf.seed, conf.max_open), Clock(), nodes,
                              Keep(conf.folder))
         self.watch = Watch(conf.discovery, conf.known, self.engine.told)
         self.door = Door(int(conf.sockets * CLIENT_SHARE), int(conf.sockets * IDLE_SHARE))
--- a/stoatrouter/core/reducer.py
+++ b/stoatrouter/core/reducer.py
@@ -23,10 +23,8 @@
 class Reducer:
     """State of one head; all of it changes in reduce and nowhere else."""
 
-    def __init__(self, settings: api.Settings, seed: int, max_open: int = 1 << 30,
-                 most_waiting: int = 1 << 30) -> None:
+    def __init__(self, settings: api.Settings, seed: int, max_open: int = 1 << 30) -> None:
         self.scheduler = Scheduler(settings, seed)
-        self.most_waiting = self.scheduler.most_open = most_waiting
         self.max_open = max_open
         self.records: dict[str, model.Record] = {}
         self.flows: dict[str, int] = {}  # classes of requests whose answers are still being passed on
@@ -73,7 +71,6 @@
             case model.OutElsewhere():
                 for name, node in self.scheduler.nodes.items():
                     node.elsewhere = event.counts.get(name, 0)
-                self.scheduler.most_open = max(1, self.most_waiting - event.open)
                 return []
 
     @property
--- a/stoatrouter/net/generations.py
+++ b/stoatrouter/net/generations.py
@@ -58,8 +58,7 @@
         """What the old process holds. Guards the limits, which the two keep together as one head."""
         self.door.most = max(1, self.clients_most - int(holds.get("clients", 0)))
         self.engine.nodes.pool.allow(max(1, self.nodes_most - int(holds.get("connections", 0))))
-        self.engine.put(model.OutElsewhere(self.engine.clock.now(), dict(holds.get("out", {})),
-                                           int(holds.get("open", 0))))
+        self.engine.put(model.OutElsewhere(self.engine.clock.now(), dict(holds.get("out", {}))))
 
     # -- the old process ----------------------------------------------------------------------------------
     async def listen(self) -> None:
@@ -112,8 +111,7 @@
         out: dict[str, int] = {}
         for node in self.engine.reducer.nodes_out():
             out[node] = out.get(node, 0) + 1
-        return {"clients": len(self.door), "connections": len(self.engine.nodes.pool.alive), "out": out,
-                "open": self.engine.reducer.open}
+        return {"clients": len(self.door), "connections": len(self.engine.nodes.pool.alive), "out": out}
 
     async def close(self) -> None:
         await self.succession.close()
