Refuse plain requests as they come once three quarters of clients' places wait

A plain request that comes whole while 96 of 128 are busy is answered 503 by the front with the longest advice, before it is parsed; its class is counted as shed. Rejected: closing the newest connections, as nothing would be said on them.

--- a/stoatrouter/__main__.py
+++ b/stoatrouter/__main__.py
@@ -41,6 +41,7 @@
 
 # Of the descriptors: clients hold a third of them at most for requests; some more may say nothing.
 NODE_SHARE, CLIENT_SHARE, IDLE_SHARE = 0.3, 0.58, 0.125
+BUSY_SHARE = 0.75 / 3  # beyond it what comes is refused, before clients have no connection left to be heard
 BASE = 46_000_000  # of memory: what a head needs beside the bodies it keeps
 # How many new objects call for a look at the youngest, and so on: most of a request's end without it.
 GARBAGE = (10_000, 20, 20)
@@ -57,11 +58,12 @@
         self.engine = Engine(Reducer(conf.settings, conf.seed, conf.max_open), Clock(), nodes,
                              Keep(conf.folder))
         self.watch = Watch(conf.discovery, conf.known, self.engine.told)
-        self.door = Door(int(conf.sockets * CLIENT_SHARE), int(conf.sockets * IDLE_SHARE))
+        self.door = Door(int(conf.sockets * CLIENT_SHARE), int(conf.sockets * IDLE_SHARE),
+                         int(conf.sockets * BUSY_SHARE))
         self.drain = Drain(self.door)
         self.room = Room(max(SMALL, conf.memory_mb * 1_000_000 - BASE), conf.folder)
         front = PlatformFront(self.engine, conf.settings, self.drain, self.room)
-        self.platform = Listener(front.handle, self.drain)
+        self.platform = Listener(front.handle, self.drain, front.refuse)
         self.object_front = self.objects = None
         if objects is not None:
             from stoatrouter.fronts.objects.front import ObjectFront  # a head without it starts sooner
@@ -69,7 +71,7 @@
             self.object_front = ObjectFront(self.engine.serve_whole, conf.settings, objects, self.drain)
             self.objects = Listener(self.object_front.handle, self.drain)
         # a door of its own: however many clients come, operators are heard
-        self.management_door = Door(MOST_CALLERS, MOST_CALLERS)
+        self.management_door = Door(MOST_CALLERS, MOST_CALLERS, MOST_CALLERS)
         self.generations = Generations(self.engine, self.watch, self.door, self.drain, conf.folder, self.rest,
                                        self.accept)
         self.serving = False
--- a/stoatrouter/core/model.py
+++ b/stoatrouter/core/model.py
@@ -106,7 +106,7 @@
     """A request for which there was no room, refused before it was taken up."""
 
     at: timedelta
-    request: Request
+    request_class: int
 
 
 @dataclass(slots=True, frozen=True)
--- a/stoatrouter/core/reducer.py
+++ b/stoatrouter/core/reducer.py
@@ -26,6 +26,8 @@
     def __init__(self, settings: api.Settings, seed: int, max_open: int = 1 << 30) -> None:
         self.scheduler = Scheduler(settings, seed)
         self.max_open = max_open
+        # for what is turned away unseen: as late as the settings let a client be told
+        self.advice = span(settings.max_advice if settings.takes_advice else 0)
         self.records: dict[str, model.Record] = {}
         self.flows: dict[str, int] = {}  # classes of requests whose answers are still being passed on
         self.nodes: dict[str, model.NodeInfo] = {}  # as listed
@@ -42,7 +44,7 @@
             case model.Arrived():
                 return self._arrived(event.request)
             case model.TurnedAway():
-                return self._turn_away(event.request, model.Refused(NO_TIME), "crowded")
+                return self._turn_away(event.request_class, model.Refused(self.advice), "crowded")
             case model.AttemptEnded():
                 return self._ended(event)
             case model.FlowEnded():
@@ -91,10 +93,10 @@
     def _arrived(self, request: model.Request) -> list[model.Effect]:
         # Guards against an id used twice: the module drops the second, and its client would wait in vain.
         if request.id in self.records or request.id in self.flows:
-            return self._turn_away(request, model.Failed(), "duplicate_id")
+            return self._turn_away(request.request_class, model.Failed(), "duplicate_id")
         # Guards against a flood: beyond what the settings let a head hold, nothing reaches the module.
         if len(self.records) >= self.max_open:
-            return self._turn_away(request, model.Refused(NO_TIME), "over_max_open")
+            return self._turn_away(request.request_class, model.Refused(self.advice), "over_max_open")
         self.records[request.id] = model.Record(request)
         self.tally.add("taken")
         self.figures.active += 1
@@ -105,9 +107,9 @@
             units=request.units, hosts=request.hosts, key=request.key, repeat=request.repeat,
             write=request.write))
 
-    def _turn_away(self, request: model.Request, answer: model.Answer, why: str) -> list[model.Effect]:
+    def _turn_away(self, request_class: int, answer: model.Answer, why: str) -> list[model.Effect]:
         self.tally.add(why)
-        self.figures.count(request.request_class, answer)
+        self.figures.count(request_class, answer)
         return [model.TurnAway(answer)]
 
     def _left(self, name: str) -> list[model.Effect]:
--- a/stoatrouter/fronts/platform.py
+++ b/stoatrouter/fronts/platform.py
@@ -17,6 +17,9 @@
 
 ID = re.compile(r"[0-9A-Za-z_.-]{1,64}")
 HEX16 = re.compile(r"[0-9A-Fa-f]{16}")
+PLAIN = re.compile(rb"(?:GET|PUT) /([!-.0-~]{1,64})/[0-9A-Fa-f]{16}/[0-9A-Fa-f]{16} HTTP/1\.1\r\n")
+UNUSUAL = re.compile(rb"\r\n(?:transfer-encoding|expect|connection|upgrade)[ \t]*:", re.IGNORECASE)
+LENGTH = re.compile(rb"\r\ncontent-length: *([0-9]{1,6}) *(?:\r|$)", re.IGNORECASE)
 
 
 class BadRequest(Exception):
@@ -41,14 +44,15 @@
             return self.drain.mark(self.drain.health())
         try:
             wanted = self.translate(request)
-            # Guards the descriptors: beyond the bound a connection gets its refusal and ends.
+            # Guards clients' connections: those that wait must not hold them all.
             if self.drain.crowded():
-                return last(answer(self.engine.turn_away(wanted)))
+                refused = answer(self.engine.turn_away(wanted.request_class))
+                return last(refused) if request.body_exists else self.drain.mark(refused)
             body = await self.read(request)
         except BadRequest as error:
             return last(web.Response(status=error.status, text=f"{error.reason}\n"))
         except NoRoom:
-            return last(answer(self.engine.turn_away(wanted)))
+            return last(answer(self.engine.turn_away(wanted.request_class)))
         try:
             final = await self.engine.serve(replace(wanted, body=body))
         finally:
@@ -58,6 +62,23 @@
             return await self.pass_on(request, wanted.id, final.flow)
         return self.drain.mark(answer(final))
 
+    def refuse(self, data: bytes) -> bytes | None:
+        """The refusal of a plain request, all of it in this data; None for any other. Guards a crowded head's
+        time: as answers of their own, refusals in a surge cost it more than it has."""
+        head, end, body = data.partition(b"\r\n\r\n")
+        line = PLAIN.match(head)
+        kind = self.classes.get(line[1].decode()) if line is not None and end else None
+        if kind is None or UNUSUAL.search(head):
+            return None
+        length = LENGTH.search(head)
+        if len(body) != (int(length[1]) if length is not None else 0):
+            return None
+        refused = self.engine.turn_away(kind)
+        assert isinstance(refused, model.Refused)
+        fields = "".join(f"{name}: {value}\r\n" for name, value in retry_after(refused.retry_in).items())
+        fields += "Connection: close\r\n" if self.drain.closing else ""
+        return f"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n{fields}\r\n".encode()
+
     async def read(self, request: web.BaseRequest) -> Body:
         """The body, all of it; or what is wrong with it."""
         try:
--- a/stoatrouter/net/door.py
+++ b/stoatrouter/net/door.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+from collections.abc import Callable
 from datetime import timedelta
 from enum import Enum
 from typing import Any
@@ -30,6 +31,9 @@
 UNREAD = timedelta(seconds=10)  # how long a client may take nothing of its answer
 
 
+Refuse = Callable[[bytes], bytes | None]
+
+
 class State(Enum):
     """Of a client's connection."""
 
@@ -44,8 +48,8 @@
 class Door:
     """All connections of clients, by state and in the order in which they came to it."""
 
-    def __init__(self, most: int, idle_most: int) -> None:
-        self.most, self.idle_most = most, idle_most
+    def __init__(self, most: int, idle_most: int, busy_most: int) -> None:
+        self.most, self.idle_most, self.busy_most = most, idle_most, busy_most
         self.keep_idle = False  # a stopping head's clients cannot open new ones
         self.held: dict[State, dict[ClientConnection, float]] = {state: {} for state in State}
 
@@ -94,7 +98,7 @@
 
     def crowded(self) -> bool:
         """Whether what comes on further connections is to be turned away."""
-        return self.open > self.most
+        return self.open > self.busy_most
 
     def sweep(self) -> None:
         """End what has been idle or silent for too long, heads without end, and what does not take its
@@ -129,13 +133,15 @@
 class ClientConnection(RequestHandler):
     """aiohttp's server connection, with bounds on what a bad client can do to it."""
 
-    __slots__ = ("door", "loop", "state", "since", "begun", "unread", "unread_since", "answered")
+    __slots__ = ("door", "loop", "state", "since", "begun", "unread", "unread_since", "answered",
+                 "refuse")
 
-    def __init__(self, manager: web.Server, door: Door, loop: asyncio.AbstractEventLoop, **more: Any) -> None:
+    def __init__(self, manager: web.Server, door: Door, refuse: Refuse | None,
+                 loop: asyncio.AbstractEventLoop, **more: Any) -> None:
         # the door's sweep ends idle connections, long before aiohttp's own timer would
         super().__init__(manager, loop=loop, keepalive_timeout=10 * IDLE.total_seconds(), lingering_time=0,
                          **more)
-        self.door, self.loop = door, loop
+        self.door, self.refuse, self.loop = door, refuse, loop
         self.state, self.since, self.begun = State.SILENT, 0.0, 0.0
         self.unread, self.unread_since, self.answered = 0, 0.0, False
 
@@ -165,6 +171,9 @@
     def data_received(self, data: bytes) -> None:
         if self.state is State.ENDING:
             return  # read only so that the answer arrives
+        if (self.refuse is not None and self.door.open >= self.door.busy_most
+                and self.state in (State.SILENT, State.ONCE, State.IDLE) and (said := self.refuse(data))):
+            return self._refused(said)
         open_before = self.state is State.BUSY
         super().data_received(data)
         if not self._messages:
@@ -180,6 +189,17 @@
         elif not open_before:
             self.door.put(self, State.BUSY)
 
+    def _refused(self, said: bytes) -> None:
+        """What came was refused as it came; this connection goes on, unless that was its last answer."""
+        if self.transport is None:
+            return
+        self.transport.write(said)
+        if b"Connection: close" in said:
+            self._last()
+        else:
+            self.door.put(self, State.IDLE if self.answered else State.ONCE)
+            self.answered = True
+
     def _begin(self) -> None:
         """More of a head has come. A first one counts from the connection's start, whatever came when."""
         if self.state is not State.BEGUN:
@@ -210,11 +230,8 @@
                 self.door.put(self, State.IDLE if self.answered else State.ONCE)
                 self.answered = True
             return resp, reset
-        self.door.put(self, State.ENDING)
         self._messages.clear()
-        with contextlib.suppress(OSError):  # a client may have gone in this moment
-            if transport.can_write_eof():
-                transport.write_eof()
+        self._last()
         if not transport.is_reading():
             transport.resume_reading()
         # the client's own close ends this at once, the sweep at the latest
@@ -222,6 +239,13 @@
         return resp, reset
 
 
+    def _last(self) -> None:
+        """Nothing more is said here; the connection ends once that has arrived."""
+        self.door.put(self, State.ENDING)
+        with contextlib.suppress(OSError):  # a client may have gone in this moment
+            if self.transport is not None and self.transport.can_write_eof():
+                self.transport.write_eof()
+
     def _renew(self, request: web.BaseRequest) -> bool:
         """Whether the connection can go on. Guards the next request against trailers of this one, which
         aiohttp's parser takes for the first headers of whatever comes next."""
@@ -240,9 +264,9 @@
 class Server(web.Server):
     """aiohttp's server, with these connections."""
 
-    def __init__(self, handler: Any, door: Door, **more: Any) -> None:
+    def __init__(self, handler: Any, door: Door, refuse: Refuse | None, **more: Any) -> None:
         super().__init__(handler, **more)
-        self.door = door
+        self.door, self.refuse = door, refuse
 
     def __call__(self) -> RequestHandler:
-        return ClientConnection(self, self.door, self._loop, **self._kwargs)
+        return ClientConnection(self, self.door, self.refuse, self._loop, **self._kwargs)
--- a/stoatrouter/net/engine.py
+++ b/stoatrouter/net/engine.py
@@ -84,9 +84,9 @@
             answer.flow.close()
             self.flow_ended(request, None)
 
-    def turn_away(self, request: model.Request) -> model.Answer:
+    def turn_away(self, request_class: int) -> model.Answer:
         """The answer to a request for which there is no room."""
-        effects = self.reducer.reduce(model.TurnedAway(self.clock.now(), request))
+        effects = self.reducer.reduce(model.TurnedAway(self.clock.now(), request_class))
         assert isinstance(effects[0], model.TurnAway)
         return effects[0].answer
 
--- a/stoatrouter/net/generations.py
+++ b/stoatrouter/net/generations.py
@@ -25,7 +25,7 @@
         self.engine, self.watch, self.door, self.drain = engine, watch, door, drain
         self.rest, self.resume = rest, resume  # stop accepting, and accept again
         self.succession = Succession(folder)
-        self.clients_most, self.nodes_most = door.most, engine.nodes.pool.most
+        self.clients_most, self.nodes_most, self.busy_most = door.most, engine.nodes.pool.most, door.busy_most
         self.predecessor: Predecessor | None = None
         self.asking: set[asyncio.Task[None]] = set()
 
@@ -57,6 +57,7 @@
     def told(self, holds: State) -> None:
         """What the old process holds. Guards the limits, which the two keep together as one head."""
         self.door.most = max(1, self.clients_most - int(holds.get("clients", 0)))
+        self.door.busy_most = max(1, self.busy_most - int(holds.get("busy", 0)))
         self.engine.nodes.pool.allow(max(1, self.nodes_most - int(holds.get("connections", 0))))
         self.engine.put(model.OutElsewhere(self.engine.clock.now(), dict(holds.get("out", {}))))
 
@@ -111,7 +112,8 @@
         out: dict[str, int] = {}
         for node in self.engine.reducer.nodes_out():
             out[node] = out.get(node, 0) + 1
-        return {"clients": len(self.door), "connections": len(self.engine.nodes.pool.alive), "out": out}
+        return {"clients": len(self.door), "connections": len(self.engine.nodes.pool.alive), "out": out,
+                "busy": self.door.open}
 
     async def close(self) -> None:
         await self.succession.close()
--- a/stoatrouter/net/listener.py
+++ b/stoatrouter/net/listener.py
@@ -14,7 +14,7 @@
 from aiohttp import web
 from loguru import logger
 
-from stoatrouter.net.door import Door, Server
+from stoatrouter.net.door import Door, Refuse, Server
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 Response = TypeVar("Response", bound=web.StreamResponse)
@@ -67,9 +67,14 @@
         """What /healthz says, at either front."""
         return web.Response(text="ok\n") if self.open else web.Response(status=503, text="draining\n")
 
+    @property
+    def closing(self) -> bool:
+        """Whether answers are the last ones of their connections, as clients are sent away."""
+        return self.stopping or self.out or self.handed
+
     def mark(self, response: Response) -> Response:
         """A connection ends with its answer while clients are sent away."""
-        if self.stopping or self.out or self.handed:
+        if self.closing:
             response.force_close()
         return response
 
@@ -117,10 +122,10 @@
 class Listener:
     """One listening address with one front behind it."""
 
-    def __init__(self, handler: Handler, drain: Drain) -> None:
+    def __init__(self, handler: Handler, drain: Drain, refuse: Refuse | None = None) -> None:
         self.drain = drain
         # handler_cancellation: a client that closes its connection has gone, and its request with it
-        self.server = Server(handler, drain.door, handler_cancellation=True, access_log=None,
+        self.server = Server(handler, drain.door, refuse, handler_cancellation=True, access_log=None,
                              auto_decompress=False)
         self.sockets: asyncio.Server | None = None
 
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -173,3 +173,48 @@
             await until(lambda: not len(head.door))
             connection.close()
     run(story())
+
+
+@pytest.mark.parametrize(("sent", "plain"), [
+    (GOOD, True), (PUT.encode() + b"content-LENGTH: 4\r\n\r\nbody", True),
+    (PUT.encode() + b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", False),
+    (PUT.encode() + b"Expect: 100-continue\r\nContent-Length: 4\r\n\r\n", False),
+    (GOOD.replace(b"Host: h", b"Host: h\r\nConnection: keep-alive"), False)])
+def test_a_crowded_head_refuses_plain_requests_as_they_come(sent, plain):
+    """Cheaply, counted, and on a connection that goes on; what is unusual takes the ordinary way."""
+    async def story():
+        node = Node("a", 0)
+        async with started(node) as (head, _):
+            head.door.busy_most = 0
+            reader, writer = await asyncio.open_connection(HOST, head.platform.port)
+            for shed in (1, 2) if plain else (1,):
+                writer.write(sent)
+                said = await reader.readuntil(b"\r\n\r\n")
+                assert said.startswith(b"HTTP/1.1 503 ") and b"Retry-After: 0.500\r\n" in said
+                assert sum(head.engine.reducer.figures.shed) == shed
+                assert (b"Date" in said) is not plain
+            if plain:  # and once there is room, it is heard
+                head.door.busy_most = 8
+                writer.write(sent)
+                assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 200 ")
+            assert len(node.seen) == int(plain)
+            writer.close()
+    run(story())
+
+
+@pytest.mark.parametrize("sent", [GOOD[:60], GOOD + b"more", GOOD.replace(b"score-read", b"unknown"),
+                                  PUT.encode() + b"Content-Length: 5\r\n\r\nbody"])
+def test_what_is_not_one_whole_request_is_never_refused_so(sent):
+    async def story():
+        async with started(Node("a", 0)) as (head, _):
+            assert head.platform.server.refuse(sent) is None
+    run(story())
+
+
+def test_a_head_that_sends_clients_away_ends_the_connections_it_refuses_on():
+    async def story():
+        async with started(Node("a", 0)) as (head, _):
+            head.door.busy_most, head.drain.out = 0, True
+            said = await exchange(head, GOOD)
+            assert b"Connection: close\r\n" in said and said.startswith(b"HTTP/1.1 503 ")
+    run(story())
