--- a/stoatrouter/__main__.py
+++ b/stoatrouter/__main__.py
@@ -41,7 +41,7 @@
 
 # Of the descriptors: clients hold a third of them at most for requests; some more may say nothing.
 NODE_SHARE, CLIENT_SHARE, IDLE_SHARE = 0.3, 0.58, 0.125
-BUSY_SHARE = 0.55 / 3  # beyond it what comes is refused, before clients have no connection left to be heard
+BUSY_SHARE = 0.4 / 3  # beyond it what comes is refused, before clients have no connection left to be heard
 BASE = 46_000_000  # of memory: what a head needs beside the bodies it keeps
 # How many new objects call for a look at the youngest, and so on: most of a request's end without it.
 GARBAGE = (10_000, 20, 20)
