--- a/stoatrouter/core/reducer.py
+++ b/stoatrouter/core/reducer.py
@@ -184,7 +184,7 @@
         effects = self._answer(event.request, served) if ok else []
         effects += self._decide(api.AttemptEnded(
             request=event.request, attempt=event.attempt, node=attempt.node, outcome=event.outcome,
-            took=max(0, micros(self.now - attempt.sent - event.in_transfer)), finished=finished,
+            took=micros(self.now - attempt.sent), finished=finished,
             units_by_others=event.units_by_others, load=event.load))
         if event.request in self.records:
             self._forget(event.request)
--- a/stoatrouter/net/nodes.py
+++ b/stoatrouter/net/nodes.py
@@ -38,7 +38,6 @@
     body: bytes = b""
     units_by_others: float = 0.0
     load: dict[str, float] | None = None
-    in_transfer: timedelta = timedelta(0)  # of the time it took, what says nothing of the node's load
     flow: Flow | None = None  # of an answer that is too large to be checked whole
 
 
@@ -60,16 +59,14 @@
 
     def mark_written(self, written: bool, conn: aiohttp.connector.Connection) -> None:
         self.written = written
-        if written and isinstance(conn.protocol, NodeConnection):
-            conn.protocol.written_at = conn.protocol._loop.time()
-            conn.protocol.pool.tries += "Req-Id" in self.headers  # probes are none
+        if written and "Req-Id" in self.headers and isinstance(conn.protocol, NodeConnection):
+            conn.protocol.pool.tries += 1  # probes are none
 
     async def send(self, conn: aiohttp.connector.Connection) -> aiohttp.ClientResponse:
         transport = conn.transport
         if transport is not None:
             transport.set_write_buffer_limits(high=0)  # drain() then waits for the last byte
         response = await super().send(conn)
-        response.carrier = conn.protocol  # type: ignore[attr-defined]  # the response gives it up at its end
         if not self.body and transport is not None:
             self.mark_written(not transport.is_closing() and transport.get_write_buffer_size() == 0, conn)
         return response
@@ -126,7 +123,6 @@
                 response = await self.session.request(r.method, url, headers=headers, data=data,
                                                       allow_redirects=False)
                 reply = await take(response)
-                reply = replace(reply, in_transfer=timedelta(seconds=response.carrier.in_transfer()))
             if reply.flow is not None:
                 response = None  # whoever passes it on closes it
             return reply
--- a/stoatrouter/net/pool.py
+++ b/stoatrouter/net/pool.py
@@ -41,8 +41,6 @@
         self.head, self.left = b"", 0  # of the present answer: what has come of its head, what its body lacks
         self.in_body = False
         self.stall: asyncio.TimerHandle | None = None
-        # of the present request: when its writing began and ended, and when its answer began
-        self.asked_at, self.written_at, self.began_at = 0.0, 0.0, 0.0
         self.idle_since, self.idle_for = None, 0.0  # idle_for: before the present request
 
     # -- what aiohttp calls -------------------------------------------------------------------------------
@@ -66,7 +64,6 @@
     def set_response_params(self, **params: Any) -> None:
         """A request is about to be written."""
         self.asked, self.in_body, self.head, self.to_end, self.flowing = True, False, b"", False, False
-        self.asked_at, self.written_at, self.began_at = self._loop.time(), 0.0, 0.0
         self.idle_for = 0.0 if self.idle_since is None else self._loop.time() - self.idle_since
         super().set_response_params(**params)
 
@@ -98,14 +95,7 @@
         self._calm()
 
     # -- one answer ---------------------------------------------------------------------------------------
-    def in_transfer(self) -> float:
-        """How much of the present exchange went by while bytes passed, not while the node worked."""
-        if not self.written_at or not self.began_at:
-            return 0.0
-        return max(0.0, self.written_at - self.asked_at) + self._loop.time() - self.began_at
-
     def _take_head(self, data: bytes) -> None:
-        self.began_at = self.began_at or self._loop.time()
         self.head += data
         while (end := self.head.find(HEAD_END)) >= 0:
             head, rest = self.head[:end + len(HEAD_END)], self.head[end + len(HEAD_END):]
