Hold the port that nobody may answer on, so that its test has one verdict

Seen: one run of the tests in six failed as the object front's address, which is off there, had gone to another listener of the test.

--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -22,18 +22,25 @@
 HEADERS = {"X-Plan": "premium", "Req-Deadline-Ms": "2000", "X-IO": "units=2,shard=0,hosts=1"}
 
 
+def held_port() -> socket.socket:
+    """A port that the system chooses. Nothing else gets it while this is open, and nobody answers there."""
+    held = socket.socket()
+    held.bind((HOST, 0))
+    return held
+
+
 def free_port() -> int:
-    """A port that the system chooses; the program must be told one."""
-    with socket.socket() as s:
-        s.bind((HOST, 0))
-        return s.getsockname()[1]
+    """A port for the program, which must be told one."""
+    with held_port() as held:
+        return held.getsockname()[1]
 
 
 @contextlib.asynccontextmanager
 async def program(tmp_path: Path, *nodes: Node, objects: bool = False):
     """The program with these nodes in its list, ready to serve."""
-    port, object_port = free_port(), free_port()
     async with nodes_up(*nodes), listening(Discovery().handle) as discovery:
+        off = held_port()
+        port, object_port = free_port(), off.getsockname()[1]
         data = config_data(told(1, *(n.entry() for n in nodes)), discovery, port)
         (tmp_path / "config.json").write_text(json.dumps(data))
         environ = os.environ | {"NODE_CONFIG": str(tmp_path / "config.json"), "PYTHONPATH": str(ROOT),
@@ -42,6 +49,7 @@
             operator = (ROOT / "deploy" / "objects.toml").read_text().replace("8480", str(object_port))
             (tmp_path / "objects.toml").write_text(operator)
             (tmp_path / "objects.secret").write_text("s" * 40)
+            off.close()
             environ["STOATROUTER_OBJECTS"] = str(tmp_path / "objects.toml")
         process = await asyncio.create_subprocess_exec(
             sys.executable, "-O", "-B", "-m", "stoatrouter", cwd=tmp_path, env=environ,
@@ -52,6 +60,7 @@
                 await ready(session, base)
                 yield process, session, base, f"http://{HOST}:{object_port}"
         finally:
+            off.close()
             if process.returncode is None:
                 process.kill()
             await process.communicate()
