--- a/stoatrouter/__main__.py
+++ b/stoatrouter/__main__.py
@@ -41,13 +41,20 @@
 
 # Of the descriptors: clients hold a third of them at most for requests; some more may say nothing.
 NODE_SHARE, CLIENT_SHARE, IDLE_SHARE = 0.3, 0.58, 0.125
-BUSY_SHARE = 0.4 / 3  # beyond it what comes is refused, before clients have no connection left to be heard
+# Of what clients may hold: two fifths, yet what a head serves at once in quiet times, three quarters at most.
+BUSY_SHARE, BUSY_LEAST, BUSY_TOP = 0.4 / 3, 48, 0.75 / 3
 BASE = 46_000_000  # of memory: what a head needs beside the bodies it keeps
 # How many new objects call for a look at the youngest, and so on: most of a request's end without it.
 GARBAGE = (10_000, 20, 20)
 LAG_EVERY, LAG_LIMIT = timedelta(milliseconds=100), timedelta(milliseconds=100)
 
 
+def busy_most(sockets: int) -> int:
+    """How many connections may have a request open before what comes is refused as it comes. Guards those that
+    come next in a surge: beyond it clients soon have no connection left to be heard on."""
+    return max(1, min(int(sockets * BUSY_TOP), max(BUSY_LEAST, int(sockets * BUSY_SHARE))))
+
+
 class Head:
     """The parts of one head, put together."""
 
@@ -59,7 +66,7 @@
                              Keep(conf.folder))
         self.watch = Watch(conf.discovery, conf.known, self.engine.told)
         self.door = Door(int(conf.sockets * CLIENT_SHARE), int(conf.sockets * IDLE_SHARE),
-                         int(conf.sockets * BUSY_SHARE))
+                         busy_most(conf.sockets))
         self.drain = Drain(self.door)
         self.room = Room(max(SMALL, conf.memory_mb * 1_000_000 - BASE), conf.folder)
         front = PlatformFront(self.engine, conf.settings, self.drain, self.room)
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from stoatrouter.__main__ import busy_most
 from stoatrouter.net import bodies, door
 from tests.peers import HOST, Node, run, until
 from tests.test_network import HEADERS, PATH, WRITE, started
@@ -218,3 +219,8 @@
             said = await exchange(head, GOOD)
             assert b"Connection: close\r\n" in said and said.startswith(b"HTTP/1.1 503 ")
     run(story())
+
+
+@pytest.mark.parametrize(("sockets", "most"), [(1024, 136), (384, 51), (256, 48), (192, 48), (128, 32), (1, 1)])
+def test_how_many_may_be_open_follows_what_clients_may_hold(sockets, most):
+    assert busy_most(sockets) == most
