--- a/stoatrouter/__main__.py
+++ b/stoatrouter/__main__.py
@@ -50,8 +50,8 @@
 
 
 def busy_most(sockets: int) -> int:
-    """How many connections may have a request open before what comes is refused as it comes. Guards those that
-    come next in a surge: beyond it clients soon have no connection left to be heard on."""
+    """How many connections may have a request open before what comes is refused as it comes. Guards those
+    that come next in a surge: beyond it clients soon have no connection left to be heard on."""
     return max(1, min(int(sockets * BUSY_TOP), max(BUSY_LEAST, int(sockets * BUSY_SHARE))))
 
 
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -221,6 +221,7 @@
     run(story())
 
 
-@pytest.mark.parametrize(("sockets", "most"), [(1024, 136), (384, 51), (256, 48), (192, 48), (128, 32), (1, 1)])
+@pytest.mark.parametrize(("sockets", "most"), [
+    (1024, 136), (384, 51), (256, 48), (192, 48), (128, 32), (1, 1)])
 def test_how_many_may_be_open_follows_what_clients_may_hold(sockets, most):
     assert busy_most(sockets) == most
