--- a/stoatrouter/net/bodies.py
+++ b/stoatrouter/net/bodies.py
@@ -16,6 +16,7 @@
 SMALL = 64 * 1024  # in memory, and checked whole
 LARGEST = 36 * 1024 * 1024  # honest work reaches 32 MB
 PIECE = 64 * 1024
+STEP = 1024 * 1024  # by which the room of a body without a stated length grows
 # A body that stops is left, and so is one far slower than clients in service (64 kB a second).
 STALL, SLOWEST = timedelta(seconds=1), 24 * 1024
 START = timedelta(milliseconds=2500)  # from when on its mean rate counts
@@ -87,7 +88,10 @@
 
     def __init__(self, room: Room) -> None:
         self.room, self.size, self.taken = room, 0, 0
-        self.file = tempfile.TemporaryFile(dir=room.folder, buffering=0)  # noqa: SIM115
+        try:
+            self.file = tempfile.TemporaryFile(dir=room.folder, buffering=0)  # noqa: SIM115
+        except OSError as error:  # guards against a folder that is full or gone
+            raise NoRoom from error
 
     async def grow(self, size: int) -> None:
         """Make room for this many bytes in all."""
@@ -151,7 +155,8 @@
             if kept is None:  # it stated no length
                 kept = Kept(room)
             if size > kept.taken:
-                await kept.grow(min(LARGEST, max(size, 2 * kept.taken)))
+                # a step further, yet no more than there is: it would wait for room that never comes
+                await kept.grow(max(size, min(kept.taken + STEP, room.most)))
             if small:
                 kept.write(bytes(small))
                 small.clear()
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -97,6 +97,26 @@
     run(story())
 
 
+def test_a_body_without_a_length_asks_for_no_more_room_than_there_is():
+    async def story():
+        node = Node("a", 0)
+        async with started(node) as (head, _):
+            head.room.most = len(BODY)
+            sent = f"{PUT}Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n".encode() + in_chunks(BODY)
+            assert (await exchange(head, sent)).startswith(b"HTTP/1.1 200") and node.pieces[KEY] == BODY
+    run(story())
+
+
+def test_without_a_place_to_keep_it_a_large_body_is_refused(tmp_path):
+    async def story():
+        async with started(Node("a", 0)) as (head, _):
+            head.room.folder = str(tmp_path / "absent")
+            sent = f"{PUT}Content-Length: {len(BODY)}\r\n\r\n".encode() + BODY
+            assert (await exchange(head, sent)).startswith(b"HTTP/1.1 503") and not head.room.taken
+            assert sum(head.engine.reducer.figures.shed) == 1
+    run(story())
+
+
 def test_room_is_given_in_turn_and_nobody_waits_for_ever(monkeypatch):
     async def story():
         room = Room(100)
