Refuse as they come from fewer open requests on only while time is short

The bound is 96 now, and 51 only while the loop is late by 15 ms or more (20 to 80 in a surge under an upgrade, 2 to 8 in quiet times) or a new process takes over.

--- a/stoatrouter/__main__.py
+++ b/stoatrouter/__main__.py
@@ -41,18 +41,18 @@
 
 # Of the descriptors: clients hold a third of them at most for requests; some more may say nothing.
 NODE_SHARE, CLIENT_SHARE, IDLE_SHARE = 0.3, 0.58, 0.125
-# Of what clients may hold: two fifths, yet what a head serves at once in quiet times, three quarters at most.
-BUSY_SHARE, BUSY_LEAST, BUSY_TOP = 0.4 / 3, 48, 0.75 / 3
+# Beyond these what comes is refused as it comes, before clients have no connection left to be heard on.
+BUSY_SHARE, PRESSED_SHARE, PRESSED_LEAST = 0.75 / 3, 0.4 / 3, 48
 BASE = 46_000_000  # of memory: what a head needs beside the bodies it keeps
 # How many new objects call for a look at the youngest, and so on: most of a request's end without it.
 GARBAGE = (10_000, 20, 20)
 LAG_EVERY, LAG_LIMIT = timedelta(milliseconds=100), timedelta(milliseconds=100)
 
 
-def busy_most(sockets: int) -> int:
-    """How many connections may have a request open before what comes is refused as it comes. Guards those
-    that come next in a surge: beyond it clients soon have no connection left to be heard on."""
-    return max(1, min(int(sockets * BUSY_TOP), max(BUSY_LEAST, int(sockets * BUSY_SHARE))))
+def busy_pressed(sockets: int) -> int:
+    """How many may be open while time is short: two fifths of what clients may hold, yet what a head serves
+    at once in quiet times."""
+    return max(1, min(int(sockets * BUSY_SHARE), max(PRESSED_LEAST, int(sockets * PRESSED_SHARE))))
 
 
 class Head:
@@ -66,7 +66,7 @@
                              Keep(conf.folder))
         self.watch = Watch(conf.discovery, conf.known, self.engine.told)
         self.door = Door(int(conf.sockets * CLIENT_SHARE), int(conf.sockets * IDLE_SHARE),
-                         busy_most(conf.sockets))
+                         int(conf.sockets * BUSY_SHARE), busy_pressed(conf.sockets))
         self.drain = Drain(self.door)
         self.room = Room(max(SMALL, conf.memory_mb * 1_000_000 - BASE), conf.folder)
         front = PlatformFront(self.engine, conf.settings, self.drain, self.room)
@@ -99,7 +99,7 @@
         self.background = [loop.create_task(self.watch.run()), loop.create_task(self.door.keep_swept()),
                            loop.create_task(self.generations.follow()),
                            loop.create_task(self.management_door.keep_swept()),
-                           loop.create_task(watch_loop(self.engine, LAG_EVERY, LAG_LIMIT))]
+                           loop.create_task(watch_loop(self.engine, self.door, LAG_EVERY, LAG_LIMIT))]
         logger.info("start: {} listens on {}", self.conf.name, self.conf.listen)
 
     async def accept(self) -> None:
--- a/stoatrouter/net/door.py
+++ b/stoatrouter/net/door.py
@@ -48,8 +48,13 @@
 class Door:
     """All connections of clients, by state and in the order in which they came to it."""
 
-    def __init__(self, most: int, idle_most: int, busy_most: int) -> None:
-        self.most, self.idle_most, self.busy_most = most, idle_most, busy_most
+    def __init__(self, most: int, idle_most: int, busy_most: int, busy_pressed: int | None = None) -> None:
+        self.most, self.idle_most = most, idle_most
+        # how many may have a request open, and how many while this head lacks time: connections then outlive
+        # their answers, and clients soon have none left
+        self.busy_most, self.busy_pressed = busy_most, busy_most if busy_pressed is None else busy_pressed
+        self.busy_elsewhere = 0  # at the process before this one
+        self.pressed_until = 0.0
         self.keep_idle = False  # a stopping head's clients cannot open new ones
         self.held: dict[State, dict[ClientConnection, float]] = {state: {} for state in State}
 
@@ -98,7 +103,16 @@
 
     def crowded(self) -> bool:
         """Whether what comes on further connections is to be turned away."""
-        return self.open > self.busy_most
+        return self.open > self.busy_bound()
+
+    def busy_bound(self) -> int:
+        """How many may have a request open now."""
+        pressed = asyncio.get_running_loop().time() < self.pressed_until
+        return max(0, (self.busy_pressed if pressed else self.busy_most) - self.busy_elsewhere)
+
+    def press(self, span: timedelta) -> None:
+        """This head lacks time, for so long at least."""
+        self.pressed_until = max(self.pressed_until, asyncio.get_running_loop().time() + span.total_seconds())
 
     def sweep(self) -> None:
         """End what has been idle or silent for too long, heads without end, and what does not take its
@@ -171,7 +185,7 @@
     def data_received(self, data: bytes) -> None:
         if self.state is State.ENDING:
             return  # read only so that the answer arrives
-        if (self.refuse is not None and self.door.open >= self.door.busy_most
+        if (self.refuse is not None and self.door.open >= self.door.busy_bound()
                 and self.state in (State.SILENT, State.ONCE, State.IDLE) and (said := self.refuse(data))):
             return self._refused(said)
         open_before = self.state is State.BUSY
--- a/stoatrouter/net/engine.py
+++ b/stoatrouter/net/engine.py
@@ -16,9 +16,12 @@
 from stoatrouter.core.reducer import Reducer
 from stoatrouter.net.bodies import BrokenOff
 from stoatrouter.net.clock import Clock
+from stoatrouter.net.door import Door
 from stoatrouter.net.keep import Keep
 from stoatrouter.net.nodes import NodeClient, Reply
 
+# A loop this late in a surge has too little of its core; quiet ones are late by a few milliseconds.
+PRESSED_LAG, PRESSED_FOR = timedelta(milliseconds=15), timedelta(milliseconds=500)
 LARGEST_PIECE = 1024 * 1024  # of an answer that a front needs whole
 
 
@@ -192,7 +195,8 @@
         self.put(model.ProbeEnded(now, effect.node, reply.outcome, now - began, reply.load))
 
 
-async def watch_loop(engine: Engine, every: timedelta, lag_limit: timedelta, tally_every: int = 100) -> None:
+async def watch_loop(engine: Engine, door: Door, every: timedelta, lag_limit: timedelta,
+                     tally_every: int = 100) -> None:
     """Watches the loop's lag, and logs now and then what has been done."""
     loop, rounds, worst = asyncio.get_running_loop(), 0, 0.0
     while True:
@@ -200,6 +204,8 @@
         await asyncio.sleep(every.total_seconds())
         lag, rounds = loop.time() - due, rounds + 1
         worst = max(worst, lag)
+        if lag > PRESSED_LAG.total_seconds():
+            door.press(PRESSED_FOR)
         if lag > lag_limit.total_seconds():
             logger.warning("loop: lagged by {:.0f} ms", lag * 1000)
         if rounds % tally_every == 0:
--- a/stoatrouter/net/generations.py
+++ b/stoatrouter/net/generations.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 from collections.abc import Awaitable, Callable
+from datetime import timedelta
 
 from loguru import logger
 
@@ -16,6 +17,9 @@
 from stoatrouter.net.state import read_by_hand, read_node, write_by_hand, write_node
 from stoatrouter.net.succession import TELL_EVERY, VERSION, Predecessor, State, Succession, tell
 
+# After each word of the other process: clients move over all at once, to a process that opens all anew.
+UNSETTLED = timedelta(seconds=1)
+
 
 class Generations:
     """This process between the one before it and the one after."""
@@ -25,7 +29,7 @@
         self.engine, self.watch, self.door, self.drain = engine, watch, door, drain
         self.rest, self.resume = rest, resume  # stop accepting, and accept again
         self.succession = Succession(folder)
-        self.clients_most, self.nodes_most, self.busy_most = door.most, engine.nodes.pool.most, door.busy_most
+        self.clients_most, self.nodes_most = door.most, engine.nodes.pool.most
         self.predecessor: Predecessor | None = None
         self.asking: set[asyncio.Task[None]] = set()
 
@@ -57,7 +61,8 @@
     def told(self, holds: State) -> None:
         """What the old process holds. Guards the limits, which the two keep together as one head."""
         self.door.most = max(1, self.clients_most - int(holds.get("clients", 0)))
-        self.door.busy_most = max(1, self.busy_most - int(holds.get("busy", 0)))
+        self.door.busy_elsewhere = int(holds.get("busy", 0))
+        self.door.press(UNSETTLED)
         self.engine.nodes.pool.allow(max(1, self.nodes_most - int(holds.get("connections", 0))))
         self.engine.put(model.OutElsewhere(self.engine.clock.now(), dict(holds.get("out", {}))))
 
@@ -86,6 +91,7 @@
     async def hand_over(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         logger.info("upgrade: handing over, {} requests open", self.engine.reducer.open)
         self.drain.handed = True
+        self.door.press(UNSETTLED)
         await self.rest()
         try:
             known = self.engine.hand_over()
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from stoatrouter.__main__ import busy_most
+from stoatrouter.__main__ import busy_pressed
 from stoatrouter.net import bodies, door
 from tests.peers import HOST, Node, run, until
 from tests.test_network import HEADERS, PATH, WRITE, started
@@ -223,5 +223,20 @@
 
 @pytest.mark.parametrize(("sockets", "most"), [
     (1024, 136), (384, 51), (256, 48), (192, 48), (128, 32), (1, 1)])
-def test_how_many_may_be_open_follows_what_clients_may_hold(sockets, most):
-    assert busy_most(sockets) == most
+def test_how_many_may_be_open_while_time_is_short_follows_what_clients_may_hold(sockets, most):
+    assert busy_pressed(sockets) == most
+
+
+def test_fewer_may_be_open_while_the_loop_is_late_or_a_new_process_takes_over():
+    async def story():
+        async with started(Node("a", 0)) as (head, _):
+            door = head.door
+            assert door.busy_bound() == door.busy_most > door.busy_pressed
+            head.generations.told({"busy": 7})
+            assert door.busy_bound() == door.busy_pressed - 7
+            head.generations.told({})
+            door.pressed_until = 0.0
+            assert door.busy_bound() == door.busy_most
+            door.press(timedelta(seconds=60))
+            assert door.busy_bound() == door.busy_pressed
+    run(story())
