--- a/stoatrouter/net/engine.py
+++ b/stoatrouter/net/engine.py
@@ -20,8 +20,8 @@
 from stoatrouter.net.keep import Keep
 from stoatrouter.net.nodes import NodeClient, Reply
 
-# A loop this late in a surge has too little of its core; quiet ones are late by a few milliseconds.
-PRESSED_LAG, PRESSED_FOR = timedelta(milliseconds=15), timedelta(milliseconds=500)
+# A loop this late has too little of its core; in quiet times it is late by a few milliseconds.
+PRESSED_LAG, PRESSED_FOR = timedelta(milliseconds=30), timedelta(milliseconds=500)
 LARGEST_PIECE = 1024 * 1024  # of an answer that a front needs whole
 
 
