--- a/cypressworks/logic.py
+++ b/cypressworks/logic.py
@@ -139,6 +139,15 @@
             trip = min(trip, patience)
         return max(self.last_sent + int(min(LONGEST_PACE, trip / self.window)), self.asked + READ_EVERY)
 
+    def sent_since(self, since: int) -> float:
+        """Units sent from then on; the latest come first, as most of what is kept may be older."""
+        total = 0.0
+        for at, units in reversed(self.sent):
+            if at < since:
+                break
+            total += units
+        return total
+
     def rebuild(self) -> None:
         """Volumes that write more than the node's mean per volume are throttleable."""
         mean = sum(self.writes.values()) / max(1, len(self.writes))
@@ -420,7 +429,7 @@
         growth = (1 / rules.cold_from - 1) / rules.cold_time
         # what is late leaves half of it to what will come and earn more
         part = rules.cold_units / s.hosts * (0.5 if self.late(r, node, at) else 1.0)
-        sent = sum(u for t, u in node.sent if t >= at - rules.fall_time)
+        sent = node.sent_since(at - rules.fall_time)
         if sent + r.units <= part * (1 + growth * (at - node.up_since)):
             return True
         windows = (at - node.known) / max(1, rules.fall_time)
--- a/stoatrouter/fronts/platform.py
+++ b/stoatrouter/fronts/platform.py
@@ -54,7 +54,7 @@
         except NoRoom:
             return last(answer(self.engine.turn_away(wanted.request_class)))
         try:
-            final = await self.engine.serve(replace(wanted, body=body))
+            final = await self.engine.serve(replace(wanted, body=body) if len(body) else wanted)
         finally:
             if isinstance(body, Kept):
                 body.close()
