--- a/cypressworks/logic.py
+++ b/cypressworks/logic.py
@@ -19,7 +19,7 @@
 LATE = 0.25  # an answer that took more than this part of the threshold shrinks the window
 JAMS = {Outcome.FULL: 1.0, Outcome.TIMEOUT: 1.0, Outcome.CONNECT_FAILED: 0.125}  # to what part of the least
 VANISHING, RECENT = 0.03, 0.03  # from what part of overtaken attempts answers vanish; weight of the newest
-HALF_MARGIN, HALF_PART = 20 * MS, 0.03  # for the way of a refusal to its client; the host may be late
+HALF_MARGIN = 20 * MS  # for the way of a refusal to the client
 LONGEST_PACE = 6 * SECOND  # between two sends of a host, however small its window
 PROBE_EVERY, CROWD = 500 * MS, ALL_PLACES / 2  # how often a node is asked for its queue; what of it is a jam
 PRESSED = SECOND  # how long after such an answer a node counts as pressed
@@ -266,7 +266,7 @@
         aim = min(now + kind.aim, end, aim if e.repeat or end <= left + self.quick else end)
         r = self.requests[e.request] = Request(e.request, kind, volume, e.units, e.key, e.shard, aim, end,
                                                e.write or kind.writes,
-                                               now + int((0.5 - HALF_PART) * max(0, e.time_left)) - HALF_MARGIN)
+                                               now + max(0, e.time_left) // 2 - HALF_MARGIN)
         self.taken.append(now)
         if kind.in_turn and r.key is not None:
             self.turns.setdefault(r.key, deque()).append(r)
