Add an expression language: a checked, bounded subset of CEL, compiled once

Their text must not fail, loop or grow in the request path.

Change: stoatrouter/expressions parses by lark (LALR), checks types, guards, failures, sizes and cost at load, and compiles to one Python function by ast. stoatrouter/matching/inputs.py is the one reading of a request. Nothing of it is imported by a head yet. Weighed: cel-python, closures, re2.Set (design note).

--- a/Makefile
+++ b/Makefile
@@ -7,9 +7,9 @@
 	.venv/bin/python -m compileall -q -o 1 --invalidation-mode checked-hash stoatrouter cypressworks
 
 # the environment of the tests is one of its own, so that a build is never touched by them
-.ci-venv/bin/ruff: requirements.txt requirements-dev.txt
+.ci-venv/bin/ruff: requirements.txt requirements-rules.txt requirements-dev.txt
 	test -x .ci-venv/bin/python || python3 -m venv .ci-venv
-	.ci-venv/bin/pip -q install --disable-pip-version-check -r requirements.txt -r requirements-dev.txt
+	.ci-venv/bin/pip -q install --disable-pip-version-check -r requirements-rules.txt -r requirements-dev.txt
 	touch $@
 
 lint: .ci-venv/bin/ruff
--- /dev/null
+++ b/benchmarks/closures.py
@@ -0,0 +1,95 @@
+"""The other way weighed for compiling: a tree of Python closures. Kept to be measured against."""
+
+from __future__ import annotations
+
+import operator
+from collections.abc import Callable
+from typing import Any
+
+from stoatrouter.expressions import runtime
+from stoatrouter.expressions.checker import Checked, Typed
+
+Run = Callable[[Any], Any]
+COMPARE = {
+    "==": operator.eq,
+    "!=": operator.ne,
+    "<": operator.lt,
+    "<=": operator.le,
+    ">": operator.gt,
+    ">=": operator.ge,
+}
+
+
+def closures(checked: Checked) -> Run | None:
+    """The expression as closures; None where it has macros, which would need an environment of their own."""
+    try:
+        return closed(checked.root)
+    except NotImplementedError:
+        return None
+
+
+def closed(typed: Typed) -> Run:
+    parts = [closed(part) for part in typed.parts]
+    detail = typed.detail
+    match typed.op, parts:
+        case "literal", _:
+            return lambda r: detail
+        case "variable", _:
+            return operator.attrgetter(detail)
+        case (("key!" | "element!"), (a, b)):
+            return lambda r: a(r)[b(r)]
+        case "key", (a, b):
+            return lambda r: runtime.key(a(r), b(r))
+        case "key?", (a, b):
+            return lambda r: a(r).get(b(r))
+        case "or", (a, b):
+            return lambda r: runtime.or_value(a(r), b(r))
+        case "try", (a,):
+            return lambda r: runtime.attempt(lambda: a(r))
+        case "logic", _:
+            parted = tuple(parts)
+            if detail == "&&":
+                return lambda r: all(part(r) for part in parted)
+            return lambda r: any(part(r) for part in parted)
+        case "not", (a,):
+            return lambda r: not a(r)
+        case "conditional", (a, b, c):
+            return lambda r: b(r) if a(r) else c(r)
+        case "compare", (a, b):
+            by = COMPARE[detail]
+            return lambda r: by(a(r), b(r))
+        case "in map", (a, b):
+            return lambda r: a(r) in b(r)
+        case "in list", (a, b):
+            return lambda r: a(r) in b(r)
+        case ("list", _):
+            return lambda r: [part(r) for part in parts]
+        case "map", _:
+            return lambda r: {k(r): v(r) for k, v in zip(parts[::2], parts[1::2], strict=True)}
+        case "add", (a, b):
+            return lambda r: a(r) + b(r)
+        case "arithmetic", (a, b):
+            by = {"+": operator.add, "-": operator.sub, "*": operator.mul, "%": operator.mod}[detail[0]]
+            return lambda r: by(a(r), b(r))
+        case "size", (a,):
+            return lambda r: len(a(r))
+        case "call", _:
+            return called(typed, parts)
+    raise NotImplementedError(typed.op)
+
+
+def called(typed: Typed, parts: list[Run]) -> Run:
+    function, ready = typed.detail
+    name = function.emit[1:]
+    if name == "matches":
+        return lambda r: ready(parts[0](r))
+    if name == "cidr":
+        return lambda r: ready
+    if name in ("str", "float"):
+        work: Callable[..., Any] = {"str": str, "float": float}[name]
+    else:
+        work = getattr(runtime, name, None) or getattr(str, name)
+    if len(parts) == 1:
+        first = parts[0]
+        return lambda r: work(first(r))
+    return lambda r: work(*(part(r) for part in parts))
--- /dev/null
+++ b/benchmarks/expressions.py
@@ -0,0 +1,225 @@
+"""Time of an expression: compiled, as closures, by the tree-walking reference, and by cel-python.
+
+    python -m benchmarks.expressions [--runs 5] [--json FILE]
+
+30 realistic expressions over one request. Each figure is the median and 99th percentile over batches,
+and its spread over runs. cel-python comes with `pip install -r requirements-bench.txt`; without
+it it is left out.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import os
+import platform
+import resource
+import statistics
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from typing import Any
+
+from benchmarks.closures import closures
+from stoatrouter import expressions as ex
+from stoatrouter.matching.inputs import HTTP, read_input
+from tests.reference import Reference
+
+REQUEST = (
+    "GET",
+    "/v2/leagues/liga-1/matches/20417/events?from=120&to=240&team=persija",
+    (
+        (b"Host", b"feed.scores.example:8443"),
+        (b"User-Agent", b"broadcast-partner/3.1"),
+        (b"X-Team", b"feed"),
+        (b"X-Client", b"partner-0142"),
+        (b"Cookie", b"session=8f2c1b; region=id-jk"),
+        (b"Accept", b"application/json"),
+        (b"X-Priority", b"7"),
+        (b"Authorization", b"Bearer 0123456789abcdef0123456789abcdef"),
+    ),
+    "10.20.3.44",
+    512,
+    "score-read",
+)
+REALISTIC = (
+    'request.method == "GET"',
+    'request.method in ["GET", "HEAD"]',
+    'request.path.startsWith("/v2/leagues/")',
+    'request.method == "GET" && request.path.startsWith("/v2/") && request.path.endsWith("/events")',
+    'request.host == "feed.scores.example"',
+    'request.host.endsWith(".scores.example") && request.method != "DELETE"',
+    '"x-team" in request.headers && request.headers["x-team"] == "feed"',
+    'request.headers[?"x-team"].orValue("none") in ["feed", "app", "archive"]',
+    'request.headers[?"user-agent"].orValue("").startsWith("broadcast-partner/")',
+    'request.headers[?"x-client"].orValue("").matches("^partner-[0-9]{4}$")',
+    'request.path.matches("^/v[0-9]+/leagues/[a-z0-9-]+/matches/[0-9]+")',
+    'size(request.segments) > 3 && request.segments[1] == "leagues" && request.segments[3] == "matches"',
+    'size(request.segments) == 6 ? request.segments[4] : ""',
+    'request.segments.exists(s, s == "matches")',
+    'request.query[?"team"].orValue("") == "persija"',
+    'try(int(request.query[?"from"].orValue("0"))).orValue(0) >= 100',
+    "has(request.query.from) && has(request.query.to)",
+    'request.cookies[?"region"].orValue("").startsWith("id-")',
+    'cidr("10.20.0.0/16").containsIP(source.ip)',
+    'cidr("10.0.0.0/8").containsIP(source.ip) && !cidr("10.99.0.0/16").containsIP(source.ip)',
+    "hex16(hash(request.path))",
+    'hex16(hash(size(request.segments) > 4 ? request.segments[2] + request.segments[4] : request.path))',
+    'hash(request.headers[?"x-client"].orValue("")) % 100 < 5',
+    "request.size > 0 && request.size <= 65536",
+    'try(int(request.headers[?"x-priority"].orValue("5"))).orValue(5) > 6 ? "event-write" : "score-read"',
+    '{"feed": "premium", "app": "basic"}[?request.headers[?"x-team"].orValue("")].orValue("basic")',
+    'request.method == "GET" && (request.path.contains("/events") || request.path.contains("/scores"))',
+    '!("authorization" in request.headers) || request.headers["authorization"].startsWith("Bearer ")',
+    'request.headers[?"accept"].orValue("*/*").lowerAscii().contains("json")',
+    'request.segments.filter(s, s.startsWith("liga")).join("+")',
+)
+BATCH, BATCHES = 20, 300  # evaluations timed together, and how often: the clock itself takes some 50 ns
+
+
+def timed(work: Callable[[], Any], batch: int, batches: int) -> tuple[float, float]:
+    """Median and 99th percentile in microseconds for one evaluation."""
+    figures = []
+    for _ in range(batches):
+        began = time.perf_counter_ns()
+        for _ in range(batch):
+            work()
+        figures.append((time.perf_counter_ns() - began) / batch / 1000)
+    figures.sort()
+    return statistics.median(figures), figures[int(len(figures) * 0.99) - 1]
+
+
+def celpy_programs(given: Any) -> list[Callable[[], Any] | None] | None:
+    """The same expressions by cel-python; None for one that it has no function for."""
+    try:
+        import celpy
+        from celpy import celtypes
+    except ImportError:
+        return None
+    env = celpy.Environment()
+    activation = {
+        "request": celpy.json_to_cel(
+            {
+                "method": given.method,
+                "path": given.path,
+                "host": given.host,
+                "headers": dict(given.headers),
+                "segments": given.segments,
+                "query": dict(given.query),
+                "cookies": dict(given.cookies),
+            }
+        )
+    }
+    activation["request"]["size"] = celtypes.IntType(given.size)
+    programs: list[Callable[[], Any] | None] = []
+    for source in REALISTIC:
+        try:
+            program = env.program(env.compile(source))
+            program.evaluate(activation)
+            programs.append(lambda program=program: program.evaluate(activation))
+        except Exception:  # noqa: BLE001 - whatever it has no word for
+            programs.append(None)
+    return programs
+
+
+def one_run(given: Any) -> dict[str, list[tuple[float, float] | None]]:
+    compiled = [ex.load(source, HTTP) for source in REALISTIC]
+    variables = {name: getattr(given, variable.attribute) for name, variable in HTTP.variables.items()}
+    reference = Reference(variables, ("request.headers",))
+    trees = [ex.parse(source) for source in REALISTIC]
+    closed = [closures(program.checked) for program in compiled]
+    result: dict[str, list[tuple[float, float] | None]] = {
+        "compiled": [timed(lambda run=p.run: run(given), BATCH, BATCHES) for p in compiled],
+        "closures": [timed(lambda run=run: run(given), BATCH, BATCHES) if run else None for run in closed],
+        "reference": [timed(lambda tree=tree: reference.of(tree), 5, 100) for tree in trees],
+    }
+    others = celpy_programs(given)
+    if others is not None:
+        result["cel-python"] = [timed(work, 1, 30) if work else None for work in others]
+    return result
+
+
+def cold_start(module: str) -> tuple[float, float]:
+    """Milliseconds and megabytes of importing a module in a fresh process, over those of an empty one."""
+    code = (
+        "import time;m=lambda:int(open('/proc/self/statm').read().split()[1])/256;"
+        "b=m();t=time.perf_counter();"
+        f"import {module};"
+        "print((time.perf_counter()-t)*1e3,m()-b)"
+    )
+    runs = []
+    for _ in range(5):
+        done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=False)
+        if done.returncode:
+            return float("nan"), float("nan")
+        runs.append(tuple(map(float, done.stdout.split())))
+    return statistics.median(r[0] for r in runs), statistics.median(r[1] for r in runs)
+
+
+def main() -> None:
+    options = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
+    options.add_argument("--runs", type=int, default=5)
+    options.add_argument("--json")
+    chosen = options.parse_args()
+    given = read_input(*REQUEST)
+    runs = [one_run(given) for _ in range(chosen.runs)]
+    print(f"machine: {os.cpu_count()} cores, Python {platform.python_version()}, {chosen.runs} runs\n")
+    report: dict[str, Any] = {}
+    for way in runs[0]:
+        medians, tails, missing = [], [], 0
+        for i in range(len(REALISTIC)):
+            figures = [run[way][i] for run in runs]
+            if figures[0] is None:
+                missing += 1
+                continue
+            medians.append(statistics.median(f[0] for f in figures if f))
+            tails.append(statistics.median(f[1] for f in figures if f))
+        spread = [statistics.median([f[0] for f in run[way] if f]) for run in runs]
+        report[way] = {
+            "median_us": statistics.median(medians),
+            "slowest_median_us": max(medians),
+            "p99_over_set_us": max(tails),
+            "spread_of_medians_us": [min(spread), max(spread)],
+            "expressions": len(medians),
+            "not_expressible": missing,
+            "each": medians,
+        }
+        print(
+            f"{way:>10}: median {statistics.median(medians):8.2f} us, slowest {max(medians):8.2f} us, "
+            f"99th percentile of the slowest {max(tails):8.2f} us, "
+            f"medians over runs {min(spread):.2f} to {max(spread):.2f} us"
+            + (f"; {missing} of {len(REALISTIC)} not expressible" if missing else "")
+        )
+    for way in ("reference", "cel-python"):
+        if way in report:
+            ratios = [
+                b / a
+                for a, b in zip(
+                    [
+                        statistics.median(r["compiled"][i][0] for r in runs)
+                        for i in range(len(REALISTIC))
+                        if runs[0][way][i]
+                    ],
+                    report[way]["each"],
+                    strict=True,
+                )
+            ]
+            report[way]["times_compiled"] = statistics.median(ratios)
+            print(f"{way}: {statistics.median(ratios):.0f} times the compiled form (least {min(ratios):.0f})")
+    loads = sorted(timed(lambda source=source: ex.load(source, HTTP), 1, 5)[0] for source in REALISTIC)
+    print(f"load of one: median {statistics.median(loads):.0f} us, slowest {loads[-1]:.0f} us")
+    for module in ("stoatrouter.expressions", "celpy"):
+        took, memory = cold_start(module)
+        report[f"import {module}"] = {"ms": took, "mb": memory}
+        print(f"import {module}: {took:.0f} ms, {memory:.1f} MB")
+    print(f"peak memory of this process: {resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024:.0f} MB")
+    if chosen.json:
+        with open(chosen.json, "w") as file:
+            json.dump(report, file, indent=1)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/stoatrouter/expressions/__init__.py
@@ -0,0 +1,33 @@
+"""A named subset of the Common Expression Language: parsed, typed, bounded and compiled once, at load.
+
+It knows nothing of HTTP, sockets or clocks: an `Environment` names the inputs, their types and their bounds.
+What is kept of CEL, what is left out and where it is stricter: docs/expressions.md.
+"""
+
+from stoatrouter.expressions.checker import Checked, check
+from stoatrouter.expressions.compiler import Program, compile_checked
+from stoatrouter.expressions.environment import Environment, Limits, Variable
+from stoatrouter.expressions.errors import ExpressionError, Problem
+from stoatrouter.expressions.parser import parse
+
+__all__ = [
+    "Checked",
+    "Environment",
+    "ExpressionError",
+    "Limits",
+    "Problem",
+    "Program",
+    "Variable",
+    "check",
+    "compile_checked",
+    "load",
+    "parse",
+]
+
+
+def load(source: str, environment: Environment, want: object = None, limits: Limits | None = None) -> Program:
+    """Parse, check and compile one expression.
+
+    `want` is the type that it must yield (any, where None). Raises ExpressionError with every problem found.
+    """
+    return compile_checked(check(parse(source), environment, want, limits or Limits()))
--- /dev/null
+++ b/tests/reference.py
@@ -0,0 +1,325 @@
+"""A plain tree-walking reading of the language, written from CEL's definition and apart from the compiler. It
+counts the steps that it takes, by the sizes that values really have."""
+
+from __future__ import annotations
+
+import ipaddress
+import math
+import re
+from datetime import timedelta
+
+import xxhash
+
+from stoatrouter.expressions import syntax as s
+
+
+class Fault(Exception):
+    """CEL's error value."""
+
+
+class Opt:
+    """CEL's optional."""
+
+    def __init__(self, *value):
+        self.value = value
+
+
+def total(value):
+    if isinstance(value, str | bytes):
+        return max(1, len(value))
+    if isinstance(value, list):
+        return max(1, sum(total(item) for item in value))
+    return 1
+
+
+def tenth(length):
+    return -(-length // 10)
+
+
+class Reference:
+    """Evaluates one expression against inputs by dotted name."""
+
+    def __init__(self, variables, folded=()):
+        self.variables, self.folded, self.steps = variables, folded, 0
+
+    def of(self, node, scope=None):
+        return getattr(self, type(node).__name__)(node, scope or {})
+
+    def step(self, count=1):
+        self.steps += count
+
+    def truth(self, value):
+        assert isinstance(value, bool)
+        return value
+
+    def Literal(self, node, scope):  # noqa: N802
+        return node.value
+
+    def Name(self, node, scope):  # noqa: N802
+        self.step()
+        return scope[node.name] if node.name in scope else self.variables[node.name]
+
+    def Select(self, node, scope):  # noqa: N802
+        path = s.path_of(node)
+        if path in self.variables and path.partition(".")[0] not in scope:
+            self.step()
+            return self.variables[path]
+        return self.look(node, node.operand, node.field_name, node.optional, scope)
+
+    def Index(self, node, scope):  # noqa: N802
+        return self.look(node, node.operand, self.of(node.index, scope), node.optional, scope)
+
+    def look(self, node, operand, key, optional, scope):
+        items = self.of(operand, scope)
+        self.step()
+        key = self.fold(operand, node, key)
+        there = key in items if isinstance(items, dict) else 0 <= key < len(items)
+        if optional:
+            return Opt(items[key]) if there else Opt()
+        if not there:
+            raise Fault("missing")
+        return items[key]
+
+    def fold(self, operand, node, key):
+        if s.path_of(operand) not in self.folded:
+            return key
+        literal = isinstance(node, s.Select) or (
+            isinstance(node, s.Index) and isinstance(node.index, s.Literal)
+        )
+        if not literal:
+            self.step(1 + tenth(len(key)))
+        return key.lower()
+
+    def Logic(self, node, scope):  # noqa: N802
+        deciding, fault = node.operator == "||", None
+        for i, term in enumerate(node.terms):
+            self.step(1 if i else 0)
+            try:
+                if self.truth(self.of(term, scope)) is deciding:
+                    return deciding
+            except Fault as error:
+                fault = error
+        if fault:
+            raise fault
+        return not deciding
+
+    def Conditional(self, node, scope):  # noqa: N802
+        self.step()
+        return self.of(node.then if self.truth(self.of(node.condition, scope)) else node.other, scope)
+
+    def ListLiteral(self, node, scope):  # noqa: N802
+        self.step(10)
+        return [self.of(item, scope) for item in node.items]
+
+    def MapLiteral(self, node, scope):  # noqa: N802
+        self.step(30)
+        return {self.of(key, scope): self.of(value, scope) for key, value in node.items}
+
+    def Call(self, node, scope):  # noqa: N802
+        name = node.function
+        if name in ("all", "exists", "exists_one", "filter", "map") and node.receiver is not None:
+            return self.macro(node, scope)
+        if name == "has":
+            operand = self.of(node.arguments[0].operand, scope)
+            self.step()
+            key = node.arguments[0].field_name
+            return (key.lower() if s.path_of(node.arguments[0].operand) in self.folded else key) in operand
+        if name == "try":
+            self.step()
+            try:
+                return Opt(self.of(node.arguments[0], scope))
+            except Fault:
+                return Opt()
+        if name == "optMap":
+            self.step()
+            found = self.of(node.receiver, scope)
+            inner = {**scope, node.arguments[0].name: found.value[0]} if found.value else {}
+            return Opt(self.of(node.arguments[1], inner)) if found.value else found
+        if name == "of" and node.receiver == s.Name(node.at, 1, "optional"):
+            self.step()
+            return Opt(self.of(node.arguments[0], scope))
+        given = [
+            self.of(part, scope)
+            for part in (*((node.receiver,) if node.receiver is not None else ()), *node.arguments)
+        ]
+        self.step()
+        if name == "values" and s.path_of(node.receiver) in self.folded:
+            if not isinstance(node.arguments[0], s.Literal):
+                self.step(1 + tenth(len(given[1])))
+            given[1] = given[1].lower()
+        if name == "in" and s.path_of(node.arguments[1]) in self.folded:
+            if not isinstance(node.arguments[0], s.Literal):
+                self.step(1 + tenth(len(given[0])))
+            given[0] = given[0].lower()
+        return OPERATIONS[name](self, *given)
+
+    def macro(self, node, scope):
+        items, name = self.of(node.receiver, scope), node.function
+        self.step(1 + len(items) + (10 if name in ("filter", "map") else 0))
+
+        def run(i, item):
+            return self.of(node.arguments[i], {**scope, node.arguments[0].name: item})
+
+        if name == "filter":
+            return [item for item in items if run(1, item)]
+        if name == "map":
+            return [run(-1, item) for item in items if len(node.arguments) == 2 or run(1, item)]
+        if name == "exists_one":
+            return sum([run(1, item) for item in items]) == 1
+        deciding, fault = name == "exists", None
+        for item in items:
+            try:
+                if run(1, item) is deciding:
+                    return deciding
+            except Fault as error:
+                fault = error
+        if fault:
+            raise fault
+        return not deciding
+
+    # -- operations: each is told of the steps beyond one -------------------------------------------------
+    def compare(self, a, b, by):
+        self.step(tenth(min(total(a), total(b))))
+        return by(a, b)
+
+    def plus(self, a, b):
+        if isinstance(a, str | bytes | list):
+            self.step(tenth(len(a) + len(b)))
+            return a + b
+        return whole(a + b)
+
+    def minus(self, a, *b):
+        return whole(a - b[0] if b else -a)
+
+    def over(self, a, b):
+        if isinstance(a, float):
+            if b:
+                return a / b
+            return math.nan if a == 0 or math.isnan(a) else math.copysign(math.inf, a) * math.copysign(1, b)
+        if b == 0:
+            raise Fault("division")
+        return whole(
+            math.trunc(a // b) if a % b == 0 else (abs(a) // abs(b)) * (-1 if (a < 0) != (b < 0) else 1)
+        )
+
+    def rest(self, a, b):
+        if b == 0:
+            raise Fault("modulus")
+        return int(math.fmod(a, b)) if abs(a) < 1 << 50 > abs(b) else a - b * self.over(a, b)
+
+    def among(self, a, b):
+        if isinstance(b, dict):
+            self.step(tenth(len(a)))
+            return a in b
+        self.step(sum(1 + tenth(min(total(a), total(item))) for item in b))
+        return any(a == item for item in b)
+
+    def walked(self, value, length, more=1):
+        self.step(tenth(length) * max(1, more))
+        return value
+
+    def matches(self, text, pattern):
+        found = re.search(pattern, text) is not None
+        return self.walked(found, len(text), -(-len(pattern) // 4))
+
+    def substring(self, text, start, stop=None):
+        stop = len(text) if stop is None else stop
+        self.walked(None, len(text))
+        if not 0 <= start <= stop <= len(text):
+            raise Fault("range")
+        return text[start:stop]
+
+    def join(self, items, between=""):
+        text = between.join(items)
+        return self.walked(text, len(text))
+
+    def split(self, text, separator):
+        return self.walked(text.split(separator) if separator else [*text], len(text))
+
+    def to_int(self, value):
+        if isinstance(value, str):
+            self.walked(None, len(value))
+            if len(value) > 64 or not re.fullmatch("[+-]?[0-9]{1,40}", value):
+                raise Fault("int")
+            return whole(int(value))
+        if isinstance(value, float) and not -(2.0**63) < value < 2.0**63:
+            raise Fault("int")
+        return int(value)
+
+    def to_string(self, value):
+        if isinstance(value, bool):
+            return "true" if value else "false"
+        return str(value) if not isinstance(value, str) else value
+
+    def unset(self, found, *other):
+        return found.value[0] if found.value else other[0]
+
+    def value(self, found):
+        if not found.value:
+            raise Fault("none")
+        return found.value[0]
+
+    def hashed(self, value):
+        data = value.encode() if isinstance(value, str) else value
+        return self.walked(xxhash.xxh3_64(data).intdigest() // 2, len(value))
+
+
+def whole(value):
+    if isinstance(value, int) and not -(1 << 63) <= value < 1 << 63:
+        raise Fault("overflow")
+    if isinstance(value, timedelta) and abs(value) > timedelta(seconds=315_576_000_000):
+        raise Fault("overflow")
+    return value
+
+
+def in_network(self, network, address):
+    try:
+        return ipaddress.ip_address(str(address)) in network
+    except ValueError:
+        raise Fault("address") from None
+
+
+R = Reference
+OPERATIONS = {
+    "==": lambda r, a, b: r.compare(a, b, lambda x, y: x == y),
+    "!=": lambda r, a, b: r.compare(a, b, lambda x, y: x != y),
+    "<": lambda r, a, b: r.compare(a, b, lambda x, y: x < y),
+    "<=": lambda r, a, b: r.compare(a, b, lambda x, y: x <= y),
+    ">": lambda r, a, b: r.compare(a, b, lambda x, y: x > y),
+    ">=": lambda r, a, b: r.compare(a, b, lambda x, y: x >= y),
+    "+": R.plus,
+    "-": R.minus,
+    "*": lambda r, a, b: whole(a * b),
+    "/": R.over,
+    "%": R.rest,
+    "in": R.among,
+    "!": lambda r, a: not a,
+    "size": lambda r, a: len(a),
+    "matches": R.matches,
+    "substring": R.substring,
+    "startsWith": lambda r, a, b: r.walked(a.startswith(b), len(b)),
+    "join": R.join,
+    "split": R.split,
+    "endsWith": lambda r, a, b: r.walked(a.endswith(b), len(b)),
+    "int": R.to_int,
+    "string": R.to_string,
+    "contains": lambda r, a, b: r.walked(a.find(b) >= 0, len(a), tenth(len(b))),
+    "indexOf": lambda r, a, b: r.walked(a.find(b), len(a), tenth(len(b))),
+    "lowerAscii": lambda r, a: r.walked("".join(c.lower() if c.isascii() else c for c in a), len(a)),
+    "upperAscii": lambda r, a: r.walked("".join(c.upper() if c.isascii() else c for c in a), len(a)),
+    "trim": lambda r, a: r.walked(a.strip(" \t\n\v\f\r\x85\xa0\u3000"), len(a)),
+    "hash": R.hashed,
+    "hex16": lambda r, a: f"{a % (1 << 64):016x}",
+    "double": lambda r, a: float(a),
+    "orValue": R.unset,
+    "or": lambda r, a, b: a if a.value else b,
+    "value": R.value,
+    "hasValue": lambda r, a: bool(a.value),
+    "containsIP": in_network,
+    "family": lambda r, a: a.version,
+    "cidr": lambda r, a: ipaddress.ip_network(a),
+    "values": lambda r, a, b: r.walked(list(a.lists.get(b, (a[b],) if b in a else ())), len(a)),
+    "duration": lambda r, a: timedelta(seconds=float(a[:-1])),
+    "bytes": lambda r, a: r.walked(a.encode(), len(a)),
+    "getSeconds": lambda r, a: math.trunc(a / timedelta(seconds=1)),
+}
--- /dev/null
+++ b/tests/test_expressions.py
@@ -0,0 +1,357 @@
+"""The language: its conformance table, generated expressions against the reference, bounds, any text at all."""
+
+from __future__ import annotations
+
+import ast
+import ipaddress
+import math
+import re
+import time
+import tracemalloc
+from datetime import timedelta
+from pathlib import Path
+
+import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from stoatrouter import expressions as ex
+from stoatrouter.expressions import types as t
+from stoatrouter.expressions.show import written
+from stoatrouter.matching.inputs import HTTP, read_input
+from tests.reference import Fault, Opt, Reference
+
+REQUEST = read_input(
+    "GET",
+    "/scores/liga%201/m%2F7?a=1&a=2&b=",
+    (
+        (b"Host", b"Scores.Example:8443"),
+        (b"X-Team", b"feed"),
+        (b"Cookie", b"s=1; t=2"),
+        (b"X-Empty", b""),
+        (b"X-Twice", b"a"),
+        (b"x-twice", b"b"),
+    ),
+    "10.1.2.3",
+    212,
+    "score-read",
+)
+VARIABLES = {name: getattr(REQUEST, v.attribute) for name, v in HTTP.variables.items()}
+DETERMINED = settings(
+    max_examples=400, deadline=None, derandomize=True, suppress_health_check=list(HealthCheck)
+)
+
+
+def cases():
+    for line in (Path(__file__).parent / "data" / "expressions.txt").read_text().splitlines():
+        if line and not line.startswith("#"):
+            source, _, value = line.partition(" ==> ")
+            yield source, value.strip()
+
+
+def meant(text):
+    """A value of the table."""
+    if text in ("inf", "-inf"):
+        return float(text)
+    if found := re.fullmatch(r"duration\((.+)\)", text):
+        return timedelta(seconds=float(found[1]))
+    return None if text == "none" else ast.literal_eval(text)
+
+
+@pytest.mark.parametrize(("source", "value"), list(cases()), ids=lambda text: text[:60])
+def test_conformance(source, value):
+    if value.startswith("!"):
+        with pytest.raises(ex.ExpressionError) as refusal:
+            ex.load(source, HTTP)
+        assert value[1:].strip() in str(refusal.value)
+        return
+    made = ex.load(source, HTTP).run(REQUEST)
+    assert made == meant(value) and type(made) is type(meant(value))
+
+
+def test_a_refusal_names_place_header_and_guard():
+    with pytest.raises(ex.ExpressionError) as refusal:
+        ex.load(
+            'request.method == "GET" &&\n  request.headers["X-Team"] == "a" && 1 / size(request.path) == 0 && x',
+            HTTP,
+        )
+    first, *others = refusal.value.problems
+    assert str(first.at) == "2:19" and 'request.headers["x-team"]' in first.what
+    assert ".orValue(" in first.remedy and '"x-team" in request.headers && ' in first.remedy
+    assert [problem.what for problem in others] == ["there is no 'x'"]  # and all others in the same go
+
+
+# -- generated expressions ----------------------------------------------------------------------------------
+TEXTS = st.sampled_from(
+    ["", "a", "feed", "GET", "12", "-7", "x-team", "X-Twice", "é", "/scores/", "a b", "99999999999999999999"]
+)
+INTS = st.one_of(st.integers(-3, 12), st.sampled_from([-(1 << 63), (1 << 63) - 1, 1 << 62, 1 << 53]))
+
+
+def quoted(text):
+    return '"' + text.replace("\\", "\\\\") + '"'
+
+
+LEAVES = {
+    "b": ["true", "false", '"x-team" in request.headers', "has(request.query.a)"],
+    "i": ["request.size", "size(request.segments)"],
+    "s": [
+        "request.method",
+        "request.path",
+        "request.host",
+        'request.headers["x-team"]',
+        "request.query.zz",
+        'request.cookies[?"s"].orValue("-")',
+        "request.segments[1]",
+    ],
+    "d": ["0.0", "1.5", "-2.25", "1e300", "0.1"],
+    "l": [
+        "request.segments",
+        'request.headers.values("x-twice")',
+        '["a", "feed"]',
+        '["b"].filter(x, x == "c")',
+    ],
+}
+# b, i, s, d and l stand for expressions of a kind: bool, int, string, double, list of strings; <=> for an order
+FORMS = {
+    "b": """({b} && {b}) | ({b} || {b} || {b}) | !({b}) | ({i} <=> {i}) | ({s} <=> {s}) | ({d} <=> {d}) | ({s} in {l})
+        | ({l} == {l}) | {s}.startsWith({s}) | {s}.contains({s}) | {s}.endsWith({s}) | {s}.matches("^[a-z]+[0-9]?$")
+        | {l}.exists(V, V == {s}) | {l}.all(V, V != {s}) | {l}.exists_one(V, V == {s}) | ({b} ? {b} : {b})
+        | {l}.all(V, 1 / (size(V) - {i}) < 1) | ({s} in request.headers) | request.headers[?{s}].hasValue()""",
+    "i": """({i} + {i}) | ({i} - {i}) | ({i} * {i}) | ({i} / {i}) | ({i} % {i}) | -({i}) | size({s}) | {l}.size()
+        | int({s}) | int({d}) | {s}.indexOf({s}) | ({b} ? {i} : {i}) | (hash({s}) % 100)
+        | request.query[?{s}].optMap(V, V.size()).orValue({i})""",
+    "s": """({s} + {s}) | {s}.lowerAscii() | {s}.upperAscii() | string({i}) | {s}.substring({i}, {i}) | {l}.join({s})
+        | ({b} ? {s} : {s}) | hex16({i}) | {s}.trim() | {l}[{i}] | {l}[?{i}].orValue({s}) | request.headers[{s}]
+        | request.headers[?{s}].orValue({s}) | string({b}) | {{"a": "1", "feed": {s}}}[{s}]""",
+    "d": "({d} + {d}) | ({d} * {d}) | ({d} / {d}) | double({i}) | ({d} - {d}) | -({d})",
+    "l": """{l}.filter(V, V != {s}) | {l}.map(V, V + {s}) | {l}.map(V, size(V) > 1, V + {s}) | {s}.split({s})
+        | ({l} + {l}) | [{s}, {s}] | ({b} ? {l} : {l})""",
+}
+PARTS = {
+    kind: [form.strip() for form in re.split(r" \|(?!\|) ?|\n +\| ", forms)] for kind, forms in FORMS.items()
+}
+
+
+@st.composite
+def expressions(draw, kinds="bisdl", most_depth=4):
+    """Sources of well-typed expressions. They may still fail: agrees() wraps those in try()."""
+    names = iter(f"v{i}" for i in range(100_000))
+
+    def of(kind, depth):
+        if depth == 0 or draw(st.integers(0, 5)) == 0:
+            leaves = LEAVES[kind]
+            pick = (
+                draw(st.integers(0, 2 * len(leaves) - 1))
+                if kind in "is"
+                else draw(st.integers(0, len(leaves) - 1))
+            )
+            if pick < len(leaves):
+                return leaves[pick]
+            return str(draw(INTS)) if kind == "i" else quoted(draw(TEXTS))
+        form = re.sub(r"\bV\b", next(names), draw(st.sampled_from(PARTS[kind])))
+        form = form.replace("<=>", draw(st.sampled_from(["==", "!=", "<", "<=", ">", ">="])))
+        form = re.sub(
+            r"(?<!\{)\{([bisdl])\}",
+            lambda found: of(found[1], depth - 1).replace("{", "{{").replace("}", "}}"),
+            form,
+        )
+        return form.replace("{{", "{").replace("}}", "}")
+
+    return of(draw(st.sampled_from(kinds)), most_depth)
+
+
+ROOMY = ex.Limits(steps=10**15, result=10**12, largest=10**12)
+
+
+def alike(a, b):
+    return a == b or (isinstance(a, float) and isinstance(b, float) and math.isnan(a) and math.isnan(b))
+
+
+def agrees(source):
+    """One generated expression, compiled and by the reference: the same value, and steps within the bound."""
+    tree = ex.parse(source)
+    try:
+        checked = ex.check(tree, HTTP, None, ROOMY)
+    except ex.ExpressionError as error:
+        assert all("may" in problem.what for problem in error.problems), (source, str(error))
+        tree = ex.parse(f"try({source})")  # it may fail, and then has to say so to be accepted
+        checked = ex.check(tree, HTTP, None, ROOMY)
+    reference = Reference(VARIABLES, ("request.headers",))
+    value = ex.compile_checked(checked).run(REQUEST)
+    wanted = reference.of(tree)
+    if isinstance(wanted, Opt):
+        assert (value is not None) == bool(wanted.value), source
+        wanted = wanted.value[0] if wanted.value else None
+    assert alike(value, wanted) and type(value) is type(wanted), (source, value, wanted)
+    assert reference.steps <= checked.cost, (source, reference.steps, checked.cost)
+    return value, checked
+
+
+@DETERMINED
+@given(expressions())
+def test_compiled_and_reference_agree_within_the_bound(source):
+    made = agrees(source)
+    if made[0] is not None:
+        value, checked = made
+        if isinstance(value, str | bytes | list):
+            assert len(value) <= checked.bound.length, source
+        if isinstance(value, int) and not isinstance(value, bool):
+            assert checked.bound.low <= value <= checked.bound.high, source
+
+
+@DETERMINED
+@given(expressions("b", 3))
+def test_what_is_shown_reads_as_it_was(source):
+    tree = ex.parse(source)
+    assert ex.parse(written(tree)) == tree
+
+
+@settings(DETERMINED, max_examples=1500)
+@given(
+    st.one_of(
+        st.text(max_size=40),
+        st.lists(
+            st.sampled_from(
+                [
+                    "request",
+                    ".",
+                    "headers",
+                    "[",
+                    "]",
+                    "?",
+                    "(",
+                    ")",
+                    '"x"',
+                    "1",
+                    "&&",
+                    "||",
+                    "!",
+                    "-",
+                    "map",
+                    "x",
+                    ",",
+                    " in ",
+                    ":",
+                    "try",
+                    "{",
+                    "}",
+                    "==",
+                    "+",
+                    "has",
+                    "int",
+                    "size",
+                    "b'\\xff'",
+                    "r'\\'",
+                    "9" * 25,
+                    "\n",
+                    "//",
+                    "orValue",
+                ]
+            ),
+            max_size=25,
+        ).map("".join),
+    )
+)
+def test_any_text_is_a_value_or_a_located_refusal(source):
+    try:
+        ex.load(source, HTTP).run(REQUEST)
+    except ex.ExpressionError as error:
+        assert error.problems and all(p.at.line >= 1 and p.at.column >= 1 and p.what for p in error.problems)
+
+
+# -- written to loop or to grow -----------------------------------------------------------------------------
+HOSTILE = {
+    "parentheses": "(" * 10_000 + "1" + ")" * 10_000,
+    "parentheses that fit": "(" * 4_000 + "1" + ")" * 4_000,
+    "open parentheses": "(" * 8_000,
+    "denials": "!" * 8_000 + "true",
+    "sums": "1" + "+1" * 4_000,
+    "alternatives": "true" + "||true" * 1_000,
+    "fields": "request" + ".a" * 4_000,
+    "conditionals": "true?1:" * 1_000 + "1",
+    "lists of lists": "[" * 4_000 + "]" * 4_000,
+    "calls": "size(" * 1_500 + '""' + ")" * 1_500,
+    "doubling": "[request.path]" + "".join(f".map(v{i}, v{i} + v{i})" for i in range(60)),
+    "nested macros": "".join(f"request.segments.map(v{i}, " for i in range(40)) + "1" + ")" * 40,
+    "backtracking": 'request.path.matches("(a*)*b") && request.path.matches("(x+x+)+y")',
+    "large pattern": f'"a".matches("{"(a|b)" * 60}")',
+    "many digits": "9" * 8_000,
+}
+
+
+@pytest.mark.parametrize("kind", HOSTILE)
+def test_hostile_text_is_refused_or_bounded_in_memory(kind):
+    tracemalloc.start()
+    try:
+        value = ex.load(HOSTILE[kind], HTTP).run(REQUEST)
+        assert kind in ("parentheses that fit", "alternatives", "backtracking") and value in (
+            1,
+            True,
+            False,
+        ), kind
+    except ex.ExpressionError as error:
+        assert error.problems
+    finally:
+        peak = tracemalloc.get_traced_memory()[1]
+        tracemalloc.stop()
+    assert peak < 64 * 1024 * 1024
+
+
+def test_a_pattern_that_backtracks_elsewhere_is_linear_here():
+    """Work grows with the text, not with its square: counted in time against itself, with a wide margin."""
+    program = ex.load('request.headers[?"x-long"].orValue("").matches("(a+)+$")', HTTP)
+
+    def run(length):
+        given = read_input("GET", "/", ((b"X-Long", b"a" * length + b"!"),), "10.0.0.1")
+        began = time.perf_counter()
+        program.run(given)
+        return time.perf_counter() - began
+
+    assert min(run(8000) for _ in range(5)) < 1  # a backtracking matcher would need 2 ** 8000 steps
+
+
+def test_no_builtins_are_in_reach():
+    program = ex.load('request.path.split("/").exists(p, p == "open" || p == "__import__")', HTTP)
+    assert program.run.__globals__["__builtins__"] == {}
+    with pytest.raises(ex.ExpressionError):
+        ex.load("request.method.__class__", HTTP)
+
+
+def test_types_say_what_they_are():
+    assert str(ex.load('request.headers[?"a"]', HTTP).type) == "optional_type(string)"
+    with pytest.raises(ex.ExpressionError, match="this yields int, but bool is wanted here"):
+        ex.load("1", HTTP, t.BOOL)
+
+
+def test_addresses_of_both_families():
+    inside = ex.load('cidr("10.0.0.0/8").containsIP(source.ip)', HTTP)
+    assert inside.run(read_input("GET", "/", (), "::ffff:10.0.0.9")) is True
+    assert inside.run(read_input("GET", "/", (), "fe80::1%lo")) is False
+    assert str(REQUEST.ip) == str(ipaddress.ip_address("10.1.2.3"))
+
+
+def test_reference_has_faults_of_its_own():
+    """The reference is no copy: it reaches an error value where the compiled form would need try()."""
+    with pytest.raises(Fault):
+        Reference(VARIABLES, ("request.headers",)).of(ex.parse('request.headers["nope"]'))
+
+
+# -- the reference page -------------------------------------------------------------------------------------
+def examples():
+    """The examples of docs/expressions.md, with what they are said to yield."""
+    page = (Path(__file__).parents[1] / "docs" / "expressions.md").read_text()
+    for block in re.findall(r"```cel\n(.*?)```", page, re.DOTALL):
+        for line in block.splitlines():
+            source, _, said = line.partition(" // ")
+            yield source.strip(), said.strip()
+
+
+@pytest.mark.parametrize(("source", "said"), list(examples()), ids=lambda text: text[:60])
+def test_examples_of_the_page(source, said):
+    if said.startswith("refused: "):
+        with pytest.raises(ex.ExpressionError, match=re.escape(said.removeprefix("refused: "))):
+            ex.load(source, HTTP)
+    else:
+        assert said.startswith("-> "), said
+        assert ex.load(source, HTTP).run(REQUEST) == ex.load(said[3:], HTTP).run(REQUEST)
