Add rule tables with scopes and an index, and settings as a strict subset of CUE

Change: stoatrouter/matching holds scopes by host and path prefix, a decision tree over literal conjuncts, coverage, proof of classes by method, placements of keyed repeats across reloads, and a shadow table. stoatrouter/settings reads a subset of CUE by lark and unifies it with shipped schemas into msgspec records. Nothing of it is imported by a head yet.

--- /dev/null
+++ b/stoatrouter/matching/files.py
@@ -0,0 +1,108 @@
+"""Rule files: read, checked and made into a table. The I/O of this package; decisions are elsewhere."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from stoatrouter.expressions.environment import Environment
+from stoatrouter.matching.inputs import HTTP
+from stoatrouter.matching.records import Rule, Rules, Team
+from stoatrouter.matching.table import Cache, Flaw, Loader, Table, TableError, Vocabulary
+from stoatrouter.settings import Loaded, Place, SettingsError, Wrong, load
+
+RULES, TEAM = "rules.#Rules", "rules.#Team"
+
+
+@dataclass(slots=True, frozen=True)
+class Sources:
+    """The files of a table as they were read: the operator's, and the teams' by scope."""
+
+    operator: Loaded[Rules]
+    teams: dict[str, Loaded[Team]]
+
+    @property
+    def files(self) -> tuple[Path, ...]:
+        return (*self.operator.files, *(file for team in self.teams.values() for file in team.files))
+
+    @property
+    def epoch(self) -> str:
+        """A short name for what the files held: the same content has the same one."""
+        digests = {
+            f.name: d for loaded in (self.operator, *self.teams.values()) for f, d in loaded.digests.items()
+        }
+        return hashlib.sha256(repr(sorted(digests.items())).encode()).hexdigest()[:12]
+
+    def place(self, path: str) -> Place:
+        """Where a path of the table stands: rules of a scope with a file of its own are there."""
+        parts = path.split(".", 2)
+        if (
+            len(parts) == 3
+            and parts[0] == "scopes"
+            and parts[1] in self.teams
+            and parts[2].startswith("rules")
+        ):
+            return self.teams[parts[1]].place(parts[2])
+        return self.operator.place(path)
+
+    def wrong(self, flaw: Flaw) -> Wrong:
+        """A flaw with its file and line."""
+        inner = f"{flaw.at}: " if flaw.at else ""
+        return Wrong(self.place(flaw.path), flaw.path, inner + flaw.what, flaw.remedy)
+
+
+class Files:
+    """Reads rule files; what a team's file held is kept, so that a reload reads what has changed."""
+
+    def __init__(self) -> None:
+        self.teams: dict[Path, Loaded[Team]] = {}
+
+    def read(self, path: Path) -> Sources:
+        """Read an operator's rule file and the team files that it names; raises SettingsError."""
+        operator: Loaded[Rules] = load(path, Rules, RULES)
+        wrongs: list[Wrong] = []
+        teams: dict[str, Loaded[Team]] = {}
+        for name, scope in operator.record.scopes.items():
+            if scope.file is None:
+                continue
+            at = operator.place(f"scopes.{name}.file")
+            if scope.rules:
+                wrongs.append(Wrong(at, f"scopes.{name}", "it has rules and a file", "leave one of them out"))
+            # Guards the operator's part: a team's file is read by itself and can say nothing of scopes.
+            try:
+                teams[name] = self.team(path.parent / scope.file)
+            except SettingsError as error:
+                wrongs += error.wrongs
+        if wrongs:
+            raise SettingsError(*wrongs)
+        self.teams = {path: team for path, team in self.teams.items() if team in teams.values()}
+        return Sources(operator, teams)
+
+    def team(self, path: Path) -> Loaded[Team]:
+        known = self.teams.get(path)
+        if known is None or not known.unchanged():
+            known = self.teams[path] = load(path, Team, TEAM)
+        return known
+
+
+@dataclass(slots=True)
+class Tables:
+    """Makes tables of one rule file, again and again: what has not changed is taken from the one before."""
+
+    path: Path
+    words: Vocabulary
+    environment: Environment = HTTP
+    files: Files = field(default_factory=Files)
+    cache: Cache = field(default_factory=Cache)
+
+    def load(self) -> tuple[Table, Sources]:
+        """The table that the files make now; raises SettingsError with all that is wrong."""
+        sources = self.files.read(self.path)
+        rules: dict[str, Sequence[Rule]] = {name: team.record.rules for name, team in sources.teams.items()}
+        try:
+            loader = Loader(self.words, self.environment, self.cache)
+            return loader.load(sources.operator.record, rules, sources.epoch), sources
+        except TableError as error:
+            raise SettingsError(*(sources.wrong(flaw) for flaw in error.flaws)) from None
--- /dev/null
+++ b/stoatrouter/matching/records.py
@@ -0,0 +1,79 @@
+"""What rule files say, as typed records. The schema that files are unified with is rules_schema.cue."""
+
+from __future__ import annotations
+
+from typing import Literal
+
+import msgspec
+
+
+class Computed(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A value worked out for each request, by an expression."""
+
+    expr: str
+
+
+class Refusal(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What a rule that refuses says."""
+
+    status: int
+    reason: str
+
+
+class Rule(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One rule: when it matches, and what the request becomes. What is not given is the scope's default."""
+
+    name: str
+    when: str
+    request_class: str | Computed | None = msgspec.field(default=None, name="class")
+    volume: str | Computed | None = None
+    plan: str | Computed | None = None
+    key: str | Computed | None = None
+    shard: int | Computed | None = None
+    units: float | Computed | None = None
+    hosts: int | None = None
+    repeat: bool | Computed | None = None
+    deadline: str | Computed | None = None
+    refuse: Refusal | None = None
+
+
+class Rights(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What an operator may give to a team beyond its own area."""
+
+    repeat_unsafe_methods: bool = False  # a PUT or POST may become a class that is safe to repeat
+
+
+class Scope(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A team's area: what its rules may speak of. It is the operator's, not the team's."""
+
+    hosts: tuple[str, ...]
+    paths: tuple[str, ...]
+    classes: tuple[str, ...]
+    plans: tuple[str, ...]
+    volumes: tuple[str, ...]
+    steps: int
+    file: str | None = None
+    rules: tuple[Rule, ...] = ()
+    rights: Rights = Rights()
+    hosts_of_volume: int = 1
+
+
+class Otherwise(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What becomes of a request that no rule matches."""
+
+    status: int
+    reason: str
+
+
+class Rules(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The operator's part: scopes by name, and what holds for what none of them matches."""
+
+    scopes: dict[str, Scope]
+    otherwise: Otherwise
+    mode: Literal["enforce", "shadow"] = "enforce"
+
+
+class Team(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A team's own file: its rules, and nothing else."""
+
+    rules: tuple[Rule, ...] = ()
--- /dev/null
+++ b/tests/test_matching.py
@@ -0,0 +1,332 @@
+"""Rule tables: how requests are read, which rule wins, what is refused at load, and repeats across reloads."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from pathlib import Path
+
+import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from stoatrouter.expressions import parse
+from stoatrouter.expressions.parser import LONGEST
+from stoatrouter.matching import index
+from stoatrouter.matching.conjuncts import condition
+from stoatrouter.matching.coverage import Coverage
+from stoatrouter.matching.files import Tables
+from stoatrouter.matching.inputs import HTTP, Unreadable, read_input
+from stoatrouter.matching.matcher import Matcher
+from stoatrouter.matching.placements import Placements
+from stoatrouter.matching.records import Otherwise, Rule, Rules, Scope
+from stoatrouter.matching.table import Decision, Loader, Refusal, TableError
+from stoatrouter.settings import SettingsError
+from tests.rules import APP, FEED, OPERATOR, READS, WORDS, write_rules
+
+DETERMINED = settings(max_examples=300, deadline=None, derandomize=True, suppress_health_check=list(HealthCheck))
+EVERYTHING = Scope(("*",), ("/",), ("score-read", "event-write", "stats-export"), ("basic", "premium"), (FEED, APP),
+                   1_000_000)
+
+
+def ask(target="/feed/a", method="GET", fields=(), peer="10.0.0.1", **more):
+    return read_input(method, target, ((b"Host", b"scores.example"), *fields), peer, **more)
+
+
+def table(*rules, scope=EVERYTHING):
+    made = Rules({"all": scope}, Otherwise(404, "no rule matches"))
+    return Loader(WORDS).load(made, {"all": rules}, "epoch")
+
+
+def rule(name, when, **more):
+    given = {"request_class": "event-write", "plan": "basic", "volume": FEED, **more}
+    return Rule(name, when, **given)
+
+
+# -- how a request is read ----------------------------------------------------------------------------------
+READING = [
+    # target, fields, what is asked, what it is
+    ("/a%2Fb/c", (), "segments", ["a/b", "c"]),
+    ("/a%2fb/c", (), "path", "/a%2Fb/c"),
+    ("/%73cores", (), "path", "/scores"),
+    ("//a//", (), "segments", ["", "a", "", ""]),
+    ("/", (), "segments", []),
+    ("/a;b=c", (), "segments", ["a;b=c"]),
+    ("/caf%C3%A9", (), "segments", ["café"]),
+    ("/a?x=1&x=2&y", (), "query", {"x": "1", "y": ""}),
+    ("/a?x=a+b%20c%2B", (), "query", {"x": "a b c+"}),
+    ("/a?&&x=1&", (), "query", {"x": "1"}),
+    ("/a?=v", (), "query", {"": "v"}),
+    ("http://Other.Example:80/x", (), "host", "other.example"),
+    ("http://other.example?x=1", (), "path", "/"),
+    ("/a", ((b"X-EMPTY", b""),), "headers", {"host": "scores.example", "x-empty": ""}),
+    ("/a", ((b"x-a", b"1"), (b"X-A", b"2")), "headers", {"host": "scores.example", "x-a": "1, 2"}),
+    ("/a", ((b"x-a", b"\xff\xfe1"),), "headers", {"host": "scores.example", "x-a": "\ufffd\ufffd1"}),
+    ("/a", ((b"x-a", "é".encode()),), "headers", {"host": "scores.example", "x-a": "é"}),
+    ("/a", ((b"x-a", b"v" * 8192),), "headers", {"host": "scores.example", "x-a": "v" * 8192}),
+    ("/a", ((b"Cookie", b"a=1; b=2"), (b"Cookie", b"a=3; c")), "cookies", {"a": "1", "b": "2"}),
+]
+UNREADABLE = [
+    ("/a/../b", (), 400), ("/a/./b", (), 400), ("/a/%2e%2E/b", (), 400), ("/a%00b", (), 400), ("/a%0d%0a", (), 400),
+    ("/a%zz", (), 400), ("/a%", (), 400), ("/%ff", (), 400), ("/a?x=%ff", (), 400), ("/a?x=%q1", (), 400),
+    ("/" + "a" * 2048, (), 414), ("/" + "a" * 256, (), 414), ("/a" * 33, (), 414), ("/a?" + "x" * 4097, (), 414),
+    ("/a?" + "x&" * 64, (), 414), ("/a", ((b"x-a", b"v" * 8193),), 431), ("/a b", (), 400), ("*", (), 400),
+    ("/a", tuple((b"x-%d" % i, b"") for i in range(64)), 431), ("/a", ((b"Host", b"other"),), 400),
+    ("/a", tuple((b"x-a", b"v" * 200) for _ in range(50)), 431), ("/a", ((b"Cookie", b"a=1;" * 65),), 431),
+    ("http://a b/x", (), 400), ("http://h@x/y", (), 400), ("ftp://x/y", (), 400), ("/é", (), 400),
+]
+
+
+@pytest.mark.parametrize(("target", "fields", "name", "value"), READING)
+def test_reading(target, fields, name, value):
+    assert getattr(ask(target, fields=fields), name) == value
+
+
+@pytest.mark.parametrize(("target", "fields", "status"), UNREADABLE)
+def test_what_has_two_readings_or_is_too_large_is_refused_before_rules(target, fields, status):
+    with pytest.raises(Unreadable) as refusal:
+        ask(target, fields=fields)
+    assert refusal.value.status == status and str(refusal.value)
+
+
+@DETERMINED
+@given(st.binary(max_size=60), st.lists(st.tuples(st.binary(max_size=8), st.binary(max_size=20)), max_size=4))
+def test_any_bytes_are_read_or_refused(target, fields):
+    try:
+        given = read_input("GET", "/" + target.decode("latin-1"), tuple(fields), "10.0.0.1")
+    except Unreadable as error:
+        assert 400 <= error.status < 500
+        return
+    # whatever an expression may ask for is there, and within the bounds that costs come from
+    for variable in HTTP.variables.values():
+        value = getattr(given, variable.attribute)
+        if isinstance(value, str | list | dict):
+            assert len(value) <= variable.bound.length
+
+
+# -- which rule wins ----------------------------------------------------------------------------------------
+CONJUNCTS = [
+    'request.method == "GET"', 'request.method in ["PUT", "POST"]', '"GET" == request.method',
+    'request.path.startsWith("/a/")', 'request.path.startsWith("/a/b")', 'request.path == "/a/b/c"',
+    'request.path.startsWith("/")', 'request.path in ["/a/x", "/b"]', 'request.host == "scores.example"',
+    'request.headers[?"X-T"].orValue("") == "1"', 'request.headers[?"x-t"].orValue("1") == "1"',
+    'request.headers[?"x-t"].orValue("") in ["1", "2"]', '"x-t" in request.headers && request.headers["x-t"] == "2"',
+    "has(request.headers.host)", "size(request.segments) > 1", "size(request.segments) >= 2",
+    'size(request.segments) > 1 && request.segments[1] == "b"', 'request.segments[?1].orValue("b") == "b"',
+    'request.query[?"q"].orValue("") == "1"', "true", "false", 'request.path.endsWith("c")', '!(request.method == "GET")',
+    'request.method == "GET" || request.path == "/b"', 'request.class == "score-read"', "request.size > 10",
+]
+REQUESTS = [
+    ask(target, method, fields, size=size, request_class=kind)
+    for target in ("/a/b/c", "/a/x", "/b", "/", "/a/b?q=1")
+    for method, size, kind in (("GET", -1, "score-read"), ("PUT", 20, ""))
+    for fields in ((), ((b"X-T", b"1"),), ((b"x-t", b"2"),))
+]
+WHENS = st.lists(st.sampled_from(CONJUNCTS), min_size=1, max_size=3).map(" && ".join)
+
+
+@DETERMINED
+@given(st.lists(WHENS, min_size=1, max_size=40))
+def test_the_index_never_changes_which_rule_wins(whens):
+    made = table(*(rule(f"r{i}", when) for i, when in enumerate(whens))).compartments["all"]
+    for request in REQUESTS:
+        plain = next((i for i, r in enumerate(made.rules) if r.when(request)), None)
+        tried = list(made.tree.find(request))
+        assert tried == sorted(tried)
+        assert next((i for i in tried if made.rules[i].when(request)), None) == plain
+
+
+@DETERMINED
+@given(st.lists(WHENS, min_size=2, max_size=30))
+def test_what_is_said_to_be_covered_or_contradictory_never_wins(whens):
+    conditions = [condition(parse(when)) for when in whens]
+    made = table(*(rule(f"r{i}", when) for i, when in enumerate(whens))).compartments["all"]
+    idle = {i for i, _ in Coverage(conditions).covered()} | {
+        i for i, c in enumerate(conditions) if c.never or c.contradiction()}
+    for request in REQUESTS:
+        assert next((i for i, r in enumerate(made.rules) if r.when(request)), None) not in idle
+
+
+@pytest.mark.parametrize(("earlier", "later", "covered"), [
+    ('request.method == "GET"', 'request.method == "GET" && request.path == "/a"', True),
+    ('request.path.startsWith("/a/")', 'request.path.startsWith("/a/b/")', True),
+    ('request.path.startsWith("/a/")', 'request.path == "/a/b"', True),
+    ('request.path.startsWith("/a/b/")', 'request.path.startsWith("/a/")', False),
+    ('request.method in ["GET", "PUT"]', 'request.method == "PUT"', True),
+    ('request.method == "PUT"', 'request.method in ["GET", "PUT"]', False),
+    ("true", "request.size > 3", True), ("request.size > 3", "request.size > 3", True),
+    ("request.size > 3", "request.size > 4", False),  # more than parts of conditions show
+    ('"x" in request.headers', 'request.headers[?"X"].orValue("") == "1"', True),
+    ("size(request.segments) > 0", 'request.segments[?2].orValue("") == "1"', True),
+    ("size(request.segments) > 3", 'request.segments[?2].orValue("") == "1"', False),
+])
+def test_coverage(earlier, later, covered):
+    made = table(rule("first", earlier), rule("second", later))
+    assert [w for w in made.warnings if "'second' never matches" in w.what and "'first'" in w.what] != [] if covered \
+        else not made.warnings
+
+
+def test_an_index_over_many_rules_tries_few():
+    conditions = [condition(parse(f'request.path.startsWith("/a/{i}/") && request.method == "GET"'))
+                  for i in range(500)]
+    tree = index.build(conditions)
+    assert len(tree.find(ask("/a/123/x"))) <= index.LEAF and 123 in tree.find(ask("/a/123/x"))
+    assert tree.worst([10] * 500) < 100
+
+
+# -- what is refused at load --------------------------------------------------------------------------------
+@pytest.mark.parametrize(("given", "what"), [
+    (rule("r", 'request.headers["X-Team"] == "a"'), 'request.headers["x-team"] may be missing'),
+    (rule("r", 'request.path.startsWith("/other/")'), "outside of this scope"),
+    (rule("r", 'request.host == "other"'), "outside of this scope"),
+    (rule("r", "true", request_class="score-read"), "may be repeated freely"),
+    (rule("r", 'request.method == "PUT"', request_class="score-read"), "may be repeated freely"),
+    (rule("r", 'request.method in ["GET", "PUT"]', request_class="score-read"), "may be repeated freely"),
+    (rule("r", "true", request_class="nope"), "is not of this scope"),
+    (rule("r", "true", plan="nope"), "is not of this scope"),
+    (rule("r", "true", volume="0000000000000009"), "is not of this scope"),
+    (rule("r", "true", shard=2), "out of the shard's range"), (rule("r", "true", units=9), "out of the number of units"),
+    (rule("r", "true", key="xyz"), "is not 16 hex digits"), (rule("r", "true", deadline="0s"), "no deadline"),
+    (rule("r", "request.size"), "yields int, but bool is wanted"),
+    (rule("r", "request.segments.exists(a, request.segments.exists(b, a + b == a))"), "steps"),
+])
+def test_a_rule_out_of_its_bounds_is_refused(given, what):
+    scope = Scope(("scores.example",), ("/feed/",), ("score-read", "event-write"), ("basic",), (FEED,), 20_000)
+    with pytest.raises(TableError) as refusal:
+        table(given, scope=scope)
+    assert what in str(refusal.value) and "scopes.all.rules[0]" in str(refusal.value)
+
+
+def computed(expr):
+    from stoatrouter.matching.records import Computed
+    return Computed(expr)
+
+
+@pytest.mark.parametrize(("expr", "fine"), [
+    ('request.method == "GET" ? "score-read" : "event-write"', True),
+    ('request.method != "GET" ? "event-write" : "score-read"', True),
+    ('request.method == "PUT" ? "event-write" : "score-read"', False),  # what else may come: a POST
+    ('{"a": "score-read"}[?request.class].orValue("event-write")', False),
+    ("request.method", False),
+])
+def test_a_computed_class_is_proven_for_every_text_that_it_yields(expr, fine):
+    given = rule("r", "true", request_class=computed(expr))
+    if fine:
+        assert table(given).decide(ask(method="POST")).request_class == 1
+        return
+    with pytest.raises(TableError):
+        table(given)
+
+
+def test_the_operator_may_give_the_right_to_repeat_unsafe_methods():
+    from stoatrouter.matching.records import Rights
+    scope = Scope(("*",), ("/",), ("score-read",), ("basic",), (FEED,), 1000, rights=Rights(True))
+    assert table(rule("r", "true", request_class="score-read"), scope=scope).decide(ask(method="PUT")).request_class == 0
+
+
+def test_a_budget_is_of_what_one_request_may_meet():
+    spread = [rule(f"r{i}", f'request.path.startsWith("/{i}/") && request.size > {i}') for i in range(100)]
+    scope = Scope(("*",), ("/",), ("event-write",), ("basic",), (FEED,), 100)
+    assert table(*spread, scope=scope).compartments["all"].worst <= 100  # each request meets few of them
+    with pytest.raises(TableError, match="keep rules apart"):
+        table(*(rule(f"r{i}", f"request.size > {i}") for i in range(100)), scope=scope)
+
+
+# -- files --------------------------------------------------------------------------------------------------
+def test_teams_are_apart_and_errors_have_their_file_and_line(tmp_path):
+    path = write_rules(tmp_path, operator=OPERATOR.replace('paths: ["/app/"]', 'paths: ["/app/", "/feed/"]'),
+                       app=f'rules: [\n{READS},\n{{name: "x", when: "1", class: "score-read"}}]\nscopes: {{}}')
+    with pytest.raises(SettingsError) as refusal:
+        Tables(path, WORDS).load()
+    assert "app.cue:4: scopes: there is no such field" in str(refusal.value)  # a team says nothing of scopes
+    write_rules(tmp_path, operator=OPERATOR.replace('paths: ["/app/"]', 'paths: ["/app/", "/feed/"]'),
+                app=f'rules: [\n{READS},\n{{name: "x", when: "1", class: "score-read"}}]')
+    with pytest.raises(SettingsError) as refusal:
+        Tables(path, WORDS).load()
+    text = str(refusal.value)
+    assert "rules.cue:5: scopes.app" in text and "claimed by 'feed' as well" in text
+    assert "app.cue:3: scopes.app.rules[1].when: 1:1: this yields int, but bool is wanted here" in text
+
+
+def test_a_bad_table_changes_nothing_and_a_good_one_all(tmp_path):
+    path = write_rules(tmp_path)
+    tables = Tables(path, WORDS)
+    first, _ = tables.load()
+    write_rules(tmp_path, feed="rules: [")  # in the middle of being written
+    with pytest.raises(SettingsError, match="ends too early"):
+        tables.load()
+    write_rules(tmp_path, feed="")  # just begun to be written
+    with pytest.raises(SettingsError, match="rules: is missing"):
+        tables.load()
+    write_rules(tmp_path)
+    again, _ = tables.load()
+    assert again.epoch == first.epoch
+    assert again.compartments["app"] is first.compartments["app"]  # what has not changed is not made again
+    assert again.decide(ask()) == first.decide(ask())
+
+
+# -- repeats and shadows ------------------------------------------------------------------------------------
+T0 = timedelta(seconds=1000)
+
+
+def placed(matcher, at, key="k", **more):
+    return matcher.decide(ask(method="PUT", **more), T0 + timedelta(seconds=at), key)
+
+
+def test_a_repeat_after_a_reload_keeps_its_place():
+    old = table(rule("old", "true", key=computed("hash(request.path)"), shard=0))
+    new = table(rule("new", "true", key=computed('hash("other" + request.path)'), shard=1, volume=APP))
+    matcher = Matcher(old, {1: timedelta(seconds=5)})
+    first = placed(matcher, 0)
+    matcher.replace(new)
+    assert placed(matcher, 4) == first  # the repeat goes where nodes know it
+    assert placed(matcher, 8.9) == first  # and renews the window, as the nodes do
+    assert placed(matcher, 14).shard == 1  # a new request, by the new table
+    assert placed(matcher, 0, key="other").volume == APP
+
+
+def test_a_repeat_is_placed_even_where_the_new_table_refuses_it():
+    from stoatrouter.matching.records import Refusal as Says
+    matcher = Matcher(table(rule("old", "true")), {1: timedelta(seconds=5)})
+    first = placed(matcher, 0)
+    matcher.replace(table(Rule("none", "true", refuse=Says(403, "closed"))))
+    assert placed(matcher, 1) == first and placed(matcher, 1, key="k2") == Refusal(403, "closed", "all", "none")
+
+
+def test_a_key_of_another_request_is_refused():
+    matcher = Matcher(table(rule("r", "true")), {1: timedelta(seconds=5)})
+    placed(matcher, 0)
+    assert placed(matcher, 1, target="/feed/a?x=1").status == 422
+    assert isinstance(placed(matcher, 1, target="/feed/b"), Decision)  # another path has keys of its own
+
+
+def test_placements_are_bounded_and_what_is_forgotten_is_counted():
+    kept, decision = Placements(most=10), table(rule("r", "true")).decide(ask())
+    for i in range(25):
+        kept.keep(("h", "/", str(i)), decision, 0, T0, timedelta(seconds=5))
+    assert len(kept.held) == 10 and kept.forgotten == 15
+    assert kept.find(("h", "/", "24"), 0, T0) == decision and kept.find(("h", "/", "3"), 0, T0) is None
+    kept.keep(("h", "/", "x"), decision, 0, T0 + timedelta(seconds=6), timedelta(seconds=5))
+    assert len(kept.held) == 1 and kept.forgotten == 15  # those whose time is over are not counted
+
+
+def test_a_shadow_decides_nothing_and_its_differences_are_counted_by_rule():
+    reads = rule("reads", 'request.method == "GET"', request_class="score-read")
+    matcher = Matcher(table(reads, rule("rest", "true")))
+    matcher.put_in_shadow(table(rule("all", "true")))
+    assert matcher.decide(ask(), T0).request_class == 0
+    assert matcher.decide(ask(method="PUT"), T0).request_class == 1
+    assert matcher.differences == {("all/reads", "all/all"): 1} and matcher.shadowed == 2
+
+
+def test_hostile_sources_in_a_table_are_flaws_with_a_place():
+    with pytest.raises(TableError) as refusal:
+        table(rule("long", "(" * (LONGEST + 1)), rule("open", "((("), rule("loop", "request.segments.map(x, x).map("))
+    assert [flaw.path for flaw in refusal.value.flaws] == [f"scopes.all.rules[{i}].when" for i in range(3)]
+
+
+def test_the_page_for_operators_has_rules_that_load(tmp_path):
+    page = Path(__file__).parents[1] / "docs" / "rules.md"
+    blocks = page.read_text().split("```cue\n")[1:]
+    operator, team = (block.partition("```")[0] for block in blocks[:2])
+    made, _ = Tables(write_rules(tmp_path, operator, feed=team), WORDS).load()
+    assert made.size >= 4 and not made.warnings
