--- a/stoatrouter/__main__.py
+++ b/stoatrouter/__main__.py
@@ -42,7 +42,9 @@
 from stoatrouter.net.nodes import NodeClient
 
 if TYPE_CHECKING:
+    from stoatrouter.fronts.http.settings import HttpSettings
     from stoatrouter.fronts.objects.settings import ObjectSettings
+    from stoatrouter.net.tables import TableService
 
 # Of the descriptors: clients hold a third of them at most for requests; some more may say nothing.
 NODE_SHARE, CLIENT_SHARE, IDLE_SHARE = 0.3, 0.58, 0.125
@@ -63,8 +65,11 @@
 class Head:
     """The parts of one head, put together."""
 
-    def __init__(self, conf: config.Config, objects: ObjectSettings | None = None) -> None:
-        self.conf, self.object_settings = conf, objects
+    def __init__(self, conf: config.Config, objects: ObjectSettings | None = None,
+                 http: HttpSettings | None = None) -> None:
+        self.conf, self.object_settings, self.http_settings = conf, objects, http
+        self.tables: list[TableService] = []
+        self.recorder = None
         nodes = NodeClient(conf.connect_timeout, conf.conn_idle, int(conf.sockets * NODE_SHARE),
                            span(min(c.aim for c in conf.settings.classes)))
         self.engine = Engine(Reducer(conf.settings, conf.seed, conf.max_open), Clock(), nodes,
@@ -76,12 +81,11 @@
         self.room = Room(max(SMALL, conf.memory_mb * 1_000_000 - BASE), conf.folder)
         front = PlatformFront(self.engine, conf.settings, self.drain, self.room)
         self.platform = Listener(front.handle, self.drain, front.refuse)
-        self.object_front = self.objects = None
+        self.object_front = self.objects = self.http_front = self.http = None
         if objects is not None:
-            from stoatrouter.fronts.objects.front import ObjectFront  # a head without it starts sooner
-
-            self.object_front = ObjectFront(self.engine.serve_whole, conf.settings, objects, self.drain)
-            self.objects = Listener(self.object_front.handle, self.drain)
+            self.open_objects(objects)
+        if http is not None:
+            self.open_http(http)
         # a door of its own: however many clients come, operators are heard
         self.management_door = Door(MOST_CALLERS, MOST_CALLERS, MOST_CALLERS)
         self.generations = Generations(self.engine, self.watch, self.door, self.drain, conf.folder, self.rest,
@@ -91,6 +95,39 @@
         self.management = Listener(calls.handle, Drain(self.management_door))
         self.background: list[asyncio.Task[None]] = []
 
+    # -- what is off on the platform: a head without it imports none of it -----------------------------------
+    def open_objects(self, objects: ObjectSettings) -> None:
+        from stoatrouter.fronts.objects.front import ObjectFront
+
+        choose = None
+        if objects.rules is not None:
+            from stoatrouter.fronts.objects.rules import Chooser
+            from stoatrouter.fronts.wiring import object_tables
+
+            service = object_tables(self.conf, objects)
+            self.tables.append(service)
+            choose = Chooser(service.matcher, self.conf.settings, self.engine.clock.now,
+                             self.engine.reducer.advice)
+        self.object_front = ObjectFront(self.engine.serve_whole, self.conf.settings, objects, self.drain,
+                                        choose)
+        self.objects = Listener(self.object_front.handle, self.drain)
+
+    def open_http(self, http: HttpSettings) -> None:
+        from stoatrouter.fronts.http.front import HttpFront
+        from stoatrouter.fronts.wiring import http_tables, recorder
+
+        service = http_tables(self.conf, http)
+        self.tables.append(service)
+        self.recorder = recorder(http)
+        self.http_front = HttpFront(self.engine, self.conf.settings, self.drain, self.room, service.matcher,
+                                    self.recorder, http.forwarded)
+        self.http = Listener(self.http_front.handle, self.drain)
+
+    @property
+    def listeners(self) -> list[Listener]:
+        """Where clients come."""
+        return [listener for listener in (self.platform, self.objects, self.http) if listener is not None]
+
     async def start(self) -> None:
         """Restore the list, then listen, then follow discovery."""
         if self.conf.management is not None:
@@ -105,7 +142,10 @@
         self.background = [loop.create_task(self.watch.run()), loop.create_task(self.door.keep_swept()),
                            loop.create_task(self.generations.follow()),
                            loop.create_task(self.management_door.keep_swept()),
-                           loop.create_task(watch_loop(self.engine, self.door, LAG_EVERY, LAG_LIMIT))]
+                           loop.create_task(watch_loop(self.engine, self.door, LAG_EVERY, LAG_LIMIT)),
+                           *(loop.create_task(service.keep_told()) for service in self.tables)]
+        if self.recorder is not None:
+            self.background.append(loop.create_task(self.recorder.run()))
         logger.info("start: {} listens on {}", self.conf.name, self.conf.listen)
 
     async def accept(self) -> None:
@@ -113,17 +153,21 @@
         await self.platform.start(*config.address(self.conf.listen), inherited=self.conf.inherited)
         if self.objects is not None and self.object_settings is not None:
             await self.objects.start(*config.address(self.object_settings.listen))
+        if self.http is not None and self.http_settings is not None:
+            await self.http.start(*config.address(self.http_settings.listen))
         self.serving = True
 
     async def rest(self) -> None:
         """Accept no more: another process of this head does."""
         self.serving = False
-        for listener in (self.platform, self.objects):
-            if listener is not None:
-                listener.rest()
+        for listener in self.listeners:
+            listener.rest()
 
     def reload(self, environ: Mapping[str, str]) -> None:
-        """Read the configuration again; all of it must be good. Discovery's address is taken over at once."""
+        """Read the configuration again; all of it must be good. Discovery's address is taken over at once,
+        rule tables once they are read."""
+        for service in self.tables:
+            service.reload()
         try:
             conf = config.reload(environ)
         except config.ConfigError as error:
@@ -143,10 +187,11 @@
         self.serving = False
         times = farewell(span(max(c.deadline for c in self.conf.settings.classes)))
         self.engine.answer_by = self.engine.clock.now() + times.answer_within
-        listeners = [listener for listener in (self.platform, self.objects) if listener is not None]
-        await asyncio.gather(*(li.stop(lambda: self.engine.busy, times.take_for) for li in listeners))
+        await asyncio.gather(*(li.stop(lambda: self.engine.busy, times.take_for) for li in self.listeners))
         self.drain.rest()
         await self.generations.close()
+        for service in self.tables:
+            await service.close()
         await self.management.close()
         for task in self.background:
             task.cancel()
@@ -154,7 +199,7 @@
         await self.engine.close()
 
 
-async def run(conf: config.Config, objects: ObjectSettings | None) -> None:
+async def run(conf: config.Config, objects: ObjectSettings | None, http: HttpSettings | None) -> None:
     """Serve until asked to stop."""
     loop, stop = asyncio.get_running_loop(), asyncio.Event()
     for sign in (signal.SIGTERM, signal.SIGINT):
@@ -162,7 +207,7 @@
     gc.freeze()
     gc.enable()
     gc.set_threshold(*GARBAGE)
-    head = Head(conf, objects)
+    head = Head(conf, objects, http)
     loop.add_signal_handler(signal.SIGHUP, head.reload, os.environ)
     if hangups.came:  # after the file was read, perhaps
         head.reload(os.environ)
@@ -177,12 +222,16 @@
                diagnose=False)
     try:
         conf = config.load(os.environ)
-        objects = None
+        objects = http = None
+        if conf.http:
+            from stoatrouter.fronts.http.settings import load_http
+
+            http = load_http(Path(conf.http))
         if conf.objects:
             from stoatrouter.fronts.objects.settings import load as load_objects
 
             objects = load_objects(Path(conf.objects), conf.settings, conf.shards)
-        asyncio.run(run(conf, objects))
+        asyncio.run(run(conf, objects, http))
     except (config.ConfigError, OSError) as error:
         logger.error("start: {}", error)
         return 2
--- a/stoatrouter/config.py
+++ b/stoatrouter/config.py
@@ -41,6 +41,7 @@
     inherited: int | None = None  # the descriptor of a listening socket that is held for this head
     folder: str | None = None  # where an upgrade finds what this head keeps; None: nothing is kept
     objects: str | None = None  # the operator's file of the object front; None: the front is off
+    http: str | None = None  # the same of the HTTP front
 
 
 def load(environ: Mapping[str, str]) -> Config:
@@ -66,6 +67,7 @@
         for key, variable in VARIABLES.items():
             data[key] = first.get(key) or data.get(key) or environ.get(variable)
         conf = replace(parse(data), objects=environ.get("STOATROUTER_OBJECTS") or None,
+                       http=environ.get("STOATROUTER_HTTP") or None,
                        folder=environ.get("TMPDIR") or None,
                        inherited=descriptor(environ.get("NODE_INHERITED_FD")))
         address(conf.listen), address(conf.discovery), conf.management and address(conf.management)
--- a/stoatrouter/core/model.py
+++ b/stoatrouter/core/model.py
@@ -29,6 +29,16 @@
     target: str = "/"
     body: Any = b""  # bytes, or what the network keeps of a large one
     idempotency_key: str | None = None
+    fields: tuple[tuple[str, str], ...] = ()  # header fields beside the protocol's own
+    passes: bool = False  # whatever a node says below 500 is the answer, with its status and fields
+
+
+@dataclass(slots=True, frozen=True)
+class Head:
+    """The status and header fields of a node's answer, for a front that passes them on."""
+
+    status: int
+    fields: tuple[tuple[str, str], ...]
 
 
 @dataclass(slots=True, frozen=True)
@@ -38,6 +48,7 @@
     body: bytes
     shard: int = -1
     flow: Any = None  # of a large one, what the network passes on as it comes
+    head: Head | None = None  # where the request passes it on
 
 
 @dataclass(slots=True, frozen=True)
@@ -119,6 +130,7 @@
     units_by_others: float = 0.0
     load: dict[str, float] | None = None
     flow: Any = None
+    head: Head | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/stoatrouter/core/reducer.py
+++ b/stoatrouter/core/reducer.py
@@ -180,7 +180,7 @@
         ok = event.outcome is api.Outcome.OK
         self.tally.add(event.outcome.name.lower())
         finished = ok or record.answered
-        served = model.Served(event.body, attempt.shard, event.flow)
+        served = model.Served(event.body, attempt.shard, event.flow, event.head)
         effects = self._answer(event.request, served) if ok else []
         effects += self._decide(api.AttemptEnded(
             request=event.request, attempt=event.attempt, node=attempt.node, outcome=event.outcome,
--- a/stoatrouter/expressions/compiler.py
+++ b/stoatrouter/expressions/compiler.py
@@ -78,7 +78,8 @@
     module = ast.fix_missing_locations(ast.Module(body=body, type_ignores=[]))
     names = {"__builtins__": {}, **made.names}
     exec(compile(module, "<expressions>", "exec", dont_inherit=True, optimize=0), names)  # noqa: S102
-    return [names[f"f{i}"] for i in range(len(expressions))]
+    # taken out of their globals: a function that holds itself would be left to the garbage collector
+    return [names.pop(f"f{i}") for i in range(len(expressions))]
 
 
 def arguments(*names: str) -> ast.arguments:
--- /dev/null
+++ b/stoatrouter/fronts/exchange.py
@@ -0,0 +1,87 @@
+"""One exchange with a client, as fronts over HTTP have it: its body read, its one answer given."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+from aiohttp import HttpVersion11, web
+
+from stoatrouter.core import model
+from stoatrouter.net.bodies import Body, BrokenOff, Flow, Room, TooLarge, TooSlow, read_body
+from stoatrouter.net.engine import Engine
+from stoatrouter.net.listener import Drain
+
+
+class BadRequest(Exception):
+    """The client's request is malformed; it never reaches the core."""
+
+    def __init__(self, reason: str, status: int = 400) -> None:
+        super().__init__(reason)
+        self.reason, self.status = reason, status
+
+
+class Exchange:
+    """What fronts share that make one request of the core of one of HTTP."""
+
+    def __init__(self, engine: Engine, drain: Drain, room: Room) -> None:
+        self.engine, self.drain, self.room = engine, drain, room
+
+    async def read(self, request: web.BaseRequest) -> Body:
+        """The body, all of it; or what is wrong with it."""
+        try:
+            body = await read_body(request, self.room)
+        except TooLarge:
+            raise BadRequest("the body is too large", 413) from None
+        except TooSlow:
+            raise BadRequest("the body did not come in time", 408) from None
+        except web.RequestPayloadError:
+            raise BadRequest("the body cannot be read") from None
+        return body
+
+    async def pass_on(self, request: web.BaseRequest, name: str, flow: Flow,
+                      response: web.StreamResponse | None = None) -> web.StreamResponse:
+        """Pass an answer on as it comes. A broken one ends its connection, so that the client can tell."""
+        response = self.drain.mark(response or web.StreamResponse())
+        if flow.length is not None:
+            response.content_length = flow.length
+        elif request.version >= HttpVersion11:
+            response.enable_chunked_encoding()
+        else:
+            response.force_close()
+        whole: bool | None = None
+        try:
+            await response.prepare(request)
+            async for piece in flow.pieces():
+                await response.write(piece)
+            await response.write_eof()
+            whole = True
+        except BrokenOff:
+            whole = False
+            if request.transport is not None:
+                request.transport.close()  # what was written still goes out
+        finally:
+            flow.close()
+            self.engine.flow_ended(name, whole)
+        return response
+
+
+def last(response: web.Response) -> web.Response:
+    """The last answer of a connection: what is left of its request is not read."""
+    response.force_close()
+    return response
+
+
+def answer(final: model.Answer) -> web.Response:
+    """A final answer on this wire."""
+    match final:
+        case model.Served():
+            return web.Response(body=final.body)
+        case model.Refused():
+            return web.Response(status=503, headers=retry_after(final.retry_in))
+        case _:
+            return web.Response(status=502)
+
+
+def retry_after(span: timedelta) -> dict[str, str]:
+    """The advice when to come back, in decimal seconds; a refusal always carries it."""
+    return {"Retry-After": f"{span.total_seconds():.3f}"}
--- /dev/null
+++ b/stoatrouter/fronts/http/front.py
@@ -0,0 +1,191 @@
+"""Any HTTP request: read, matched, and put to the core once; the node's answer goes back as it is."""
+
+from __future__ import annotations
+
+import secrets
+
+from aiohttp import web
+from multidict import CIMultiDict
+
+from cypressworks import interface as api
+from stoatrouter.core import model
+from stoatrouter.fronts.exchange import BadRequest, Exchange, answer, last, retry_after
+from stoatrouter.matching.inputs import Input, Unreadable, read_input
+from stoatrouter.matching.matcher import Matcher
+from stoatrouter.matching.table import Decision, Refusal
+from stoatrouter.net.bodies import Kept, NoRoom, Room
+from stoatrouter.net.engine import Engine
+from stoatrouter.net.listener import Drain
+from stoatrouter.net.nodes import HOP_BY_HOP
+from stoatrouter.net.recorder import Recorder
+
+# Of a client's request: those of its connection, those that the node client writes itself, and those that the
+# nodes' protocol gives a meaning.
+OWN = HOP_BY_HOP | {
+    "content-length",
+    "expect",
+    "req-id",
+    "req-deadline-ms",
+    "req-kind",
+    "req-retry",
+    "x-plan",
+    "x-io",
+    "idempotency-key",
+}
+KEY = "Idempotency-Key"
+LONGEST_KEY = 255  # characters
+
+
+class HttpFront(Exchange):
+    """Serves any HTTP client, by the rules."""
+
+    def __init__(
+        self,
+        engine: Engine,
+        settings: api.Settings,
+        drain: Drain,
+        room: Room,
+        matcher: Matcher,
+        recorder: Recorder | None = None,
+        forwarded: bool = True,
+    ) -> None:
+        super().__init__(engine, drain, room)
+        self.settings, self.matcher, self.recorder, self.forwarded = settings, matcher, recorder, forwarded
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """One request, and its one final answer."""
+        if request.raw_path == "/healthz":
+            return self.drain.mark(self.drain.health())
+        try:
+            given = read_request(request)
+            if self.recorder is not None:
+                self.recorder.take(given, request.raw_path, request.raw_headers)
+            decided = self.matcher.decide(given, self.engine.clock.now(), stated_key(request))
+            if isinstance(decided, Refusal):
+                return self.refused(request, decided)
+            wanted = self.translate(request, decided)
+            # Guards clients' connections: those that wait must not hold them all.
+            if self.drain.crowded():
+                turned_away = answer(self.engine.turn_away(wanted.request_class))
+                return last(turned_away) if request.body_exists else self.drain.mark(turned_away)
+            body = await self.read(request)
+        except (BadRequest, Unreadable) as error:
+            reason = error.reason if isinstance(error, BadRequest) else str(error)
+            return last(web.Response(status=error.status, text=f"{reason}\n"))
+        except NoRoom:
+            return last(answer(self.engine.turn_away(wanted.request_class)))
+        try:
+            return await self.put(request, wanted, body)
+        finally:
+            if isinstance(body, Kept):
+                body.close()
+
+    async def put(self, request: web.BaseRequest, wanted: model.Request, body: object) -> web.StreamResponse:
+        """Put a request to the core and give its answer."""
+        from dataclasses import replace
+
+        final = await self.engine.serve(replace(wanted, body=body))
+        if not isinstance(final, model.Served):
+            return self.drain.mark(answer(final))
+        head = final.head or model.Head(200, ())
+        if final.flow is not None:
+            response = web.StreamResponse(status=head.status, headers=without_length(head))
+            return await self.pass_on(request, wanted.id, final.flow, response)
+        return self.drain.mark(whole(request, head, final.body))
+
+    def refused(self, request: web.BaseRequest, refusal: Refusal) -> web.StreamResponse:
+        """What a rule refuses is answered at once; where trying again may help, with the advice when."""
+        headers = retry_after(self.engine.reducer.advice) if refusal.status in (429, 503) else None
+        response = web.Response(status=refusal.status, text=f"{refusal.reason}\n", headers=headers)
+        return last(response) if request.body_exists else self.drain.mark(response)
+
+    def translate(self, request: web.BaseRequest, decided: Decision) -> model.Request:
+        """The request of the core that a decision makes."""
+        chosen = self.settings.classes[decided.request_class]
+        key = stated_key(request)
+        if key is None and chosen.effect is api.Effect.KEYED:
+            key = secrets.token_hex(8)  # for the head's own repeats: nodes tell them by it
+        return model.Request(
+            id=secrets.token_hex(8),
+            request_class=decided.request_class,
+            plan=decided.plan,
+            volume=decided.volume,
+            key=decided.key,
+            shard=decided.shard,
+            units=decided.units,
+            hosts=decided.hosts,
+            time_left=decided.deadline,
+            write=chosen.writes,
+            repeat=decided.repeat,
+            method=request.method,
+            target=origin_form(request.raw_path),
+            idempotency_key=key,
+            fields=self.fields(request),
+            passes=True,
+        )
+
+    def fields(self, request: web.BaseRequest) -> tuple[tuple[str, str], ...]:
+        """The header fields that a node sees."""
+        named = {name.strip().lower() for name in request.headers.get("Connection", "").split(",")}
+        left = OWN | named
+        kept = [(name, value) for name, value in request.headers.items() if name.lower() not in left]
+        if self.forwarded and request.remote:
+            before = ", ".join(request.headers.getall("X-Forwarded-For", []))
+            kept = [pair for pair in kept if pair[0].lower() != "x-forwarded-for"]
+            kept.append(("X-Forwarded-For", f"{before}, {request.remote}" if before else request.remote))
+            kept.append(("Via", f"{request.version.major}.{request.version.minor} stoatrouter"))
+        return tuple(kept)
+
+
+def read_request(request: web.BaseRequest) -> Input:
+    """A request as rules see it; raises Unreadable or BadRequest."""
+    if request.method == "CONNECT" or "Upgrade" in request.headers:
+        raise BadRequest("tunnels and upgrades are not served", 501)
+    if request.headers.get("Expect", "100-continue").lower() != "100-continue":
+        raise BadRequest("an expectation that cannot be met", 417)
+    size = request.content_length
+    stated = size if size is not None else -1 if request.body_exists else 0
+    return read_input(
+        request.method, request.raw_path, request.raw_headers, request.remote or "0.0.0.0", stated
+    )
+
+
+def stated_key(request: web.BaseRequest) -> str | None:
+    """The client's idempotency key."""
+    key = request.headers.get(KEY)
+    if key is None:
+        return None
+    # Guards the nodes' protocol: what goes on as a header must be one, and of a bounded length.
+    if not key or len(key) > LONGEST_KEY or not key.isascii() or not key.isprintable():
+        raise BadRequest(f"{KEY} must have 1 to {LONGEST_KEY} visible characters")
+    return key
+
+
+def origin_form(target: str) -> str:
+    """The target as a node is asked for it: without a scheme and host."""
+    if target.startswith("/"):
+        return target
+    rest = target.partition("://")[2]
+    slash = min((at for at in (rest.find("/"), rest.find("?")) if at >= 0), default=-1)
+    if slash < 0:
+        return "/"
+    return rest[slash:] if rest[slash] == "/" else "/" + rest[slash:]
+
+
+def without_length(head: model.Head) -> CIMultiDict[str]:
+    """Fields for an answer whose framing is this connection's own."""
+    return CIMultiDict((name, value) for name, value in head.fields if name.lower() != "content-length")
+
+
+def whole(request: web.BaseRequest, head: model.Head, body: bytes) -> web.Response:
+    """An answer that is here whole. To HEAD, the length that the node stated stays."""
+    fields = without_length(head)
+    if request.method == "HEAD":
+        stated = next((value for name, value in head.fields if name.lower() == "content-length"), None)
+        response = web.Response(status=head.status, headers=fields)
+        if stated is not None and stated.isdigit():
+            response.headers["Content-Length"] = stated
+        return response
+    return web.Response(
+        status=head.status, headers=fields, body=body if head.status not in (204, 304) else None
+    )
--- a/stoatrouter/fronts/objects/errors.py
+++ b/stoatrouter/fronts/objects/errors.py
@@ -9,11 +9,12 @@
 from aiohttp import web
 
 STATUS = {
-    "BadDigest": 400, "EntityTooLarge": 413, "IncompleteBody": 400, "InternalError": 500,
+    "AccessDenied": 403, "BadDigest": 400, "EntityTooLarge": 413, "IncompleteBody": 400, "InternalError": 500,
     "InvalidArgument": 400, "InvalidDigest": 400, "InvalidPart": 400, "InvalidPartOrder": 400,
-    "InvalidRange": 416, "KeyTooLongError": 400, "MalformedXML": 400, "MethodNotAllowed": 405,
-    "MissingContentLength": 411, "NoSuchBucket": 404, "NoSuchKey": 404, "NoSuchUpload": 404,
-    "NotImplemented": 501, "PreconditionFailed": 412, "RequestTimeout": 400, "SlowDown": 503,
+    "InvalidRange": 416, "InvalidRequest": 400, "KeyTooLongError": 400, "MalformedXML": 400,
+    "MethodNotAllowed": 405, "MissingContentLength": 411, "NoSuchBucket": 404, "NoSuchKey": 404,
+    "NoSuchUpload": 404, "NotImplemented": 501, "PreconditionFailed": 412, "RequestTimeout": 400,
+    "SlowDown": 503,
 }
 
 
--- a/stoatrouter/fronts/objects/front.py
+++ b/stoatrouter/fronts/objects/front.py
@@ -10,7 +10,7 @@
 import secrets
 import time
 import xml.etree.ElementTree as ET
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator, Callable, Mapping
 from datetime import timedelta
 from urllib.parse import parse_qsl, unquote
 from xml.sax.saxutils import escape
@@ -24,7 +24,7 @@
 from stoatrouter.fronts.objects.extents import BadPiece
 from stoatrouter.fronts.objects.manifest import MOST_REFS, Manifest, Upload
 from stoatrouter.fronts.objects.settings import Bucket, ObjectSettings
-from stoatrouter.fronts.objects.store import Serve, Store
+from stoatrouter.fronts.objects.store import Pieces, Serve, Store
 from stoatrouter.fronts.objects.tokens import Part, Tokens
 from stoatrouter.net.listener import Drain
 
@@ -39,14 +39,20 @@
               "x-amz-server-side-encryption", "x-amz-server-side-encryption-customer-algorithm",
               "x-amz-website-redirect-location")
 XML = '<?xml version="1.0" encoding="UTF-8"?>\n'
+OPERATIONS = {("GET",): "read", ("HEAD",): "read", ("PUT",): "write", ("POST", "uploads"): "initiate",
+              ("PUT", "partNumber", "uploadId"): "write-part", ("POST", "uploadId"): "complete",
+              ("DELETE", "uploadId"): "abort"}
+Choose = Callable[[web.BaseRequest, ObjectSettings, Bucket, str, str], tuple[ObjectSettings, Bucket, Pieces]]
 NAMESPACE = "http://s3.amazonaws.com/doc/2006-03-01/"
 
 
 class ObjectFront:
     """Serves the object API; keeps nothing between calls."""
 
-    def __init__(self, serve: Serve, settings: api.Settings, conf: ObjectSettings, drain: Drain) -> None:
+    def __init__(self, serve: Serve, settings: api.Settings, conf: ObjectSettings, drain: Drain,
+                 choose: Choose | None = None) -> None:
         self.serve, self.settings, self.conf, self.drain = serve, settings, conf, drain
+        self.choose = choose  # what rules say of a call; None: the file's classes hold for all
         self.tokens = Tokens(conf.secret)
         self.operations = 0
 
@@ -93,8 +99,8 @@
         for header in NOT_SERVED:
             if header in request.headers:
                 raise ObjectError("NotImplemented", f"not served: {header}")
-        store = Store(self.serve, self.settings, self.conf, bucket)
         shape = (request.method, *sorted(fields.keys() - {"x-id"}))
+        store = self._store(request, bucket, key, OPERATIONS.get(shape, "other"))
         match shape:
             case ("GET" | "HEAD",):
                 return await self._read(request, store, key)
@@ -110,6 +116,12 @@
                 return await self._abort(store, key, fields["uploadId"])
         raise ObjectError("NotImplemented", "this call is not served")
 
+    def _store(self, request: web.BaseRequest, bucket: Bucket, key: str, operation: str) -> Store:
+        """The pieces of a bucket, as this call is to have them."""
+        if self.choose is None:
+            return Store(self.serve, self.settings, self.conf, bucket)
+        return Store(self.serve, self.settings, *self.choose(request, self.conf, bucket, key, operation))
+
     def _names(self, path: str) -> tuple[Bucket, str]:
         """The bucket and key of a path; the key is taken as it is once its escapes are undone."""
         name, slash, rest = path.removeprefix("/").partition("/")
--- a/stoatrouter/fronts/objects/store.py
+++ b/stoatrouter/fronts/objects/store.py
@@ -12,6 +12,7 @@
 import secrets
 from collections import deque
 from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
+from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any, Generic, TypeVar
 
@@ -38,11 +39,23 @@
 DEEPEST = 4  # pages upon pages; more than any body can need
 
 
+@dataclass(slots=True, frozen=True)
+class Pieces:
+    """What rules say of a call's pieces, beside their classes and plan."""
+
+    shard: int = -1  # where new ones go; -1: to any node
+    deadline: timedelta | None = None  # of each; None: its class's
+
+
+ANYWHERE = Pieces()
+
+
 class Store:
     """The pieces of one volume."""
 
-    def __init__(self, serve: Serve, settings: api.Settings, conf: ObjectSettings, bucket: Bucket) -> None:
-        self.serve, self.settings, self.conf, self.bucket = serve, settings, conf, bucket
+    def __init__(self, serve: Serve, settings: api.Settings, conf: ObjectSettings, bucket: Bucket,
+                 pieces: Pieces = ANYWHERE) -> None:
+        self.serve, self.settings, self.conf, self.bucket, self.pieces = serve, settings, conf, bucket, pieces
 
     # -- single pieces ------------------------------------------------------------------------------------
     async def read_piece(self, piece: str, shard: int, size: int = PAYLOAD) -> bytes | None:
@@ -54,8 +67,9 @@
             raise ObjectError("InternalError", f"a node gave a wrong piece: {error}") from None
 
     async def write_piece(self, payload: bytes, piece: str | None = None, shard: int = -1) -> Ref:
-        """Write a piece: a new one to whatever node, or a named one to its own shard."""
-        piece = piece or secrets.token_hex(8)
+        """Write a piece: a new one to whatever node or where rules say, a named one to its own shard."""
+        if piece is None:
+            piece, shard = secrets.token_hex(8), self.pieces.shard
         body = frame(piece, payload)
         served = await self._ask(self._request(self.conf.write_class, piece, shard, len(body), body))
         return Ref(piece, served.shard, len(payload))
@@ -63,9 +77,12 @@
     def _request(self, kind: int, piece: str, shard: int, size: int, body: bytes = b"") -> model.Request:
         chosen, bucket = self.settings.classes[kind], self.bucket
         keyed = chosen.effect is api.Effect.KEYED
+        time_left = span(chosen.deadline)
+        if self.pieces.deadline is not None:
+            time_left = min(time_left, self.pieces.deadline)
         return model.Request(
             id=secrets.token_hex(8), request_class=kind, plan=bucket.plan, volume=bucket.volume, key=piece,
-            shard=shard, units=self._units(size), hosts=bucket.hosts, time_left=span(chosen.deadline),
+            shard=shard, units=self._units(size), hosts=bucket.hosts, time_left=time_left,
             write=chosen.writes, method="PUT" if chosen.writes else "GET",
             target=f"/{chosen.name}/{bucket.volume}/{piece}", body=body,
             # fresh for each writing: a manifest written anew is no repeat of the one before
--- a/stoatrouter/fronts/platform.py
+++ b/stoatrouter/fronts/platform.py
@@ -7,11 +7,12 @@
 from dataclasses import replace
 from datetime import timedelta
 
-from aiohttp import HttpVersion11, web
+from aiohttp import web
 
 from cypressworks import interface as api
 from stoatrouter.core import model
-from stoatrouter.net.bodies import Body, BrokenOff, Flow, Kept, NoRoom, Room, TooLarge, TooSlow, read_body
+from stoatrouter.fronts.exchange import BadRequest, Exchange, answer, last, retry_after
+from stoatrouter.net.bodies import Kept, NoRoom, Room
 from stoatrouter.net.engine import Engine
 from stoatrouter.net.listener import Drain
 
@@ -22,19 +23,11 @@
 LENGTH = re.compile(rb"\r\ncontent-length: *([0-9]{1,6}) *(?:\r|$)", re.IGNORECASE)
 
 
-class BadRequest(Exception):
-    """The client's request is malformed; it never reaches the core."""
-
-    def __init__(self, reason: str, status: int = 400) -> None:
-        super().__init__(reason)
-        self.reason, self.status = reason, status
-
-
-class PlatformFront:
+class PlatformFront(Exchange):
     """Serves the platform's clients."""
 
     def __init__(self, engine: Engine, settings: api.Settings, drain: Drain, room: Room) -> None:
-        self.engine, self.drain, self.room = engine, drain, room
+        super().__init__(engine, drain, room)
         self.settings = settings
         self.classes = {c.name: i for i, c in enumerate(settings.classes)}
         self.plans = {p.name: i for i, p in enumerate(settings.plans)}
@@ -49,6 +42,10 @@
                 refused = answer(self.engine.turn_away(wanted.request_class))
                 return last(refused) if request.body_exists else self.drain.mark(refused)
             body = await self.read(request)
+            if request.method == "GET" and len(body):
+                if isinstance(body, Kept):
+                    body.close()
+                raise BadRequest("a read has no body")
         except BadRequest as error:
             return last(web.Response(status=error.status, text=f"{error.reason}\n"))
         except NoRoom:
@@ -79,47 +76,6 @@
         fields += "Connection: close\r\n" if self.drain.closing else ""
         return f"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n{fields}\r\n".encode()
 
-    async def read(self, request: web.BaseRequest) -> Body:
-        """The body, all of it; or what is wrong with it."""
-        try:
-            body = await read_body(request, self.room)
-        except TooLarge:
-            raise BadRequest("the body is too large", 413) from None
-        except TooSlow:
-            raise BadRequest("the body did not come in time", 408) from None
-        except web.RequestPayloadError:
-            raise BadRequest("the body cannot be read") from None
-        if request.method == "GET" and len(body):
-            if isinstance(body, Kept):
-                body.close()
-            raise BadRequest("a read has no body")
-        return body
-
-    async def pass_on(self, request: web.BaseRequest, name: str, flow: Flow) -> web.StreamResponse:
-        """Pass an answer on as it comes. A broken one ends its connection, so that the client can tell."""
-        response = self.drain.mark(web.StreamResponse())
-        if flow.length is not None:
-            response.content_length = flow.length
-        elif request.version >= HttpVersion11:
-            response.enable_chunked_encoding()
-        else:
-            response.force_close()
-        whole: bool | None = None
-        try:
-            await response.prepare(request)
-            async for piece in flow.pieces():
-                await response.write(piece)
-            await response.write_eof()
-            whole = True
-        except BrokenOff:
-            whole = False
-            if request.transport is not None:
-                request.transport.close()  # what was written still goes out
-        finally:
-            flow.close()
-            self.engine.flow_ended(name, whole)
-        return response
-
     def translate(self, request: web.BaseRequest) -> model.Request:
         """Read a request of the core out of the client's, or say what is wrong with it."""
         headers, target = request.headers, request.raw_path
@@ -166,25 +122,3 @@
     if not math.isfinite(units) or units <= 0 or shard < -1 or hosts < 1:
         raise BadRequest("X-IO out of range")
     return units, shard, hosts
-
-
-def last(response: web.Response) -> web.Response:
-    """The last answer of a connection: what is left of its request is not read."""
-    response.force_close()
-    return response
-
-
-def answer(final: model.Answer) -> web.Response:
-    """A final answer on this wire."""
-    match final:
-        case model.Served():
-            return web.Response(body=final.body)
-        case model.Refused():
-            return web.Response(status=503, headers=retry_after(final.retry_in))
-        case _:
-            return web.Response(status=502)
-
-
-def retry_after(span: timedelta) -> dict[str, str]:
-    """The advice when to come back, in decimal seconds; a refusal always carries it."""
-    return {"Retry-After": f"{span.total_seconds():.3f}"}
--- a/stoatrouter/matching/files.py
+++ b/stoatrouter/matching/files.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 
 from stoatrouter.expressions.environment import Environment
 from stoatrouter.matching.inputs import HTTP
 from stoatrouter.matching.records import Rule, Rules, Team
-from stoatrouter.matching.table import Cache, Flaw, Loader, Table, TableError, Vocabulary
+from stoatrouter.matching.table import Bucket, Cache, Flaw, Loader, Table, TableError, Vocabulary
 from stoatrouter.settings import Loaded, Place, SettingsError, Wrong, load
 
 RULES, TEAM = "rules.#Rules", "rules.#Team"
@@ -94,6 +94,7 @@
     path: Path
     words: Vocabulary
     environment: Environment = HTTP
+    buckets: Mapping[str, Bucket] | None = None
     files: Files = field(default_factory=Files)
     cache: Cache = field(default_factory=Cache)
 
@@ -102,7 +103,7 @@
         sources = self.files.read(self.path)
         rules: dict[str, Sequence[Rule]] = {name: team.record.rules for name, team in sources.teams.items()}
         try:
-            loader = Loader(self.words, self.environment, self.cache)
+            loader = Loader(self.words, self.environment, self.cache, self.buckets)
             return loader.load(sources.operator.record, rules, sources.epoch), sources
         except TableError as error:
             raise SettingsError(*(sources.wrong(flaw) for flaw in error.flaws)) from None
--- a/stoatrouter/matching/records.py
+++ b/stoatrouter/matching/records.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from typing import Literal
-
 import msgspec
 
 
@@ -70,7 +68,6 @@
 
     scopes: dict[str, Scope]
     otherwise: Otherwise
-    mode: Literal["enforce", "shadow"] = "enforce"
 
 
 class Team(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/stoatrouter/matching/table.py
+++ b/stoatrouter/matching/table.py
@@ -71,6 +71,14 @@
         return f"{self.path}: {inner}{self.what}" + (f" ({self.remedy})" if self.remedy else "")
 
 
+@dataclass(slots=True, frozen=True)
+class Bucket:
+    """What the object front says of a bucket: its volume, and its plan where that is not the table's."""
+
+    volume: str
+    plan: str | None
+
+
 class TableError(Exception):
     """A table was refused; all its flaws."""
 
@@ -107,6 +115,7 @@
 
 
 Run = Callable[[Input], Any]
+Said = tuple[str, frozenset[str], frozenset[str]]  # a rule's place, its volumes, its plans
 
 
 @dataclass(slots=True, frozen=True)
@@ -155,9 +164,12 @@
         words: Vocabulary,
         warnings: Sequence[Flaw],
         epoch: str,
+        any_node: bool = False,
     ) -> None:
         self.compartments, self.areas, self.otherwise, self.words = compartments, areas, otherwise, words
         self.warnings, self.epoch = tuple(warnings), epoch
+        self.any_node = any_node  # where no key is given: a new object, that any node takes
+        self.owners = {volume: name for name, c in compartments.items() for volume in c.scope.volumes}
 
     @property
     def size(self) -> int:
@@ -185,19 +197,28 @@
             return Refusal(self.otherwise.status, self.otherwise.reason, home.name if home else None)
         if rule.rule.refuse is not None:
             return Refusal(rule.rule.refuse.status, rule.rule.refuse.reason, home.name, rule.name)
-        return self.yielded(home, rule, given)
+        decided = self.yielded(home, rule, given)
+        # Guards volumes against a computed one that falls on another team's.
+        if (
+            self.owners.get(decided.volume, home.name) != home.name
+            and decided.volume not in home.scope.volumes
+        ):
+            return Refusal(403, "this volume belongs to another scope", home.name, rule.name)
+        return decided
 
     def yielded(self, home: Compartment, rule: Compiled, given: Input) -> Decision:
         """The values of a rule that matched."""
         values, words = rule.values, self.words
         kind = words.class_number(values["class"].of(given))
-        plan = words.plans.index(values["plan"].of(given))
+        plan = words.plans.index(values["plan"].of(given)) if "plan" in values else -1
         assert kind is not None  # checked at load, for every text that can be yielded
         key = as_hex(values["key"].of(given)) if "key" in values else hex16(stable_hash(given.path))
         shard = (
             values["shard"].of(given)
             if "shard" in values
-            else (int(key, 16) % words.shards if words.shards else -1)
+            else (
+                int(key, 16) % words.shards if words.shards and ("key" in values or not self.any_node) else -1
+            )
         )
         units = (
             float(values["units"].of(given)) if "units" in values else by_size(given.size, words.max_units)
@@ -210,7 +231,7 @@
             home.name,
             rule.name,
             kind,
-            as_hex(values["volume"].of(given)),
+            as_hex(values["volume"].of(given)) if "volume" in values else "",
             plan,
             key,
             shard,
@@ -236,12 +257,18 @@
     """One load of one table; collects what is wrong. Expressions of a table before are taken from it."""
 
     def __init__(
-        self, words: Vocabulary, environment: Environment = HTTP, before: Cache | None = None
+        self,
+        words: Vocabulary,
+        environment: Environment = HTTP,
+        before: Cache | None = None,
+        buckets: Mapping[str, Bucket] | None = None,
     ) -> None:
-        self.words, self.environment = words, environment
+        self.words, self.environment, self.buckets = words, environment, buckets
+        self.plans: dict[str, tuple[str, str]] = {}  # of each volume, and where that is said
         self.cache = before if before is not None else Cache()
         self.flaws: list[Flaw] = []
         self.warnings: list[Flaw] = []
+        self.said: list[Said] = []  # of the scope at hand
 
     def wrong(self, path: str, what: str, remedy: str = "") -> None:
         self.flaws.append(Flaw(path, what, remedy))
@@ -253,6 +280,9 @@
             self.wrong("scopes", f"{len(rules.scopes)} scopes", f"{MOST_SCOPES} at most")
         if sum(len(teams.get(n, s.rules)) for n, s in rules.scopes.items()) > MOST_RULES:
             raise TableError([Flaw("scopes", "too many rules", f"{MOST_RULES} at most")])
+        for name, bucket in (self.buckets or {}).items():
+            if bucket.plan is not None:
+                self.plans[bucket.volume] = bucket.plan, f"the bucket {name!r}"
         for first, second, host, path in collisions(rules.scopes):
             self.wrong(
                 f"scopes.{second}",
@@ -273,13 +303,17 @@
             self.words,
             sorted(set(self.warnings)),
             epoch,
+            self.buckets is not None,
         )
 
     def compartment(self, name: str, scope: Scope, rules: Sequence[Rule]) -> Compartment | None:
         kept = self.cache.compartment(name, scope, rules)
         if kept is not None:
             self.warnings += kept[1]
+            for said in kept[2]:
+                self.one_plan(*said)
             return kept[0]
+        self.said = []
         path = f"scopes.{name}"
         before = len(self.flaws), len(self.warnings)
         self.scope_words(path, scope)
@@ -312,7 +346,7 @@
             )
         made = Compartment(name, scope, tuple(compiled), tree, worst)
         if len(self.flaws) == before[0]:
-            self.cache.keep(made, rules, self.warnings[before[1] :])
+            self.cache.keep(made, rules, self.warnings[before[1] :], self.said)
         return made
 
     def scope_words(self, path: str, scope: Scope) -> None:
@@ -372,6 +406,10 @@
             cost = self.values(place, scope, rule, parts, values)
         elif given := [name for name in FIELDS if getattr(rule, ATTRIBUTE.get(name, name)) is not None]:
             self.wrong(place, f"a rule that refuses yields no {given[0]}", "leave it out")
+        if self.buckets is not None and rule.refuse is None:
+            for name in PIECES_OWN:
+                if getattr(rule, name) is not None:
+                    self.wrong(f"{place}.{name}", f"an object's pieces have their own {name}", "leave it out")
         if rule.refuse is not None and not 400 <= rule.refuse.status <= 599:
             self.wrong(f"{place}.refuse.status", f"{rule.refuse.status} is no refusal", "400 to 599")
         if len(self.flaws) > before or when is None:
@@ -390,19 +428,54 @@
     def values(self, place: str, scope: Scope, rule: Rule, parts: Condition, values: dict[str, Value]) -> int:
         """Fill in what a rule yields; returns the steps that it takes."""
         cost = 0
+        plans: frozenset[str] = frozenset()
+        volumes: frozenset[str] = frozenset()
         for name in FIELDS:
             given = getattr(rule, ATTRIBUTE.get(name, name))
-            if given is None:
+            if given is None and not (self.buckets is not None and name in ("volume", "plan")):
                 given = self.only(place, scope, name)
             if given is None:
                 continue
             checker: Callable[..., tuple[Value, int] | None] = getattr(self, f"{name}_value")
             made = checker(f"{place}.{name}", scope, given, parts)
             if made is not None:
-                values[name], steps = made
+                values[name], steps = made[:2]
                 cost += steps
+                if name == "plan":
+                    plans = frozenset(o.text for o in made[2])
+                if name == "volume":
+                    volumes = (
+                        frozenset(o.text for o in made[2])
+                        if len(made) > 2
+                        else frozenset((f"{ANY} {place}",))
+                    )
+        self.said.append((place, self.reached(parts) if self.buckets is not None else volumes, plans))
+        self.one_plan(*self.said[-1])
         return cost
 
+    def reached(self, parts: Condition) -> frozenset[str]:
+        """The volumes of the buckets that a condition lets through."""
+        named = [d.values for d in parts.demands if d.dimension == ("bucket", "")]
+        return frozenset(
+            bucket.volume
+            for name, bucket in (self.buckets or {}).items()
+            if all(name in values for values in named)
+        )
+
+    def one_plan(self, place: str, volumes: frozenset[str], plans: frozenset[str]) -> None:
+        """Guards limits: they are kept by volume and plan; with two plans a volume would have two."""
+        for volume in sorted(volumes):
+            for plan in sorted(plans):
+                first, where = self.plans.setdefault(volume, (plan, place))
+                if first != plan:
+                    name = "a computed volume" if volume.startswith(ANY) else f"volume {volume!r}"
+                    self.wrong(
+                        place,
+                        f"{name} has plan {plan!r} here and {first!r} at {where}",
+                        "a volume has one plan",
+                    )
+                    return
+
     def only(self, place: str, scope: Scope, name: str) -> str | None:
         """What a rule leaves out, where its scope has one alone."""
         allowed = {"class": scope.classes, "plan": scope.plans, "volume": scope.volumes}.get(name)
@@ -464,13 +537,15 @@
 
     def plan_value(self, path: str, scope: Scope, given: str | Computed, parts: Condition) -> Any:
         made = self.named(path, scope.plans, given, "plan")
-        return made and made[:2]
+        return made
 
     def volume_value(self, path: str, scope: Scope, given: str | Computed, parts: Condition) -> Any:
         if ANY not in scope.volumes:
-            made = self.named(path, scope.volumes, given, "volume")
-            return made and made[:2]
-        return self.hexed(path, given)
+            return self.named(path, scope.volumes, given, "volume")
+        hexed = self.hexed(path, given)
+        if hexed is not None and hexed[0].run is None:
+            return *hexed, frozenset((Outcome(hexed[0].constant, False),))
+        return hexed
 
     def key_value(self, path: str, scope: Scope, given: str | Computed, parts: Condition) -> Any:
         return self.hexed(path, given)
@@ -553,6 +628,7 @@
 
 FIELDS = ("class", "volume", "plan", "key", "shard", "units", "repeat", "deadline")
 ATTRIBUTE = {"class": "request_class"}
+PIECES_OWN = ("volume", "units", "hosts", "repeat")  # of which a call of the object front has none
 
 
 def said(demand: Any) -> str:
@@ -572,7 +648,7 @@
         self.used: set[tuple[str, t.Type | None, int]] = set()
         self.environment: Environment | None = None
         self.words: Vocabulary | None = None
-        self.scopes: dict[str, tuple[Scope, tuple[Rule, ...], Compartment, list[Flaw]]] = {}
+        self.scopes: dict[str, tuple[Scope, tuple[Rule, ...], Compartment, list[Flaw], list[Said]]] = {}
 
     def begin(self, environment: Environment, words: Vocabulary) -> None:
         """Nothing that was made for other inputs or other words is of use."""
@@ -583,15 +659,15 @@
 
     def compartment(
         self, name: str, scope: Scope, rules: Sequence[Rule]
-    ) -> tuple[Compartment, list[Flaw]] | None:
+    ) -> tuple[Compartment, list[Flaw], list[Said]] | None:
         """A scope that is as it was when it was found good, with its warnings."""
         kept = self.scopes.get(name)
         if kept is None or kept[0] != scope or kept[1] != tuple(rules):
             return None
-        return kept[2], kept[3]
+        return kept[2], kept[3], kept[4]
 
-    def keep(self, made: Compartment, rules: Sequence[Rule], warnings: list[Flaw]) -> None:
-        self.scopes[made.name] = made.scope, tuple(rules), made, warnings
+    def keep(self, made: Compartment, rules: Sequence[Rule], warnings: list[Flaw], said: list[Said]) -> None:
+        self.scopes[made.name] = made.scope, tuple(rules), made, warnings, said
 
     def get(
         self, source: str, want: t.Type | None, environment: Environment, steps: int
--- a/stoatrouter/net/engine.py
+++ b/stoatrouter/net/engine.py
@@ -182,7 +182,8 @@
             reply = task.result()
         self.attempts.pop((effect.request.id, effect.attempt), None)
         self.put(model.AttemptEnded(self.clock.now(), effect.request.id, effect.attempt, reply.outcome,
-                                    reply.body, reply.units_by_others, reply.load, reply.flow))
+                                    reply.body, reply.units_by_others, reply.load, reply.flow,
+                                    reply.head))
         # Guards a connection against an answer that came after the one that was given.
         if reply.flow is not None and not reply.flow.taken:
             reply.flow.close()
--- a/stoatrouter/net/nodes.py
+++ b/stoatrouter/net/nodes.py
@@ -11,7 +11,7 @@
 from aiohttp.abc import AbstractStreamWriter
 from aiohttp.client_middlewares import ClientHandlerType
 from loguru import logger
-from multidict import CIMultiDictProxy
+from multidict import CIMultiDict, CIMultiDictProxy
 from yarl import URL
 
 from cypressworks.interface import Outcome
@@ -27,6 +27,9 @@
 READ_AHEAD = 64 * 1024  # of a body, before reading pauses
 LARGEST_COUNT = 1e6  # that a node can mean
 NUMBER = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?")
+HOP_BY_HOP = frozenset((
+    "connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "proxy-connection", "te",
+    "trailer", "transfer-encoding", "upgrade", "srv-load", "srv-declined", "x-served-elsewhere"))
 SKIPPED = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 
@@ -39,6 +42,7 @@
     units_by_others: float = 0.0
     load: dict[str, float] | None = None
     flow: Flow | None = None  # of an answer that is too large to be checked whole
+    head: model.Head | None = None  # for a request that passes it on
 
 
 class Broken(Exception):
@@ -110,7 +114,9 @@
         """Make one attempt; whatever happens to it becomes an outcome."""
         r = effect.request
         wait_ms = max(1, effect.timeout // timedelta(milliseconds=1))
-        headers = {"Req-Id": r.id, "Req-Deadline-Ms": str(wait_ms)}
+        headers: CIMultiDict[str] | dict[str, str] = {"Req-Id": r.id, "Req-Deadline-Ms": str(wait_ms)}
+        if r.fields:
+            headers = CIMultiDict((*headers.items(), *r.fields))
         if r.idempotency_key is not None:
             headers["Idempotency-Key"] = r.idempotency_key
         if isinstance(r.body, Kept):
@@ -122,7 +128,7 @@
             async with asyncio.timeout(effect.timeout.total_seconds()):
                 response = await self.session.request(r.method, url, headers=headers, data=data,
                                                       allow_redirects=False)
-                reply = await take(response)
+                reply = await take(response, r.passes)
             if reply.flow is not None:
                 response = None  # whoever passes it on closes it
             return reply
@@ -158,10 +164,26 @@
             return Reply(Outcome.RESET)
 
 
-async def take(response: aiohttp.ClientResponse) -> Reply:
+async def take(response: aiohttp.ClientResponse, passes: bool = False) -> Reply:
     """An answer: whole if it is small; else what came first, to be passed on with the rest."""
+    if passes and response.status < 500:
+        reply = await take_whole(response)
+        return replace(reply, head=model.Head(response.status, end_to_end(response.headers)))
     if response.status != 200:
         return judge(response.status, response.headers, await read_small(response))
+    return await take_whole(response)
+
+
+def end_to_end(headers: CIMultiDictProxy[str]) -> tuple[tuple[str, str], ...]:
+    """The fields of an answer that are for the client: not those of this connection (RFC 9110, 7.6.1), nor of
+    the nodes' protocol."""
+    named = {name.strip().lower() for name in headers.get("Connection", "").split(",")}
+    left = HOP_BY_HOP | named
+    return tuple((name, value) for name, value in headers.items() if name.lower() not in left)
+
+
+async def take_whole(response: aiohttp.ClientResponse) -> Reply:
+    """An answer that is good, whatever its status."""
     stated, body = response.content_length, b""
     while len(body) <= SMALL and (stated is None or stated <= SMALL or not body):
         data = await response.content.readany()
--- a/stoatrouter/net/pool.py
+++ b/stoatrouter/net/pool.py
@@ -40,6 +40,7 @@
         self.flowing = False  # its client has the first of it, and waits for the rest however slowly it comes
         self.head, self.left = b"", 0  # of the present answer: what has come of its head, what its body lacks
         self.in_body = False
+        self.bodiless = False  # whatever length it states: the answer to HEAD
         self.stall: asyncio.TimerHandle | None = None
         self.idle_since, self.idle_for = None, 0.0  # idle_for: before the present request
 
@@ -65,6 +66,7 @@
         """A request is about to be written."""
         self.asked, self.in_body, self.head, self.to_end, self.flowing = True, False, b"", False, False
         self.idle_for = 0.0 if self.idle_since is None else self._loop.time() - self.idle_since
+        self.bodiless = bool(params.get("skip_payload"))
         super().set_response_params(**params)
 
     def is_connected(self) -> bool:
@@ -112,7 +114,8 @@
 
     def _begin(self, head: bytes, rest: bytes) -> None:
         try:
-            length = body_length(head)
+            # RFC 9112, 6.3: no body follows these, whatever length they state
+            length = 0 if self.bodiless or head[9:12] in (b"204", b"304") else body_length(head)
         except ValueError as error:
             return self._spoilt(str(error))
         # Guards memory: it may pin the large block that it was read into, as long as the connection lives.
--- /dev/null
+++ b/stoatrouter/net/tables.py
@@ -0,0 +1,121 @@
+"""Rule tables of a running head: loaded at its start, and again beside its requests on SIGHUP."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import sys
+from datetime import timedelta
+
+from loguru import logger
+
+from stoatrouter.matching.files import Sources, Tables
+from stoatrouter.matching.matcher import Matcher
+from stoatrouter.matching.table import Table
+from stoatrouter.settings import SettingsError
+
+# While a table is made in another thread, the loop gets the interpreter back after so long (5 ms by default).
+SWITCH = timedelta(microseconds=500)
+MOST_SAID = 20  # lines about one table
+SAY_EVERY = timedelta(seconds=10)
+
+
+class TableService:
+    """Puts tables in force, one at a time."""
+
+    def __init__(self, tables: Tables, shadow: Tables | None, windows: dict[int, timedelta]) -> None:
+        self.tables, self.shadow = tables, shadow
+        table = self.told(*tables.load())
+        self.matcher = Matcher(table, windows)
+        if shadow is not None:
+            self.matcher.put_in_shadow(shadow.load()[0])
+        self.reloading: asyncio.Task[None] | None = None
+        self.again = False
+
+    def told(self, table: Table, sources: Sources) -> Table:
+        """Say which table this is, and what in it is idle."""
+        logger.info(
+            "rules: table {epoch} with {rules} rules in {scopes} scopes is in force",
+            event="rules.in_force",
+            epoch=table.epoch,
+            rules=table.size,
+            scopes=len(table.compartments),
+        )
+        for flaw in table.warnings[:MOST_SAID]:
+            logger.warning("rules: {warning}", event="rules.idle", warning=str(sources.wrong(flaw)))
+        return table
+
+    def reload(self) -> None:
+        """Read the files again, beside the requests. Asked again meanwhile, it does so once more after."""
+        if self.reloading is not None and not self.reloading.done():
+            self.again = True
+            return
+        self.reloading = asyncio.get_running_loop().create_task(self.load_again())
+
+    async def load_again(self) -> None:
+        self.again = True
+        while self.again:
+            self.again = False
+            try:
+                made = await asyncio.get_running_loop().run_in_executor(None, self.load)
+            except SettingsError as error:
+                # Guards a serving head against rules that are wrong or half written.
+                logger.error(
+                    "rules: refused, table {epoch} stays in force",
+                    event="rules.refused",
+                    epoch=self.matcher.table.epoch,
+                )
+                for wrong in error.wrongs[:MOST_SAID]:
+                    logger.error("rules: {wrong}", event="rules.wrong", wrong=str(wrong))
+                continue
+            except Exception:
+                logger.exception("rules: loading failed in an unforeseen way", event="rules.fault")
+                continue
+            (table, sources), shadow = made
+            self.matcher.replace(self.told(table, sources))
+            self.matcher.put_in_shadow(shadow)
+
+    def load(self) -> tuple[tuple[Table, Sources], Table | None]:
+        """Make the tables; in a thread of its own, so that requests go on."""
+        before = sys.getswitchinterval()
+        sys.setswitchinterval(SWITCH.total_seconds())
+        # Guards requests against standing still: looking for garbage in what is made takes a third of the
+        # time, and a second at once when it is done. What is made is kept; all else is freed at once.
+        gc.disable()
+        try:
+            return self.tables.load(), self.shadow.load()[0] if self.shadow is not None else None
+        finally:
+            gc.freeze()
+            gc.enable()
+            sys.setswitchinterval(before)
+
+    async def keep_told(self) -> None:
+        """Say now and then where the table in shadow decides otherwise, and what was forgotten."""
+        said, forgotten = 0, 0
+        while True:
+            await asyncio.sleep(SAY_EVERY.total_seconds())
+            matcher = self.matcher
+            different = matcher.differences.total()
+            if matcher.shadow is not None and different != said:
+                for (in_force, other), count in matcher.differences.most_common(MOST_SAID):
+                    logger.info(
+                        "rules: shadow differs {count} of {asked} times: {in_force} in force, {other} there",
+                        event="rules.shadow",
+                        count=count,
+                        asked=matcher.shadowed,
+                        in_force=in_force,
+                        other=other,
+                    )
+            said = different
+            if matcher.placements.forgotten != forgotten:
+                forgotten = matcher.placements.forgotten
+                logger.warning(
+                    "rules: {count} placements forgotten before their time",
+                    event="rules.forgotten",
+                    count=forgotten,
+                )
+
+    async def close(self) -> None:
+        if self.reloading is not None:
+            self.reloading.cancel()
+            await asyncio.gather(self.reloading, return_exceptions=True)
--- a/stoatrouter/settings/constraints.py
+++ b/stoatrouter/settings/constraints.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import operator
+import re
 from collections.abc import Callable
 from functools import lru_cache
 from typing import Any, Protocol
@@ -32,20 +33,25 @@
     "<": operator.lt,
     "<=": operator.le,
     "!=": operator.ne,
-    "=~": lambda text, pattern: compiled(pattern).search(text) is not None,
-    "!~": lambda text, pattern: compiled(pattern).search(text) is None,
+    "=~": lambda text, pattern: pattern.search(text) is not None,
+    "!~": lambda text, pattern: pattern.search(text) is None,
 }
 NOTHING = object()
 
 
 @lru_cache(maxsize=256)
-def compiled(pattern: str) -> Any:
-    """A pattern in RE2's syntax, which is CUE's."""
+def compiled(pattern: str, shipped: bool = False) -> Any:
+    """A pattern in RE2's syntax, which is CUE's. What the schemas ship is matched by `re`: each call of RE2's
+    lets go of the interpreter for a moment, and many of them in a thread leave the loop none of its turns.
+    """
+    if shipped:
+        return re.compile(pattern)
     options = re2.Options()
     options.log_errors = False
     return re2.compile(pattern, options)
 
 
+
 def kind_of_value(value: Any) -> str:
     if value is None:
         return "null"
@@ -95,6 +101,11 @@
     def is_struct(self) -> bool:
         return self.kinds == KINDS["struct"]
 
+    @property
+    def may_hold(self) -> bool:
+        """Whether it may have fields or elements."""
+        return "struct" in self.kinds or "list" in self.kinds
+
     def may_be(self, kinds: frozenset[str]) -> bool:
         return bool(self.kinds & kinds)
 
@@ -149,7 +160,8 @@
             return
         for name, operand, at in self.bounds:
             comparable = isinstance(operand, str) == isinstance(self.value, str)
-            if (comparable and not COMPARE[name](self.value, operand)) or (not comparable and name != "!="):
+            against = compiled(operand, at.file.startswith("<")) if name in ("=~", "!~") else operand
+            if (comparable and not COMPARE[name](self.value, against)) or (not comparable and name != "!="):
                 wrongs.append(self.beyond(f"{name}{s_text(operand)}", at, where))
                 return
 
--- a/stoatrouter/settings/evaluate.py
+++ b/stoatrouter/settings/evaluate.py
@@ -11,7 +11,7 @@
 import re
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from stoatrouter.settings import syntax as s
 from stoatrouter.settings.constraints import KINDS, Constraints, kind_of
@@ -52,6 +52,18 @@
     open: bool = False
 
 
+EMPTY: dict[str, type] = {
+    "arcs": dict,
+    "optional": dict,
+    "marks": dict,
+    "disjunctions": list,
+    "allowed": dict,
+    "patterns": list,
+    "lists": list,
+    "wrongs": list,
+}
+
+
 class Vertex:
     """A field's value, from all that is said of it."""
 
@@ -60,6 +72,7 @@
         "up",
         "conjuncts",
         "arcs",
+        "family",
         "optional",
         "marks",
         "expanded",
@@ -69,7 +82,6 @@
         "allowed",
         "patterns",
         "lists",
-        "structs",
         "wrongs",
         "chosen",
         "depth",
@@ -77,21 +89,33 @@
 
     def __init__(self, label: Label, up: Vertex | None) -> None:
         self.label, self.up = label, up
+        # all vertices of one evaluation: they refer to each other, and are let go together
+        self.family: list[Vertex] = [] if up is None else up.family
+        self.family.append(self)
+        if isinstance(label, int):
+            self.family = [self]  # an element of a list is let go once it has been taken out
         self.depth = 0 if up is None else up.depth + 1
         self.conjuncts: list[Conjunct] = []
-        self.arcs: dict[Label, Vertex] = {}
-        self.optional: dict[Label, list[Conjunct]] = {}  # said of fields that are not there so far
-        self.marks: dict[Label, str] = {}
-        self.expanded = self.expanding = False
         self.constraints = Constraints()
-        self.disjunctions: list[Conjunct] = []
-        self.allowed: dict[int, Allowed] = {}
-        self.patterns: list[tuple[s.Pattern, Conjunct, Scope]] = []
-        self.lists: list[tuple[s.ListOf, Conjunct]] = []
-        self.structs: list[s.Struct] = []
-        self.wrongs: list[Wrong] = []
+        self.expanded = self.expanding = False
         self.chosen: Vertex | None = None
 
+    if TYPE_CHECKING:
+        arcs: dict[Label, Vertex]
+        optional: dict[Label, list[Conjunct]]  # said of fields that are not there so far
+        marks: dict[Label, str]
+        disjunctions: list[Conjunct]
+        allowed: dict[int, Allowed]
+        patterns: list[tuple[s.Pattern, Conjunct, Scope]]
+        lists: list[tuple[s.ListOf, Conjunct]]
+        wrongs: list[Wrong]
+
+    def __getattr__(self, name: str) -> Any:
+        # only called for a slot that is not filled yet: most vertices are scalars, and have none of these
+        made = EMPTY[name]()
+        setattr(self, name, made)
+        return made
+
     @property
     def path(self) -> str:
         if self.up is None:
@@ -109,6 +133,20 @@
             made.conjuncts = self.optional.pop(label, made.conjuncts)
         return made
 
+    def release(self) -> None:
+        """Let go of everything. Guards a serving head: what refers to itself would be left to the garbage
+        collector, which would stand still for a second after a large file."""
+        family, self.family = self.family, []
+        for vertex in family:
+            if vertex is not self and vertex.family is not family:
+                vertex.release()
+            vertex.up = vertex.chosen = None
+            vertex.conjuncts.clear()
+            for name in EMPTY:
+                if name != "wrongs":
+                    getattr(vertex, name).clear()
+            vertex.family = []
+
     @property
     def at(self) -> s.Place:
         """Where the value stands: in an operator's file before the schema's."""
@@ -143,9 +181,10 @@
         waiting, seen = list(vertex.conjuncts), {id(vertex)}
         while waiting:
             self.take(vertex, waiting.pop(0), waiting, seen)
-        self.elements(vertex)
-        self.by_pattern(vertex)
-        self.closed(vertex)
+        if vertex.constraints.may_hold:
+            self.elements(vertex)
+            self.by_pattern(vertex)
+            self.closed(vertex)
         vertex.expanded, vertex.expanding = True, False
 
     def take(self, vertex: Vertex, conjunct: Conjunct, waiting: list[Conjunct], seen: set[int]) -> None:
@@ -165,9 +204,7 @@
             case s.BoundOf():
                 operand = self.bound_operand(vertex, node, conjunct)
                 if operand is not None:
-                    vertex.constraints.bound(
-                        node.operator, operand.value, node.at, vertex.wrongs, vertex
-                    )
+                    vertex.constraints.bound(node.operator, operand.value, node.at, vertex.wrongs, vertex)
             case s.Reference():
                 self.reference(vertex, node, conjunct, waiting, seen)
 
@@ -184,7 +221,6 @@
         return None
 
     def struct(self, vertex: Vertex, node: s.Struct, conjunct: Conjunct) -> None:
-        vertex.structs.append(node)
         vertex.constraints.kind("struct", node.at, vertex.wrongs, vertex)
         scope = Scope(conjunct.scope, vertex, frozenset(f.label for f in node.fields), conjunct.scope.imports)
         for given in node.fields:
@@ -285,7 +321,9 @@
         probe = Vertex("", None)
         probe.conjuncts = [Conjunct(s.Atom(pattern.at, label), scope), Conjunct(pattern, scope)]
         self.expand(probe)
-        return not probe.wrongs and not self.choose(probe).wrongs
+        fits = not probe.wrongs and not self.choose(probe).wrongs
+        probe.release()
+        return fits
 
     def closed(self, vertex: Vertex) -> None:
         """Fields that a definition does not allow."""
@@ -415,6 +453,32 @@
             wrongs.append(Wrong(place, vertex.path, "has no value", f"allowed: {described(vertex)}"))
         return wrongs
 
+    def finish(self, vertex: Vertex, places: dict[str, s.Place]) -> tuple[list[Wrong], Any]:
+        """Everything that is wrong with a vertex, and its plain data where nothing is. Elements of lists are
+        let go one by one: a file of many rules needs the memory of one."""
+        made = self.choose(vertex)
+        wrongs = [*vertex.wrongs, *(made.wrongs if made is not vertex else ())]
+        places[vertex.path] = vertex.at
+        if not (made.constraints.is_struct or made.lists):
+            return (wrongs or self.all_wrongs(vertex)), made.constraints.value
+        said = {wrong.path for wrong in wrongs}
+        fields: dict[Any, Any] = {}
+        for label, arc in list(made.arcs.items()):
+            mark = made.marks.get(label, "")
+            hidden = isinstance(label, str) and label[:1] in "#_"
+            if mark == "?" or hidden or (said and arc.path in said):
+                continue
+            if mark == "!":
+                wrongs.append(Wrong(made.at, arc.path, "is missing", f"allowed: {described(arc)}"))
+                continue
+            more, fields[label] = self.finish(arc, places)
+            wrongs += more
+            if isinstance(label, int):
+                arc.release()
+        if made.lists:
+            return wrongs, [fields[i] for i in sorted(fields)]
+        return wrongs, fields
+
     def export(self, vertex: Vertex, places: dict[str, s.Place]) -> Any:
         """The plain data of a vertex in which nothing is wrong; fills in where each path stands."""
         made = self.choose(vertex)
--- a/stoatrouter/settings/load.py
+++ b/stoatrouter/settings/load.py
@@ -220,17 +220,24 @@
     )
     evaluation = Evaluation()
     evaluation.expand(shipped_root)
-    wrongs = evaluation.all_wrongs(root)
+    try:
+        return made_of(evaluation, reader, root, record)
+    finally:
+        for vertex in (root, shipped_root, *reader.packages.values()):
+            vertex.release()
+
+
+def made_of(evaluation: Evaluation, reader: Reader, root: Vertex, record: type[Record]) -> Loaded[Record]:
+    """The record of a vertex that is to have no flaw."""
+    places: dict[str, s.Place] = {}
+    wrongs, data = evaluation.finish(root, places)
     if wrongs:
         raise SettingsError(*wrongs)
-    places: dict[str, s.Place] = {}
-    data = evaluation.export(root, places)
     try:
         made = msgspec.convert(data, record)
     except msgspec.ValidationError as error:
-        raise SettingsError(
-            Wrong(root.at, "", f"the schema lets through what the program cannot use: {error}")
-        ) from None
+        what = f"the schema lets through what the program cannot use: {error}"
+        raise SettingsError(Wrong(root.at, "", what)) from None
     return Loaded(made, places, reader.digests)
 
 
@@ -240,8 +247,7 @@
     root.conjuncts = reader.conjuncts([parse(text, "text")], root, Path("/nonexistent"))
     if reader.wrongs:
         raise SettingsError(*reader.wrongs)
-    evaluation = Evaluation()
-    wrongs = evaluation.all_wrongs(root)
+    wrongs, data = Evaluation().finish(root, {})
     if wrongs:
         raise SettingsError(*wrongs)
-    return evaluation.export(root, {})
+    return data
--- a/stoatrouter/settings/schemas/rules.cue
+++ b/stoatrouter/settings/schemas/rules.cue
@@ -2,7 +2,6 @@
 package schemas
 
 #Rules: {
-	mode: *"enforce" | "shadow"
 	scopes: {[string]: #Scope}
 	otherwise: {
 		status: *404 | int & >=400 & <=599
--- a/tests/test_objects.py
+++ b/tests/test_objects.py
@@ -13,6 +13,7 @@
 import pytest
 
 from stoatrouter.__main__ import Head
+from stoatrouter.config import ConfigError
 from stoatrouter.core import model
 from stoatrouter.fronts.objects import front, ranges
 from stoatrouter.fronts.objects.errors import ObjectError
@@ -422,3 +423,52 @@
     changed = ("B" if etag[0] == "A" else "A") + etag[1:]
     assert tokens.read_part(upload, changed) is None and tokens.read_part(upload, "") is None
     assert tokens.is_upload("bucket", "key", upload) and not tokens.is_upload("bucke", "tkey", upload)
+
+
+# -- rules ------------------------------------------------------------------------------------------------
+def object_rules(folder, rules):
+    (folder / "rules.cue").write_text(
+        'scopes: archive: {hosts: ["*"], paths: ["/footage/", "/exports/"], plans: ["basic", "premium"], '
+        'classes: ["score-read", "stats-export", "event-write"], volumes: ["*"], rules: [' + rules + "]}")
+    return {"rules": "rules.cue", "folder": folder}
+
+
+READ = '{name: "live", when: #"request.method in ["GET", "HEAD"] && object.key.startsWith("live/")"#, class: "score-read"}'
+WRITE = ('{name: "match", when: #"object.operation == "write" && object.bucket == "footage""#, class: "event-write", '
+         'key: expr: "hash(object.key)", deadline: "2s"}')
+BANNED = '{name: "none", when: #"request.method == "PUT" && object.key.startsWith("old/")"#, refuse: {status: 403, reason: "old"}}'
+
+
+def test_rules_give_calls_their_class_and_place_and_a_reload_loses_no_object(tmp_path):
+    async def story():
+        nodes = two()
+        operator = object_rules(tmp_path, ", ".join((BANNED, READ, WRITE)))
+        async with gateway(*nodes, operator=operator) as client:
+            assert (await client.call("PUT", "/footage/live/a", BODY))[0] == 200
+            new = [n for n in nodes if sum(size > 60_000 for _, _, _, size in n.seen) == 3]
+            assert len(new) == 1  # all full pieces lie where the rule's key says
+            for node in nodes:
+                node.seen.clear()
+            assert (await client.call("GET", "/footage/live/a"))[2] == BODY
+            assert {t.split("/")[1] for n in nodes for _, t, _, _ in n.seen} == {"score-read"}
+            assert error_code((await client.call("PUT", "/footage/old/x", b"1"))[2]) == "AccessDenied"
+            object_rules(tmp_path, READ)
+            client.head.tables[0].reload()
+            await client.head.tables[0].reloading
+            assert (await client.call("GET", "/footage/live/a"))[2] == BODY  # its place never was the table's
+            assert (await client.call("PUT", "/footage/old/x", b"1"))[0] == 200
+            settled(client)
+    run(story())
+
+
+@pytest.mark.parametrize(("rules", "what"), [
+    (WRITE[:-1] + ', plan: "basic"}', "a volume has one plan"),  # the bucket's file says premium
+    (WRITE[:-1] + ", units: 3}", "an object's pieces have their own units"),
+    (WRITE[:-1] + ', volume: "00000000f0a70001"}', "an object's pieces have their own volume"),
+])
+def test_rules_that_an_object_front_cannot_have_are_refused(tmp_path, rules, what):
+    async def story():
+        async with gateway(operator=object_rules(tmp_path, rules)):
+            pass
+    with pytest.raises(ConfigError, match=what):
+        run(story())
