--- a/stoatrouter/__main__.py
+++ b/stoatrouter/__main__.py
@@ -4,6 +4,12 @@
 
 import gc
 import os
+import sys
+
+if __name__ == "__main__" and len(sys.argv) > 1:
+    from stoatrouter.cli import main as command  # a command; a head is started without a word
+
+    command(prog_name="stoatrouter")
 
 from stoatrouter.net.hangup import hangups
 
@@ -18,7 +24,6 @@
 
 import asyncio
 import signal
-import sys
 from collections.abc import Mapping
 from datetime import timedelta
 from pathlib import Path
@@ -146,7 +151,8 @@
                            *(loop.create_task(service.keep_told()) for service in self.tables)]
         if self.recorder is not None:
             self.background.append(loop.create_task(self.recorder.run()))
-        logger.info("start: {} listens on {}", self.conf.name, self.conf.listen)
+        logger.info("start: {name} listens on {address}", event="start", name=self.conf.name,
+                    address=self.conf.listen)
 
     async def accept(self) -> None:
         """Accept clients at both fronts."""
@@ -172,18 +178,21 @@
             conf = config.reload(environ)
         except config.ConfigError as error:
             # Guards a serving head against a file that is half written or wrong.
-            logger.error("reload: the configuration in force stays: {}", error)
+            logger.error("reload: the configuration in force stays: {error}", event="reload.refused",
+                         error=str(error))
             return
         fixed = ("name", "listen", "settings", "sockets", "memory_mb", "conn_idle", "max_open")
         later = [name for name in fixed if getattr(conf, name) != getattr(self.conf, name)]
         if later:
-            logger.warning("reload: changes of {} wait for the next start", ", ".join(later))
-        logger.info("reload: discovery at {}, was {}", conf.discovery, self.watch.address)
+            logger.warning("reload: changes of {fields} wait for the next start", event="reload.later",
+                           fields=", ".join(later))
+        logger.info("reload: discovery at {address}, was {before}", event="reload.taken",
+                    address=conf.discovery, before=self.watch.address)
         self.watch.move(conf.discovery)
 
     async def stop(self) -> None:
         """Serve for as long as answers are sure, finish what was taken, then end everything."""
-        logger.info("stop: asked to, {} requests open", self.engine.reducer.open)
+        logger.info("stop: asked to, {open} requests open", event="stop.asked", open=self.engine.reducer.open)
         self.serving = False
         times = farewell(span(max(c.deadline for c in self.conf.settings.classes)))
         self.engine.answer_by = self.engine.clock.now() + times.answer_within
@@ -199,6 +208,16 @@
         await self.engine.close()
 
 
+def write_logs(form: str | None) -> None:
+    """Lines for people, or the same as JSON with event and fields (loguru's own form, docs/on-call.md)."""
+    logger.remove()
+    if form == "json":
+        logger.add(sys.stderr, serialize=True, level="INFO", backtrace=False, diagnose=False)
+        return
+    logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {message}", level="INFO", backtrace=False,
+               diagnose=False)
+
+
 async def run(conf: config.Config, objects: ObjectSettings | None, http: HttpSettings | None) -> None:
     """Serve until asked to stop."""
     loop, stop = asyncio.get_running_loop(), asyncio.Event()
@@ -217,9 +236,7 @@
 
 
 def main() -> int:
-    logger.remove()
-    logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {message}", level="INFO", backtrace=False,
-               diagnose=False)
+    write_logs(os.environ.get("STOATROUTER_LOG_FORMAT"))
     try:
         conf = config.load(os.environ)
         objects = http = None
@@ -233,7 +250,7 @@
             objects = load_objects(Path(conf.objects), conf.settings, conf.shards)
         asyncio.run(run(conf, objects, http))
     except (config.ConfigError, OSError) as error:
-        logger.error("start: {}", error)
+        logger.error("start: {error}", event="start.refused", error=str(error))
         return 2
     return 0
 
--- a/stoatrouter/core/reducer.py
+++ b/stoatrouter/core/reducer.py
@@ -221,7 +221,8 @@
             handover.take_over(self.scheduler, event.module)
         except (KeyError, TypeError, ValueError, AttributeError, IndexError) as error:
             # Guards a start against what another version of the program wrote: it then starts from nothing.
-            logger.error("upgrade: what the old process learnt cannot be read: {!r}", error)
+            logger.error("upgrade: what the old process learnt cannot be read: {error}",
+                         event="upgrade.unlearnt", error=repr(error))
         return effects
 
     def _tell(self, kind: api.ListKind, nodes: tuple[model.NodeInfo, ...]) -> list[model.Effect]:
@@ -247,7 +248,7 @@
             if __debug__:
                 raise
             # Guards against a fault in a decision: this head goes on, and Overdue answers what it left.
-            logger.exception("decision failed on {}", type(event).__name__)
+            logger.exception("decision failed on {kind}", event="decision.failed", kind=type(event).__name__)
             self.tally.add("decision_failed")
             return []
         effects: list[model.Effect] = []
--- a/stoatrouter/fronts/objects/front.py
+++ b/stoatrouter/fronts/objects/front.py
@@ -72,7 +72,8 @@
             response = self._failed(request, error, name)
         except Exception:
             # Guards the client's one final answer against a fault of our own.
-            logger.exception("objects: {} failed in an unforeseen way", name)
+            logger.exception("objects: {request} failed in an unforeseen way", event="objects.fault",
+                             request=name)
             response = self._failed(request, ObjectError("InternalError", "the call failed"), name)
         finally:
             self.operations -= 1
@@ -83,7 +84,8 @@
 
     def _failed(self, request: web.BaseRequest, error: ObjectError, name: str) -> web.StreamResponse:
         if error.code == "InternalError":
-            logger.warning("objects: {} {}: {}", name, request.method, error.message)
+            logger.warning("objects: {request} {method}: {reason}", event="objects.failed", request=name,
+                           method=request.method, reason=error.message)
         path = request.raw_path.partition("?")[0]
         response = error_response(error, unquote(path, errors="replace"), name, request.method != "HEAD")
         if request.body_exists and not request.content.is_eof():
@@ -185,7 +187,8 @@
         except (ObjectError, TimeoutError) as error:
             # Guards against a short answer taken for a whole one: the connection breaks before the length
             # that was promised, which a client can see; it may ask for the rest by a range.
-            logger.warning("objects: an answer was cut: {}", str(error) or "its reader stalled")
+            logger.warning("objects: an answer was cut: {reason}", event="objects.cut",
+                           reason=str(error) or "its reader stalled")
             if request.transport is not None:
                 request.transport.abort()
             response.force_close()
--- a/stoatrouter/net/discovery.py
+++ b/stoatrouter/net/discovery.py
@@ -40,7 +40,8 @@
         try:
             generation, _, nodes = read_list(self.known) if self.known else (None, True, ())
         except ValueError as error:
-            logger.warning("discovery: the known list cannot be read: {}", error)
+            logger.warning("discovery: the known list cannot be read: {error}",
+                           event="discovery.known_unreadable", error=str(error))
             generation, nodes = None, ()
         self.generation = generation
         self.told(ListKind.RESTORED, nodes)
@@ -85,7 +86,7 @@
                     await asyncio.sleep(PAUSE.total_seconds())
                 except Exception:
                     # Guards against a list that sets off a fault elsewhere: the watch must outlive it.
-                    logger.exception("discovery: what was told could not be taken")
+                    logger.exception("discovery: what was told could not be taken", event="discovery.fault")
                     await asyncio.sleep(PAUSE.total_seconds())
 
     async def call(self, session: aiohttp.ClientSession) -> bool:
@@ -122,12 +123,14 @@
 
     def failed(self, error: BaseException) -> None:
         if not self.failing:
-            logger.warning("discovery: not reached, the list held stays in use: {!r}", error)
+            logger.warning("discovery: not reached, the list held stays in use: {error}",
+                           event="discovery.lost", error=repr(error))
         self.failing = True
 
     def recovered(self) -> None:
         if self.failing:
-            logger.info("discovery: reached again, generation {}", self.generation)
+            logger.info("discovery: reached again, generation {generation}", event="discovery.reached",
+                        generation=self.generation)
         self.failing = False
 
 
--- a/stoatrouter/net/door.py
+++ b/stoatrouter/net/door.py
@@ -225,7 +225,7 @@
                      message: str | None = None) -> web.StreamResponse:
         """The answer to what cannot be read, or to a fault of our own."""
         if exc is not None and not isinstance(exc, HttpProcessingError):
-            logger.opt(exception=exc).error("request failed in an unforeseen way")
+            logger.opt(exception=exc).error("request failed in an unforeseen way", event="request.fault")
         if request.writer.output_size > 0:
             raise ConnectionError("an answer has begun already")
         response = web.Response(status=status, text="the request cannot be read\n" if status < 500 else None)
--- a/stoatrouter/net/engine.py
+++ b/stoatrouter/net/engine.py
@@ -95,7 +95,8 @@
 
     def told(self, kind: ListKind, nodes: tuple[model.NodeInfo, ...]) -> None:
         """Pass on what discovery has told."""
-        logger.info("discovery: {} with {} entries", kind.value, len(nodes))
+        logger.info("discovery: {kind} with {entries} entries", event="discovery.told", kind=kind.value,
+                    entries=len(nodes))
         self.put(model.ListTold(self.clock.now(), kind, nodes))
 
     def hand_over(self) -> model.TellNext:
@@ -108,7 +109,8 @@
         """Leave a node out or put it back: whether that is kept; None where the node is not known."""
         effects = self.reducer.reduce(model.PutByHand(self.clock.now(), node, out))
         if effects:
-            logger.info("bricks: {} is {} by hand", node, "out" if out else "back")
+            logger.info("bricks: {node} is {state} by hand", event="bricks.by_hand", node=node,
+                        state="out" if out else "back")
         self.run_all(effects)
         return self.kept if effects else None
 
@@ -177,7 +179,7 @@
             reply = Reply(Outcome.CANCELLED)
         elif (fault := task.exception()) is not None:
             # Guards against a fault in the client library: the attempt may have run, the head goes on.
-            logger.opt(exception=fault).error("attempt failed in an unforeseen way")
+            logger.opt(exception=fault).error("attempt failed in an unforeseen way", event="attempt.fault")
         else:
             reply = task.result()
         self.attempts.pop((effect.request.id, effect.attempt), None)
@@ -208,10 +210,11 @@
         if lag > PRESSED_LAG.total_seconds():
             door.press(PRESSED_FOR)
         if lag > lag_limit.total_seconds():
-            logger.warning("loop: lagged by {:.0f} ms", lag * 1000)
+            logger.warning("loop: lagged by {lag_ms:.0f} ms", event="loop.lagged", lag_ms=lag * 1000)
         if rounds % tally_every == 0:
             counts = engine.reducer.tally.take()
             if counts:
-                logger.info("tally: open={} worst_lag_ms={:.0f} {}", engine.reducer.open, worst * 1000,
-                            " ".join(f"{k}={v}" for k, v in sorted(counts.items())))
+                logger.info("tally: open={open} worst_lag_ms={worst_lag_ms:.0f} {said}", event="tally",
+                            open=engine.reducer.open, worst_lag_ms=worst * 1000, counts=counts,
+                            said=" ".join(f"{k}={v}" for k, v in sorted(counts.items())))
             worst = 0.0
--- a/stoatrouter/net/generations.py
+++ b/stoatrouter/net/generations.py
@@ -51,9 +51,11 @@
                 self.drain.out_of_service()
             self.told(state["holds"])
         except (KeyError, TypeError, ValueError, AttributeError) as error:
-            logger.error("upgrade: what the old process told cannot be read: {!r}", error)
+            logger.error("upgrade: what the old process told cannot be read: {error}",
+                         event="upgrade.unreadable", error=repr(error))
             return False
-        logger.info("upgrade: taken over, the old process holds {}", state["holds"])
+        logger.info("upgrade: taken over, the old process holds {holds}", event="upgrade.taken_over",
+                    holds=state["holds"])
         return True
 
     async def follow(self) -> None:
@@ -92,7 +94,8 @@
             writer.close()
 
     async def hand_over(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        logger.info("upgrade: handing over, {} requests open", self.engine.reducer.open)
+        logger.info("upgrade: handing over, {open} requests open", event="upgrade.handing_over",
+                    open=self.engine.reducer.open)
         self.drain.handed = True
         self.door.press(UNSETTLED)
         await self.rest()
@@ -107,11 +110,12 @@
                 await asyncio.wait([ended], timeout=TELL_EVERY.total_seconds())
                 await tell(writer, self.holds())
         except OSError as error:
-            logger.warning("upgrade: the new process broke off: {!r}", error)
+            logger.warning("upgrade: the new process broke off: {error}", event="upgrade.broke_off",
+                           error=repr(error))
         except Exception:
             # Guards against a fault on the way: without this, nobody would accept clients.
-            logger.exception("upgrade: handing over failed")
-        logger.warning("upgrade: the new process is gone, this one serves on")
+            logger.exception("upgrade: handing over failed", event="upgrade.fault")
+        logger.warning("upgrade: the new process is gone, this one serves on", event="upgrade.taken_back")
         self.engine.put(model.TakenBack(self.engine.clock.now(), self.engine.keep.read()))
         self.drain.handed = False
         await self.resume()
--- a/stoatrouter/net/keep.py
+++ b/stoatrouter/net/keep.py
@@ -27,7 +27,7 @@
             aside.write_text(json.dumps(write_by_hand(by_hand)))
             os.replace(aside, self.path)
         except OSError as error:
-            logger.error("bricks: cannot be kept: {}", error)
+            logger.error("bricks: cannot be kept: {error}", event="bricks.unkept", error=str(error))
             return False
         return True
 
@@ -38,5 +38,6 @@
         try:
             return read_by_hand(json.loads(self.path.read_text()))
         except (OSError, ValueError, RecursionError) as error:
-            logger.error("bricks: what was kept cannot be read, no brick is out: {}", error)
+            logger.error("bricks: what was kept cannot be read, no brick is out: {error}",
+                         event="bricks.unreadable", error=str(error))
             return ByHand()
--- a/stoatrouter/net/listener.py
+++ b/stoatrouter/net/listener.py
@@ -81,13 +81,14 @@
     def out_of_service(self) -> None:
         """Send clients away; called again, nothing changes."""
         if not self.out:
-            logger.info("drain: out of service, {} connections", len(self.door))
+            logger.info("drain: out of service, {connections} connections", event="drain.out",
+                        connections=len(self.door))
             self.out = True
             self.sending_away = asyncio.get_running_loop().create_task(self.send_away())
 
     def in_service(self) -> None:
         if self.out:
-            logger.info("drain: back in service")
+            logger.info("drain: back in service", event="drain.back")
             self.out = False
         self.rest()
 
@@ -168,7 +169,7 @@
         while busy() or door.open:
             await asyncio.sleep(0.01)
             door.end_idle()
-        logger.info("stop: all that was taken is answered")
+        logger.info("stop: all that was taken is answered", event="stop.answered")
         await self.close()
 
     async def wait(self, take_for: timedelta) -> None:
--- a/stoatrouter/net/nodes.py
+++ b/stoatrouter/net/nodes.py
@@ -141,7 +141,8 @@
             return Reply(Outcome.RESET if error.written else Outcome.CONNECT_FAILED)
         except (aiohttp.ClientError, OSError, ValueError) as error:
             # the answer broke off or could not be read: the attempt may have run
-            logger.debug("attempt at {}: {!r}", effect.address, error)
+            logger.debug("attempt at {address}: {error}", event="attempt.broke", address=effect.address,
+                         error=repr(error))
             return Reply(Outcome.RESET)
         finally:
             if response is not None:
--- a/stoatrouter/net/recorder.py
+++ b/stoatrouter/net/recorder.py
@@ -62,5 +62,7 @@
             self.failing = False
         except OSError as error:
             if not self.failing:
-                logger.warning("record: requests cannot be recorded: {}", error)
+                logger.warning(
+                    "record: requests cannot be recorded: {error}", event="record.failed", error=str(error)
+                )
             self.failing = True
--- a/stoatrouter/net/succession.py
+++ b/stoatrouter/net/succession.py
@@ -41,11 +41,12 @@
             while line := await self.reader.readline():
                 told(json.loads(line))
         except (OSError, ValueError) as error:
-            logger.warning("upgrade: the old process cannot be followed: {!r}", error)
+            logger.warning("upgrade: the old process cannot be followed: {error}",
+                           event="upgrade.unfollowed", error=repr(error))
         finally:
             self.writer.close()
             told({})
-        logger.info("upgrade: the old process is gone")
+        logger.info("upgrade: the old process is gone", event="upgrade.old_gone")
 
 
 class Succession:
@@ -70,7 +71,8 @@
                 return Predecessor(reader, writer, state)
         except (OSError, TimeoutError, ValueError, KeyError, TypeError) as error:
             # Guards a start against what an old process left behind as it died: nothing is to be had there.
-            logger.warning("upgrade: no old process hands over: {!r}", error)
+            logger.warning("upgrade: no old process hands over: {error}", event="upgrade.none",
+                           error=repr(error))
             return None
 
     async def listen(self, asked: Callable[[asyncio.StreamReader, asyncio.StreamWriter], Any]) -> None:
@@ -86,7 +88,8 @@
                 self.server = await asyncio.start_unix_server(asked, sock=ear.dup(), limit=LARGEST_LINE)
                 os.replace(aside, Path(short) / NAME)  # never without one that answers
         except OSError as error:
-            logger.error("upgrade: a new process will not find this one: {}", error)
+            logger.error("upgrade: a new process will not find this one: {error}",
+                         event="upgrade.unfindable", error=str(error))
 
     async def close(self) -> None:
         if self.server is not None:
