--- a/stoatrouter/expressions/checker.py
+++ b/stoatrouter/expressions/checker.py
@@ -17,7 +17,7 @@
 from stoatrouter.expressions import types as t
 from stoatrouter.expressions.environment import Environment, Limits
 from stoatrouter.expressions.errors import EvaluationError, ExpressionError, Position, Problem
-from stoatrouter.expressions.guards import Fact, facts, key_fact, length_fact, value_fact
+from stoatrouter.expressions.guards import Fact, facts, key_fact, value_fact
 from stoatrouter.expressions.literals import in_range
 from stoatrouter.expressions.show import show
 
@@ -364,8 +364,8 @@
 
     def list_literal(self, node: s.ListLiteral, scope: Scope) -> Typed:
         parts = self.all_of(node.items, scope)
-        kind, inner = t.Type(), None
-        kind = t.NEVER
+        kind: t.Type = t.NEVER
+        inner: b.Bound | None = None
         for part in parts:
             together = t.joined(kind, part.type)
             if together is None:
@@ -806,6 +806,3 @@
     if f.method:
         return f"{kinds[0]}.{f.name}({', '.join(kinds[1:])}) -> {f.result}"
     return f"{f.name}({', '.join(kinds)}) -> {f.result}"
-
-
-__all__ = ["Checked", "Typed", "check", "length_fact"]
--- a/stoatrouter/fronts/http/front.py
+++ b/stoatrouter/fronts/http/front.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import secrets
+from dataclasses import replace
 
 from aiohttp import web
 from multidict import CIMultiDict
@@ -82,8 +83,6 @@
 
     async def put(self, request: web.BaseRequest, wanted: model.Request, body: object) -> web.StreamResponse:
         """Put a request to the core and give its answer."""
-        from dataclasses import replace
-
         final = await self.engine.serve(replace(wanted, body=body))
         if not isinstance(final, model.Served):
             return self.drain.mark(answer(final))
@@ -95,6 +94,7 @@
 
     def refused(self, request: web.BaseRequest, refusal: Refusal) -> web.StreamResponse:
         """What a rule refuses is answered at once; where trying again may help, with the advice when."""
+        self.engine.reducer.tally.add("refused_by_rule")
         headers = retry_after(self.engine.reducer.advice) if refusal.status in (429, 503) else None
         response = web.Response(status=refusal.status, text=f"{refusal.reason}\n", headers=headers)
         return last(response) if request.body_exists else self.drain.mark(response)
--- a/stoatrouter/lab/standins.py
+++ b/stoatrouter/lab/standins.py
@@ -44,7 +44,7 @@
             return web.Response(text=self.load())
         if "Req-Id" not in request.headers:
             return web.Response(status=404)
-        body = await request.read()
+        body = await read_body(request)
         if self.waiting >= self.slots + self.queue or self.size + len(body) > MOST_KEPT:
             return web.Response(status=503, headers={"Srv-Declined": "1"})
         self.waiting += 1
@@ -112,6 +112,16 @@
         return web.Response(body=json.dumps(self.told()).encode())
 
 
+async def read_body(request: web.BaseRequest) -> bytes:
+    """A body within the bound; what is larger breaks the connection."""
+    body = bytearray()
+    async for piece in request.content.iter_any():
+        body += piece
+        if len(body) > LARGEST:
+            raise web.RequestPayloadError("a body over the bound")
+    return bytes(body)
+
+
 class Listening:
     """Serves stand-ins on ports that the system chooses."""
 
@@ -119,7 +129,7 @@
         self.open: list[tuple[asyncio.Server, web.Server]] = []
 
     async def serve(self, handler: object) -> int:
-        server = web.Server(handler, access_log=None, client_max_size=LARGEST)  # type: ignore[arg-type]
+        server = web.Server(handler, access_log=None)  # type: ignore[arg-type]
         made = await asyncio.get_running_loop().create_server(server, HOST, 0)
         self.open.append((made, server))
         return int(made.sockets[0].getsockname()[1])
--- a/tests/test_http_front.py
+++ b/tests/test_http_front.py
@@ -7,7 +7,6 @@
 import json
 import random
 from collections import Counter
-from dataclasses import replace
 
 import aiohttp
 import pytest
@@ -364,4 +363,3 @@
     line = json.dumps({"method": "GET", "target": "/a?x=%ff", "fields": []})
     (_, first), (_, second) = read_samples([line, "{"])
     assert getattr(first, "status", 0) == 400 and isinstance(second, ValueError)
-    assert replace  # the log is read by the same reader as service has
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -59,12 +59,12 @@
         (folder / "tmp").mkdir()
         stack.callback(self.ear.close)
 
-    async def start(self) -> Process:
+    async def start(self, **more: str) -> Process:
         management = f"{HOST}:{free_port()}"
         environ = os.environ | {
             "NODE_CONFIG": str(self.folder / "config.json"), "PYTHONPATH": str(ROOT),
             "NODE_MANAGEMENT": management, "TMPDIR": str(self.folder / "tmp"),
-            "NODE_INHERITED_FD": str(self.ear.fileno())}
+            "NODE_INHERITED_FD": str(self.ear.fileno())} | more
         process = await asyncio.create_subprocess_exec(
             sys.executable, "-O", "-B", "-m", "stoatrouter", cwd=self.folder, env=environ,
             pass_fds=[self.ear.fileno()])
@@ -273,3 +273,39 @@
             early.end()
             assert head.serving and not head.drain.handed
     run(story())
+
+
+def test_the_http_front_goes_over_to_the_new_process(tmp_path):
+    """Its clients keep being answered; in the moment in which nobody listens they try again."""
+    async def story():
+        node, port = Node("a", 0), free_port()
+        settings = (ROOT / "deploy" / "http.cue").read_text().replace("8490", str(port))
+        (tmp_path / "http.cue").write_text(settings)
+        (tmp_path / "http-rules.cue").write_text((ROOT / "deploy" / "http-rules.cue").read_text())
+        async with contextlib.AsyncExitStack() as stack:
+            await stack.enter_async_context(nodes_up(node))
+            discovery = await stack.enter_async_context(listening(Discovery().handle))
+            platform = Platform(tmp_path, discovery, (node,), stack)
+            http = {"STOATROUTER_HTTP": str(tmp_path / "http.cue")}
+            old = await (await platform.start(**http)).ready()
+            answers, done = [], asyncio.Event()
+
+            async def client():
+                async with aiohttp.ClientSession() as session:
+                    while not done.is_set():
+                        with contextlib.suppress(aiohttp.ClientConnectorError):
+                            async with session.get(f"http://{HOST}:{port}/feed/x") as response:
+                                answers.append((response.status, await response.read()))
+                        await asyncio.sleep(0.002)
+
+            asking = [asyncio.create_task(client()) for _ in range(4)]
+            await until(lambda: len(answers) > 20)
+            new = await (await platform.start(**http)).ready()
+            old.process.send_signal(signal.SIGTERM)
+            assert await old.process.wait() == 0
+            count = len(answers)
+            await until(lambda: len(answers) > count + 20)
+            done.set()
+            await asyncio.gather(*asking)
+            assert {status for status, _ in answers} == {200} and new.process.returncode is None
+    run(story())
