--- /dev/null
+++ b/stoatrouter/membership/follower.py
@@ -0,0 +1,344 @@
+"""Follows a list in a key-value registry: reads it whole, watches it from that revision on, and resumes after
+any break without missing a change, telling one twice, or undoing a newer word by an older one.
+
+A state machine: `step(event) -> effects`. It knows nothing of protocols (dialects make events of them),
+sockets or clocks. Each call that it asks for has a number; what comes of a call that is over is dropped. What
+it has told it holds, so that after a resynchronisation only the difference is told, in one step.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field, replace
+from datetime import timedelta
+from enum import Enum
+
+from stoatrouter.membership.recovery import Backoff
+
+MOST_FRAGMENT = 100_000  # changes of one revision that are held until the rest of them has come
+
+
+@dataclass(slots=True, frozen=True)
+class Entry:
+    """A key's value, and the revision that set it."""
+
+    revision: int
+    value: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class Change:
+    """A key set, or removed (no value), at a revision."""
+
+    key: str
+    revision: int
+    value: bytes | None
+
+
+# -- events: what has happened, and when. `call` is the number of the call that it came of ------------------
+@dataclass(slots=True, frozen=True)
+class Started:
+    at: timedelta
+
+
+@dataclass(slots=True, frozen=True)
+class Read:
+    """The whole list, as it was at one revision."""
+
+    at: timedelta
+    call: int
+    revision: int
+    entries: Mapping[str, Entry]
+
+
+@dataclass(slots=True, frozen=True)
+class Changed:
+    """Changes of one revision or more, in order. Not `whole`: more of the last revision is still to come."""
+
+    at: timedelta
+    call: int
+    revision: int
+    changes: tuple[Change, ...]
+    whole: bool = True
+
+
+@dataclass(slots=True, frozen=True)
+class Progress:
+    """All up to this revision has been sent."""
+
+    at: timedelta
+    call: int
+    revision: int
+
+
+@dataclass(slots=True, frozen=True)
+class Compacted:
+    """The revision that was asked for is no longer there."""
+
+    at: timedelta
+    call: int
+
+
+@dataclass(slots=True, frozen=True)
+class Broken:
+    """A call failed, or its stream ended."""
+
+    at: timedelta
+    call: int
+    why: str = ""
+
+
+@dataclass(slots=True, frozen=True)
+class Refused:
+    """The credentials are not taken."""
+
+    at: timedelta
+    call: int
+
+
+@dataclass(slots=True, frozen=True)
+class Tick:
+    """Some time has come that was asked for, or any other."""
+
+    at: timedelta
+
+
+Event = Started | Read | Changed | Progress | Compacted | Broken | Refused | Tick
+
+
+# -- effects: what is to be done, in order ------------------------------------------------------------------
+@dataclass(slots=True, frozen=True)
+class ReadAll:
+    """Read the whole list at an endpoint."""
+
+    call: int
+    endpoint: int
+
+
+@dataclass(slots=True, frozen=True)
+class Watch:
+    """Ask an endpoint for all after a revision, from now on."""
+
+    call: int
+    endpoint: int
+    after: int
+
+
+@dataclass(slots=True, frozen=True)
+class End:
+    """End a call: nothing of it is wanted any more."""
+
+    call: int
+
+
+@dataclass(slots=True, frozen=True)
+class Tell:
+    """What has changed, in one step. `resynchronised`: it is the difference to a list that was read anew."""
+
+    revision: int
+    changes: tuple[Change, ...]
+    resynchronised: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class WakeAt:
+    """Send a Tick at this time; only the latest one counts."""
+
+    at: timedelta
+
+
+@dataclass(slots=True, frozen=True)
+class RereadToken:
+    """Read the credentials again before the next call."""
+
+
+@dataclass(slots=True, frozen=True)
+class OlderCopy:
+    """Every endpoint tells of an older revision than the one held: the registry was restored, or is another
+    one. The list held stays until an operator says otherwise."""
+
+    held: int
+    offered: int
+
+
+Effect = ReadAll | Watch | End | Tell | WakeAt | RereadToken | OlderCopy
+
+
+class Phase(Enum):
+    """What the follower is about."""
+
+    IDLE = "idle"
+    READING = "reading"
+    WATCHING = "watching"
+    WAITING = "waiting"
+
+
+@dataclass(slots=True, frozen=True)
+class Limits:
+    """Its settings."""
+
+    endpoints: int = 1
+    silence: timedelta = timedelta(seconds=5)  # without a word, progress included: the stream is left
+    read_within: timedelta = timedelta(seconds=10)
+    backoff: Backoff = field(default_factory=Backoff)
+
+
+class Follower:
+    """One list followed. All of its state changes in `step`."""
+
+    def __init__(self, limits: Limits, seed: int, held: Mapping[str, Entry] | None = None,
+                 revision: int | None = None) -> None:
+        self.limits, self.seed = limits, seed
+        self.told: dict[str, Entry] = dict(held or {})  # what the core knows
+        self.revision = revision  # up to which all has been told; None: nothing is held
+        self.phase = Phase.IDLE
+        self.call = 0  # the number of the call at hand
+        self.endpoint = seed % limits.endpoints  # heads spread over the endpoints
+        self.failures = 0  # one after the other
+        self.older: dict[int, int] = {}  # endpoints that offered an older revision in turn, and which
+        self.fragments: list[Change] = []
+        self.due: timedelta | None = None  # when something is overdue, or a wait is over
+        self.resync = False  # a read is needed before a watch
+
+    def step(self, event: Event) -> list[Effect]:
+        """Take one event; what is to be done, in order."""
+        call = getattr(event, "call", None)
+        # Guards against what a call still says that was given up: it may be older than what is held by now.
+        if call is not None and call != self.call:
+            return []
+        match event:
+            case Started():
+                return self.begin(event.at)
+            case Read():
+                return self.read(event)
+            case Changed():
+                return self.changed(event)
+            case Progress():
+                return self.progress(event)
+            case Compacted():
+                self.resync = True
+                return [End(self.call), *self.begin(event.at)]
+            case Broken():
+                return self.broken(event.at)
+            case Refused():
+                return [RereadToken(), *self.broken(event.at)]
+            case Tick():
+                return self.tick(event.at)
+
+    # -- calls --------------------------------------------------------------------------------------------
+    def begin(self, at: timedelta) -> list[Effect]:
+        """Read or watch, at the endpoint at hand."""
+        self.call += 1
+        self.fragments.clear()  # of a revision that did not come whole: it comes again
+        if self.revision is None or self.resync:
+            self.phase, self.due = Phase.READING, at + self.limits.read_within
+            return [ReadAll(self.call, self.endpoint), WakeAt(self.due)]
+        self.phase, self.due = Phase.WATCHING, at + self.limits.silence
+        return [Watch(self.call, self.endpoint, self.revision), WakeAt(self.due)]
+
+    def broken(self, at: timedelta) -> list[Effect]:
+        """A call is over: the next endpoint, after a wait that grows."""
+        ended = self.call
+        self.call += 1
+        self.fragments.clear()
+        self.endpoint = (self.endpoint + 1) % self.limits.endpoints
+        wait = self.limits.backoff.wait(self.seed, self.failures)
+        self.failures += 1
+        self.phase, self.due = Phase.WAITING, at + wait
+        return [End(ended), WakeAt(self.due)]
+
+    def tick(self, at: timedelta) -> list[Effect]:
+        if self.due is None or at < self.due:
+            return []
+        if self.phase is Phase.WAITING:
+            return self.begin(at)
+        # Guards against a stream that is open and says nothing: a drain would never come.
+        return self.broken(at)
+
+    def heard(self, at: timedelta) -> WakeAt:
+        """The stream is alive."""
+        self.failures = 0
+        self.due = at + self.limits.silence
+        return WakeAt(self.due)
+
+    # -- what is told -------------------------------------------------------------------------------------
+    def read(self, event: Read) -> list[Effect]:
+        """The whole list: only the difference to what was told is news."""
+        if self.phase is not Phase.READING:
+            return []
+        # Guards what is known against a member that lags, or a registry restored from an old copy.
+        if self.revision is not None and event.revision < self.revision:
+            return self.lagging(event)
+        self.older.clear()
+        changes = tuple(self.difference(event))
+        self.told = dict(event.entries)
+        self.revision, self.resync, self.failures = event.revision, False, 0
+        tell: list[Effect] = [Tell(event.revision, changes, True)] if changes else []
+        return [*tell, *self.begin(event.at)]
+
+    def difference(self, event: Read) -> list[Change]:
+        changes = []
+        for key, entry in event.entries.items():
+            before = self.told.get(key)
+            if before is None or before.value != entry.value:
+                changes.append(Change(key, entry.revision, entry.value))
+        changes += [Change(key, event.revision, None) for key in self.told if key not in event.entries]
+        return sorted(changes, key=lambda change: (change.revision, change.key))
+
+    def lagging(self, event: Read) -> list[Effect]:
+        """A member that lags is left for another; where all are older, an operator is needed."""
+        assert self.revision is not None
+        self.older[self.endpoint] = event.revision
+        said: list[Effect] = []
+        if len(self.older) == self.limits.endpoints:
+            said = [OlderCopy(self.revision, max(self.older.values()))]
+            self.older.clear()
+        return [*said, *self.broken(event.at)]
+
+    def changed(self, event: Changed) -> list[Effect]:
+        if self.phase is not Phase.WATCHING:
+            return []
+        assert self.revision is not None
+        self.fragments += event.changes
+        # Guards memory against a revision that never ends: reading all is bounded.
+        if len(self.fragments) > MOST_FRAGMENT:
+            self.resync = True
+            return [End(self.call), *self.begin(event.at)]
+        if not event.whole:
+            return [self.heard(event.at)]
+        changes, self.fragments = self.news(self.fragments), []
+        self.revision = max(self.revision, event.revision)
+        tell: list[Effect] = [Tell(self.revision, changes)] if changes else []
+        return [*tell, self.heard(event.at)]
+
+    def news(self, changes: list[Change]) -> tuple[Change, ...]:
+        """Those that are newer than all that has been told; they are told from now on."""
+        assert self.revision is not None
+        fresh = []
+        for change in sorted(changes, key=lambda change: change.revision):
+            # Guards against a change that is sent again, and an older word that comes after a newer one.
+            if change.revision <= self.revision:
+                continue
+            if change.value is not None:
+                self.told[change.key] = Entry(change.revision, change.value)
+            elif self.told.pop(change.key, None) is None:
+                continue  # set and removed again without a word of it
+            fresh.append(change)
+        return tuple(fresh)
+
+    def progress(self, event: Progress) -> list[Effect]:
+        """All up to there has come; a part of a revision that is held does not count yet."""
+        if self.phase is not Phase.WATCHING:
+            return []
+        assert self.revision is not None
+        if not self.fragments:
+            self.revision = max(self.revision, event.revision)
+        return [self.heard(event.at)]
+
+    # -- by hand ------------------------------------------------------------------------------------------
+    def accept_older(self, at: timedelta) -> list[Effect]:
+        """An operator says that the registry's older copy is the list now."""
+        ended = self.call
+        self.revision, self.resync = None, True
+        self.told = {key: replace(entry, revision=0) for key, entry in self.told.items()}
+        return [End(ended), *self.begin(at)]
