Make rule tables in a daemon thread, and keep the first one out of the collector

Cause: an executor's thread is waited for at the loop's end, so a head asked to stop during a load of 10,000 rules would have ended up to 9 s late and been killed; and the first table was made before what is made is frozen, so each full collection would have gone through it.

Change: net/tables.py runs loads in a daemon thread and makes the first table in the same way as later ones. A test holds a load up while its head stops.

--- a/stoatrouter/net/tables.py
+++ b/stoatrouter/net/tables.py
@@ -3,9 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import gc
 import sys
+import threading
+from collections.abc import Callable
 from datetime import timedelta
+from functools import partial
+from typing import Any, TypeVar
 
 from loguru import logger
 
@@ -16,19 +21,43 @@
 
 # While a table is made in another thread, the loop gets the interpreter back after so long (5 ms by default).
 SWITCH = timedelta(microseconds=500)
+Done = TypeVar("Done")
 MOST_SAID = 20  # lines about one table
 SAY_EVERY = timedelta(seconds=10)
 
 
+async def in_thread(work: Callable[[], Done]) -> Done:
+    """The result of work in a thread of its own. Guards the end of a stopping head: an executor's threads
+    would be waited for, however long they still take."""
+    loop = asyncio.get_running_loop()
+    result: asyncio.Future[Done] = loop.create_future()
+
+    def give(set_it: Callable[[Any], None], value: Any) -> None:
+        if not result.done():  # nobody waits for it any more
+            set_it(value)
+
+    def run() -> None:
+        try:
+            done = work()
+        except BaseException as error:  # noqa: BLE001 - it is raised where it is waited for
+            told = partial(give, result.set_exception, error)
+        else:
+            told = partial(give, result.set_result, done)
+        with contextlib.suppress(RuntimeError):  # the loop has ended
+            loop.call_soon_threadsafe(told)
+
+    threading.Thread(target=run, daemon=True, name="rules").start()
+    return await result
+
+
 class TableService:
     """Puts tables in force, one at a time."""
 
     def __init__(self, tables: Tables, shadow: Tables | None, windows: dict[int, timedelta]) -> None:
         self.tables, self.shadow = tables, shadow
-        table = self.told(*tables.load())
-        self.matcher = Matcher(table, windows)
-        if shadow is not None:
-            self.matcher.put_in_shadow(shadow.load()[0])
+        made, other = self.load()
+        self.matcher = Matcher(self.told(*made), windows)
+        self.matcher.put_in_shadow(other)
         self.reloading: asyncio.Task[None] | None = None
         self.again = False
 
@@ -57,7 +86,7 @@
         while self.again:
             self.again = False
             try:
-                made = await asyncio.get_running_loop().run_in_executor(None, self.load)
+                made = await in_thread(self.load)
             except SettingsError as error:
                 # Guards a serving head against rules that are wrong or half written.
                 logger.error(
@@ -76,7 +105,7 @@
             self.matcher.put_in_shadow(shadow)
 
     def load(self) -> tuple[tuple[Table, Sources], Table | None]:
-        """Make the tables; in a thread of its own, so that requests go on."""
+        """Make the tables; once the head serves, in a thread of its own, so that requests go on."""
         before = sys.getswitchinterval()
         sys.setswitchinterval(SWITCH.total_seconds())
         # Guards requests against standing still: looking for garbage in what is made takes a third of the
--- a/tests/test_http_front.py
+++ b/tests/test_http_front.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 import random
+import threading
 from collections import Counter
 
 import aiohttp
@@ -298,6 +299,20 @@
     run(story(), 90)
 
 
+def test_a_head_that_is_asked_to_stop_does_not_wait_for_a_table(tmp_path):
+    held = threading.Event()
+
+    async def story():
+        async with gateway(tmp_path, *two()) as head:
+            service, load = head.tables[0], head.tables[0].load
+            service.load = lambda: held.wait() and load()
+            service.reload()
+            await asyncio.sleep(0)
+        assert service.reloading.done() and not held.is_set()
+    run(story())  # an executor's thread would hold up the end of the loop
+    held.set()
+
+
 def test_a_repeat_across_a_reload_goes_where_the_first_went(tmp_path):
     async def story():
         nodes = two()
