Put new data at a node drawn among the least loaded, not the first by name

The load was divided by the window after counting what is out, so 0 / 0.1 was as good as 0 / 16 too.

Change: the request to come is counted with what is held and out; ties are drawn.

--- a/cypressworks/logic.py
+++ b/cypressworks/logic.py
@@ -292,7 +292,10 @@
         shard = ran[0] if ran else r.shard
         able = [n for n in self.nodes.values() if n.takes(self.now) and shard in (n.shard, -1)]
         able = [n for n in able if n.phase is Phase.ON] or able
-        r.node = min(able, key=lambda n: ((len(n.held) + len(n.out)) / n.window, n.id), default=None)
+        # Guards a node against hosts with little traffic: with nothing out anywhere, all of them would find
+        # the same node first. The one to come counts too, so that a window that was cut tells.
+        r.node = min(able, key=lambda n: ((1 + len(n.held) + len(n.out)) / n.window, self.random.random()),
+                     default=None)
         if r.node is not None:
             r.node.held[r.id] = r
 
