Share a cold node among the hosts that send to it; put new data at warm nodes first

Cause: Scheduler.cold_room divided what a cold node bears by all hosts; place did not look at warmth.

Change: sharers() estimates from the shards this host is asked for, with a margin, how many hosts send to a node; all count for a host younger than the rule's window and for new data. What is known is handed on in an upgrade.

--- a/cypressworks/handover.py
+++ b/cypressworks/handover.py
@@ -48,6 +48,7 @@
                 "keys": list(node.keys)}
              for name, node in scheduler.nodes.items()}
     return {"born": scheduler.born, "vanish": scheduler.vanish, "rests": scheduler.rests,
+            "asked": list(scheduler.asked.items()),
             "volumes": volumes, "nodes": nodes}
 
 
@@ -63,6 +64,7 @@
     settings = scheduler.settings
     scheduler.born, scheduler.vanish = int(data["born"]), float(data["vanish"])
     scheduler.rests = {str(key): int(at) for key, at in data["rests"].items()}
+    scheduler.asked = {int(shard): int(at) for shard, at in data.get("asked", ())}
     for name, told in data["volumes"].items():
         volume = Volume(told["stamp"], settings.plans[told["plan"]], told["hosts"], settings.max_units)
         for key in VOLUME:
--- a/cypressworks/logic.py
+++ b/cypressworks/logic.py
@@ -24,6 +24,7 @@
 PROBE_EVERY, CROWD = 500 * MS, ALL_PLACES / 2  # how often a node is asked for its queue; what of it is a jam
 PRESSED = SECOND  # how long after such an answer a node counts as pressed
 KEY_BONUS, KEYS_KEPT = 2.0, 2  # worth of a key the node has just read: a full step; how many keys that is
+SHARERS_MARGIN = 1.5  # on how many hosts are expected to send to a node
 TIMER_READ, TINY, NEVER = 0, 1e-9, 1 << 62
 
 
@@ -173,6 +174,7 @@
         self.turns: dict[str, deque[Request]] = {}  # of keys whose order is kept
         self.rests: dict[str, int] = {}  # until when such a key rests
         self.put: dict[tuple, tuple[int, int]] = {}  # where new data was lately put, and when
+        self.asked: dict[int, int] = {}  # shards whose data this host was asked for, and when
         self.taken, self.extras = deque[int](), deque[int]()
         self.timers: dict[int, Request] = {}
         self.given: dict[tuple, tuple[int, int]] = {}  # given up lately: aim and deadline
@@ -268,6 +270,8 @@
                                                e.write or kind.writes,
                                                now + max(0, e.time_left) // 2 - HALF_MARGIN)
         self.taken.append(now)
+        if e.shard != -1:
+            self.asked[e.shard] = now
         if kind.in_turn and r.key is not None:
             self.turns.setdefault(r.key, deque()).append(r)
         self.place(r)
@@ -293,9 +297,11 @@
         able = [n for n in self.nodes.values() if n.takes(self.now) and shard in (n.shard, -1)]
         able = [n for n in able if n.phase is Phase.ON] or able
         # Guards a node against hosts with little traffic: with nothing out anywhere, all of them would find
-        # the same node first. The one to come counts too, so that a window that was cut tells.
-        r.node = min(able, key=lambda n: ((1 + len(n.held) + len(n.out)) / n.window, self.random.random()),
-                     default=None)
+        # the same node first. The one to come counts too, so that a window that was cut tells. New data goes
+        # to a cold node last: what it bears is for the reads that no other can serve.
+        r.node = min(able, key=lambda n: (
+            (1 + len(n.held) + len(n.out)) / n.window / self.warmth(n, self.now), self.random.random()),
+            default=None)
         if r.node is not None:
             r.node.held[r.id] = r
 
@@ -324,6 +330,7 @@
             self.rebuilt, self.rests = self.now, {k: t for k, t in self.rests.items() if t > self.now}
             self.given = {k: g for k, g in self.given.items() if g[1] > self.now}
             self.put = {k: p for k, p in self.put.items() if self.now - p[1] < self.memory}
+            self.asked = {k: at for k, at in self.asked.items() if self.now - at < self.memory}
             self.turns = {k: turn for k, turn in self.turns.items() if turn}
             self.volumes = {k: v for k, v in self.volumes.items() if not v.idle(self.now, self.memory)}
             self.nodes = {k: n for k, n in self.nodes.items() if n.phase is not Phase.GONE or n.held or n.out
@@ -423,20 +430,37 @@
                 or kind.group is Group.SHARD and home.shard != node.shard
                 or kind.group is Group.ZONE and home.zone != node.zone)
 
+    def warmth(self, node: Node, at: int) -> float:
+        """The part of its capacity that a node has at least, by what is promised of its warming."""
+        first, cold_time = self.rules.cold_from, self.rules.cold_time
+        warm = not node.up_since or at - node.up_since >= cold_time
+        return 1.0 if warm else first + (1 - first) * max(0, at - node.up_since) / cold_time
+
+    def sharers(self) -> float:
+        """How many hosts send to a node, as far as this one can tell: where it is asked for few of the nodes,
+        so are the others. Each then has its part at few nodes, and on average all of them together have one
+        whole part at each. The margin is for nodes that more hosts than others send to. Harm: if wrong, a
+        cold node gets more than it bears."""
+        s, nodes = self.settings, sum(n.phase is not Phase.GONE for n in self.nodes.values())
+        if self.now - self.born < self.rules.fall_time or not nodes:
+            return s.hosts  # what it is asked for is not known yet
+        return max(1.0, s.hosts * min(1.0, SHARERS_MARGIN * (len(self.asked) + 2) / nodes))
+
     def cold_room(self, r: Request, node: Node, at: int) -> bool:
         """This host's part in any window, scaled by the warming promised. With many hosts that is less than
         a request: then three quarters are earned over time, with turns by host number for the first."""
         rules, s = self.rules, self.settings
         if self.handed:
             return False  # all of this host's part is the next process's
-        growth = (1 / rules.cold_from - 1) / rules.cold_time
+        # new data may go to any node, so any host may send it here
+        hosts = s.hosts if r.shard == -1 else self.sharers()
         # what is late leaves half of it to what will come and earn more
-        part = rules.cold_units / s.hosts * (0.5 if self.late(r, node, at) else 1.0)
+        part = rules.cold_units / rules.cold_from / hosts * (0.5 if self.late(r, node, at) else 1.0)
         sent = node.sent_since(at - rules.fall_time)
-        if sent + r.units <= part * (1 + growth * (at - node.up_since)):
+        if sent + r.units <= part * self.warmth(node, at):
             return True
         windows = (at - node.known) / max(1, rules.fall_time)
-        earned = 0.75 * part * windows * (1 + growth * ((node.known + at) / 2 - node.up_since))
+        earned = 0.75 * part * windows * self.warmth(node, (node.known + at) // 2)
         turn = (s.me + node.up_since // MS) % s.hosts / s.hosts
         return not sent and earned >= node.spent + turn * r.units
 
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,77 @@
+"""What many hosts, each of which sees little, do to one node together."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from cypressworks import handover
+from cypressworks import interface as api
+from cypressworks.logic import Scheduler
+from tests.bench_free import MS, SECOND, Hand, answer_after
+
+FLEET, START, COLD, FALL, FROM, UNITS = 60, 100 * SECOND, 18 * SECOND, 3 * SECOND, 0.16, 34.0
+RULES = {"cold_from": FROM, "cold_time": COLD, "cold_units": UNITS, "fall_time": FALL}
+
+
+def test_hosts_with_nothing_out_put_new_data_at_nodes_drawn_at_random():
+    nodes = [api.NodeEntry(f"n{i:02}", i) for i in range(20)]
+    found = set()
+    for seed in range(100):
+        hand = Hand(hosts=100, nodes=nodes, seed=seed)
+        hand.scheduler.nodes["n00"].window = 0.5  # was cut, and has nothing out like the others
+        hand.request("r", 1, shard=-1)
+        found.add(hand.sends("r")[0][1].node)
+    assert "n00" not in found and len(found) == 19
+
+
+def test_new_data_goes_to_warm_nodes_first():
+    nodes = [api.NodeEntry(f"n{i}", i, up_since=START * (i < 3)) for i in range(4)]
+    hand = Hand(hosts=100, nodes=nodes, rules=RULES, start=START)
+    for i in range(4):
+        hand.request(f"r{i}", 1, shard=-1)
+    assert {a.node for _, a in hand.sends()} == {"n3"}
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_cold_nodes_bear_what_all_hosts_send_and_are_not_starved(seed):
+    """All nodes restart at once; each host is asked for the data of some of them, more than they may bear."""
+    chance, taken, asked = random.Random(seed), {i: [] for i in range(FLEET)}, 0.0
+    print("seed", seed)
+    for me in range(FLEET):
+        nodes = [api.NodeEntry(f"n{i}", i) for i in range(FLEET)]
+        hand, size = Hand(hosts=FLEET, me=me, nodes=nodes, rules=RULES, start=START, seed=me), {}
+        mine = chance.sample(range(FLEET), chance.randint(3, 12))
+        for i in range(360):
+            size[f"r{i}"] = chance.choice((1, 2, 4))
+            hand.request(f"r{i}", shard=chance.choice(mine), units=size[f"r{i}"])
+            asked += size[f"r{i}"]
+            hand.wait(30 * MS, answer_after(20 * MS))
+            if i == 160:
+                hand.listed(*(api.NodeEntry(n.node, n.shard, up_since=hand.now) for n in nodes))
+                up = hand.now
+        for at, send in hand.sends():
+            if at >= up:
+                taken[int(send.node[1:])].append((at - up, size[send.request]))
+    for sent in taken.values():
+        for end, _ in sent:
+            warmed = 1 + (1 / FROM - 1) * end / COLD
+            # what a node is said to bear always, and half of it again for one that many hosts send to
+            assert sum(u for at, u in sent if end - FALL < at <= end) <= 1.5 * UNITS * warmed
+    # an even part for each of all hosts would be under a tenth of what nodes bear in these six seconds
+    assert sum(u for sent in taken.values() for _, u in sent) > 0.3 * FLEET * 2 * UNITS
+
+
+def test_a_host_counts_all_hosts_until_it_has_been_asked_for_a_while_and_hands_on_what_it_knows():
+    nodes = [api.NodeEntry(f"n{i}", i) for i in range(100)]
+    hand = Hand(hosts=100, nodes=nodes, rules=RULES)
+    hand.request("r", shard=3)
+    assert hand.scheduler.sharers() == 100
+    hand.wait(4 * SECOND)
+    few = hand.scheduler.sharers()
+    assert 1 <= few < 10
+    after = Scheduler(hand.scheduler.settings, 2)
+    after.handle(hand.now, api.NodeList(api.ListKind.RESTORED, tuple(nodes)))
+    handover.take_over(after, handover.hand_over(hand.scheduler, hand.now))
+    assert after.sharers() == few
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -458,14 +458,3 @@
         hand.end("w", outcome)
         hand.wait(1 * SECOND)
         assert [s.node for _, s in hand.sends("w")] == [first, first]
-
-
-def test_hosts_with_nothing_out_put_new_data_at_nodes_drawn_at_random():
-    nodes = [api.NodeEntry(f"n{i:02}", i) for i in range(20)]
-    found = set()
-    for seed in range(100):
-        hand = Hand(hosts=100, nodes=nodes, seed=seed)
-        hand.scheduler.nodes["n00"].window = 0.5  # was cut, and has nothing out like the others
-        hand.request("r", 1, shard=-1)
-        found.add(hand.sends("r")[0][1].node)
-    assert "n00" not in found and len(found) == 19
