Take the readable entries of a node list where one of them is malformed

Seen by reading: read_list raised on the first entry that it could not read, so one spoilt entry voided the whole message, with every drain in it, and the head kept its old list.

Change: net/discovery.py reads entries one by one. What cannot be read is passed over, counted (entry_unreadable) and logged once for each node and fault; in a whole list the node that it stands for stays as last told.

--- a/stoatrouter/net/discovery.py
+++ b/stoatrouter/net/discovery.py
@@ -4,8 +4,9 @@
 
 import asyncio
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from datetime import timedelta
+from types import MappingProxyType
 from typing import Any
 
 import aiohttp
@@ -20,6 +21,8 @@
 ANSWER_WITHIN = HOLD + timedelta(seconds=2)  # silence past this: the watch is started anew
 PAUSE = timedelta(milliseconds=100)  # after an error; within the 200 ms in which a watch continues
 LARGEST_LIST = 4 * 1024 * 1024
+MOST_SAID = 1000  # faults of entries that are remembered as said
+NONE_HELD: Mapping[str, NodeInfo] = MappingProxyType({})
 PHASES = {"SERVING": Phase.ON, "DRAINING": Phase.DRAINING, "DELETED": Phase.GONE}
 
 Told = Callable[[ListKind, tuple[NodeInfo, ...]], None]
@@ -28,8 +31,11 @@
 class Watch:
     """Follows the list and tells what changed."""
 
-    def __init__(self, address: str, known: dict[str, Any], told: Told) -> None:
-        self.address, self.told = address, told
+    def __init__(self, address: str, known: dict[str, Any], told: Told,
+                 count: Callable[[str], None] = lambda _: None) -> None:
+        self.address, self.told, self.count = address, told, count
+        self.held: dict[str, NodeInfo] = {}  # as last told, for entries that cannot be read
+        self.said: set[str] = set()
         self.generation: int | None = None
         self.known = known
         self.failing = False
@@ -38,13 +44,13 @@
     def restore(self) -> None:
         """Tell the list as this head last had it; it may be out of date."""
         try:
-            generation, _, nodes = read_list(self.known) if self.known else (None, True, ())
+            generation, _, nodes, faults = read_list(self.known) if self.known else (None, True, (), ())
         except ValueError as error:
             logger.warning("discovery: the known list cannot be read: {error}",
                            event="discovery.known_unreadable", error=str(error))
-            generation, nodes = None, ()
+            generation, nodes, faults = None, (), ()
         self.generation = generation
-        self.told(ListKind.RESTORED, nodes)
+        self.tell(ListKind.RESTORED, nodes, faults)
 
     def move(self, address: str) -> None:
         """Watch at another address from now on. The list and its generation stay: the next call asks there
@@ -111,16 +117,33 @@
 
     def take(self, data: Any) -> bool:
         """Take one message, if it makes sense as what follows the list that is held."""
-        generation, whole, nodes = read_list(data)
+        generation, whole, nodes, faults = read_list(data, self.held)
         if not whole and (self.generation is None or generation < self.generation):
             # Guards against changes to another list than the one held, as from an agent that counts anew.
             self.generation = None  # the next call asks for the whole
             raise ValueError("changes to a list that is not held")
         self.generation = generation
-        if whole or nodes:
-            self.told(ListKind.FULL if whole else ListKind.CHANGES, nodes)
+        if whole or nodes or faults:
+            self.tell(ListKind.FULL if whole else ListKind.CHANGES, nodes, faults)
         return whole or bool(nodes)
 
+    def tell(self, kind: ListKind, nodes: tuple[NodeInfo, ...], faults: tuple[str, ...]) -> None:
+        """Tell what could be read, and say once what could not."""
+        for fault in faults:
+            self.count("entry_unreadable")
+            if fault not in self.said and len(self.said) < MOST_SAID:
+                self.said.add(fault)
+                logger.warning("discovery: an entry cannot be read, the others are taken: {error}",
+                               event="discovery.entry_unreadable", error=fault)
+        if kind is not ListKind.CHANGES:
+            self.held.clear()
+        for node in nodes:
+            self.held[node.id] = node
+            if node.phase is Phase.GONE:
+                del self.held[node.id]
+        if nodes or kind is not ListKind.CHANGES:
+            self.told(kind, nodes)
+
     def failed(self, error: BaseException) -> None:
         if not self.failing:
             logger.warning("discovery: not reached, the list held stays in use: {error}",
@@ -134,14 +157,29 @@
         self.failing = False
 
 
-def read_list(data: Any) -> tuple[int, bool, tuple[NodeInfo, ...]]:
-    """Read a message of discovery; ValueError where it is not what the protocol promises."""
+def read_list(data: Any, held: Mapping[str, NodeInfo] = NONE_HELD,
+              ) -> tuple[int, bool, tuple[NodeInfo, ...], tuple[str, ...]]:
+    """Read a message of discovery: its entries, and what is wrong with those that cannot be read. ValueError
+    where the message as a whole is not what the protocol promises."""
     try:
-        generation, whole = int(data["generation"]), bool(data["reset"])
-        nodes = tuple(read_node(entry) for entry in data["instances"])
+        generation, whole, entries = int(data["generation"]), bool(data["reset"]), data["instances"]
+        if not isinstance(entries, list):
+            raise TypeError("instances is no list")
     except (KeyError, TypeError, AttributeError, OverflowError) as error:
         raise ValueError(f"bad list: {type(error).__name__}: {error}") from None
-    return generation, whole, nodes
+    nodes: list[NodeInfo] = []
+    faults: list[str] = []
+    for entry in entries:
+        # Guards the list against one spoilt entry: it would void all others, and what they say of drains.
+        try:
+            nodes.append(read_node(entry))
+        except (KeyError, TypeError, AttributeError, OverflowError, ValueError) as error:
+            name = entry.get("instanceId") if isinstance(entry, dict) else None
+            faults.append(f"{name!r}: {type(error).__name__}: {error}"[:200])
+            # nor is the node that it stands for taken for gone
+            if whole and isinstance(name, str) and name in held:
+                nodes.append(held[name])
+    return generation, whole, tuple(nodes), tuple(faults)
 
 
 def read_node(entry: dict[str, Any]) -> NodeInfo:
