--- a/stoatrouter/__main__.py
+++ b/stoatrouter/__main__.py
@@ -80,7 +80,7 @@
         self.engine = Engine(Reducer(conf.settings, conf.seed, conf.max_open), Clock(), nodes,
                              Keep(conf.folder))
         self.watch = Watch(conf.discovery, conf.known, self.engine.told,
-                           self.engine.reducer.tally.add, conf.seed, conf.settings.hosts)
+                           self.engine.reducer.tally.add)
         self.door = Door(int(conf.sockets * CLIENT_SHARE), int(conf.sockets * IDLE_SHARE),
                          int(conf.sockets * BUSY_SHARE), busy_pressed(conf.sockets))
         self.drain = Drain(self.door)
--- a/stoatrouter/net/discovery.py
+++ b/stoatrouter/net/discovery.py
@@ -15,15 +15,11 @@
 
 from cypressworks.interface import ListKind, Phase
 from stoatrouter.core.model import NodeInfo
-from stoatrouter.membership.recovery import Backoff
 from stoatrouter.net.nodes import Broken, only_once
 
 HOLD = timedelta(seconds=20)
 ANSWER_WITHIN = HOLD + timedelta(seconds=2)  # silence past this: the watch is started anew
-PAUSE = timedelta(milliseconds=100)  # where no call is held; within the 200 ms in which a watch continues
-# How long a call may take of an overbooked discovery's time. It answers one after the other, so that many
-# heads are all heard only if their calls are drawn from a span as long as all of them take.
-CALL_TAKES, LONGEST_START = timedelta(milliseconds=200), timedelta(seconds=2)
+PAUSE = timedelta(milliseconds=100)  # after an error; within the 200 ms in which a watch continues
 LARGEST_LIST = 4 * 1024 * 1024
 MOST_SAID = 1000  # faults of entries that are remembered as said
 NONE_HELD: Mapping[str, NodeInfo] = MappingProxyType({})
@@ -36,14 +32,13 @@
     """Follows the list and tells what changed."""
 
     def __init__(self, address: str, known: dict[str, Any], told: Told,
-                 count: Callable[[str], None] = lambda _: None, seed: int = 0, heads: int = 1) -> None:
+                 count: Callable[[str], None] = lambda _: None) -> None:
         self.address, self.told, self.count = address, told, count
-        self.seed, self.failures = seed, 0  # failures: of calls, in a row
-        self.backoff = Backoff(first=CALL_TAKES * heads)
         self.held: dict[str, NodeInfo] = {}  # as last told, for entries that cannot be read
         self.said: set[str] = set()
         self.generation: int | None = None
         self.known = known
+        self.failing = False
         self.moved = asyncio.Event()
 
     def restore(self) -> None:
@@ -66,8 +61,6 @@
 
     async def run(self) -> None:
         """Watch for as long as the program runs, wherever the list is to be had."""
-        # Guards discovery against heads that are all started at once.
-        await asyncio.sleep(min(self.backoff.wait(self.seed, 0) / 4, LONGEST_START).total_seconds())
         while True:
             self.moved.clear()
             following = asyncio.create_task(self.follow())
@@ -95,7 +88,8 @@
                     if not news and asyncio.get_running_loop().time() - began < PAUSE.total_seconds():
                         await asyncio.sleep(PAUSE.total_seconds())
                 except (aiohttp.ClientError, Broken, OSError, ValueError, TimeoutError) as error:
-                    await asyncio.sleep(self.failed(error).total_seconds())
+                    self.failed(error)
+                    await asyncio.sleep(PAUSE.total_seconds())
                 except Exception:
                     # Guards against a list that sets off a fault elsewhere: the watch must outlive it.
                     logger.exception("discovery: what was told could not be taken", event="discovery.fault")
@@ -150,21 +144,17 @@
         if nodes or kind is not ListKind.CHANGES:
             self.told(kind, nodes)
 
-    def failed(self, error: BaseException) -> timedelta:
-        """A call brought nothing: how long to wait. Guards an overbooked discovery against heads that all ask
-        on at one pace: what it refuses keeps it overbooked then, and none is told anything."""
-        if not self.failures:
+    def failed(self, error: BaseException) -> None:
+        if not self.failing:
             logger.warning("discovery: not reached, the list held stays in use: {error}",
                            event="discovery.lost", error=repr(error))
-        self.failures += 1
-        self.count("discovery_failed")
-        return self.backoff.wait(self.seed, self.failures - 1)
+        self.failing = True
 
     def recovered(self) -> None:
-        if self.failures:
-            logger.info("discovery: reached again after {failures} failed calls, generation {generation}",
-                        event="discovery.reached", failures=self.failures, generation=self.generation)
-        self.failures = 0
+        if self.failing:
+            logger.info("discovery: reached again, generation {generation}", event="discovery.reached",
+                        generation=self.generation)
+        self.failing = False
 
 
 def read_list(data: Any, held: Mapping[str, NodeInfo] = NONE_HELD,
