Wire a head in a module of its own, so that the demo imports no command line

Need: the wiring grows with heads that know each other, and lab/demo.py imported Head from __main__, which imports the command line, which imports the demo: the one circle of imports. Head and what it alone uses moved to stoatrouter/head.py; nothing else changed.

--- a/stoatrouter/__main__.py
+++ b/stoatrouter/__main__.py
@@ -1,4 +1,4 @@
-"""Wiring: one real head."""
+"""What is started: one real head, or a command."""
 
 from __future__ import annotations
 
@@ -24,189 +24,20 @@
 
 import asyncio
 import signal
-from collections.abc import Mapping
-from datetime import timedelta
 from pathlib import Path
 from typing import TYPE_CHECKING
 
 from loguru import logger
 
 from stoatrouter import config
-from stoatrouter.core.reducer import Reducer
-from stoatrouter.core.spans import span
-from stoatrouter.fronts.platform import PlatformFront
-from stoatrouter.management.calls import MOST_CALLERS, Management
-from stoatrouter.net.bodies import SMALL, Room
-from stoatrouter.net.clock import Clock
-from stoatrouter.net.discovery import Watch
-from stoatrouter.net.door import Door
-from stoatrouter.net.engine import Engine, watch_loop
-from stoatrouter.net.generations import Generations
-from stoatrouter.net.keep import Keep
-from stoatrouter.net.listener import Drain, Listener, farewell
-from stoatrouter.net.nodes import NodeClient
+from stoatrouter.head import Head
 
 if TYPE_CHECKING:
     from stoatrouter.fronts.http.settings import HttpSettings
     from stoatrouter.fronts.objects.settings import ObjectSettings
-    from stoatrouter.net.tables import TableService
 
-# Of the descriptors: clients hold a third of them at most for requests; some more may say nothing.
-NODE_SHARE, CLIENT_SHARE, IDLE_SHARE = 0.3, 0.58, 0.125
-# Beyond these what comes is refused as it comes, before clients have no connection left to be heard on.
-BUSY_SHARE, PRESSED_SHARE, PRESSED_LEAST = 0.75 / 3, 0.4 / 3, 48
-BASE = 46_000_000  # of memory: what a head needs beside the bodies it keeps
 # How many new objects call for a look at the youngest, and so on: most of a request's end without it.
 GARBAGE = (10_000, 20, 20)
-LAG_EVERY, LAG_LIMIT = timedelta(milliseconds=100), timedelta(milliseconds=100)
-
-
-def busy_pressed(sockets: int) -> int:
-    """How many may be open while time is short: two fifths of what clients may hold, yet what a head serves
-    at once in quiet times."""
-    return max(1, min(int(sockets * BUSY_SHARE), max(PRESSED_LEAST, int(sockets * PRESSED_SHARE))))
-
-
-class Head:
-    """The parts of one head, put together."""
-
-    def __init__(self, conf: config.Config, objects: ObjectSettings | None = None,
-                 http: HttpSettings | None = None) -> None:
-        self.conf, self.object_settings, self.http_settings = conf, objects, http
-        self.tables: list[TableService] = []
-        self.recorder = None
-        nodes = NodeClient(conf.connect_timeout, conf.conn_idle, int(conf.sockets * NODE_SHARE),
-                           span(min(c.aim for c in conf.settings.classes)))
-        self.engine = Engine(Reducer(conf.settings, conf.seed, conf.max_open), Clock(), nodes,
-                             Keep(conf.folder))
-        self.watch = Watch(conf.discovery, conf.known, self.engine.told,
-                           self.engine.reducer.tally.add)
-        self.door = Door(int(conf.sockets * CLIENT_SHARE), int(conf.sockets * IDLE_SHARE),
-                         int(conf.sockets * BUSY_SHARE), busy_pressed(conf.sockets))
-        self.drain = Drain(self.door)
-        self.room = Room(max(SMALL, conf.memory_mb * 1_000_000 - BASE), conf.folder)
-        front = PlatformFront(self.engine, conf.settings, self.drain, self.room)
-        self.platform = Listener(front.handle, self.drain, front.refuse)
-        self.object_front = self.objects = self.http_front = self.http = None
-        if objects is not None:
-            self.open_objects(objects)
-        if http is not None:
-            self.open_http(http)
-        # a door of its own: however many clients come, operators are heard
-        self.management_door = Door(MOST_CALLERS, MOST_CALLERS, MOST_CALLERS)
-        self.generations = Generations(self.engine, self.watch, self.door, self.drain, conf.folder, self.rest,
-                                       self.accept)
-        self.serving = False
-        calls = Management(self.engine, self.drain, lambda: self.serving)
-        self.management = Listener(calls.handle, Drain(self.management_door))
-        self.background: list[asyncio.Task[None]] = []
-
-    # -- what is off on the platform: a head without it imports none of it -----------------------------------
-    def open_objects(self, objects: ObjectSettings) -> None:
-        from stoatrouter.fronts.objects.front import ObjectFront
-
-        choose = None
-        if objects.rules is not None:
-            from stoatrouter.fronts.objects.rules import Chooser
-            from stoatrouter.fronts.wiring import object_tables
-
-            service = object_tables(self.conf, objects)
-            self.tables.append(service)
-            choose = Chooser(service.matcher, self.conf.settings, self.engine.clock.now,
-                             self.engine.reducer.advice)
-        self.object_front = ObjectFront(self.engine.serve_whole, self.conf.settings, objects, self.drain,
-                                        choose)
-        self.objects = Listener(self.object_front.handle, self.drain)
-
-    def open_http(self, http: HttpSettings) -> None:
-        from stoatrouter.fronts.http.front import HttpFront
-        from stoatrouter.fronts.wiring import http_tables, recorder
-
-        service = http_tables(self.conf, http)
-        self.tables.append(service)
-        self.recorder = recorder(http)
-        self.http_front = HttpFront(self.engine, self.conf.settings, self.drain, self.room, service.matcher,
-                                    self.recorder, http.forwarded)
-        self.http = Listener(self.http_front.handle, self.drain)
-
-    @property
-    def listeners(self) -> list[Listener]:
-        """Where clients come."""
-        return [listener for listener in (self.platform, self.objects, self.http) if listener is not None]
-
-    async def start(self) -> None:
-        """Restore the list, then listen, then follow discovery."""
-        if self.conf.management is not None:
-            await self.management.start(*config.address(self.conf.management))
-        if not await self.generations.take_over():
-            self.engine.reducer.by_hand = self.engine.keep.read()
-            self.watch.restore()
-        await self.accept()
-        announcement.end()
-        await self.generations.listen()
-        loop = asyncio.get_running_loop()
-        self.background = [loop.create_task(self.watch.run()), loop.create_task(self.door.keep_swept()),
-                           loop.create_task(self.generations.follow()),
-                           loop.create_task(self.management_door.keep_swept()),
-                           loop.create_task(watch_loop(self.engine, self.door, LAG_EVERY, LAG_LIMIT)),
-                           *(loop.create_task(service.keep_told()) for service in self.tables)]
-        if self.recorder is not None:
-            self.background.append(loop.create_task(self.recorder.run()))
-        logger.info("start: {name} listens on {address}", event="start", name=self.conf.name,
-                    address=self.conf.listen)
-
-    async def accept(self) -> None:
-        """Accept clients at both fronts."""
-        await self.platform.start(*config.address(self.conf.listen), inherited=self.conf.inherited)
-        if self.objects is not None and self.object_settings is not None:
-            await self.objects.start(*config.address(self.object_settings.listen))
-        if self.http is not None and self.http_settings is not None:
-            await self.http.start(*config.address(self.http_settings.listen))
-        self.serving = True
-
-    async def rest(self) -> None:
-        """Accept no more: another process of this head does."""
-        self.serving = False
-        for listener in self.listeners:
-            listener.rest()
-
-    def reload(self, environ: Mapping[str, str]) -> None:
-        """Read the configuration again; all of it must be good. Discovery's address is taken over at once,
-        rule tables once they are read."""
-        for service in self.tables:
-            service.reload()
-        try:
-            conf = config.reload(environ)
-        except config.ConfigError as error:
-            # Guards a serving head against a file that is half written or wrong.
-            logger.error("reload: the configuration in force stays: {error}", event="reload.refused",
-                         error=str(error))
-            return
-        fixed = ("name", "listen", "settings", "sockets", "memory_mb", "conn_idle", "max_open")
-        later = [name for name in fixed if getattr(conf, name) != getattr(self.conf, name)]
-        if later:
-            logger.warning("reload: changes of {fields} wait for the next start", event="reload.later",
-                           fields=", ".join(later))
-        logger.info("reload: discovery at {address}, was {before}", event="reload.taken",
-                    address=conf.discovery, before=self.watch.address)
-        self.watch.move(conf.discovery)
-
-    async def stop(self) -> None:
-        """Serve for as long as answers are sure, finish what was taken, then end everything."""
-        logger.info("stop: asked to, {open} requests open", event="stop.asked", open=self.engine.reducer.open)
-        self.serving = False
-        times = farewell(span(max(c.deadline for c in self.conf.settings.classes)))
-        self.engine.answer_by = self.engine.clock.now() + times.answer_within
-        await asyncio.gather(*(li.stop(lambda: self.engine.busy, times.take_for) for li in self.listeners))
-        self.drain.rest()
-        await self.generations.close()
-        for service in self.tables:
-            await service.close()
-        await self.management.close()
-        for task in self.background:
-            task.cancel()
-        await asyncio.gather(*self.background, return_exceptions=True)
-        await self.engine.close()
 
 
 def write_logs(form: str | None) -> None:
--- a/stoatrouter/lab/demo.py
+++ b/stoatrouter/lab/demo.py
@@ -17,10 +17,10 @@
 from loguru import logger
 
 from stoatrouter import config
-from stoatrouter.__main__ import Head
 from stoatrouter.core import model
 from stoatrouter.fronts.http.settings import load_http
 from stoatrouter.fronts.objects.settings import load as load_objects
+from stoatrouter.head import Head
 from stoatrouter.lab.standins import HOST, Listening, StandInDiscovery, StandInNode
 
 FILES = resources.files("stoatrouter.lab") / "demo_files"  # a small deployment
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from stoatrouter.__main__ import busy_pressed
+from stoatrouter.head import busy_pressed
 from stoatrouter.net import bodies, door
 from tests.peers import HOST, Node, run, until
 from tests.test_network import HEADERS, PATH, WRITE, started
--- a/tests/test_http_front.py
+++ b/tests/test_http_front.py
@@ -13,9 +13,9 @@
 import pytest
 from aiohttp import web
 
-from stoatrouter.__main__ import Head
 from stoatrouter.config import ConfigError
 from stoatrouter.fronts.http.settings import load_http
+from stoatrouter.head import Head
 from stoatrouter.matching.samples import read_samples
 from tests.peers import HOST, SETTINGS, Node, head_config, nodes_up, run, until
 from tests.rules import APP, ARCHIVE, FEED, READS, WRITES, write_rules
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -11,8 +11,8 @@
 import pytest
 
 from cypressworks.interface import ListKind, Outcome, Phase
-from stoatrouter.__main__ import Head
 from stoatrouter.core import model
+from stoatrouter.head import Head
 from stoatrouter.net import discovery, listener
 from stoatrouter.net.discovery import Watch
 from stoatrouter.net.nodes import NodeClient, read_load, read_number
--- a/tests/test_objects.py
+++ b/tests/test_objects.py
@@ -12,7 +12,6 @@
 import aiohttp
 import pytest
 
-from stoatrouter.__main__ import Head
 from stoatrouter.config import ConfigError
 from stoatrouter.core import model
 from stoatrouter.fronts.objects import front, ranges
@@ -20,6 +19,7 @@
 from stoatrouter.fronts.objects.extents import HEADER, PAYLOAD, BadPiece, Ref, frame, overlapping, unframe
 from stoatrouter.fronts.objects.settings import parse
 from stoatrouter.fronts.objects.tokens import Part, Tokens
+from stoatrouter.head import Head
 from tests.peers import HOST, Node, head_config, nodes_up, piece, run, told, until
 
 SECRET = b"a secret of at least thirty-two bytes"
