--- a/stoatrouter/peering/rules.py
+++ b/stoatrouter/peering/rules.py
@@ -182,7 +182,8 @@
             self.fault(version, f"{type(error).__name__}: {error}")
 
     def fault(self, version: Version, why: str) -> None:
-        why = why.replace(f"{self.folder / version.digest}{os.sep}", "")  # where it lies here is nobody's matter
+        # where the set lies at this head is of no use to whoever reads it at another
+        why = why.replace(f"{self.folder / version.digest}{os.sep}", "")
         self.faults[version.digest] = why[:LONGEST_WHY]
         logger.error("rules: version {number} cannot be loaded: {why}", event="rules.unloadable",
                      number=version.number, why=why[:LONGEST_WHY])
