--- /dev/null
+++ b/benchmarks/heads_credit.py
@@ -0,0 +1,231 @@
+"""Prepaid credit measured: the decision's cost, CPU a request with it on and off, and what is overspent or
+refused against three baselines under the same faults.
+
+    python -m benchmarks.heads_credit [--seeds 40] [--requests 3000]
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import statistics
+import tempfile
+import time
+from collections.abc import Callable
+from datetime import timedelta
+from pathlib import Path
+
+from stoatrouter.credit.holder import Holder
+from stoatrouter.credit.records import Grant
+from stoatrouter.lab.fleet import faults
+from stoatrouter.lab.fleet.credit import ACCOUNT, CreditFleet
+from stoatrouter.lab.fleet.voters import Broken
+from stoatrouter.lab.fleet.world import World
+from stoatrouter.peering.book import SpentBook
+
+SECOND = timedelta(seconds=1)
+ANSWER_BY = timedelta(milliseconds=400)
+
+
+def decision(customers: int, rounds: int = 200_000) -> str:
+    """One take and one end, with the spent figure written to the mapped file."""
+    with tempfile.TemporaryDirectory() as folder:
+        holder, times = Holder(5 * SECOND, SpentBook(Path(folder) / "book")), []
+        for i in range(customers):
+            holder.want(f"c{i}", 1, SECOND)
+        for turn in holder.turns(SECOND, customers):
+            holder.granted(
+                turn, Grant(turn.customer, f"{turn.customer}.0", 10**12, 10**12, 0), SECOND, SECOND
+            )
+        for i in range(rounds):
+            customer, now = f"c{i % customers}", SECOND + timedelta(microseconds=i)
+            began = time.perf_counter_ns()
+            turned = holder.take("r", customer, 2000, 2, now)
+            holder.end("r", True)
+            times.append(time.perf_counter_ns() - began)
+            assert turned is None
+        times.sort()
+        return (
+            f"{customers} customers: p50 {times[len(times) // 2] / 1000:.2f} us, p99 "
+            f"{times[len(times) * 99 // 100] / 1000:.2f} us, mean {statistics.mean(times) / 1000:.2f} us"
+        )
+
+
+# -- baselines, over the same world, load and faults -----------------------------------------------------
+class EvenSplit(CreditFleet):
+    """Each head may spend its even part of what was paid in, and no more."""
+
+    def request(self, name: str, customer: str, charge: int, rank: int) -> None:
+        if not running(self, name):
+            return
+        self.count += 1
+        spent = self.answers.setdefault(f"{name}/{customer}", b"0")
+        if int(spent) + charge > self.paid[customer] // len(self.names):
+            self.turned += 1
+            return
+        self.answers[f"{name}/{customer}"] = b"%d" % (int(spent) + charge)
+        self.taken += 1
+        self.true[customer] += charge
+        self.check(customer)
+
+
+class NoSharing(EvenSplit):
+    """Each head believes that it alone spends."""
+
+    def request(self, name: str, customer: str, charge: int, rank: int) -> None:
+        held = self.paid
+        self.paid = {c: amount * len(self.names) for c, amount in held.items()}
+        try:
+            super().request(name, customer, charge, rank)
+        finally:
+            self.paid = held
+
+
+class AsksEachTime(CreditFleet):
+    """Each request waits for the account's word; one that does not come in time is refused, booked or not."""
+
+    def request(self, name: str, customer: str, charge: int, rank: int) -> None:
+        if not running(self, name):
+            return
+        self.count += 1
+        answered: list[bool] = []
+
+        def arrive() -> None:
+            account = self.ledger.accounts[customer]
+            ok = account.balance >= charge
+            if ok:
+                account.charged += charge
+            self.world.send(ACCOUNT, name, lambda: back(ok))
+
+        def back(ok: bool) -> None:
+            if not answered:
+                answered.append(ok)
+                self.done(customer, charge, ok)
+
+        def late() -> None:
+            if not answered:
+                answered.append(False)
+                self.turned += 1
+
+        self.world.send(name, ACCOUNT, arrive)
+        self.world.on(name, ANSWER_BY, late)
+
+    def done(self, customer: str, charge: int, ok: bool) -> None:
+        if not ok:
+            self.turned += 1
+            return
+        self.taken += 1
+        self.true[customer] += charge
+        self.check(customer)
+
+
+def running(fleet: CreditFleet, name: str) -> bool:
+    machine = fleet.world.machines[name]
+    return machine.up and machine.paused_until <= fleet.world.now
+
+
+def compared(kind: type[CreditFleet], seed: int, uneven: bool) -> tuple[float, float, float]:
+    """Served of what was paid in, overspent of what was paid in, requests refused; under one seed's
+    faults."""
+    names = [*(f"h{i}" for i in range(5)), ACCOUNT]
+    world = World(seed, names)
+    fleet = kind(world, returned=True)  # no overspending ends the run: it is what is measured
+    fleet.sent, fleet.uneven = 1.0, uneven
+    span = 20 * SECOND
+    kinds = tuple(k for k in (*faults.KINDS, "pause", "twice") if k != "wipe")
+    faults.play(world, faults.draw(seed, names, span, kinds), fleet.kill, fleet.start)
+    fleet.load(span, timedelta(milliseconds=25))
+    for i in range(16):
+        amount = world.draws.choice([20, 200, 1500])
+        world.at(span * i / 16, lambda c=f"c{i % 2}", a=amount: fleet.pay(c, a))
+    for account in fleet.ledger.accounts.values():
+        account.low_water = 0  # none of the baselines narrows
+        account.returned = kind is not CreditFleet
+    world.run(span)
+    paid, true = sum(fleet.paid.values()), fleet.true
+    over = sum(max(0, true[c] - fleet.paid[c]) for c in true)
+    return (sum(true.values()) - over) / paid, over / paid, fleet.turned / max(1, fleet.taken + fleet.turned)
+
+
+def against_baselines(seeds: int, uneven: bool) -> None:
+    print(
+        "\ncustomers come through one head above all, which changes"
+        if uneven
+        else "\ncustomers come through all heads alike"
+    )
+    print(
+        "\n| way | served of what was paid in | overspent, worst seed | refused |\n| --- | --- | --- | --- |"
+    )
+    for kind, title in (
+        (CreditFleet, "allotments, as shipped"),
+        (EvenSplit, "even split"),
+        (AsksEachTime, "a call for each request"),
+        (NoSharing, "no sharing"),
+    ):
+        rows = []
+        for seed in range(seeds):
+            try:
+                rows.append(compared(kind, seed, uneven))
+            except Broken as broken:
+                print(f"seed {seed}: {broken}")
+        print(
+            f"| {title} | {statistics.mean(r[0] for r in rows):.1%} | {max(r[1] for r in rows):.1%} | "
+            f"{statistics.mean(r[2] for r in rows):.1%} |",
+            flush=True,
+        )
+
+
+# -- CPU of a head ---------------------------------------------------------------------------------------
+async def cpu_a_request(more: str, requests: int, prepare: Callable | None = None) -> tuple[float, float]:
+    """Milliseconds of CPU for each request, and memory in MB, of one head of the real program."""
+    from benchmarks.heads import used
+    from tests.heads.processes import heads_up
+
+    with tempfile.TemporaryDirectory() as folder:
+        async with heads_up(Path(folder), count=1, voters=1, more=more) as fleet:
+            head = fleet["h0"]
+            if prepare is not None:
+                await prepare(head)
+            for i in range(200):
+                await head.read(f"w{i}")
+            assert head.process is not None
+            before = used(head.process.pid)
+            served = 0
+            for i in range(requests):
+                served += (await head.read(f"r{i}"))[0] == 200
+            after = used(head.process.pid)
+            assert served == requests, f"{served} of {requests} served"
+            return (after.cpu_s - before.cpu_s) / requests * 1000, after.rss_mb
+
+
+async def on_and_off(requests: int) -> None:
+    from tests.heads.test_credit_processes import CREDIT, VOLUME, customer
+
+    async def prepare(head: object) -> None:
+        await customer(head, "acme", VOLUME, paid=10**12)
+
+    for _ in range(3):
+        off = await cpu_a_request("", requests)
+        on = await cpu_a_request(CREDIT, requests, prepare)
+        print(
+            f"CPU a request: off {off[0]:.3f} ms, on {on[0]:.3f} ms ({on[0] / off[0] - 1:+.1%}); "
+            f"memory {off[1]:.1f} and {on[1]:.1f} MB",
+            flush=True,
+        )
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--seeds", type=int, default=40)
+    parser.add_argument("--requests", type=int, default=3000)
+    given = parser.parse_args()
+    for customers in (1, 1000):
+        print(decision(customers), flush=True)
+    for uneven in (False, True):
+        against_baselines(given.seeds, uneven)
+    if given.requests:
+        asyncio.run(on_and_off(given.requests))
+
+
+if __name__ == "__main__":
+    main()
