--- a/stoatrouter/credit/ledger.py
+++ b/stoatrouter/credit/ledger.py
@@ -92,7 +92,7 @@
 
     accounts: list[Account]
     entries: list[Entry]
-    heads: dict[str, int]
+    heads: dict[str, tuple[str, int]]
 
 
 @dataclass(slots=True)
@@ -103,7 +103,8 @@
     entries: OrderedDict[str, Entry] = field(default_factory=OrderedDict)
     customers: dict[str, str] = field(default_factory=dict)  # by volume
     places: dict[str, str] = field(default_factory=dict)  # customers, by allotment
-    heads: dict[str, int] = field(default_factory=dict)  # by identity: the number of its last word
+    # by head: the identity under which it is heard, and the number of its last word
+    heads: dict[str, tuple[str, int]] = field(default_factory=dict)
     read: msgspec.msgpack.Decoder = field(default_factory=lambda: msgspec.msgpack.Decoder(Command))
 
     def customers_of(self, volume: str) -> str | None:
@@ -200,9 +201,8 @@
     # -- heads --------------------------------------------------------------------------------------------
     def turns(self, index: int, command: Turns) -> Grants:
         # Guards the sum: what a head said before its last word is no news, in whatever order it comes.
-        if command.number <= self.heads.get(command.identity, -1):
+        if not self._heard(command.holder, command.identity, command.number):
             return Grants(())
-        self.heads[command.identity] = command.number
         grants = []
         for number, turn in enumerate(command.turns):
             for settle in turn.settles:
@@ -211,6 +211,14 @@
             grants.append(self.grant(f"{index}.{number}", command, turn))
         return Grants(tuple(grants))
 
+    def _heard(self, holder: str, identity: str, number: int) -> bool:
+        """Whether this is a word of the identity that stands, later than its last one."""
+        stands, last = self.heads.get(holder, (identity, -1))
+        if identity != stands or number <= last:
+            return False
+        self.heads[holder] = (identity, number)
+        return True
+
     def settle(self, identity: str, settle: Settle) -> None:
         """Book what a head says of an allotment. What is not out any more was booked before."""
         account = self.accounts.get(self.places.get(settle.allotment, ""))
@@ -256,18 +264,19 @@
     def begin(self, command: Begin) -> Booked:
         """What an earlier disk of a head held, nobody can tell any more: it is charged. What this disk never
         heard of was never spent from."""
-        if command.identity:  # else an operator writes the head off
-            if command.number <= self.heads.get(command.identity, -1):
-                return Booked(True)
-            self.heads[command.identity] = command.number
+        stands, last = self.heads.get(command.holder, ("", -1))
+        # Guards a head against its own past: the first word of an earlier disk may come late.
+        if command.identity and command.identity != stands and command.over != stands:
+            return Booked(False, stands)
+        if command.identity and command.identity == stands and command.number <= last:
+            return Booked(True)
+        self.heads[command.holder] = (command.identity, command.number if command.identity else -1)
         for account in list(self.accounts.values()):
             for id, held in list(account.out.items()):
                 if held.holder != command.holder or id in command.holds:
                     continue
-                if held.identity != command.identity:
-                    if not (account.returned and held.expired):
-                        account.charged += held.amount - held.spent
-                    self.heads.pop(held.identity, None)
+                if held.identity != command.identity and not (account.returned and held.expired):
+                    account.charged += held.amount - held.spent
                 self._close(account, id)
         return Booked(True)
 
--- a/stoatrouter/credit/records.py
+++ b/stoatrouter/credit/records.py
@@ -77,6 +77,7 @@
 
     holder: str
     identity: str
+    over: str  # the identity that it takes over from, as far as it knows: "" none
     number: int
     holds: tuple[str, ...]  # what its disk knows of
 
@@ -104,7 +105,7 @@
     """To an operator's entry."""
 
     ok: bool
-    why: str = ""
+    why: str = ""  # to Begin: the identity that stands
     balance: int = 0
     again: bool = False  # it had been booked before
 
--- a/stoatrouter/peering/credit.py
+++ b/stoatrouter/peering/credit.py
@@ -97,6 +97,8 @@
         turns = self.holder.turns(asked_at)
         if turns:
             grants = await self.say(turns)
+            # the account does not hear this head (it was written off), or an answer is lost for good
+            self.begun = len(grants.grants) == len(turns)
             self.hear(turns, grants, asked_at)
 
     def hear(self, turns: list[Turn], grants: Grants, asked_at: timedelta) -> None:
@@ -127,11 +129,16 @@
 
     async def begin(self) -> None:
         """The first word: what this disk knows of, and what was spent of it by the process before."""
-        self.number += 1
-        me = self.fleet.me
-        body = msgspec.msgpack.encode(Begin(self.fleet.settings.name, me.identity, self.number,
-                                            tuple(self.before)))
-        await self.until_answered(body)
+        name, me = self.fleet.settings.name, self.fleet.me
+        held = {h.id for purse in self.holder.purses.values() for h in purse.held}
+        over, booked = self.ledger.heads.get(name, ("", 0))[0], Booked(False)
+        while not booked.ok and not self.closing:
+            self.number += 1
+            body = msgspec.msgpack.encode(Begin(name, me.identity, over, self.number,
+                                                (*self.before, *sorted(held))))
+            answer = await self.until_answered(body)
+            booked = msgspec.msgpack.decode(answer, type=Booked) if answer else booked
+            over = booked.why
         if self.before:
             settles = tuple(Settle(id, spent, True) for id, spent in self.before.items())
             await self.say([Turn("", (), settles)])
@@ -139,6 +146,7 @@
                         count=len(settles))
         for id in self.before:
             self.book.end(id)
+        self.before = {}
         self.begun = True
 
     async def expire(self) -> None:
--- a/stoatrouter/peering/creditcalls.py
+++ b/stoatrouter/peering/creditcalls.py
@@ -137,7 +137,7 @@
 
     async def write_off(self, name: str) -> web.Response:
         """Only for a head that will not come back with its disk: what it held is charged, to the last."""
-        return await self.book(Begin(name, "", 1 << 62, ()), secrets.token_hex(8))
+        return await self.book(Begin(name, "", "", 0, ()), secrets.token_hex(8))
 
 
 def now() -> str:
