--- a/cypressworks/handover.py
+++ b/cypressworks/handover.py
@@ -11,7 +11,8 @@
 from typing import Any
 
 from cypressworks import interface as api
-from cypressworks.logic import KEYS_KEPT, Node, Scheduler, Volume
+from cypressworks.logic import Scheduler
+from cypressworks.rules import KEYS_KEPT, Node, Volume
 
 # Of what is left of a store beyond what the old process holds for: its clients come until their answers.
 OLD_PART = 0.2
--- a/cypressworks/logic.py
+++ b/cypressworks/logic.py
@@ -8,156 +8,18 @@
 from cypressworks import interface as api
 from cypressworks.interface import Attempt, Effect, Group, ListKind, Outcome, Phase, Request
 
-MS, SECOND = 1_000, 1_000_000
-READ_EVERY, REBUILD_EVERY = 100 * MS, SECOND  # the controller's reading; the throttleable set
-STEP_DELAY, TOP_STEP = 5 * MS, 21  # what one step holds a throttleable request back; the highest step
-GAIN_P, GAIN_I, GAIN_D = 2.0, 0.5, 0.5  # steps for an error as large as the threshold
-IN_VAIN = 20  # readings at the top step after which throttling is held to be of no use
-AVERAGE_WEIGHT = 0.1  # of the newest answer in the latency averages, at least
-AVERAGE_SPAN = 4 * SECOND  # how long what was seen of a node is of use
-ALL_PLACES, TOP_WINDOW = 16.0, 32.0  # what all hosts' windows at a node start from, together; one's ceiling
+from cypressworks.rules import (  # isort: skip
+    AVERAGE_SPAN, CROWD, KEY_BONUS, KEYS_KEPT, LONGEST_PACE, MS, NEVER, PROBE_EVERY, READ_EVERY,
+    REBUILD_EVERY, SECOND, STEP_DELAY, TIMER_READ, TINY, TOP_WINDOW, Node, Rulebook, Volume)
+
 LATE = 0.25  # an answer that took more than this part of the threshold shrinks the window
 JAMS = {Outcome.FULL: 1.0, Outcome.TIMEOUT: 1.0, Outcome.CONNECT_FAILED: 0.125}  # to what part of the least
 VANISHING, RECENT = 0.03, 0.03  # from what part of overtaken attempts answers vanish; weight of the newest
 HALF_MARGIN = 20 * MS  # for the way of a refusal to the client
-LONGEST_PACE = 6 * SECOND  # between two sends of a host, however small its window
-PROBE_EVERY, CROWD = 500 * MS, ALL_PLACES / 2  # how often a node is asked for its queue; what of it is a jam
 PRESSED = SECOND  # how long after such an answer a node counts as pressed
-KEY_BONUS, KEYS_KEPT = 2.0, 2  # worth of a key the node has just read: a full step; how many keys that is
-SHARERS_MARGIN = 1.5  # on how many hosts are expected to send to a node
-TIMER_READ, TINY, NEVER = 0, 1e-9, 1 << 62
-
-
-class Volume:
-    """One volume's stores. The reserve counts all hosts, as far as answers tell; the limit's is our part."""
-
-    def __init__(self, now: int, plan: api.Plan, hosts: int, most: float) -> None:
-        self.plan, self.hosts, self.stamp, self.excess = plan, max(1, hosts), now, 0.0
-        self.full = self.reserve = plan.reserve + most if plan.reserve else 0.0
-        # A restarted host cannot know what it spent, so its part of the limit's store was at the lowest
-        # that it may have reached when this host started (now: that time), and only time fills it.
-        self.lowest = self.store = -plan.tolerance / self.hosts
-        self.fills = True  # not once this host's next process has taken over: only its part fills
-
-    def follow(self, now: int, hosts: int) -> None:
-        """Another number of hosts: what those who left have spent is unknown, so the part starts anew."""
-        if max(1, hosts) != self.hosts:
-            self.at(now).hosts = max(1, hosts)
-            self.lowest = -self.plan.tolerance / self.hosts
-            self.store = min(self.store, self.lowest)
-
-    def at(self, now: int) -> Volume:
-        if now == self.stamp:  # nothing has passed
-            return self
-        passed, self.stamp, p = (now - self.stamp) / SECOND, now, self.plan
-        self.reserve = min(self.full, self.reserve + p.reserve * passed)
-        self.store = min(p.burst / self.hosts, self.store + p.limit / self.hosts * passed * self.fills)
-        self.excess *= 0.5 ** passed  # units lately served beyond the reserve
-        return self
-
-    def filled(self, now: int, units: float) -> int:
-        """From when this host's part of the limit's store holds these units above its lowest."""
-        lack = units + self.lowest + TINY - self.at(now).store if self.plan.limit else 0.0
-        if lack > 0 and not self.fills:
-            return NEVER
-        return now + math.ceil(lack * self.hosts / self.plan.limit * SECOND) if lack > 0 else now
-
-    def idle(self, now: int, span: int) -> bool:
-        """Long unused and its limit's part full again: forgetting it refills nothing."""
-        return now - self.stamp > span and self.at(now).store >= self.plan.burst / self.hosts
 
-    def spend(self, units: float) -> None:
-        self.excess += units - min(units, max(0.0, self.reserve))
-        self.reserve = max(-self.plan.reserve, self.reserve - units)
 
-
-class Node:
-    """One node as this host sees it."""
-
-    def __init__(self, e: api.NodeEntry, hosts: int, now: int) -> None:
-        self.part, self.closes = ALL_PLACES / hosts, 0  # closes: until when it takes work though it drains
-        self.id, self.shard, self.zone, self.phase = e.node, e.shard, e.zone, e.phase
-        self.held: dict[str, Request] = {}
-        self.out: dict[tuple[str, int], int] = {}  # attempts out, and since when
-        self.elsewhere = 0  # attempts that this host's process before still has out
-        self.sent: deque[tuple[int, float]] = deque()  # units sent lately, kept over a restart
-        self.restart(e.up_since, now)
-
-    def restart(self, up_since: int, known: int) -> None:
-        self.up_since, self.known, self.spent = up_since, known, 0.0  # spent: units sent since it is known
-        self.window, self.cut_at, self.last_sent = max(1.0, self.part), 0, 0
-        self.reads = self.answers = self.trip = 0.0  # trip: the latest, time-outs too
-        self.unit = 0.0  # how long a unit's answer takes; 0: not known since the restart
-        self.step, self.output, self.errors, self.pinned = 0, 0.0, (0.0, 0.0), 0
-        self.writes: dict[str, float] = {}
-        self.throttled: set[str] = set()
-        self.heard = self.read_at = self.newest = self.quiet = 0  # newest: latest sent of those answered
-        self.keys: deque[str | None] = deque(maxlen=KEYS_KEPT)
-        self.crowd, self.crowd_at, self.asked, self.probe_at = 0.0, -LONGEST_PACE, -LONGEST_PACE, 0  # probes
-
-    def takes(self, now: int) -> bool:
-        return self.phase is Phase.ON or self.phase is Phase.DRAINING and now < self.closes
-
-    def weigh(self, average: float, since: int, now: int, took: int) -> float:
-        """Into a moving average; the weight follows time too, as answers may come seconds apart."""
-        return average + min(1.0, max(AVERAGE_WEIGHT, (now - since) / AVERAGE_SPAN)) * (took - average)
-
-    def control(self, threshold: float, now: int) -> None:
-        """Single-sided PID in discrete incremental form, on the error relative to the threshold."""
-        error, (last, before) = self.reads / threshold - 1, self.errors
-        if error <= 0 or now - self.read_at > AVERAGE_SPAN:  # at or below the threshold, or old: no delay
-            self.step, self.output, self.errors, self.pinned = 0, 0.0, (0.0, 0.0), 0
-            return
-        change = GAIN_P * (error - last) + GAIN_I * error + GAIN_D * (error - 2 * last + before)
-        self.output = min(float(TOP_STEP), max(0.0, self.output + change))
-        # Against windup: an aged node is slow whatever is throttled. Once the top step has stood in vain,
-        # writers are let go until the average has come down by itself.
-        self.pinned += self.output == TOP_STEP
-        self.step, self.errors = int(self.output) if self.pinned < IN_VAIN else 0, (error, last)
-
-    def cut(self, now: int, sent: int, jam: float = 1.0) -> None:
-        """Halve the window. One jam is one signal: what was sent before the last cut tells nothing new.
-        Below one place, to this part of the least, only where there is a jam: long work alone is late too."""
-        if sent >= self.cut_at:
-            floor = min(1.0, self.part) * jam if jam else min(1.0, self.window)
-            self.window, self.cut_at = max(floor, self.window / 2), now
-
-    def room(self, now: int, patience: float) -> bool:
-        """Whether the window has a place."""
-        taken = self.elsewhere + sum(now - sent <= patience for sent in self.out.values())
-        return taken < max(1, int(self.window)) and now >= self.opens(now, patience)
-
-    def opens(self, now: int, patience: float) -> int:
-        """From when a window below one, a pace, lets a send through; no test while a probe is out."""
-        if self.window >= 1:
-            return now
-        trip = max(self.trip, patience if self.out else patience / 4)
-        if now - self.crowd_at <= 2 * PROBE_EVERY:
-            # What a node says of its queue saves the tests: those of hundreds of hosts alone keep a jam full.
-            # Guards against any queue that outlives its cause. Harm: a wrong report leaves longest paces, or
-            # lets this host send as at an idle node, once each window's pace.
-            if self.crowd > CROWD:
-                return self.last_sent + 4 * LONGEST_PACE
-            trip = min(trip, patience)
-        return max(self.last_sent + int(min(LONGEST_PACE, trip / self.window)), self.asked + READ_EVERY)
-
-    def sent_since(self, since: int) -> float:
-        """Units sent from then on; the latest come first, as most of what is kept may be older."""
-        total = 0.0
-        for at, units in reversed(self.sent):
-            if at < since:
-                break
-            total += units
-        return total
-
-    def rebuild(self) -> None:
-        """Volumes that write more than the node's mean per volume are throttleable."""
-        mean = sum(self.writes.values()) / max(1, len(self.writes))
-        self.throttled = {v for v, rate in self.writes.items() if rate > mean}
-        self.writes = {v: rate * 0.7 for v, rate in self.writes.items() if rate > 0.01}
-
-
-class Scheduler:
+class Scheduler(Rulebook):
     """The decisions of one host: a pure state machine from events to actions."""
 
     def __init__(self, settings: api.Settings, seed: int) -> None:
@@ -391,91 +253,6 @@
                 self.wake(self.rests[r.key], turn[0])
 
     # -- attempts -----------------------------------------------------------------------------------------
-    def barred(self, r: Request, node: Node) -> int:
-        """The one place where every send meets every rule: 0 where none bars it, else from when they may let
-        it go as far as is known, or the next reading."""
-        now, rules, kind, volume, again = self.now, self.rules, r.kind, r.volume, bool(r.attempts)
-        soon = now + READ_EVERY
-        # 1: nothing goes out for what is finished or overdue
-        if r.done or max(now, r.wait_until) >= r.deadline or len(r.attempts) >= self.settings.max_attempts:
-            return NEVER
-        # 2: effects: never two at once, and repeats only where they are harmless
-        if again and self.barred_again(r, node):
-            return NEVER
-        # 3: drains: a draining node is used within the grace, as long as none that is on has its shard
-        if not node.takes(now):
-            return soon
-        # 4: a cold node gets this host's part of what it always bears
-        if node.up_since and now - node.up_since < rules.cold_time and not self.cold_room(r, node, now):
-            warm = r.deadline - node.up_since >= rules.cold_time or self.cold_room(r, node, r.deadline)
-            return soon if warm else NEVER
-        # 5: the limit: this host's part of the store may never sink below its part of the tolerance
-        if not again and volume.plan.limit and volume.filled(now, r.units) > now:
-            return volume.filled(now, r.units)
-        # 6: order within a key; a request's own further attempts do not wait for its rest
-        if kind.in_turn and r.key is not None and (
-                self.turns[r.key][0] is not r or not again and now < self.rests.get(r.key, 0)):
-            return max(soon, self.rests.get(r.key, 0))
-        # 7: the budget of further attempts, exact over its sliding window
-        barred = again and rules.budget_time is not None and not self.affordable(now - rules.budget_time)
-        return soon if barred else 0
-
-    def barred_again(self, r: Request, node: Node) -> bool:
-        kind, ran = r.kind, [a for a in r.attempts if a.may_have_run()]
-        if r.out() or ran and kind.effect is Effect.UNSAFE:
-            return True
-        if not ran or kind.effect is not Effect.KEYED:
-            return False
-        home = ran[0].node
-        return (max(self.now, r.wait_until) >= ran[0].sent + kind.repeat_window
-                or kind.group is Group.SHARD and home.shard != node.shard
-                or kind.group is Group.ZONE and home.zone != node.zone)
-
-    def warmth(self, node: Node, at: int) -> float:
-        """The part of its capacity that a node has at least, by what is promised of its warming."""
-        first, cold_time = self.rules.cold_from, self.rules.cold_time
-        warm = not node.up_since or at - node.up_since >= cold_time
-        return 1.0 if warm else first + (1 - first) * max(0, at - node.up_since) / cold_time
-
-    def sharers(self) -> float:
-        """How many hosts send to a node, as far as this one can tell: where it is asked for few of the nodes,
-        so are the others. Each then has its part at few nodes, and on average all of them together have one
-        whole part at each. The margin is for nodes that more hosts than others send to. Harm: if wrong, a
-        cold node gets more than it bears."""
-        s, nodes = self.settings, sum(n.phase is not Phase.GONE for n in self.nodes.values())
-        if self.now - self.born < self.rules.fall_time or not nodes:
-            return s.hosts  # what it is asked for is not known yet
-        lately = sum(self.now - at <= self.rules.fall_time for at in self.asked.values())
-        return max(1.0, s.hosts * min(1.0, SHARERS_MARGIN * (lately + 2) / nodes))
-
-    def cold_room(self, r: Request, node: Node, at: int) -> bool:
-        """This host's part in any window, scaled by the warming promised. With many hosts that is less than
-        a request: then three quarters are earned over time, with turns by host number for the first."""
-        rules, s = self.rules, self.settings
-        if self.handed:
-            return False  # all of this host's part is the next process's
-        # new data may go to any node, so any host may send it here
-        hosts = s.hosts if r.shard == -1 else self.sharers()
-        # Always borne is what the slowest node bears. One that has answered this host bears more: at least
-        # what it does in one place. Harm: if that was easy work, it is sent more than it bears.
-        shown = rules.fall_multiple * rules.fall_time / node.unit if node.unit and not node.out else 0.0
-        bears = max(rules.cold_units / rules.cold_from, shown)
-        # what is late leaves half of it to what will come and earn more
-        part = bears / hosts * (0.5 if self.late(r, node, at) else 1.0)
-        sent = node.sent_since(at - rules.fall_time)
-        if sent + r.units <= part * self.warmth(node, at):
-            return True
-        windows = (at - node.known) / max(1, rules.fall_time)
-        earned = 0.75 * part * windows * self.warmth(node, (node.known + at) // 2)
-        turn = (s.me + node.up_since // MS) % s.hosts / s.hosts
-        return not sent and earned >= node.spent + turn * r.units
-
-    def affordable(self, since: int) -> bool:
-        for times, first in (self.extras, since), (self.taken, since + 1):
-            while times and times[0] < first:
-                times.popleft()
-        return len(self.extras) + 1 <= self.rules.budget_free + self.rules.budget_share * len(self.taken)
-
     def worth(self, r: Request, node: Node) -> tuple[int, int]:
         """Worth per unit still due if sent now; the aim stands for the work that a unit of the class is."""
         volume, kind, s = r.volume.at(self.now), r.kind, self.settings
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -8,7 +8,8 @@
 
 from cypressworks import handover
 from cypressworks import interface as api
-from cypressworks.logic import NEVER, Scheduler
+from cypressworks.logic import Scheduler
+from cypressworks.rules import NEVER
 from tests.bench_free import MS, SECOND, Hand, answer_after
 
 FLEET, START, COLD, FALL, FROM, UNITS = 60, 100 * SECOND, 18 * SECOND, 3 * SECOND, 0.16, 34.0
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -7,8 +7,7 @@
 import pytest
 
 from cypressworks import interface as api
-from cypressworks.interface import Outcome, Phase
-from cypressworks.logic import Attempt
+from cypressworks.interface import Attempt, Outcome, Phase
 from tests.bench_free import CLASSES, MS, PLAN, SECOND, Hand, answer_after
 
 
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -6,7 +6,7 @@
 
 from cypressworks import interface as api
 from cypressworks.interface import Outcome
-from cypressworks.logic import STEP_DELAY, TOP_STEP, TOP_WINDOW, Node
+from cypressworks.rules import STEP_DELAY, TOP_STEP, TOP_WINDOW, Node
 from tests.bench_free import MS, PLAN, SECOND, Hand, answer_after
 
 THRESHOLD = 250 * MS
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -16,7 +16,7 @@
 
 from cypressworks import Scheduler, handover
 from cypressworks import interface as api
-from cypressworks.logic import SECOND
+from cypressworks.rules import SECOND
 from stoatrouter.net.early import NAME, Announcement
 from stoatrouter.net.keep import Keep
 from stoatrouter.net.succession import Succession
