Shrink a window at answers over 0.15 of the tightest aim, no longer 0.25

A window shrank only at answers over a quarter of the aim (37 ms; logic.py, observe), so windows of a few heads kept a queue that made what followed late.

Changed: SLOW, 0.15 of the threshold, for the window; LATE stays for what an idle node's answer is expected to take.

--- a/cypressworks/logic.py
+++ b/cypressworks/logic.py
@@ -12,7 +12,8 @@
     AVERAGE_SPAN, CROWD, KEY_BONUS, KEYS_KEPT, LONGEST_PACE, MS, NEVER, PROBE_EVERY, READ_EVERY,
     REBUILD_EVERY, SECOND, STEP_DELAY, TIMER_READ, TINY, TOP_WINDOW, Node, Rulebook, Volume)
 
-LATE = 0.25  # an answer that took more than this part of the threshold shrinks the window
+LATE = 0.25  # of the threshold: an answer as an idle node is expected to give it
+SLOW = 0.15  # of the threshold: an answer that took more shrinks the window, as then others stand before it
 JAMS = {Outcome.FULL: 1.0, Outcome.TIMEOUT: 1.0, Outcome.CONNECT_FAILED: 0.125}  # to what part of the least
 VANISHING, RECENT = 0.03, 0.03  # from what part of overtaken attempts answers vanish; weight of the newest
 HALF_MARGIN = 20 * MS  # for the way of a refusal to the client
@@ -348,7 +349,7 @@
         if self.now == self.woke and e.outcome in (Outcome.OK, Outcome.TIMEOUT):
             return  # it came while this host stood still: how long it took is not known
         ok, silent = e.outcome is Outcome.OK, e.outcome is Outcome.TIMEOUT
-        late = e.took > LATE * self.threshold
+        late = e.took > SLOW * self.threshold
         # a node serves in turn of arrival, so what later attempts have overtaken has vanished: no jam
         lost = silent and self.now - e.took < node.newest
         # Where answers vanish, at whatever node, one silence is no jam either: two in a row are. It guards
