Say what is wrong with a head's configuration in place, fault and what would be right

Need: a third operator checks its own site file by starting a head; until now a field that was missing, of another type or out of range ended the start with the program's own words (KeyError: 'Promise'). Found while checking what differs at the second deployment (docs/deployments.md).

Changed: where a configuration can't be used, stoatrouter/faults.py explains it, up to five faults in one line. It is asked only then, refuses nothing by itself and is not imported otherwise.

--- a/stoatrouter/config.py
+++ b/stoatrouter/config.py
@@ -76,10 +76,17 @@
                        inherited=descriptor(environ.get("NODE_INHERITED_FD")))
         address(conf.listen), address(conf.discovery), conf.management and address(conf.management)
     except (KeyError, ValueError, TypeError, AttributeError, OverflowError) as error:
-        raise ConfigError(f"bad configuration in {path}: {type(error).__name__}: {error}") from None
+        raise ConfigError(f"bad configuration in {path}: {told(data, error)}") from None
     return conf
 
 
+def told(data: Any, error: Exception) -> str:
+    """What is wrong in words where it is known, else as the program met it."""
+    from stoatrouter.faults import explain  # only where a start or a reload fails
+
+    return "; ".join(explain(data)[:5]) or f"{type(error).__name__}: {error}"
+
+
 def descriptor(text: str | None) -> int | None:
     """A descriptor's number; None where none is named."""
     if not text:
