One process at a time uses a head's folder

Need: read through once more, two processes of one head (a new version started beside the old one) would have opened the same database and voted twice under one identity; nothing kept them apart.

A killed process holds no lock. docs/heads.md says that versions change by restarting heads one by one.

Measured: a test that fails without the lock; the disk's tests pass.

--- a/stoatrouter/peering/storage.py
+++ b/stoatrouter/peering/storage.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import contextlib
+import fcntl
 import hashlib
 import mmap
 import os
@@ -28,7 +29,7 @@
 from stoatrouter.config import ConfigError
 
 APPLICATION, VERSION = 0x53544F54, 1  # "STOT"; of the schema
-FILE, MARK = "heads.db", "heads.mark"
+FILE, MARK, LOCK = "heads.db", "heads.mark", "heads.lock"
 SCHEMA = """
 CREATE TABLE meta (key TEXT PRIMARY KEY, value BLOB NOT NULL) WITHOUT ROWID;
 CREATE TABLE entries (at INTEGER PRIMARY KEY, data BLOB NOT NULL, sum BLOB NOT NULL);
@@ -92,12 +93,14 @@
         self.base: sqlite3.Connection | None = None
         self.mark: Mark | None = None
         self.number = 0
+        self.lock = -1
 
     # -- a start ------------------------------------------------------------------------------------------
     def open(self) -> Found:
         """Read what is there, or begin anew; raises ConfigError where the file belongs to something else."""
         try:
             self.folder.mkdir(parents=True, exist_ok=True)
+            self._lock()
             self.mark = Mark(self.folder / MARK)
             why = None
             try:
@@ -111,6 +114,16 @@
             why = f"the disk takes no writes: {error}"
             return Found(secrets.token_hex(16), 0, Disk(), "", "", why, False)
 
+    def _lock(self) -> None:
+        """One process at a time: two would vote twice under one identity. A killed one holds it no more."""
+        self.lock = os.open(self.folder / LOCK, os.O_RDWR | os.O_CREAT, 0o600)
+        try:
+            fcntl.flock(self.lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError:
+            raise ConfigError(f"{self.folder}: another process of this head uses the folder; end it first "
+                              "(with heads that know each other on, a new version does not start beside the "
+                              "old one)") from None
+
     def _read(self) -> Found:
         if not self.path.exists():
             assert self.mark is not None
@@ -265,3 +278,6 @@
         if self.mark is not None:
             self.mark.close()
             self.mark = None
+        if self.lock >= 0:
+            os.close(self.lock)
+            self.lock = -1
--- a/tests/heads/test_disk.py
+++ b/tests/heads/test_disk.py
@@ -135,6 +135,14 @@
     assert (tmp_path / FILE).read_bytes() == before
 
 
+def test_two_processes_never_use_one_folder(tmp_path):
+    storage, _ = opened(tmp_path)
+    with pytest.raises(ConfigError, match="another process of this head"):
+        opened(tmp_path)
+    storage.close()
+    assert opened(tmp_path)[1].fresh is None
+
+
 def test_a_later_schema_ends_the_start(tmp_path):
     filled(tmp_path)
     base = sqlite3.connect(tmp_path / FILE)
