Count no answer for more than 1.5 thresholds in the average of protected reads

One long read set the average (logic.py, observe), so that every read that came was late as it came (late), late work waits while the node has anything out and a second after any slow answer (fill), and so next to nothing was sent that could have brought the average down again. Ruled out: hung nodes lose their own requests and no others (their queues are full, other nodes' answers as before); the load that answers tell gained nothing.

Changed: LONG, 1.5 thresholds, is the most that one answer counts for in the reads' average. The controller still sees an error of a half of the threshold and climbs to its top step in some 8 s of it.

The test fails on the code before.

--- a/cypressworks/logic.py
+++ b/cypressworks/logic.py
@@ -13,6 +13,7 @@
     REBUILD_EVERY, SECOND, STEP_DELAY, TIMER_READ, TINY, TOP_WINDOW, Node, Rulebook, Volume)
 
 LATE = 0.25  # of the threshold: an answer as an idle node is expected to give it
+LONG = 1.5  # of the threshold: as more no answer counts in the average, or one long read makes all late
 SLOW = 0.15  # of the threshold: an answer that took more shrinks the window, as then others stand before it
 JAMS = {Outcome.FULL: 1.0, Outcome.TIMEOUT: 1.0, Outcome.CONNECT_FAILED: 0.125}  # to what part of the least
 VANISHING, RECENT = 0.03, 0.03  # from what part of overtaken attempts answers vanish; weight of the newest
@@ -367,7 +368,8 @@
                 node.unit = node.weigh(node.unit, node.heard, self.now, e.took / max(TINY, r.units))
             node.answers, node.heard = node.weigh(node.answers, node.heard, self.now, e.took), self.now
             if self.protected(r):
-                node.reads, node.read_at = node.weigh(node.reads, node.read_at, self.now, e.took), self.now
+                took = min(e.took, LONG * self.threshold)
+                node.reads, node.read_at = node.weigh(node.reads, node.read_at, self.now, took), self.now
             if not late or node.window < 1 and e.took <= r.kind.aim / 2:
                 node.window = min(TOP_WINDOW, node.window + min(node.window, 1 / node.window))
         # Node queues are long and refusals late, so a late answer counts as a time-out; one that took more
--- a/cypressworks/rules.py
+++ b/cypressworks/rules.py
@@ -92,7 +92,7 @@
     def takes(self, now: int) -> bool:
         return self.phase is Phase.ON or self.phase is Phase.DRAINING and now < self.closes
 
-    def weigh(self, average: float, since: int, now: int, took: int) -> float:
+    def weigh(self, average: float, since: int, now: int, took: float) -> float:
         """Into a moving average; the weight follows time too, as answers may come seconds apart."""
         return average + min(1.0, max(AVERAGE_WEIGHT, (now - since) / AVERAGE_SPAN)) * (took - average)
 
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -152,6 +152,24 @@
         assert (node.window < before) == shrinks
 
 
+def test_one_long_read_makes_no_later_read_late():
+    """Some requests are ten to thirty times the usual work. With one of them whole in the average, all that
+    came after it was late as it came: next to nothing was sent, and nothing brought the average down."""
+    hand = Hand()
+    node = hand.scheduler.nodes["n1"]
+    for i in range(5):
+        hand.request(f"r{i}")
+        hand.wait(30 * MS)
+        hand.end(f"r{i}")
+    hand.request("long")
+    hand.wait(1900 * MS)
+    hand.end("long")
+    assert 100 * MS < node.reads < THRESHOLD
+    hand.request("next")
+    hand.wait(10 * MS)
+    assert any(s[0] == "next" for s in hand.open_sends)
+
+
 def test_what_is_late_anyway_takes_no_room_from_others():
     hand = Hand()
     node = hand.scheduler.nodes["n1"]
