Let both new bounds on answers hold where few hosts share a node

Cause, from the code: with 40 heads a window below one is a pace and one answer in seconds is all that a head hears of a node; bounded, it no longer tells that the node has turned slow (logic.py, observe).

Changed: both bounds are divided by a head's part of the places at a node where that is below one; with up to 16 heads they are as before, with 40 a window shrinks at 0.25 again and an answer counts up to 3.75 thresholds.

Measured: the module's tests, one of them new for 200 hosts.

--- a/cypressworks/logic.py
+++ b/cypressworks/logic.py
@@ -350,7 +350,8 @@
         if self.now == self.woke and e.outcome in (Outcome.OK, Outcome.TIMEOUT):
             return  # it came while this host stood still: how long it took is not known
         ok, silent = e.outcome is Outcome.OK, e.outcome is Outcome.TIMEOUT
-        late = e.took > SLOW * self.threshold
+        few = min(1.0, node.part)  # with many hosts each hears of a node rarely: all that it says counts
+        late = e.took > min(LATE, SLOW / few) * self.threshold
         # a node serves in turn of arrival, so what later attempts have overtaken has vanished: no jam
         lost = silent and self.now - e.took < node.newest
         # Where answers vanish, at whatever node, one silence is no jam either: two in a row are. It guards
@@ -368,7 +369,7 @@
                 node.unit = node.weigh(node.unit, node.heard, self.now, e.took / max(TINY, r.units))
             node.answers, node.heard = node.weigh(node.answers, node.heard, self.now, e.took), self.now
             if self.protected(r):
-                took = min(e.took, LONG * self.threshold)
+                took = min(e.took, LONG * self.threshold / few)
                 node.reads, node.read_at = node.weigh(node.reads, node.read_at, self.now, took), self.now
             if not late or node.window < 1 and e.took <= r.kind.aim / 2:
                 node.window = min(TOP_WINDOW, node.window + min(node.window, 1 / node.window))
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -152,6 +152,20 @@
         assert (node.window < before) == shrinks
 
 
+def test_with_many_hosts_each_answer_counts_as_it_is():
+    """There a host hears of a node every few seconds; one slow answer is the news that it is slow now."""
+    hand = Hand(hosts=200)
+    node = hand.scheduler.nodes["n1"]
+    for took in (60 * MS, 1900 * MS):  # neither slow, nor bounded
+        hand.wait(7 * SECOND)
+        before = node.window
+        hand.request(f"r{took}")
+        hand.wait(took)
+        hand.end(f"r{took}")
+        assert (node.window < before) == (took > 62 * MS)
+    assert node.reads > 800 * MS
+
+
 def test_one_long_read_makes_no_later_read_late():
     """Some requests are ten to thirty times the usual work. With one of them whole in the average, all that
     came after it was late as it came: next to nothing was sent, and nothing brought the average down."""
