Clear old rule sets only while no set is made, and keep versions in order

Seen: with the cores busy, the story of sixty edits ended with version 12 abandoned: "h0 cannot load it: rules.cue:1: cannot be read: No such file or directory". Cause: keep() in peering/rules.py worked out which sets of files are needed when version 11 came in force, and its thread cleared the others after version 12's had been written. The same threads could also write the kept version out of order, as two of them shared one file aside.

Changed: old sets go right before the next is written, in the one thread that makes sets; kept versions are written one after the other.

--- a/stoatrouter/peering/rules.py
+++ b/stoatrouter/peering/rules.py
@@ -120,7 +120,8 @@
     said: Said | None = None
     said_at: timedelta = timedelta(0)
     making: asyncio.Task[None] | None = None
-    keeping: asyncio.Task[None] | None = None
+    keeping: set[asyncio.Task[None]] = field(default_factory=set)
+    keeping_one: asyncio.Lock = field(default_factory=asyncio.Lock)
 
     def __post_init__(self) -> None:
         self.tables.managed = True
@@ -173,7 +174,7 @@
         if content is None:
             return
         try:
-            path = await in_thread(lambda: materialize(self.folder, content))
+            path = await in_thread(lambda: self.alone(version.digest, content))
             self.made[version.digest] = await self.tables.compile(path)
         except (SettingsError, ConfigError) as error:
             self.fault(version, str(error))
@@ -181,6 +182,14 @@
             # Guards a head that is short of something others have: it says so, and serves on.
             self.fault(version, f"{type(error).__name__}: {error}")
 
+    def alone(self, digest: str, content: bytes) -> Path:
+        """The files of one set, and no older ones beside them: a table that is made needs them no more. Sets
+        are made one at a time, so none goes that is being read."""
+        for place in self.folder.iterdir() if self.folder.is_dir() else ():
+            if place.name != digest:
+                shutil.rmtree(place, ignore_errors=True)
+        return materialize(self.folder, content)
+
     def fault(self, version: Version, why: str) -> None:
         # where the set lies at this head is of no use to whoever reads it at another
         why = why.replace(f"{self.folder / version.digest}{os.sep}", "")
@@ -207,7 +216,6 @@
         content = self.register.contents[version.digest]
         data = kept.write(kept.Kept(version.number, version.digest, content, stamp()))
         file, aside = self.fleet.settings.folder / FILE, self.fleet.settings.folder / f"{FILE}.new"
-        needed = {version.digest} | {v.digest for v in self.wanted()}
 
         def write() -> None:
             with aside.open("wb") as opened:
@@ -215,17 +223,17 @@
                 opened.flush()
                 os.fsync(opened.fileno())
             os.replace(aside, file)
-            for place in self.folder.iterdir():
-                if place.name not in needed and not place.name.startswith("."):
-                    shutil.rmtree(place, ignore_errors=True)
 
         async def kept_aside() -> None:
             try:
-                await in_thread(write)
+                async with self.keeping_one:  # in order: the newest is what stays
+                    await in_thread(write)
             except OSError as error:
                 logger.error("rules: version {number} cannot be kept for a start without others: {error}",
                              event="rules.unkept", number=version.number, error=str(error))
-        self.keeping = asyncio.get_running_loop().create_task(kept_aside())
+        task = asyncio.get_running_loop().create_task(kept_aside())
+        self.keeping.add(task)  # the loop itself holds tasks only weakly
+        task.add_done_callback(self.keeping.discard)
 
     # -- what heads say to the leader ---------------------------------------------------------------------
     def own(self) -> Said:
@@ -315,6 +323,7 @@
         if self.making is not None:
             self.making.cancel()
             await asyncio.gather(self.making, return_exceptions=True)
+        await asyncio.gather(*self.keeping, return_exceptions=True)
 
 
 def stamp() -> str:
