--- a/stoatrouter/agreement/state.py
+++ b/stoatrouter/agreement/state.py
@@ -17,7 +17,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Timing:
-    """Spans of the agreement. A killed leader was replaced in 0.7 to 0.8 s, in two tries on five processes."""
+    """Spans of the agreement. A killed leader was replaced in 0.7 and 0.8 s, in two tries on processes."""
 
     heartbeat: timedelta = timedelta(milliseconds=100)
     election: timedelta = timedelta(milliseconds=600)  # each wait is drawn from this to twice as long
