Ask a silent list again in time; check what was decided before the first byte

Cause of drain: net/discovery.py held a call for 20 s and called it silent 22 s after it was asked (HOLD, ANSWER_WITHIN). What a silent watch missed counts as told at 22.0 s there, the head heard of it later and then took its whole grace: first break 2.04 to 2.19 s after the telling. Ruled out: a drain that was heard in time and not kept (the breaks come at no other time).

What is told after a gap counts from the last whole answer, so the grace is not taken twice. One check, NodePool.connect, between having a connection and the first byte: client there (asked of the system, also behind unread bytes), request open, deadline, node neither leaving nor restarted since, window and group of a repeat; else the attempt has not begun, proves that it never ran, and its connection goes back whole.

--- a/cypressworks/interface.py
+++ b/cypressworks/interface.py
@@ -55,11 +55,12 @@
     RESET = 5
     CANCELLED = 6
     MOOT = 7
+    NOT_BEGUN = 8  # on sockets: with a connection in hand, what had been decided held no longer
 
     @property
     def never_ran(self) -> bool:
         """Whether this outcome proves that the attempt had no effect."""
-        return self in (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
+        return self in (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT, Outcome.NOT_BEGUN)
 
 
 @dataclass(slots=True, frozen=True)
@@ -182,6 +183,7 @@
 
     kind: ListKind
     entries: tuple[NodeEntry, ...] = ()
+    since: int | None = None  # from when it may have counted as told; None: from now
 
 
 @dataclass(slots=True, frozen=True)
@@ -342,7 +344,8 @@
 
     def unsent(self) -> bool:
         """Whether no attempt of it has come to a node."""
-        return all(a.outcome in (Outcome.CONNECT_FAILED, Outcome.MOOT) for a in self.attempts)
+        came_to_none = (Outcome.CONNECT_FAILED, Outcome.MOOT, Outcome.NOT_BEGUN)
+        return all(a.outcome in came_to_none for a in self.attempts)
 
     def out(self) -> bool:
         """Whether an attempt is out."""
--- a/cypressworks/logic.py
+++ b/cypressworks/logic.py
@@ -17,8 +17,7 @@
 SLOW = 0.15  # of the threshold: an answer that took more shrinks the window, as then others stand before it
 JAMS = {Outcome.FULL: 1.0, Outcome.TIMEOUT: 1.0, Outcome.CONNECT_FAILED: 0.125}  # to what part of the least
 VANISHING, RECENT = 0.03, 0.03  # from what part of overtaken attempts answers vanish; weight of the newest
-HALF_MARGIN = 20 * MS  # for the way of a refusal to the client
-PRESSED = SECOND  # how long after such an answer a node counts as pressed
+HALF_MARGIN, PRESSED = 20 * MS, SECOND  # a refusal's way to the client; how long a node counts as pressed
 
 
 class Scheduler(Rulebook):
@@ -101,7 +100,7 @@
             if entry.phase is not node.phase:  # the word has just come
                 # one that was gone gets no grace: it may have been told to drain long before
                 grace = self.rules.drain_grace - self.settings.tick if node.phase is Phase.ON else 0
-                node.phase, node.closes = entry.phase, self.now + grace
+                node.phase, node.closes = entry.phase, grace + (self.now if e.since is None else e.since)
             if entry.up_since != node.up_since:
                 node.restart(entry.up_since, known)
         for r in self.requests.values():
@@ -160,11 +159,10 @@
             a.node.shard for a in r.attempts if a.may_have_run()]
         shard = ran[0] if ran else r.shard
         able = [n for n in self.nodes.values() if n.takes(self.now) and shard in (n.shard, -1)]
-        able = [n for n in able if n.phase is Phase.ON] or able
         # Guards a node against hosts with little traffic: with nothing out anywhere, all of them would find
         # the same node first. The one to come counts too, so that a window that was cut tells. New data goes
         # to a cold node last: what it bears is for the reads that no other can serve.
-        r.node = min(able, key=lambda n: (
+        r.node = min(able, key=lambda n: (n.phase is not Phase.ON,
             (1 + len(n.held) + len(n.out)) / n.window / self.warmth(n, self.now), self.random.random()),
             default=None)
         if r.node is not None:
--- a/cypressworks/rules.py
+++ b/cypressworks/rules.py
@@ -3,9 +3,10 @@
 
 import math
 from collections import deque
+from itertools import takewhile
 
 from cypressworks import interface as api
-from cypressworks.interface import Effect, Group, Phase, Request
+from cypressworks.interface import Attempt, Effect, Group, Phase, Request
 
 MS, SECOND = 1_000, 1_000_000
 READ_EVERY, REBUILD_EVERY = 100 * MS, SECOND  # the controller's reading; the throttleable set
@@ -137,12 +138,7 @@
 
     def sent_since(self, since: int) -> float:
         """Units sent from then on; the latest come first, as most of what is kept may be older."""
-        total = 0.0
-        for at, units in reversed(self.sent):
-            if at < since:
-                break
-            total += units
-        return total
+        return sum(units for _, units in takewhile(lambda pair: pair[0] >= since, reversed(self.sent)))
 
     def rebuild(self) -> None:
         """Volumes that write more than the node's mean per volume are throttleable."""
@@ -163,7 +159,7 @@
         if r.done or max(now, r.wait_until) >= r.deadline or len(r.attempts) >= self.settings.max_attempts:
             return NEVER
         # 2: effects: never two at once, and repeats only where they are harmless
-        if again and self.barred_again(r, node):
+        if again and self.barred_again(r, node, max(now, r.wait_until), r.attempts):
             return NEVER
         # 3: drains: a draining node is used within the grace, as long as none that is on has its shard
         if not node.takes(now):
@@ -183,14 +179,23 @@
         barred = again and rules.budget_time is not None and not self.affordable(now - rules.budget_time)
         return soon if barred else 0
 
-    def barred_again(self, r: Request, node: Node) -> bool:
-        kind, ran = r.kind, [a for a in r.attempts if a.may_have_run()]
-        if r.out() or ran and kind.effect is Effect.UNSAFE:
+    def may_begin(self, now: int, request: str, attempt: int) -> bool:
+        """Asked with a connection in hand, before the first byte: whether what was decided still holds."""
+        r = self.requests.get(request)
+        if r is None or r.done or now >= r.deadline:
+            return False
+        a, earlier = r.attempts[attempt], r.attempts[:attempt]
+        return (a.node.takes(now) and a.node.up_since <= a.sent
+                and not (earlier and self.barred_again(r, a.node, now, earlier)))
+
+    def barred_again(self, r: Request, node: Node, at: int, earlier: list[Attempt]) -> bool:
+        kind, ran = r.kind, [a for a in earlier if a.may_have_run()]
+        if any(a.outcome is None for a in earlier) or ran and kind.effect is Effect.UNSAFE:
             return True
         if not ran or kind.effect is not Effect.KEYED:
             return False
         home = ran[0].node
-        return (max(self.now, r.wait_until) >= ran[0].sent + kind.repeat_window
+        return (at >= ran[0].sent + kind.repeat_window
                 or kind.group is Group.SHARD and home.shard != node.shard
                 or kind.group is Group.ZONE and home.zone != node.zone)
 
@@ -230,8 +235,7 @@
             return True
         windows = (at - node.known) / max(1, rules.fall_time)
         earned = 0.75 * part * windows * self.warmth(node, (node.known + at) // 2)
-        turn = (s.me + node.up_since // MS) % s.hosts / s.hosts
-        return not sent and earned >= node.spent + turn * r.units
+        return not sent and earned >= node.spent + (s.me + node.up_since // MS) % s.hosts / s.hosts * r.units
 
     def affordable(self, since: int) -> bool:
         for times, first in (self.extras, since), (self.taken, since + 1):
--- a/stoatrouter/config.py
+++ b/stoatrouter/config.py
@@ -37,6 +37,7 @@
     conn_idle: timedelta
     max_open: int
     shards: int  # 0: not told
+    drain_grace: timedelta  # as the settings have it
     management: str | None = None  # the operators' address; None: there is none
     inherited: int | None = None  # the descriptor of a listening socket that is held for this head
     folder: str | None = None  # where an upgrade finds what this head keeps; None: nothing is kept
@@ -108,7 +109,8 @@
         memory_mb=int(limits.get("memory_mb") or 192), connect_timeout=connect_timeout,
         conn_idle=span(raw["Limits"].get("ConnIdle") or 30_000_000),
         max_open=int(raw["Limits"].get("MaxOpen") or 1 << 20),
-        shards=int((raw.get("Extra") or {}).get("Shards") or 0), management=data.get("management") or None,
+        shards=int((raw.get("Extra") or {}).get("Shards") or 0),
+        drain_grace=span(raw["Contract"].get("DrainGrace") or 0), management=data.get("management") or None,
         peers=addresses(data.get("peers")), peer_listen=data.get("peer_listen") or None)
 
 
--- a/stoatrouter/core/model.py
+++ b/stoatrouter/core/model.py
@@ -156,6 +156,7 @@
     at: timedelta
     kind: api.ListKind
     nodes: tuple[NodeInfo, ...] = ()
+    since: timedelta | None = None  # from when it may have counted as told; None: from now
 
 
 @dataclass(slots=True, frozen=True)
--- a/stoatrouter/core/reducer.py
+++ b/stoatrouter/core/reducer.py
@@ -99,6 +99,13 @@
         """How many listed nodes get nothing new at present: draining, out by hand, or left by choice."""
         return sum(self.scheduler.avoids(name) for name in self.nodes)
 
+    def may_begin(self, at: timedelta, request: str, attempt: int) -> bool:
+        """Asked with a connection in hand, before the first byte: whether what was decided still holds."""
+        record = self.records.get(request)
+        if record is None or record.answered or not record.attempts[attempt].out:
+            return False
+        return self.scheduler.may_begin(micros(max(at, self.now)), request, attempt)
+
     # -- requests -----------------------------------------------------------------------------------------
     def _arrived(self, request: model.Request) -> list[model.Effect]:
         # Guards against an id used twice: the module drops the second, and its client would wait in vain.
@@ -228,7 +235,7 @@
                 self.nodes.pop(node.id, None)
             else:
                 self.nodes[node.id] = node
-        return self._tell(event.kind, event.nodes)
+        return self._tell(event.kind, event.nodes, event.since)
 
     def _taken_over(self, event: model.TakenOver) -> list[model.Effect]:
         self.by_hand = event.by_hand
@@ -241,10 +248,12 @@
                          event="upgrade.unlearnt", error=repr(error))
         return effects
 
-    def _tell(self, kind: api.ListKind, nodes: tuple[model.NodeInfo, ...]) -> list[model.Effect]:
+    def _tell(self, kind: api.ListKind, nodes: tuple[model.NodeInfo, ...],
+              since: timedelta | None = None) -> list[model.Effect]:
         seen = (self.by_hand.seen(node) for node in nodes)
         return self._decide(api.NodeList(kind, tuple(
-            api.NodeEntry(n.id, n.shard, n.zone, n.phase, n.weight, micros(n.started)) for n in seen)))
+            api.NodeEntry(n.id, n.shard, n.zone, n.phase, n.weight, micros(n.started)) for n in seen),
+            micros(self.now if since is None else since)))
 
     def _put(self, event: model.PutByHand) -> list[model.Effect]:
         """A node out or back, by hand; no effects where it is not known."""
--- a/stoatrouter/head.py
+++ b/stoatrouter/head.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from stoatrouter import config
+from stoatrouter.core.list_times import list_times
 from stoatrouter.core.reducer import Reducer
 from stoatrouter.core.spans import span
 from stoatrouter.fronts.platform import PlatformFront
@@ -59,7 +60,8 @@
         self.engine = Engine(Reducer(conf.settings, conf.seed, conf.max_open), Clock(), nodes,
                              Keep(conf.folder))
         self.watch = Watch(conf.discovery, conf.known, self.engine.told,
-                           self.engine.reducer.tally.add)
+                           self.engine.reducer.tally.add, not conf.settings.list_on_request,
+                           list_times(not conf.settings.list_on_request, conf.drain_grace))
         self.door = Door(int(conf.sockets * CLIENT_SHARE), int(conf.sockets * IDLE_SHARE),
                          int(conf.sockets * BUSY_SHARE), busy_pressed(conf.sockets))
         self.drain = Drain(self.door)
@@ -131,23 +133,27 @@
         return [listener for listener in (self.platform, self.objects, self.http) if listener is not None]
 
     async def start(self) -> None:
-        """Restore the list, then listen, then follow discovery."""
+        """Restore the list, follow discovery, and listen once it has answered or does not."""
         if self.conf.management is not None:
             await self.management.start(*config.address(self.conf.management))
-        if not await self.generations.take_over():
+        loop = asyncio.get_running_loop()
+        if await self.generations.take_over():
+            self.background.append(loop.create_task(self.watch.run()))
+        else:
             self.engine.reducer.by_hand = self.engine.keep.read()
             self.watch.restore()
+            self.background.append(loop.create_task(self.watch.run()))
+            await self.watch.first_answer()
         if self.heads is not None:
             await self.heads.start()
         await self.accept()
         announcement.end()
         await self.generations.listen()
-        loop = asyncio.get_running_loop()
-        self.background = [loop.create_task(self.watch.run()), loop.create_task(self.door.keep_swept()),
-                           loop.create_task(self.generations.follow()),
-                           loop.create_task(self.management_door.keep_swept()),
-                           loop.create_task(watch_loop(self.engine, self.door, LAG_EVERY, LAG_LIMIT)),
-                           *(loop.create_task(service.keep_told()) for service in self.tables)]
+        self.background += [loop.create_task(self.door.keep_swept()),
+                            loop.create_task(self.generations.follow()),
+                            loop.create_task(self.management_door.keep_swept()),
+                            loop.create_task(watch_loop(self.engine, self.door, LAG_EVERY, LAG_LIMIT)),
+                            *(loop.create_task(service.keep_told()) for service in self.tables)]
         if self.recorder is not None:
             self.background.append(loop.create_task(self.recorder.run()))
         logger.info("start: {name} listens on {address}", event="start", name=self.conf.name,
--- a/stoatrouter/net/discovery.py
+++ b/stoatrouter/net/discovery.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import random
 from collections.abc import Callable, Mapping
 from datetime import timedelta
 from types import MappingProxyType
@@ -14,32 +15,36 @@
 from yarl import URL
 
 from cypressworks.interface import ListKind, Phase
+from stoatrouter.core.list_times import ListTimes, list_times
 from stoatrouter.core.model import NodeInfo
 from stoatrouter.net.nodes import Broken, only_once
 
-HOLD = timedelta(seconds=20)
-ANSWER_WITHIN = HOLD + timedelta(seconds=2)  # silence past this: the watch is started anew
-PAUSE = timedelta(milliseconds=100)  # after an error; within the 200 ms in which a watch continues
+PACE = timedelta(milliseconds=50)  # of calls that are answered at once and bring nothing
 LARGEST_LIST = 4 * 1024 * 1024
 MOST_SAID = 1000  # faults of entries that are remembered as said
 NONE_HELD: Mapping[str, NodeInfo] = MappingProxyType({})
 PHASES = {"SERVING": Phase.ON, "DRAINING": Phase.DRAINING, "DELETED": Phase.GONE}
 
-Told = Callable[[ListKind, tuple[NodeInfo, ...]], None]
+# the kind, the entries, and how long before now they may have counted as told; None: nobody knows
+Told = Callable[[ListKind, tuple[NodeInfo, ...], timedelta | None], None]
 
 
 class Watch:
     """Follows the list and tells what changed."""
 
     def __init__(self, address: str, known: dict[str, Any], told: Told,
-                 count: Callable[[str], None] = lambda _: None) -> None:
-        self.address, self.told, self.count = address, told, count
+                 count: Callable[[str], None] = lambda _: None, pushed: bool = True,
+                 times: ListTimes | None = None) -> None:
+        self.address, self.told, self.count, self.pushed = address, told, count, pushed
+        self.times = times or list_times(pushed, timedelta(seconds=2))
+        # in the loop's time: when the present call began, and up to when all is known
+        self.asked, self.sure = 0.0, None
         self.held: dict[str, NodeInfo] = {}  # as last told, for entries that cannot be read
         self.said: set[str] = set()
         self.generation: int | None = None
         self.known = known
-        self.failing = False
-        self.moved = asyncio.Event()
+        self.failures = 0  # calls in a row
+        self.moved, self.heard = asyncio.Event(), asyncio.Event()
 
     def restore(self) -> None:
         """Tell the list as this head last had it; it may be out of date."""
@@ -52,6 +57,17 @@
         self.generation = generation
         self.tell(ListKind.RESTORED, nodes, faults)
 
+    async def first_answer(self) -> None:
+        """Wait for the first answer, not for long: a start must not depend on discovery. Guards a new
+        process's first requests: what its agent has counts as told from its first moment, and the list it was
+        given may be old."""
+        try:
+            async with asyncio.timeout(self.times.first.total_seconds()):
+                await self.heard.wait()
+        except TimeoutError:
+            logger.warning("discovery: no answer yet, serving on the list known before",
+                           event="discovery.unheard")
+
     def move(self, address: str) -> None:
         """Watch at another address from now on. The list and its generation stay: the next call asks there
         for what is newer, so that nothing is missed and nothing is forgotten."""
@@ -74,48 +90,67 @@
     async def follow(self) -> None:
         """Watch at one address."""
         # one connection of its own: nothing of the pool to nodes can hold it up
-        connector = aiohttp.TCPConnector(limit=2, keepalive_timeout=ANSWER_WITHIN.total_seconds())
-        timeout = aiohttp.ClientTimeout(total=ANSWER_WITHIN.total_seconds(), sock_connect=2.0)
+        connector = aiohttp.TCPConnector(limit=2, keepalive_timeout=2 * self.times.hold.total_seconds())
+        timeout = aiohttp.ClientTimeout(total=None, sock_connect=self.times.dial.total_seconds())
         async with aiohttp.ClientSession(
                 connector=connector, middlewares=(only_once,), cookie_jar=aiohttp.DummyCookieJar(),
                 trust_env=False, timeout=timeout) as session:
             while True:
                 try:
-                    began = asyncio.get_running_loop().time()
                     news = await self.call(session)
                     self.recovered()
                     # Guards the core against an agent that does not hold calls: asking is paced then.
-                    if not news and asyncio.get_running_loop().time() - began < PAUSE.total_seconds():
-                        await asyncio.sleep(PAUSE.total_seconds())
+                    if not news and asyncio.get_running_loop().time() - self.asked < PACE.total_seconds():
+                        await asyncio.sleep(PACE.total_seconds())
                 except (aiohttp.ClientError, Broken, OSError, ValueError, TimeoutError) as error:
                     self.failed(error)
-                    await asyncio.sleep(PAUSE.total_seconds())
+                    await asyncio.sleep(self.pause().total_seconds())
                 except Exception:
                     # Guards against a list that sets off a fault elsewhere: the watch must outlive it.
                     logger.exception("discovery: what was told could not be taken", event="discovery.fault")
-                    await asyncio.sleep(PAUSE.total_seconds())
+                    self.failures += 1
+                    await asyncio.sleep(self.pause().total_seconds())
+
+    def pause(self) -> timedelta:
+        """How long to wait after a failure. Drawn, as all heads lose discovery in the same moment."""
+        doubled = self.times.pause * 2 ** min(10, max(0, self.failures - 1))
+        return min(self.times.longest_pause, doubled) * (0.5 + random.random() / 2)
 
     async def call(self, session: aiohttp.ClientSession) -> bool:
-        """One call: the whole list where none is held, else what is newer than it. Whether it told any."""
-        query = ""
+        """One call: the whole list where none is held, else what is newer than it. Whether it told any. After
+        a failure it is not held: an answer is then due at once, and silence is found out in a fraction of the
+        time."""
+        times, query = self.times, ""
+        hold = times.hold * (0.75 + random.random() / 4)  # all heads' calls do not come together
+        if self.failures or not self.heard.is_set():
+            hold = times.brief
+        within = hold + times.late if hold > times.brief else times.answer
         if self.generation is not None:
-            query = f"?from={self.generation}&hold_ms={HOLD // timedelta(milliseconds=1)}"
+            query = f"?from={self.generation}&hold_ms={hold // timedelta(milliseconds=1)}"
+        else:
+            within = times.answer
         url = URL(f"http://{self.address}/v1/servers{query}", encoded=True)
-        async with session.get(url, allow_redirects=False) as response:
-            if response.status != 200:
-                raise ValueError(f"status {response.status}")
-            raw = await response.content.read(LARGEST_LIST)
-            while chunk := await response.content.read(LARGEST_LIST):
-                raw += chunk
-                if len(raw) > LARGEST_LIST:  # guards memory against an answer without end
-                    raise ValueError("list too large")
+        self.asked = asyncio.get_running_loop().time()
+        # one time for all of it, as bytes may trickle: dial, wait, head and body
+        async with asyncio.timeout(within.total_seconds()):
+            async with session.get(url, allow_redirects=False) as response:
+                if response.status != 200:
+                    raise ValueError(f"status {response.status}")
+                raw = bytearray()
+                while chunk := await response.content.read(LARGEST_LIST):
+                    raw += chunk
+                    if len(raw) > LARGEST_LIST:  # guards memory against an answer without end
+                        raise ValueError("list too large")
         try:
             data = json.loads(raw)
         except RecursionError:  # brackets without end
             raise ValueError("list nested too deeply") from None
-        return self.take(data)
+        news = self.take(data, self.age())
+        self.sure = asyncio.get_running_loop().time()
+        self.heard.set()
+        return news
 
-    def take(self, data: Any) -> bool:
+    def take(self, data: Any, age: timedelta | None = timedelta(0)) -> bool:
         """Take one message, if it makes sense as what follows the list that is held."""
         generation, whole, nodes, faults = read_list(data, self.held)
         if not whole and (self.generation is None or generation < self.generation):
@@ -124,10 +159,19 @@
             raise ValueError("changes to a list that is not held")
         self.generation = generation
         if whole or nodes or faults:
-            self.tell(ListKind.FULL if whole else ListKind.CHANGES, nodes, faults)
+            self.tell(ListKind.FULL if whole else ListKind.CHANGES, nodes, faults, age)
         return whole or bool(nodes)
 
-    def tell(self, kind: ListKind, nodes: tuple[NodeInfo, ...], faults: tuple[str, ...]) -> None:
+    def age(self) -> timedelta | None:
+        """For how long what is told now may have counted as told. Where lists are pushed that is so once the
+        agent has it, asked or not: since the last answer, but for the time in which it could have answered
+        this call."""
+        if not self.pushed:
+            return timedelta(0)  # told by being written
+        return None if self.sure is None else timedelta(seconds=max(0.0, self.asked - self.sure))
+
+    def tell(self, kind: ListKind, nodes: tuple[NodeInfo, ...], faults: tuple[str, ...],
+             age: timedelta | None = timedelta(0)) -> None:
         """Tell what could be read, and say once what could not."""
         for fault in faults:
             self.count("entry_unreadable")
@@ -142,19 +186,19 @@
             if node.phase is Phase.GONE:
                 del self.held[node.id]
         if nodes or kind is not ListKind.CHANGES:
-            self.told(kind, nodes)
+            self.told(kind, nodes, age)
 
     def failed(self, error: BaseException) -> None:
-        if not self.failing:
+        if not self.failures:
             logger.warning("discovery: not reached, the list held stays in use: {error}",
                            event="discovery.lost", error=repr(error))
-        self.failing = True
+        self.failures += 1
 
     def recovered(self) -> None:
-        if self.failing:
+        if self.failures:
             logger.info("discovery: reached again, generation {generation}", event="discovery.reached",
                         generation=self.generation)
-        self.failing = False
+        self.failures = 0
 
 
 def read_list(data: Any, held: Mapping[str, NodeInfo] = NONE_HELD,
--- a/stoatrouter/net/engine.py
+++ b/stoatrouter/net/engine.py
@@ -19,6 +19,7 @@
 from stoatrouter.net.door import Door
 from stoatrouter.net.keep import Keep
 from stoatrouter.net.nodes import NodeClient, Reply
+from stoatrouter.net.presence import CLIENT, gone
 
 # A loop this late has too little of its core; in quiet times it is late by a few milliseconds.
 PRESSED_LAG, PRESSED_FOR = timedelta(milliseconds=30), timedelta(milliseconds=500)
@@ -33,6 +34,7 @@
         self.kept = True  # whether what is out by hand is kept
         self.loop = asyncio.get_running_loop()
         self.waiting: dict[str, asyncio.Future[model.Answer]] = {}
+        self.clients: dict[str, asyncio.Transport | None] = {}  # of those requests
         self.attempts: dict[tuple[str, int], asyncio.Task[Reply]] = {}
         self.tasks: set[asyncio.Task[None]] = set()
         self.answer_by: timedelta | None = None  # a stopping head's last moment
@@ -55,6 +57,7 @@
         if effects and isinstance(effects[0], model.TurnAway):
             return effects[0].answer
         waiter = self.waiting[request.id] = self.loop.create_future()
+        self.clients[request.id] = CLIENT.get()
         try:
             self.run_all(effects)
             return await waiter
@@ -65,6 +68,7 @@
             raise
         finally:
             self.waiting.pop(request.id, None)
+            self.clients.pop(request.id, None)
 
     async def prepared(self, request: model.Request) -> model.Request:
         """Wait a moment for what a request needs before it is taken up, where it is on its way."""
@@ -111,11 +115,13 @@
         assert isinstance(effects[0], model.TurnAway)
         return effects[0].answer
 
-    def told(self, kind: ListKind, nodes: tuple[model.NodeInfo, ...]) -> None:
-        """Pass on what discovery has told."""
+    def told(self, kind: ListKind, nodes: tuple[model.NodeInfo, ...],
+             age: timedelta | None = timedelta(0)) -> None:
+        """Pass on what discovery tells, and for how long it may have counted as told; None: nobody knows."""
         logger.info("discovery: {kind} with {entries} entries", event="discovery.told", kind=kind.value,
                     entries=len(nodes))
-        self.put(model.ListTold(self.clock.now(), kind, nodes))
+        now = self.clock.now()
+        self.put(model.ListTold(now, kind, nodes, timedelta(0) if age is None else now - age))
 
     def hand_over(self) -> model.TellNext:
         """All that the next process needs; from now on this one only ends what it has."""
@@ -156,7 +162,7 @@
     def run(self, effect: model.Effect) -> None:
         match effect:
             case model.SendAttempt():
-                task = self.loop.create_task(self.nodes.attempt(effect))
+                task = self.loop.create_task(self.nodes.attempt(effect, partial(self.may_begin, effect)))
                 self.attempts[(effect.request.id, effect.attempt)] = task
                 task.add_done_callback(partial(self.ended, effect))
             case model.GiveAnswer():
@@ -177,6 +183,16 @@
             case model.Probe():
                 self.spawn(self.probe(effect))
 
+    def may_begin(self, effect: model.SendAttempt) -> bool:
+        """Asked with a connection in hand, before the first byte of an attempt: whether it is to be made."""
+        client = self.clients.get(effect.request.id)
+        if gone(client):
+            # Guards nodes against work for nobody: what tells of the client's end is still on its way here.
+            assert client is not None
+            client.abort()
+            return False
+        return self.reducer.may_begin(self.clock.now(), effect.request.id, effect.attempt)
+
     def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = self.loop.create_task(work)
         self.tasks.add(task)  # the loop itself holds tasks only weakly
--- a/stoatrouter/net/listener.py
+++ b/stoatrouter/net/listener.py
@@ -15,6 +15,7 @@
 from loguru import logger
 
 from stoatrouter.net.door import Door, Refuse, Server
+from stoatrouter.net.presence import CLIENT
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 Response = TypeVar("Response", bound=web.StreamResponse)
@@ -125,8 +126,12 @@
 
     def __init__(self, handler: Handler, drain: Drain, refuse: Refuse | None = None) -> None:
         self.drain = drain
+        async def serve(request: web.BaseRequest) -> web.StreamResponse:
+            CLIENT.set(request.transport)
+            return await handler(request)
+
         # handler_cancellation: a client that closes its connection has gone, and its request with it
-        self.server = Server(handler, drain.door, refuse, handler_cancellation=True, access_log=None,
+        self.server = Server(serve, drain.door, refuse, handler_cancellation=True, access_log=None,
                              auto_decompress=False)
         self.sockets: asyncio.Server | None = None
 
--- a/stoatrouter/net/nodes.py
+++ b/stoatrouter/net/nodes.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import re
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 from datetime import timedelta
 
@@ -17,7 +18,7 @@
 from cypressworks.interface import Outcome
 from stoatrouter.core import model
 from stoatrouter.net.bodies import SMALL, Flow, Kept
-from stoatrouter.net.pool import NodeConnection, NodePool
+from stoatrouter.net.pool import NodeConnection, NodePool, NotBegun
 
 PROBE_TIMEOUT = timedelta(milliseconds=400)
 # Idle connections are given up at this part of the time after which a node closes them: a request written
@@ -60,6 +61,7 @@
     """
 
     written = False
+    may_begin: Callable[[], bool] | None = None  # asked with a connection in hand, before the first byte
 
     def mark_written(self, written: bool, conn: aiohttp.connector.Connection) -> None:
         self.written = written
@@ -110,8 +112,13 @@
     async def close(self) -> None:
         await self.session.close()
 
-    async def attempt(self, effect: model.SendAttempt) -> Reply:
+    async def attempt(self, effect: model.SendAttempt, may_begin: Callable[[], bool] | None = None) -> Reply:
         """Make one attempt; whatever happens to it becomes an outcome."""
+        async def ask_first(request: aiohttp.ClientRequest,
+                            handler: ClientHandlerType) -> aiohttp.ClientResponse:
+            request.may_begin = may_begin  # type: ignore[attr-defined]
+            return await only_once(request, handler)
+
         r = effect.request
         wait_ms = max(1, effect.timeout // timedelta(milliseconds=1))
         headers: CIMultiDict[str] | dict[str, str] = {"Req-Id": r.id, "Req-Deadline-Ms": str(wait_ms)}
@@ -127,7 +134,7 @@
         try:
             async with asyncio.timeout(effect.timeout.total_seconds()):
                 response = await self.session.request(r.method, url, headers=headers, data=data,
-                                                      allow_redirects=False)
+                                                      allow_redirects=False, middlewares=(ask_first,))
                 reply = await take(response, r.passes)
             if reply.flow is not None:
                 response = None  # whoever passes it on closes it
@@ -135,6 +142,8 @@
         except TimeoutError as error:
             never = isinstance(error, aiohttp.ConnectionTimeoutError)
             return Reply(Outcome.CONNECT_FAILED if never else Outcome.TIMEOUT)
+        except NotBegun:
+            return Reply(Outcome.NOT_BEGUN)
         except aiohttp.ClientConnectorError:
             return Reply(Outcome.CONNECT_FAILED)
         except Broken as error:
--- a/stoatrouter/net/pool.py
+++ b/stoatrouter/net/pool.py
@@ -29,6 +29,10 @@
     """What a node sent is no answer; its request may have run."""
 
 
+class NotBegun(Exception):
+    """With a connection in hand, what had been decided held no longer; not a byte was written."""
+
+
 class NodeConnection(ResponseHandler):
     """One connection; at most one exchange at a time."""
 
@@ -220,7 +224,15 @@
         # Guards the descriptors: aiohttp's limit counts connections in use only.
         if len(self.alive) >= self.most:
             self._end_oldest_idle()
-        return await super().connect(req, traces, timeout)
+        connection = await super().connect(req, traces, timeout)
+        may_begin = getattr(req, "may_begin", None)
+        if may_begin is not None and not may_begin():
+            # Guards drains, windows for repeats and clients that have gone: a dial may outlast all of them.
+            if connection.protocol is not None and connection.protocol.idle_since is None:
+                connection.protocol.idle_since = asyncio.get_running_loop().time()  # it has just come up
+            connection.release()
+            raise NotBegun
+        return connection
 
     def _end_oldest_idle(self) -> None:
         waiting = ((conns[0][1], key) for key, conns in self._conns.items() if conns)
--- /dev/null
+++ b/stoatrouter/net/presence.py
@@ -0,0 +1,27 @@
+"""Whether a request's client is still there, asked of the system in the moment in which it matters.
+
+A connection whose reading is paused, or whose loop is late, has not been told yet that its client has left.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import select
+from contextvars import ContextVar
+
+# the connection that the present task works for; tasks made by it know it too
+CLIENT: ContextVar[asyncio.Transport | None] = ContextVar("client", default=None)
+ENDED = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+
+
+def gone(client: asyncio.Transport | None) -> bool:
+    """Whether it has closed or reset its connection, also behind bytes that nobody has read. A request of no
+    connection has nobody to leave."""
+    if client is None:
+        return False
+    sock = client.get_extra_info("socket")
+    if client.is_closing() or sock is None or sock.fileno() < 0:
+        return True
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLRDHUP)
+    return any(events & ENDED for _, events in poll.poll(0))
