Keep a reset after the last byte from proving that nothing ran; never close over a request

Need, found by reading: (1) net/nodes.py TrackedRequest.write_bytes asked the transport after draining whether it was closing; a node that begins the request and resets before this task goes on made the attempt 'could not connect', which allows a repeat of what may not be repeated.

Change: once the last byte is handed to the system and drained, the attempt may have run, whatever came since. A connection that rests is left alone while unread bytes lie on it from a client that is there (net/presence.py), and one that has just come is heard for JUST_COME, also by a stopping head.

--- a/stoatrouter/net/door.py
+++ b/stoatrouter/net/door.py
@@ -15,6 +15,8 @@
 from aiohttp.web_protocol import MAX_MSG_QUEUE_SIZE, RequestHandler, _ErrInfo
 from loguru import logger
 
+from stoatrouter.net.presence import unread
+
 # A connection with no open request is ended after this time, whether it has said anything or not.
 IDLE = timedelta(seconds=2)
 JUST_COME = timedelta(milliseconds=250)
@@ -130,7 +132,10 @@
             for connection, since in list(self.held[state].items()):
                 if connection.loop.time() - since < after.total_seconds():
                     break
-                connection.end()
+                if state is State.ENDING:
+                    connection.end()
+                else:
+                    connection.end_unless_asked()
 
     async def keep_swept(self) -> None:
         while True:
@@ -138,10 +143,16 @@
             self.sweep()
 
     def end_idle(self, silent: bool = True) -> None:
-        """End all that is between requests; where wanted, also what has not begun one."""
+        """End all that is between requests; where wanted, also what has not begun one, but for what has just
+        come: its first request is on its way."""
         for state in (State.ONCE, State.IDLE, *((State.SILENT, State.BEGUN) if silent else ())):
             for connection in list(self.held[state]):
-                connection.end()
+                if state is not State.SILENT or connection.waited() > JUST_COME.total_seconds():
+                    connection.end_unless_asked()
+
+    def just_come(self) -> bool:
+        """Whether a connection is so young that its first request may be on its way."""
+        return any(c.waited() <= JUST_COME.total_seconds() for c in self.held[State.SILENT])
 
 
 class ClientConnection(RequestHandler):
@@ -165,6 +176,17 @@
         self.door.leave(self)
         self.force_close()
 
+    def waited(self) -> float:
+        """For how long it has been in its present state, in seconds."""
+        return self.loop.time() - self.since
+
+    def end_unless_asked(self) -> None:
+        """Close now, unless a request has come that the loop has not yet read. Guards that request: a close
+        over unread bytes resets the connection; read, it is answered like any other."""
+        sock = self.transport.get_extra_info("socket") if self.transport is not None else None
+        if sock is None or not unread(sock):
+            self.end()
+
     def unread_for(self) -> float:
         """For how long the client has taken nothing of an answer that waits for it. Guards connections and
         memory: answers lie here until they are read."""
--- a/stoatrouter/net/listener.py
+++ b/stoatrouter/net/listener.py
@@ -171,7 +171,7 @@
             await asyncio.sleep(RESENT_FOR.total_seconds())
         self.rest()
         door.end_idle()
-        while busy() or door.open:
+        while busy() or door.open or door.just_come():
             await asyncio.sleep(0.01)
             door.end_idle()
         logger.info("stop: all that was taken is answered", event="stop.answered")
--- a/stoatrouter/net/nodes.py
+++ b/stoatrouter/net/nodes.py
@@ -74,15 +74,21 @@
             transport.set_write_buffer_limits(high=0)  # drain() then waits for the last byte
         response = await super().send(conn)
         if not self.body and transport is not None:
-            self.mark_written(not transport.is_closing() and transport.get_write_buffer_size() == 0, conn)
+            # what the system has not taken yet may still go out: nobody asks again before a break
+            self.mark_written(not transport.is_closing(), conn)
         return response
 
     async def write_bytes(self, writer: AbstractStreamWriter, conn: aiohttp.connector.Connection,
                           content_length: int | None = None) -> None:
         transport = conn.transport
+        broken = transport is None or transport.is_closing()  # then nothing goes out; the call below says so
         await super().write_bytes(writer, conn, content_length)
-        await writer.drain()
-        self.mark_written(transport is not None and not transport.is_closing(), conn)
+        if broken or conn.transport is None and writer.output_size < (content_length or 0):
+            return  # it broke before the last byte was handed to the system
+        await writer.drain()  # raises where the system had not taken all of it
+        # Guards against a second effect: a node may begin the request and reset its connection before this
+        # task goes on, so an end that has come meanwhile proves nothing.
+        self.mark_written(True, conn)
 
 
 async def only_once(request: aiohttp.ClientRequest, handler: ClientHandlerType) -> aiohttp.ClientResponse:
--- a/stoatrouter/net/presence.py
+++ b/stoatrouter/net/presence.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import select
+import socket
 from contextvars import ContextVar
 
 # the connection that the present task works for; tasks made by it know it too
@@ -25,3 +26,13 @@
     poll = select.poll()
     poll.register(sock.fileno(), select.POLLRDHUP)
     return any(events & ENDED for _, events in poll.poll(0))
+
+
+def unread(sock: socket.socket) -> bool:
+    """Whether bytes have come that nobody has read, from a peer that is still there."""
+    if sock.fileno() < 0:
+        return False
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLIN | select.POLLRDHUP)
+    events = dict(poll.poll(0)).get(sock.fileno(), 0)
+    return bool(events & select.POLLIN) and not events & ENDED
