Take a limit's units when an attempt comes to a node; tests of resets and closes

Cause: the module takes units at the first decision. Where that attempt never comes to a node (its connection does not come up) and a later one does, our store has filled meanwhile, while the platform's stood full until the bytes came; the limit is passed by what it fills in that time. Ruled out: further attempts counted twice (they are charged once).

Change: on sockets (Rules.taken_on_arrival) units go back to the store when no attempt has come to a node, and are taken by the next; the tolerance lacks what the limit fills in the time to connect beyond the platform's 150 ms. The simulator's rule is as before.

--- a/cypressworks/interface.py
+++ b/cypressworks/interface.py
@@ -120,6 +120,7 @@
     budget_time: int | None = None
     budget_free: float = 0.0
     budget_share: float = 0.0
+    taken_on_arrival: bool = False  # a request takes its units of a limit where an attempt comes to a node
 
     def __post_init__(self) -> None:
         times = (self.answer_slack, self.drain_grace, self.cold_time, self.fall_time,
@@ -340,6 +341,7 @@
     node: Any = None
     attempts: list[Attempt] = field(default_factory=list)
     done: bool = False
+    charged: bool = False  # its units are off the limit's store
     streaming: bool = False
 
     def unsent(self) -> bool:
@@ -347,6 +349,10 @@
         came_to_none = (Outcome.CONNECT_FAILED, Outcome.MOOT, Outcome.NOT_BEGUN)
         return all(a.outcome in came_to_none for a in self.attempts)
 
+    def came(self) -> bool:
+        """Whether the last byte of an attempt may have come to a node."""
+        return any(a.outcome not in (Outcome.CONNECT_FAILED, Outcome.NOT_BEGUN) for a in self.attempts)
+
     def out(self) -> bool:
         """Whether an attempt is out."""
         return any(a.outcome is None for a in self.attempts)
--- a/cypressworks/logic.py
+++ b/cypressworks/logic.py
@@ -300,10 +300,9 @@
     def send(self, r: Request, node: Node) -> None:
         now, volume = self.now, r.volume.at(self.now)
         node.held.pop(r.id)
-        if r.attempts:
-            self.extras.append(now)
-        else:
-            volume.store -= r.units if volume.plan.limit else 0.0
+        self.extras.extend([now] if r.attempts else [])
+        if not r.charged:
+            volume.store, r.charged = volume.store - (r.units if volume.plan.limit else 0.0), True
             volume.spend(r.units)
         node.out[(r.id, len(r.attempts))] = node.last_sent = now
         r.attempts.append(Attempt(node, now))
@@ -322,6 +321,9 @@
         node, attempt.outcome = attempt.node, e.outcome
         node.out.pop((r.id, e.attempt), None)
         self.observe(e, r, node)
+        if self.rules.taken_on_arrival and r.charged and not r.came():  # taken when it comes, not before
+            r.volume.store, r.charged = r.volume.store + (r.units if r.volume.plan.limit else 0.0), False
+            r.volume.spend(-r.units)
         if e.outcome in (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED):
             r.rest = max(r.rest, self.now + (self.rules.key_rest or 0))
         # held for a further attempt, after a pause that grows
@@ -357,8 +359,7 @@
         self.vanish += RECENT * (lost - self.vanish) * (ok or silent)
         node.quiet = 0 if ok else node.quiet + (not lost) * silent
         lost = lost or silent and node.quiet == 1 and self.vanish >= VANISHING
-        if ok or silent and not lost:
-            node.trip = float(e.took)
+        node.trip = float(e.took) if ok or silent and not lost else node.trip
         if ok and r.write and r.shard == -1:
             self.put[(r.volume, r.key)] = node.shard, self.now
         if ok:  # errors and refusals come quickly and must not feed the averages
--- a/cypressworks/rules.py
+++ b/cypressworks/rules.py
@@ -84,8 +84,7 @@
         self.reads = self.answers = self.trip = 0.0  # trip: the latest, time-outs too
         self.unit = 0.0  # how long a unit's answer takes; 0: not known since the restart
         self.step, self.output, self.errors, self.pinned = 0, 0.0, (0.0, 0.0), 0
-        self.writes: dict[str, float] = {}
-        self.throttled: set[str] = set()
+        self.writes, self.throttled = dict[str, float](), set[str]()
         self.heard = self.read_at = self.newest = self.quiet = 0  # newest: latest sent of those answered
         self.keys: deque[str | None] = deque(maxlen=KEYS_KEPT)
         self.crowd, self.crowd_at, self.asked, self.probe_at = 0.0, -LONGEST_PACE, -LONGEST_PACE, 0  # probes
@@ -169,7 +168,7 @@
             warm = r.deadline - node.up_since >= rules.cold_time or self.cold_room(r, node, r.deadline)
             return soon if warm else NEVER
         # 5: the limit: this host's part of the store may never sink below its part of the tolerance
-        if not again and volume.plan.limit and volume.filled(now, r.units) > now:
+        if not r.charged and volume.plan.limit and volume.filled(now, r.units) > now:
             return volume.filled(now, r.units)
         # 6: order within a key; a request's own further attempts do not wait for its rest
         if kind.in_turn and r.key is not None and (
--- a/stoatrouter/config.py
+++ b/stoatrouter/config.py
@@ -13,6 +13,7 @@
 from cypressworks.simhost import read_settings
 from stoatrouter.core.spans import micros, span
 
+LIMIT_SLACK = timedelta(milliseconds=150)  # by what a limit allows in this time its slack grows on sockets
 VARIABLES = {"name": "NODE_NAME", "listen": "NODE_LISTEN", "discovery": "NODE_DISCOVERY",
              "management": "NODE_MANAGEMENT"}
 
@@ -125,7 +126,12 @@
     """The settings as they bind on real sockets."""
     # Guards the rule on drains: a send decided within the grace may first have to connect.
     grace = max(0, settings.rules.drain_grace - micros(connect_timeout))
-    return replace(settings, rules=replace(settings.rules, drain_grace=grace))
+    # Guards the rule on limits: the platform's store stands full until a request comes, while ours fills from
+    # the decision on. What it fills in the time to connect, beyond the slack, is not spent.
+    late = max(timedelta(0), connect_timeout - LIMIT_SLACK).total_seconds()
+    plans = tuple(replace(p, tolerance=max(0.0, p.tolerance - p.limit * late)) for p in settings.plans)
+    rules = replace(settings.rules, drain_grace=grace, taken_on_arrival=True)
+    return replace(settings, plans=plans, rules=rules)
 
 
 def address(text: str) -> tuple[str, int]:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -5,20 +5,32 @@
 
 import asyncio
 import contextlib
+import json
+import os
+import select
+import signal
 import socket
 from dataclasses import replace
 from datetime import timedelta
 
 import pytest
+from aiohttp.http_writer import StreamWriter
 
+from cypressworks import interface as api
 from cypressworks.interface import Outcome, Phase
+from stoatrouter import config
 from stoatrouter.core.list_times import COUNTS_AS_TOLD, MS, list_times
 from stoatrouter.core.spans import micros
 from stoatrouter.head import Head
 from stoatrouter.net import presence
 from stoatrouter.net.discovery import Watch
+from stoatrouter.net.door import State
+from stoatrouter.net.nodes import NodeClient
+from tests.bench_free import MS as MS_
+from tests.bench_free import SECOND, Hand
 from tests.peers import HOST, Discovery, Node, head_config, listening, nodes_up, run, told, until
-from tests.test_network import HEADERS, PATH, WRITE, started
+from tests.test_network import HEADERS, PATH, WRITE, attempt, started
+from tests.test_program import program, read
 
 AT_ONCE = replace(list_times(True, 2000 * MS), hold=30 * MS, late=30 * MS, dial=30 * MS, answer=60 * MS,
                   first=50 * MS)
@@ -176,8 +188,6 @@
 @pytest.mark.parametrize("fault", ["silent", "half", "trickle", "refused", "reset", "cut"])
 def test_a_watch_that_goes_wrong_in_any_way_is_asked_anew_and_briefly(fault, pushed):
     async def story():
-        import json
-
         a, heard = Node("a", 0), []
         agent = Agent(json.dumps(told(2, a.entry())).encode(), fault,
                       json.dumps(told(3, a.entry(lifecycle="DRAINING"), reset=False)).encode(),
@@ -248,3 +258,119 @@
 
 def test_an_outcome_not_begun_proves_that_nothing_ran():
     assert Outcome.NOT_BEGUN.never_ran
+
+
+# -- what an end of a connection proves ----------------------------------------------------------------------
+def test_a_reset_between_the_last_byte_and_its_noting_proves_nothing():
+    async def story():
+        a = Node("a", 0)
+        a.gate = lambda _: asyncio.sleep(3600)
+        async with nodes_up(a):
+            nodes = NodeClient(timedelta(seconds=1), timedelta(seconds=30), 4)
+            drain = StreamWriter.drain
+            try:
+                async def reset_after(writer):
+                    await drain(writer)
+                    # the node has begun the request; its reset is read before the task that wrote goes on
+                    await until(lambda: a.seen)
+                    writer.transport.abort()
+                StreamWriter.drain = reset_after
+                reply = await nodes.attempt(attempt(f"{HOST}:{a.port}", "PUT", b"x", WRITE))
+            finally:
+                StreamWriter.drain = drain
+                await nodes.close()
+            assert a.seen and reply.outcome is Outcome.RESET and not reply.outcome.never_ran
+    run(story())
+
+
+# -- ends of clients' connections ----------------------------------------------------------------------------
+@pytest.mark.parametrize("ends", ["sweep", "shutdown"])
+def test_a_request_that_has_come_and_was_not_read_yet_is_answered_not_reset(ends):
+    async def story():
+        a = Node("a", 0)
+        async with started(a) as (head, _):
+            reader, writer = await raw(head)
+            writer.write(text(HEADERS))
+            assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 200")
+            await until(lambda: head.door.held[State.ONCE])
+            (connection,) = head.door.held[State.ONCE]
+            # it has rested for long, and its next request comes as it is to be ended: the loop has not read
+            # it
+            sock = connection.transport.get_extra_info("socket")
+            os.write(writer.get_extra_info("socket").fileno(), text(HEADERS | {"Req-Id": "second"}))
+            select.select([sock], [], [])
+            assert connection.state is State.ONCE
+            if ends == "sweep":
+                head.door.held[State.ONCE][connection] -= 3600
+                head.door.sweep()
+            else:
+                head.door.end_idle()
+            assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 200") and len(a.seen) == 2
+            await until(lambda: connection.state is State.IDLE)
+            head.door.end_idle()  # with nothing unread it ends
+            assert await reader.read() == b""
+            writer.close()
+    run(story())
+
+
+def test_a_connection_that_has_just_come_is_heard_by_a_head_that_ends():
+    async def story():
+        a = Node("a", 0)
+        async with started(a) as (head, _):
+            reader, writer = await raw(head)
+            await until(lambda: head.door.held[State.SILENT])
+            assert head.door.just_come()
+            head.door.end_idle()
+            writer.write(text(HEADERS))
+            assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 200")
+            writer.close()
+            reader, writer = await raw(head)
+            await until(lambda: head.door.held[State.SILENT])
+            (connection,) = head.door.held[State.SILENT]
+            connection.since -= 3600  # it has had its time
+            assert not head.door.just_come()
+            head.door.end_idle()
+            assert await reader.read() == b""
+            writer.close()
+    run(story())
+
+
+def test_a_signal_twice_and_one_while_starting_end_the_head_once(tmp_path):
+    async def story():
+        a = Node("a", 0)
+        async with program(tmp_path, a) as (process, session, base, _):
+            assert (await read(session, base, "one"))[0] == 200
+            process.send_signal(signal.SIGTERM)
+            process.send_signal(signal.SIGTERM)
+            assert (await read(session, base, "two"))[0] == 200
+            assert await process.wait() == 0
+    run(story())
+
+
+# -- limits --------------------------------------------------------------------------------------------------
+def test_units_that_never_came_to_a_node_are_taken_when_they_come():
+    """The platform's store is full until a request comes to a node. Taken at the decision alone, ours would
+    have filled again by then, and the limit be passed by what it fills meanwhile."""
+    plan = api.Plan("basic", usual_rate=4, limit=4.0, burst=8.0, tolerance=0.0)
+    for on_arrival in (True, False):
+        hand = Hand(plans=[plan], rules={"taken_on_arrival": on_arrival}, nodes=[api.NodeEntry("n1", 0)])
+        hand.wait(10 * SECOND)  # the store is full
+        hand.request("late", units=7)
+        store = hand.scheduler.volumes["v1"]
+        assert store.at(hand.now).store == pytest.approx(1.0)
+        hand.wait(100 * MS_)
+        hand.end("late", Outcome.CONNECT_FAILED)
+        hand.wait(100 * MS_)
+        assert len(hand.sends("late")) == 2
+        # sent anew it takes them in that moment, from a store that was full again
+        passed = (hand.now - hand.sends("late")[1][0]) / SECOND
+        left = 8.0 - 7 + 4.0 * passed if on_arrival else 1.0 + 4.0 * 0.2
+        assert store.at(hand.now).store == pytest.approx(left)
+
+
+def test_a_limit_keeps_what_it_fills_while_a_connection_comes_up():
+    plan = api.Plan("p", 4, limit=10.0, burst=20.0, tolerance=8.0)
+    settings = replace(head_config().settings, plans=(plan,))
+    kept = config.on_sockets(settings, timedelta(milliseconds=350)).plans[0].tolerance
+    assert kept == pytest.approx(8.0 - 10.0 * 0.2)
+    assert config.on_sockets(settings, timedelta(milliseconds=100)).plans[0].tolerance == 8.0
