Deal out descriptors by one stated budget, so that idle clients take nobody else's

Need, found by reading: head.py gave clients 0.58 and nodes 0.3 of the descriptors beside what is accepted in a turn of the loop, operators' callers, the watch and files; with 256 descriptors all of it together is 278, with 96 it is 130. Result: a property over sizes, and a head of 160 descriptors (RLIMIT_NOFILE) with 320 idle clients while discovery is down: operators heard, the list asked for at its return, a node of it dialled. Tests of the list and of descriptors move to a file of their own, the stand-in of discovery to tests/agent.py; nothing else of them changes.

--- a/stoatrouter/head.py
+++ b/stoatrouter/head.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from stoatrouter import config
+from stoatrouter.core.descriptors import share_out
 from stoatrouter.core.list_times import list_times
 from stoatrouter.core.reducer import Reducer
 from stoatrouter.core.spans import span
@@ -33,8 +34,9 @@
     from stoatrouter.peering.heads import Heads
     from stoatrouter.peering.settings import HeadsSettings
 
-# Of the descriptors: clients hold a third of them at most for requests; some more may say nothing.
-NODE_SHARE, CLIENT_SHARE, IDLE_SHARE = 0.3, 0.58, 0.125
+# Of the descriptors (core/descriptors.py): of their part, clients that asked once and rest hold no more than
+# this.
+IDLE_SHARE = 0.125
 # Beyond these what comes is refused as it comes, before clients have no connection left to be heard on.
 BUSY_SHARE, PRESSED_SHARE, PRESSED_LEAST = 0.75 / 3, 0.4 / 3, 48
 BASE = 46_000_000  # of memory: what a head needs beside the bodies it keeps
@@ -55,14 +57,15 @@
         self.conf, self.object_settings, self.http_settings = conf, objects, http
         self.tables: list[TableService] = []
         self.recorder = None
-        nodes = NodeClient(conf.connect_timeout, conf.conn_idle, int(conf.sockets * NODE_SHARE),
+        budget = share_out(conf.sockets)
+        nodes = NodeClient(conf.connect_timeout, conf.conn_idle, budget.nodes,
                            span(min(c.aim for c in conf.settings.classes)))
         self.engine = Engine(Reducer(conf.settings, conf.seed, conf.max_open), Clock(), nodes,
                              Keep(conf.folder))
         self.watch = Watch(conf.discovery, conf.known, self.engine.told,
                            self.engine.reducer.tally.add, not conf.settings.list_on_request,
                            list_times(not conf.settings.list_on_request, conf.drain_grace))
-        self.door = Door(int(conf.sockets * CLIENT_SHARE), int(conf.sockets * IDLE_SHARE),
+        self.door = Door(budget.clients, int(conf.sockets * IDLE_SHARE),
                          int(conf.sockets * BUSY_SHARE), busy_pressed(conf.sockets))
         self.drain = Drain(self.door)
         self.room = Room(max(SMALL, conf.memory_mb * 1_000_000 - BASE), conf.folder)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -4,8 +4,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import json
 import os
 import select
 import signal
@@ -17,24 +15,27 @@
 from aiohttp.http_writer import StreamWriter
 
 from cypressworks import interface as api
-from cypressworks.interface import Outcome, Phase
+from cypressworks.interface import Outcome
 from stoatrouter import config
-from stoatrouter.core.list_times import COUNTS_AS_TOLD, MS, list_times
-from stoatrouter.core.spans import micros
+from stoatrouter.core.list_times import MS
 from stoatrouter.head import Head
 from stoatrouter.net import presence
-from stoatrouter.net.discovery import Watch
 from stoatrouter.net.door import State
 from stoatrouter.net.nodes import NodeClient
 from tests.bench_free import MS as MS_
 from tests.bench_free import SECOND, Hand
-from tests.peers import HOST, Discovery, Node, head_config, listening, nodes_up, run, told, until
+from tests.peers import (
+    HOST,
+    Node,
+    head_config,
+    nodes_up,
+    run,
+    told,
+    until,
+)
 from tests.test_network import HEADERS, PATH, WRITE, attempt, started
 from tests.test_program import program, read
 
-AT_ONCE = replace(list_times(True, 2000 * MS), hold=30 * MS, late=30 * MS, dial=30 * MS, answer=60 * MS,
-                  first=50 * MS)
-
 
 class Dials:
     """Holds connections to nodes that are coming up, until they are let through."""
@@ -132,130 +133,6 @@
     run(story())
 
 
-# -- the list ------------------------------------------------------------------------------------------------
-@pytest.mark.parametrize("grace", [0, 250, 600, 1000, 2000, 10_000])
-def test_the_budget_of_the_list_keeps_to_the_term(grace):
-    for pushed in (True, False):
-        times = list_times(pushed, grace * MS)
-        assert times.silence < COUNTS_AS_TOLD and times.outage < COUNTS_AS_TOLD
-        assert times.first <= timedelta(seconds=1)
-    if grace >= 1000:  # what an agent got at its return counts at once: it is known within the grace
-        assert list_times(True, grace * MS).outage < grace * MS
-
-
-class Agent:
-    """A stand-in of discovery that does byte for byte what its script says, call by call."""
-
-    def __init__(self, *script) -> None:
-        self.script, self.calls, self.ended = list(script), [], asyncio.Event()
-
-    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-            while True:
-                head = await reader.readuntil(b"\r\n\r\n")
-                self.calls.append(head.split(b" ")[1].decode())
-                step = self.script.pop(0) if self.script else "silent"
-                if isinstance(step, bytes):
-                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(step) + step)
-                elif step == "half":
-                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n{\"gen")
-                elif step == "trickle":
-                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n")
-                    while not self.ended.is_set():
-                        writer.write(b" ")
-                        await asyncio.sleep(0.005)
-                elif step == "refused":
-                    writer.write(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
-                elif step == "reset":
-                    writer.transport.abort()
-                elif step == "cut":
-                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n{\"gen")
-                    writer.close()
-        writer.close()
-
-
-@contextlib.asynccontextmanager
-async def agent_up(agent: Agent):
-    server = await asyncio.start_server(agent.serve, HOST, 0)
-    try:
-        yield server.sockets[0].getsockname()[1]
-    finally:
-        agent.ended.set()
-        server.close()
-
-
-@pytest.mark.parametrize("pushed", [True, False])
-@pytest.mark.parametrize("fault", ["silent", "half", "trickle", "refused", "reset", "cut"])
-def test_a_watch_that_goes_wrong_in_any_way_is_asked_anew_and_briefly(fault, pushed):
-    async def story():
-        a, heard = Node("a", 0), []
-        agent = Agent(json.dumps(told(2, a.entry())).encode(), fault,
-                      json.dumps(told(3, a.entry(lifecycle="DRAINING"), reset=False)).encode(),
-                      json.dumps(told(3, reset=False)).encode())
-        async with agent_up(agent) as port:
-            watch = Watch(f"{HOST}:{port}", told(1), pushed=pushed, times=AT_ONCE,
-                          told=lambda kind, nodes, age: heard.append((nodes[0].phase, age)))
-            task = asyncio.create_task(watch.run())
-            await until(lambda: len(heard) == 2 and len(agent.calls) == 4)
-            task.cancel()
-            await asyncio.gather(task, return_exceptions=True)
-        held, brief = AT_ONCE.hold / MS, AT_ONCE.brief / MS
-        asked = [int(call.partition("hold_ms=")[2] or 0) for call in agent.calls]
-        assert asked[1] >= 0.7 * held and asked[2] == brief and asked[3] >= 0.7 * held
-        assert [phase for phase, _ in heard] == [Phase.ON, Phase.DRAINING]
-        # pushed, it counted from when the agent had it: some time since the last answer that was whole
-        assert (heard[1][1] > timedelta(0)) == pushed and heard[0][1] == (None if pushed else timedelta(0))
-    run(story())
-
-
-def test_a_connection_to_discovery_that_never_comes_up_costs_the_dial_alone():
-    async def story():
-        with socket.socket() as full, contextlib.ExitStack() as stack:
-            full.bind((HOST, 0))
-            full.listen(0)
-            for _ in range(3):  # nobody accepts: the next one never comes up
-                waiting = stack.enter_context(socket.socket())
-                waiting.setblocking(False)
-                waiting.connect_ex(full.getsockname())
-            agent = Agent()
-            async with agent_up(agent) as port:
-                watch = Watch(f"{HOST}:{full.getsockname()[1]}", told(1), lambda *_: None, times=AT_ONCE)
-                task = asyncio.create_task(watch.run())
-                await until(lambda: watch.failures >= 2)
-                watch.move(f"{HOST}:{port}")
-                await until(lambda: agent.calls)
-                task.cancel()
-                await asyncio.gather(task, return_exceptions=True)
-    run(story())
-
-
-@pytest.mark.parametrize("discovery", ["answers", "silent"])
-def test_a_new_process_asks_before_it_accepts_yet_does_not_wait_for_long(discovery):
-    async def story():
-        a, b, known = Node("a", 0), Node("b", 0), []
-        says = [told(2, a.entry(lifecycle="DRAINING"), reset=False)] if discovery == "answers" else []
-        peer = Discovery(*says)
-        async with nodes_up(a, b), listening(peer.handle) as port:
-            head = Head(head_config(a, b, discovery=port))
-            accept = head.accept
-
-            async def accepting():
-                known.append((len(peer.calls), head.engine.reducer.nodes["a"].phase))
-                await accept()
-            head.accept = accepting
-            await head.start()
-            try:
-                if discovery == "answers":
-                    # counted as told from this process's first moment, so there is no grace
-                    assert known in ([(1, Phase.DRAINING)], [(2, Phase.DRAINING)])
-                    assert not head.engine.reducer.scheduler.nodes["a"].takes(micros(head.engine.clock.now()))
-                else:
-                    assert known[0][1] is Phase.ON and len(known) == 1 and head.serving
-            finally:
-                await head.stop()
-    run(story())
-
-
 def test_an_outcome_not_begun_proves_that_nothing_ran():
     assert Outcome.NOT_BEGUN.never_ran
 
@@ -374,3 +251,5 @@
     kept = config.on_sockets(settings, timedelta(milliseconds=350)).plans[0].tolerance
     assert kept == pytest.approx(8.0 - 10.0 * 0.2)
     assert config.on_sockets(settings, timedelta(milliseconds=100)).plans[0].tolerance == 8.0
+
+
--- /dev/null
+++ b/tests/test_list_and_descriptors.py
@@ -0,0 +1,183 @@
+"""The list is known in time whatever a watch does, and clients take nobody else's descriptors: forced on real
+sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import resource
+import socket
+import sys
+from dataclasses import replace
+from datetime import timedelta
+
+import aiohttp
+import pytest
+
+from cypressworks.interface import Phase
+from stoatrouter.core.descriptors import share_out
+from stoatrouter.core.list_times import COUNTS_AS_TOLD, MS, list_times
+from stoatrouter.core.spans import micros
+from stoatrouter.head import Head
+from stoatrouter.net.discovery import Watch
+from tests.agent import Agent, agent_up
+from tests.heads.processes import end_with_parent, free_ports, own_host
+from tests.peers import (
+    HOST,
+    Discovery,
+    Node,
+    config_data,
+    head_config,
+    listening,
+    nodes_up,
+    run,
+    told,
+    until,
+)
+from tests.test_network import HEADERS, PATH
+from tests.test_program import ROOT, ready
+
+AT_ONCE = replace(list_times(True, 2000 * MS), hold=30 * MS, late=30 * MS, dial=30 * MS, answer=60 * MS,
+                  first=50 * MS)
+
+
+# -- the list ------------------------------------------------------------------------------------------------
+@pytest.mark.parametrize("grace", [0, 250, 600, 1000, 2000, 10_000])
+def test_the_budget_of_the_list_keeps_to_the_term(grace):
+    for pushed in (True, False):
+        times = list_times(pushed, grace * MS)
+        assert times.silence < COUNTS_AS_TOLD and times.outage < COUNTS_AS_TOLD
+        assert times.first <= timedelta(seconds=1)
+    if grace >= 1000:  # what an agent got at its return counts at once: it is known within the grace
+        assert list_times(True, grace * MS).outage < grace * MS
+
+
+@pytest.mark.parametrize("pushed", [True, False])
+@pytest.mark.parametrize("fault", ["silent", "half", "trickle", "refused", "reset", "cut"])
+def test_a_watch_that_goes_wrong_in_any_way_is_asked_anew_and_briefly(fault, pushed):
+    async def story():
+        a, heard = Node("a", 0), []
+        agent = Agent(json.dumps(told(2, a.entry())).encode(), fault,
+                      json.dumps(told(3, a.entry(lifecycle="DRAINING"), reset=False)).encode(),
+                      json.dumps(told(3, reset=False)).encode())
+        async with agent_up(agent) as port:
+            watch = Watch(f"{HOST}:{port}", told(1), pushed=pushed, times=AT_ONCE,
+                          told=lambda kind, nodes, age: heard.append((nodes[0].phase, age)))
+            task = asyncio.create_task(watch.run())
+            await until(lambda: len(heard) == 2 and len(agent.calls) == 4)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+        held, brief = AT_ONCE.hold / MS, AT_ONCE.brief / MS
+        asked = [int(call.partition("hold_ms=")[2] or 0) for call in agent.calls]
+        assert asked[1] >= 0.7 * held and asked[2] == brief and asked[3] >= 0.7 * held
+        assert [phase for phase, _ in heard] == [Phase.ON, Phase.DRAINING]
+        # pushed, it counted from when the agent had it: some time since the last answer that was whole
+        assert (heard[1][1] > timedelta(0)) == pushed and heard[0][1] == (None if pushed else timedelta(0))
+    run(story())
+
+
+def test_a_connection_to_discovery_that_never_comes_up_costs_the_dial_alone():
+    async def story():
+        with socket.socket() as full, contextlib.ExitStack() as stack:
+            full.bind((HOST, 0))
+            full.listen(0)
+            for _ in range(3):  # nobody accepts: the next one never comes up
+                waiting = stack.enter_context(socket.socket())
+                waiting.setblocking(False)
+                waiting.connect_ex(full.getsockname())
+            agent = Agent()
+            async with agent_up(agent) as port:
+                watch = Watch(f"{HOST}:{full.getsockname()[1]}", told(1), lambda *_: None, times=AT_ONCE)
+                task = asyncio.create_task(watch.run())
+                await until(lambda: watch.failures >= 2)
+                watch.move(f"{HOST}:{port}")
+                await until(lambda: agent.calls)
+                task.cancel()
+                await asyncio.gather(task, return_exceptions=True)
+    run(story())
+
+
+@pytest.mark.parametrize("discovery", ["answers", "silent"])
+def test_a_new_process_asks_before_it_accepts_yet_does_not_wait_for_long(discovery):
+    async def story():
+        a, b, known = Node("a", 0), Node("b", 0), []
+        says = [told(2, a.entry(lifecycle="DRAINING"), reset=False)] if discovery == "answers" else []
+        peer = Discovery(*says)
+        async with nodes_up(a, b), listening(peer.handle) as port:
+            head = Head(head_config(a, b, discovery=port))
+            accept = head.accept
+
+            async def accepting():
+                known.append((len(peer.calls), head.engine.reducer.nodes["a"].phase))
+                await accept()
+            head.accept = accepting
+            await head.start()
+            try:
+                if discovery == "answers":
+                    # counted as told from this process's first moment, so there is no grace
+                    assert known in ([(1, Phase.DRAINING)], [(2, Phase.DRAINING)])
+                    assert not head.engine.reducer.scheduler.nodes["a"].takes(micros(head.engine.clock.now()))
+                else:
+                    assert known[0][1] is Phase.ON and len(known) == 1 and head.serving
+            finally:
+                await head.stop()
+    run(story())
+
+
+# -- descriptors ---------------------------------------------------------------------------------------------
+@pytest.mark.parametrize("sockets", [1, 96, 128, 256, 512, 640, 1024, 65536])
+def test_what_all_may_hold_together_is_within_the_limit(sockets):
+    budget = share_out(sockets)
+    assert budget.clients >= 1 and budget.nodes >= 1
+    assert budget.all <= max(sockets, budget.fixed + 2)
+
+
+def test_idle_clients_that_fill_the_descriptors_leave_discovery_nodes_and_operators_theirs(tmp_path):
+    """Discovery is down, clients come and rest; it is reached the moment it returns, and a node it names is
+    dialled."""
+    most = 160
+
+    async def story():
+        a, b = Node("a", 0), Node("b", 1)
+        async with nodes_up(a, b):
+            host = own_host()
+            port, management, at = free_ports(host, 3)
+            data = config_data(told(1, a.entry()), at, port, f"{host}:{management}", sockets=most)
+            data |= {"listen": f"{host}:{port}", "discovery": f"{host}:{at}"}
+            (tmp_path / "config.json").write_text(json.dumps(data))
+
+            def limit():
+                end_with_parent()
+                resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
+            environ = os.environ | {"NODE_CONFIG": str(tmp_path / "config.json"), "PYTHONPATH": str(ROOT)}
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-B", "-m", "stoatrouter", cwd=tmp_path, env=environ, preexec_fn=limit,
+                stderr=asyncio.subprocess.DEVNULL)
+            clients = []
+            try:
+                async with aiohttp.ClientSession() as session:
+                    await ready(session, f"http://{host}:{port}")
+                    for _ in range(2 * most):  # more than there are descriptors, as fast as they are taken
+                        clients.append(await asyncio.open_connection(host, port))
+                    held = len(os.listdir(f"/proc/{process.pid}/fd"))
+                    assert held <= most
+                    async with session.get(f"http://{host}:{management}/control/ready") as answer:
+                        assert answer.status == 200
+                    agent = Agent(json.dumps(told(2, a.entry(), b.entry())).encode())
+                    server = await asyncio.start_server(agent.serve, host, at)
+                    await until(lambda: len(agent.calls) >= 2)  # it has the list, and asks for what is newer
+                    headers = HEADERS | {"X-IO": "units=2,shard=1,hosts=1"}
+                    async with aiohttp.ClientSession() as fresh, fresh.get(
+                            f"http://{host}:{port}{PATH}", headers=headers) as answer:
+                        assert answer.status == 200 and len(b.seen) == 1
+                    assert process.returncode is None
+                    agent.ended.set()
+                    server.close()
+            finally:
+                for _, writer in clients:
+                    writer.close()
+                process.kill()
+                await process.wait()
+    run(story())
