--- a/stoatrouter/core/descriptors.py
+++ b/stoatrouter/core/descriptors.py
@@ -14,7 +14,7 @@
 ACCEPTING = 40  # clients that come before others have ended: door.SPARE, two turns of ACCEPT_AT_ONCE
 # parts of what is left; at a thousand descriptors and more a margin stays beside them, for large bodies kept
 # in files
-CLIENTS, NODES = 0.58, 0.3
+CLIENTS, NODES, LARGEST_FIXED = 0.58, 0.3, 0.3
 
 
 @dataclass(slots=True, frozen=True)
@@ -31,9 +31,9 @@
 
 
 def share_out(sockets: int) -> Descriptors:
-    """Deal out what a head may hold. Where there are few, the parts of clients and nodes shrink, not the
-    others'."""
-    left = max(2, sockets - Descriptors(0, 0).fixed)
-    whole = CLIENTS + NODES
+    """Deal out what a head may hold. Down to 240 the parts of clients and nodes shrink and not the others';
+    below, all shrink together, at the cost of what is accepted in one moment."""
+    fixed = min(Descriptors(0, 0).fixed, int(sockets * LARGEST_FIXED))
+    left, whole = sockets - fixed, CLIENTS + NODES
     return Descriptors(max(1, min(int(sockets * CLIENTS), int(left * CLIENTS / whole))),
-                       max(1, min(int(sockets * NODES), int(left * NODES / whole))))
+                       max(1, min(int(sockets * NODES), int(left * NODES / whole))), fixed)
--- a/tests/test_list_and_descriptors.py
+++ b/tests/test_list_and_descriptors.py
@@ -131,7 +131,8 @@
 def test_what_all_may_hold_together_is_within_the_limit(sockets):
     budget = share_out(sockets)
     assert budget.clients >= 1 and budget.nodes >= 1
-    assert budget.all <= max(sockets, budget.fixed + 2)
+    assert budget.all <= max(sockets, 2)
+    assert budget.fixed == 72 or sockets < 240
 
 
 def test_idle_clients_that_fill_the_descriptors_leave_discovery_nodes_and_operators_theirs(tmp_path):
