Call the table of client connections, the listening socket and shutdown deadlines by their names

Names only: Door is ClientTable (net/clients.py), Ear ListeningSocket, Farewell ShutdownDeadlines; the engine's table of clients' transports is callers, so that two things are not called clients. Nothing else changes.

--- a/stoatrouter/head.py
+++ b/stoatrouter/head.py
@@ -17,14 +17,14 @@
 from stoatrouter.fronts.platform import PlatformFront
 from stoatrouter.management.calls import MOST_CALLERS, Management
 from stoatrouter.net.bodies import SMALL, Room
+from stoatrouter.net.clients import ClientTable
 from stoatrouter.net.clock import Clock
 from stoatrouter.net.discovery import Watch
-from stoatrouter.net.door import Door
 from stoatrouter.net.early import announcement
 from stoatrouter.net.engine import Engine, watch_loop
 from stoatrouter.net.generations import Generations
 from stoatrouter.net.keep import Keep
-from stoatrouter.net.listener import Drain, Listener, farewell
+from stoatrouter.net.listener import Drain, Listener, shutdown_deadlines
 from stoatrouter.net.nodes import NodeClient
 
 if TYPE_CHECKING:
@@ -65,9 +65,9 @@
         self.watch = Watch(conf.discovery, conf.known, self.engine.told,
                            self.engine.reducer.tally.add, not conf.settings.list_on_request,
                            list_times(not conf.settings.list_on_request, conf.drain_grace))
-        self.door = Door(budget.clients, int(conf.sockets * IDLE_SHARE),
+        self.clients = ClientTable(budget.clients, int(conf.sockets * IDLE_SHARE),
                          int(conf.sockets * BUSY_SHARE), busy_pressed(conf.sockets))
-        self.drain = Drain(self.door)
+        self.drain = Drain(self.clients)
         self.room = Room(max(SMALL, conf.memory_mb * 1_000_000 - BASE), conf.folder)
         front = PlatformFront(self.engine, conf.settings, self.drain, self.room)
         self.platform = Listener(front.handle, self.drain, front.refuse)
@@ -85,13 +85,13 @@
         self.heads: Heads | None = None
         if heads is not None:
             self.open_heads(heads, started_with)
-        # a door of its own: however many clients come, operators are heard
-        self.management_door = Door(MOST_CALLERS, MOST_CALLERS, MOST_CALLERS)
-        self.generations = Generations(self.engine, self.watch, self.door, self.drain, conf.folder, self.rest,
-                                       self.accept)
+        # a table of its own: however many clients come, operators are heard
+        self.management_clients = ClientTable(MOST_CALLERS, MOST_CALLERS, MOST_CALLERS)
+        self.generations = Generations(self.engine, self.watch, self.clients, self.drain, conf.folder,
+                                       self.rest, self.accept)
         self.serving = False
         calls = Management(self.engine, self.drain, self.ready, self.heads.call if self.heads else None)
-        self.management = Listener(calls.handle, Drain(self.management_door))
+        self.management = Listener(calls.handle, Drain(self.management_clients))
         self.background: list[asyncio.Task[None]] = []
 
     # -- what is off on the platform: a head without it imports none of it -----------------------------------
@@ -152,10 +152,10 @@
         await self.accept()
         announcement.end()
         await self.generations.listen()
-        self.background += [loop.create_task(self.door.keep_swept()),
+        self.background += [loop.create_task(self.clients.keep_swept()),
                             loop.create_task(self.generations.follow()),
-                            loop.create_task(self.management_door.keep_swept()),
-                            loop.create_task(watch_loop(self.engine, self.door, LAG_EVERY, LAG_LIMIT)),
+                            loop.create_task(self.management_clients.keep_swept()),
+                            loop.create_task(watch_loop(self.engine, self.clients, LAG_EVERY, LAG_LIMIT)),
                             *(loop.create_task(service.keep_told()) for service in self.tables)]
         if self.recorder is not None:
             self.background.append(loop.create_task(self.recorder.run()))
@@ -202,7 +202,7 @@
         """Serve for as long as answers are sure, finish what was taken, then end everything."""
         logger.info("stop: asked to, {open} requests open", event="stop.asked", open=self.engine.reducer.open)
         self.serving = False
-        times = farewell(span(max(c.deadline for c in self.conf.settings.classes)))
+        times = shutdown_deadlines(span(max(c.deadline for c in self.conf.settings.classes)))
         self.engine.answer_by = self.engine.clock.now() + times.answer_within
         await asyncio.gather(*(li.stop(lambda: self.engine.busy, times.take_for) for li in self.listeners))
         self.drain.rest()
--- a/stoatrouter/net/door.py
+++ b/stoatrouter/net/clients.py
@@ -47,7 +47,7 @@
     BEGUN = 5  # a part of a head has come; in the order of the latest bytes
 
 
-class Door:
+class ClientTable:
     """All connections of clients, by state and in the order in which they came to it."""
 
     def __init__(self, most: int, idle_most: int, busy_most: int, busy_pressed: int | None = None) -> None:
@@ -158,22 +158,22 @@
 class ClientConnection(RequestHandler):
     """aiohttp's server connection, with bounds on what a bad client can do to it."""
 
-    __slots__ = ("door", "loop", "state", "since", "begun", "unread", "unread_since", "answered",
+    __slots__ = ("clients", "loop", "state", "since", "begun", "unread", "unread_since", "answered",
                  "refuse")
 
-    def __init__(self, manager: web.Server, door: Door, refuse: Refuse | None,
+    def __init__(self, manager: web.Server, clients: ClientTable, refuse: Refuse | None,
                  loop: asyncio.AbstractEventLoop, **more: Any) -> None:
-        # the door's sweep ends idle connections, long before aiohttp's own timer would
+        # the table's sweep ends idle connections, long before aiohttp's own timer would
         super().__init__(manager, loop=loop, keepalive_timeout=10 * IDLE.total_seconds(), lingering_time=0,
                          **more)
-        self.door, self.refuse, self.loop = door, refuse, loop
+        self.clients, self.refuse, self.loop = clients, refuse, loop
         self.state, self.since, self.begun = State.SILENT, 0.0, 0.0
         self.unread, self.unread_since, self.answered = 0, 0.0, False
 
     def end(self) -> None:
         """Close now. force_close, as close() leaves the socket open and reads it no more: what came there
         would be swallowed without any answer."""
-        self.door.leave(self)
+        self.clients.leave(self)
         self.force_close()
 
     def waited(self) -> float:
@@ -198,16 +198,16 @@
     # -- the protocol's callbacks -------------------------------------------------------------------------
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
-        self.door.enter(self)
+        self.clients.enter(self)
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        self.door.leave(self)
+        self.clients.leave(self)
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
         if self.state is State.ENDING:
             return  # read only so that the answer arrives
-        if (self.refuse is not None and self.door.open >= self.door.busy_bound()
+        if (self.refuse is not None and self.clients.open >= self.clients.busy_bound()
                 and self.state in (State.SILENT, State.ONCE, State.IDLE) and (said := self.refuse(data))):
             return self._refused(said)
         open_before = self.state is State.BUSY
@@ -221,9 +221,9 @@
                 # Guards a client's time: unreadable input behind an open request would get its error only
                 # after that. It also may be what a request of wrong length left over.
                 return self.end()
-            self.door.put(self, State.ENDING)
+            self.clients.put(self, State.ENDING)
         elif not open_before:
-            self.door.put(self, State.BUSY)
+            self.clients.put(self, State.BUSY)
 
     def _refused(self, said: bytes) -> None:
         """What came was refused as it came; this connection goes on, unless that was its last answer."""
@@ -233,14 +233,14 @@
         if b"Connection: close" in said:
             self._last()
         else:
-            self.door.put(self, State.IDLE if self.answered else State.ONCE)
+            self.clients.put(self, State.IDLE if self.answered else State.ONCE)
             self.answered = True
 
     def _begin(self) -> None:
         """More of a head has come. A first one counts from the connection's start, whatever came when."""
         if self.state is not State.BEGUN:
             self.begun = self.since if self.state is State.SILENT else self.loop.time()
-        self.door.put(self, State.BEGUN)
+        self.clients.put(self, State.BEGUN)
 
     # -- answers ------------------------------------------------------------------------------------------
     def handle_error(self, request: web.BaseRequest, status: int = 500, exc: BaseException | None = None,
@@ -263,7 +263,7 @@
             return resp, reset
         if resp.keep_alive and request.content.is_eof() and self._renew(request):
             if not self._messages:
-                self.door.put(self, State.IDLE if self.answered else State.ONCE)
+                self.clients.put(self, State.IDLE if self.answered else State.ONCE)
                 self.answered = True
             return resp, reset
         self._messages.clear()
@@ -277,7 +277,7 @@
 
     def _last(self) -> None:
         """Nothing more is said here; the connection ends once that has arrived."""
-        self.door.put(self, State.ENDING)
+        self.clients.put(self, State.ENDING)
         with contextlib.suppress(OSError):  # a client may have gone in this moment
             if self.transport is not None and self.transport.can_write_eof():
                 self.transport.write_eof()
@@ -300,9 +300,9 @@
 class Server(web.Server):
     """aiohttp's server, with these connections."""
 
-    def __init__(self, handler: Any, door: Door, refuse: Refuse | None, **more: Any) -> None:
+    def __init__(self, handler: Any, clients: ClientTable, refuse: Refuse | None, **more: Any) -> None:
         super().__init__(handler, **more)
-        self.door, self.refuse = door, refuse
+        self.clients, self.refuse = clients, refuse
 
     def __call__(self) -> RequestHandler:
-        return ClientConnection(self, self.door, self.refuse, self._loop, **self._kwargs)
+        return ClientConnection(self, self.clients, self.refuse, self._loop, **self._kwargs)
--- a/stoatrouter/net/engine.py
+++ b/stoatrouter/net/engine.py
@@ -15,8 +15,8 @@
 from stoatrouter.core import model
 from stoatrouter.core.reducer import Reducer
 from stoatrouter.net.bodies import BrokenOff
+from stoatrouter.net.clients import ClientTable
 from stoatrouter.net.clock import Clock
-from stoatrouter.net.door import Door
 from stoatrouter.net.keep import Keep
 from stoatrouter.net.nodes import NodeClient, Reply
 from stoatrouter.net.presence import CLIENT, gone
@@ -34,7 +34,7 @@
         self.kept = True  # whether what is out by hand is kept
         self.loop = asyncio.get_running_loop()
         self.waiting: dict[str, asyncio.Future[model.Answer]] = {}
-        self.clients: dict[str, asyncio.Transport | None] = {}  # of those requests
+        self.callers: dict[str, asyncio.Transport | None] = {}  # of those requests
         self.attempts: dict[tuple[str, int], asyncio.Task[Reply]] = {}
         self.tasks: set[asyncio.Task[None]] = set()
         self.answer_by: timedelta | None = None  # a stopping head's last moment
@@ -57,7 +57,7 @@
         if effects and isinstance(effects[0], model.TurnAway):
             return effects[0].answer
         waiter = self.waiting[request.id] = self.loop.create_future()
-        self.clients[request.id] = CLIENT.get()
+        self.callers[request.id] = CLIENT.get()
         try:
             self.run_all(effects)
             return await waiter
@@ -68,7 +68,7 @@
             raise
         finally:
             self.waiting.pop(request.id, None)
-            self.clients.pop(request.id, None)
+            self.callers.pop(request.id, None)
 
     async def prepared(self, request: model.Request) -> model.Request:
         """Wait a moment for what a request needs before it is taken up, where it is on its way."""
@@ -185,7 +185,7 @@
 
     def may_begin(self, effect: model.SendAttempt) -> bool:
         """Asked with a connection in hand, before the first byte of an attempt: whether it is to be made."""
-        client = self.clients.get(effect.request.id)
+        client = self.callers.get(effect.request.id)
         if gone(client):
             # Guards nodes against work for nobody: what tells of the client's end is still on its way here.
             assert client is not None
@@ -232,7 +232,7 @@
         self.put(model.ProbeEnded(now, effect.node, reply.outcome, now - began, reply.load))
 
 
-async def watch_loop(engine: Engine, door: Door, every: timedelta, lag_limit: timedelta,
+async def watch_loop(engine: Engine, clients: ClientTable, every: timedelta, lag_limit: timedelta,
                      tally_every: int = 100) -> None:
     """Watches the loop's lag, and logs now and then what has been done."""
     loop, rounds, worst = asyncio.get_running_loop(), 0, 0.0
@@ -242,7 +242,7 @@
         lag, rounds = loop.time() - due, rounds + 1
         worst = max(worst, lag)
         if lag > PRESSED_LAG.total_seconds():
-            door.press(PRESSED_FOR)
+            clients.press(PRESSED_FOR)
         if lag > lag_limit.total_seconds():
             logger.warning("loop: lagged by {lag_ms:.0f} ms", event="loop.lagged", lag_ms=lag * 1000)
         if rounds % tally_every == 0:
--- a/stoatrouter/net/generations.py
+++ b/stoatrouter/net/generations.py
@@ -10,8 +10,8 @@
 from loguru import logger
 
 from stoatrouter.core import model
+from stoatrouter.net.clients import ClientTable
 from stoatrouter.net.discovery import Watch
-from stoatrouter.net.door import Door
 from stoatrouter.net.engine import Engine
 from stoatrouter.net.listener import Drain
 from stoatrouter.net.state import read_by_hand, read_node, write_by_hand, write_node
@@ -26,12 +26,12 @@
 class Generations:
     """This process between the one before it and the one after."""
 
-    def __init__(self, engine: Engine, watch: Watch, door: Door, drain: Drain, folder: str | None,
+    def __init__(self, engine: Engine, watch: Watch, clients: ClientTable, drain: Drain, folder: str | None,
                  rest: Callable[[], Awaitable[None]], resume: Callable[[], Awaitable[None]]) -> None:
-        self.engine, self.watch, self.door, self.drain = engine, watch, door, drain
+        self.engine, self.watch, self.clients, self.drain = engine, watch, clients, drain
         self.rest, self.resume = rest, resume  # stop accepting, and accept again
         self.succession = Succession(folder)
-        self.clients_most, self.nodes_most = door.most, engine.nodes.pool.most
+        self.clients_most, self.nodes_most = clients.most, engine.nodes.pool.most
         self.predecessor: Predecessor | None = None
         self.asking: set[asyncio.Task[None]] = set()
 
@@ -64,9 +64,9 @@
 
     def told(self, holds: State) -> None:
         """What the old process holds. Guards the limits, which the two keep together as one head."""
-        self.door.most = max(1, self.clients_most - int(holds.get("clients", 0)))
-        self.door.busy_elsewhere = int(holds.get("busy", 0))
-        self.door.press(UNSETTLED)
+        self.clients.most = max(1, self.clients_most - int(holds.get("clients", 0)))
+        self.clients.busy_elsewhere = int(holds.get("busy", 0))
+        self.clients.press(UNSETTLED)
         self.engine.nodes.pool.allow(max(1, self.nodes_most - int(holds.get("connections", 0))))
         self.engine.put(model.OutElsewhere(self.engine.clock.now(), dict(holds.get("out", {}))))
 
@@ -75,7 +75,7 @@
         await self.succession.listen(self.came)
 
     def came(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.door.press(STARTING)  # it says so as it starts, long before it asks
+        self.clients.press(STARTING)  # it says so as it starts, long before it asks
         task = asyncio.get_running_loop().create_task(self.asked(reader, writer))
         self.asking.add(task)
         task.add_done_callback(self.asking.discard)
@@ -97,7 +97,7 @@
         logger.info("upgrade: handing over, {open} requests open", event="upgrade.handing_over",
                     open=self.engine.reducer.open)
         self.drain.handed = True
-        self.door.press(UNSETTLED)
+        self.clients.press(UNSETTLED)
         await self.rest()
         try:
             known = self.engine.hand_over()
@@ -125,8 +125,8 @@
         out: dict[str, int] = {}
         for node in self.engine.reducer.nodes_out():
             out[node] = out.get(node, 0) + 1
-        return {"clients": len(self.door), "connections": len(self.engine.nodes.pool.alive), "out": out,
-                "busy": self.door.open}
+        return {"clients": len(self.clients), "connections": len(self.engine.nodes.pool.alive), "out": out,
+                "busy": self.clients.open}
 
     async def close(self) -> None:
         await self.succession.close()
--- a/stoatrouter/net/listener.py
+++ b/stoatrouter/net/listener.py
@@ -14,7 +14,7 @@
 from aiohttp import web
 from loguru import logger
 
-from stoatrouter.net.door import Door, Refuse, Server
+from stoatrouter.net.clients import ClientTable, Refuse, Server
 from stoatrouter.net.presence import CLIENT
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
@@ -36,25 +36,25 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Farewell:
+class ShutdownDeadlines:
     """How long a stopping head takes requests as ever, and by when it has answered them."""
 
     take_for: timedelta
     answer_within: timedelta
 
 
-def farewell(longest_deadline: timedelta) -> Farewell:
+def shutdown_deadlines(longest_deadline: timedelta) -> ShutdownDeadlines:
     """Clients keep to the connections they have and can reach this head in no other way until it is back, so
     it serves for as long as it can be sure to answer."""
     within = min(longest_deadline, LONGEST_COUNTED) + KILLED_AFTER - ANSWERED_BEFORE
-    return Farewell(min(LONGEST_TAKE, within - LAST_TAKEN_BEFORE), within)
+    return ShutdownDeadlines(min(LONGEST_TAKE, within - LAST_TAKEN_BEFORE), within)
 
 
 class Drain:
     """Whether this head sends its clients away, and what its answers say of their connections."""
 
-    def __init__(self, door: Door) -> None:
-        self.door = door
+    def __init__(self, clients: ClientTable) -> None:
+        self.clients = clients
         self.asked_to_end = self.stopping = self.out = False
         self.handed = False  # a new process of this head takes what is new
         self.sending_away: asyncio.Task[None] | None = None
@@ -83,7 +83,7 @@
         """Send clients away; called again, nothing changes."""
         if not self.out:
             logger.info("drain: out of service, {connections} connections", event="drain.out",
-                        connections=len(self.door))
+                        connections=len(self.clients))
             self.out = True
             self.sending_away = asyncio.get_running_loop().create_task(self.send_away())
 
@@ -103,14 +103,14 @@
         new connections come, and by then those in use have ended with their answers."""
         await asyncio.sleep(NEW_ONES_STOP.total_seconds())
         while True:
-            self.door.end_idle(silent=False)  # what has just come is still heard; the sweep ends it later
+            self.clients.end_idle(silent=False)  # what has just come is still heard; the sweep ends it later
             await asyncio.sleep(AWAY_EVERY.total_seconds())
 
     def crowded(self) -> bool:
-        return self.door.crowded()
+        return self.clients.crowded()
 
 
-class Ear(socket.socket):
+class ListeningSocket(socket.socket):
     """A listening socket with a backlog of its own, whatever asyncio sets."""
 
     keeps = False
@@ -131,7 +131,7 @@
             return await handler(request)
 
         # handler_cancellation: a client that closes its connection has gone, and its request with it
-        self.server = Server(serve, drain.door, refuse, handler_cancellation=True, access_log=None,
+        self.server = Server(serve, drain.clients, refuse, handler_cancellation=True, access_log=None,
                              auto_decompress=False)
         self.sockets: asyncio.Server | None = None
 
@@ -140,9 +140,9 @@
         if inherited is None:
             family = socket.AF_INET6 if ":" in host else socket.AF_INET
             with contextlib.closing(socket.create_server((host, port), family=family)) as made:
-                ear = Ear(fileno=made.detach())
+                ear = ListeningSocket(fileno=made.detach())
         else:
-            ear = Ear(fileno=os.dup(inherited))  # closing ours leaves theirs
+            ear = ListeningSocket(fileno=os.dup(inherited))  # closing ours leaves theirs
         ear.keeps = inherited is not None
         ear.setblocking(False)
         # Guards the descriptors: asyncio accepts as many at once as it believes the backlog to be.
@@ -162,18 +162,18 @@
 
     async def stop(self, busy: Callable[[], bool], take_for: timedelta) -> None:
         """Serve for a little longer, finish all that was taken, then end the connections."""
-        door = self.drain.door
-        self.drain.asked_to_end, door.keep_idle = True, True
+        clients = self.drain.clients
+        self.drain.asked_to_end, clients.keep_idle = True, True
         await self.wait(take_for)
         self.drain.stopping = True
-        door.end_idle()
+        clients.end_idle()
         if not self.drain.handed:
             await asyncio.sleep(RESENT_FOR.total_seconds())
         self.rest()
-        door.end_idle()
-        while busy() or door.open or door.just_come():
+        clients.end_idle()
+        while busy() or clients.open or clients.just_come():
             await asyncio.sleep(0.01)
-            door.end_idle()
+            clients.end_idle()
         logger.info("stop: all that was taken is answered", event="stop.answered")
         await self.close()
 
@@ -181,7 +181,7 @@
         """Serve what comes. A head that has handed over ends sooner, once all its clients have gone."""
         loop = asyncio.get_running_loop()
         until = loop.time() + take_for.total_seconds()
-        while loop.time() < until and not (self.drain.handed and not len(self.drain.door)):
+        while loop.time() < until and not (self.drain.handed and not len(self.drain.clients)):
             await asyncio.sleep(min(0.02, until - loop.time()))
 
     async def close(self) -> None:
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -13,11 +13,11 @@
 import pytest
 
 from cypressworks.interface import ListKind
-from stoatrouter.net import bodies, door
+from stoatrouter.net import bodies, clients
 from stoatrouter.net.bodies import NoRoom, Room, TooLarge
 from stoatrouter.net.discovery import read_node
 from tests.peers import HOST, Node, run, until
-from tests.test_door import GOOD, PUT, exchange
+from tests.test_clients import GOOD, PUT, exchange
 from tests.test_network import HEADERS, PATH, started
 
 BODY = bytes(range(256)) * 1200  # 300 KiB
@@ -278,15 +278,15 @@
 # -- slow heads in a crowd ---------------------------------------------------------------------------------
 def test_a_head_that_comes_slowly_is_heard(monkeypatch):
     """Idle connections may be ended long before; one on which a request has begun may not."""
-    monkeypatch.setattr(door, "IDLE", timedelta(milliseconds=20))
-    monkeypatch.setattr(door, "SWEEP_EVERY", timedelta(milliseconds=5))
-    monkeypatch.setattr(door, "HEAD_WITHIN", timedelta(seconds=60))
+    monkeypatch.setattr(clients, "IDLE", timedelta(milliseconds=20))
+    monkeypatch.setattr(clients, "SWEEP_EVERY", timedelta(milliseconds=5))
+    monkeypatch.setattr(clients, "HEAD_WITHIN", timedelta(seconds=60))
 
     async def story():
         async with started(Node("a", 0)) as (head, _):
             sweeps = Counter()
-            sweep = head.door.sweep
-            monkeypatch.setattr(head.door, "sweep", lambda: (sweeps.update(["n"]), sweep()))
+            sweep = head.clients.sweep
+            monkeypatch.setattr(head.clients, "sweep", lambda: (sweeps.update(["n"]), sweep()))
             reader, writer = await asyncio.open_connection(HOST, head.platform.port)
             for at in range(0, len(GOOD), 60):
                 writer.write(GOOD[at:at + 60])
@@ -298,12 +298,12 @@
 
 
 def test_heads_of_which_nothing_more_comes_make_room_for_those_that_go_on(monkeypatch):
-    monkeypatch.setattr(door, "STALE", timedelta(0))
+    monkeypatch.setattr(clients, "STALE", timedelta(0))
 
     async def story():
         async with started(Node("a", 0), sockets=32) as (head, _), contextlib.AsyncExitStack() as stack:
             begun = []
-            for _ in range(head.door.most - 1):
+            for _ in range(head.clients.most - 1):
                 _, writer = await asyncio.open_connection(HOST, head.platform.port)
                 stack.callback(writer.close)
                 writer.write(b"GET /")
@@ -311,15 +311,15 @@
             slow, writer = await asyncio.open_connection(HOST, head.platform.port)
             stack.callback(writer.close)
             writer.write(GOOD[:50])
-            held = head.door.held[door.State.BEGUN]
-            await until(lambda: len(held) == head.door.most)
-            for _ in range(head.door.most - 1):
+            held = head.clients.held[clients.State.BEGUN]
+            await until(lambda: len(held) == head.clients.most)
+            for _ in range(head.clients.most - 1):
                 _, more = await asyncio.open_connection(HOST, head.platform.port)
                 stack.callback(more.close)
                 writer.write(b"")
             writer.write(GOOD[50:])
             assert (await slow.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 200 ")
-            assert len(head.door) <= head.door.most + door.SPARE
+            assert len(head.clients) <= head.clients.most + clients.SPARE
     run(story())
 
 
--- a/tests/test_door.py
+++ b/tests/test_clients.py
@@ -11,7 +11,7 @@
 import pytest
 
 from stoatrouter.head import busy_pressed
-from stoatrouter.net import bodies, door
+from stoatrouter.net import bodies, clients
 from tests.peers import HOST, Node, run, until
 from tests.test_network import HEADERS, PATH, WRITE, started
 
@@ -51,14 +51,14 @@
             said = await exchange(head, sent)
             assert re.findall(rb"HTTP/1\.[01] (\d+) ", said) == [b"%d" % status]
             assert not node.seen and not head.engine.reducer.tally.counts
-            await until(lambda: not len(head.door))
+            await until(lambda: not len(head.clients))
     run(story())
 
 
 @pytest.mark.parametrize("begun", [b"", GOOD[:40]])
 def test_a_client_that_says_nothing_whole_is_left(monkeypatch, begun):
-    monkeypatch.setattr(door, "IDLE", timedelta(milliseconds=50))
-    monkeypatch.setattr(door, "HEAD_WITHIN", timedelta(milliseconds=50))
+    monkeypatch.setattr(clients, "IDLE", timedelta(milliseconds=50))
+    monkeypatch.setattr(clients, "HEAD_WITHIN", timedelta(milliseconds=50))
 
     async def story():
         async with started(Node("a", 0)) as (head, _):
@@ -70,14 +70,14 @@
     async def story():
         node = Node("a", 0)
         async with started(node, sockets=32) as (head, session), contextlib.AsyncExitStack() as stack:
-            for i in range(3 * head.door.most):
+            for i in range(3 * head.clients.most):
                 _, writer = await asyncio.open_connection(HOST, head.platform.port)
                 stack.callback(writer.close)
                 writer.write(GOOD if i % 3 == 0 else b"")
             for name in ("x", "y"):
                 async with session.get(PATH, headers=HEADERS | {"Req-Id": name}) as response:
                     assert response.status == 200
-            assert len(head.door) <= head.door.most + door.SPARE
+            assert len(head.clients) <= head.clients.most + clients.SPARE
     run(story())
 
 
@@ -85,14 +85,14 @@
     async def story():
         node = Node("a", 0)
         async with started(node, sockets=64) as (head, _), contextlib.AsyncExitStack() as stack:
-            head.door.idle_most = head.door.most
-            for i in range(head.door.most):  # asked once, then kept
+            head.clients.idle_most = head.clients.most
+            for i in range(head.clients.most):  # asked once, then kept
                 reader, writer = await asyncio.open_connection(HOST, head.platform.port)
                 stack.callback(writer.close)
                 writer.write(GOOD.replace(b"9b1f", b"%04d" % i))
                 await reader.readuntil(b"\r\n\r\n")
             fresh = [await asyncio.open_connection(HOST, head.platform.port) for _ in range(10)]
-            await until(lambda: len(head.door.held[door.State.SILENT]) == 10)
+            await until(lambda: len(head.clients.held[clients.State.SILENT]) == 10)
             for i, (reader, writer) in enumerate(fresh):
                 stack.callback(writer.close)
                 writer.write(GOOD.replace(b"9b1f", b"f%03d" % i))
@@ -104,7 +104,7 @@
     """The oldest of those between requests ends at once: all clients together may hold only so many."""
     async def story():
         async with started(Node("a", 0), sockets=64) as (head, session), contextlib.AsyncExitStack() as stack:
-            assert head.door.idle_most == 8
+            assert head.clients.idle_most == 8
             kept = []
             for i in range(9):
                 async with session.get(PATH, headers=HEADERS | {"Req-Id": f"s{i}"}) as response:
@@ -114,7 +114,7 @@
                 writer.write(GOOD.replace(b"9b1f", b"%04d" % i))
                 await reader.readuntil(b"\r\n\r\n")
                 kept.append(reader)
-            await until(lambda: len(head.door) == 9)
+            await until(lambda: len(head.clients) == 9)
             assert kept[0].at_eof() or await kept[0].read() == b""
             assert len(session.connector._conns) == 1 and not kept[-1].at_eof()
     run(story())
@@ -124,13 +124,13 @@
     """At a high rate many are between two requests at any moment, and new ones cost a core its time."""
     async def story():
         async with started(Node("a", 0), sockets=64) as (head, _), contextlib.AsyncExitStack() as stack:
-            clients = [await asyncio.open_connection(HOST, head.platform.port) for _ in range(20)]
-            for i in range(2 * len(clients)):
-                reader, writer = clients[i // 2]
+            opened = [await asyncio.open_connection(HOST, head.platform.port) for _ in range(20)]
+            for i in range(2 * len(opened)):
+                reader, writer = opened[i // 2]
                 writer.write(GOOD.replace(b"9b1f", b"%04d" % i))
                 assert b" 200 " in await reader.readuntil(b"\r\n\r\n")
                 stack.callback(writer.close)
-            assert len(head.door.held[door.State.IDLE]) == 20 > head.door.idle_most
+            assert len(head.clients.held[clients.State.IDLE]) == 20 > head.clients.idle_most
     run(story())
 
 
@@ -161,7 +161,7 @@
 
 
 def test_a_client_that_takes_nothing_of_its_answer_is_left(monkeypatch):
-    monkeypatch.setattr(door, "UNREAD", timedelta(milliseconds=50))
+    monkeypatch.setattr(clients, "UNREAD", timedelta(milliseconds=50))
 
     async def story():
         node = Node("a", 0)
@@ -170,8 +170,8 @@
             connection = socket.create_connection((HOST, head.platform.port))
             connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1024)
             connection.sendall(b"".join(GOOD.replace(b"9b1f", b"%04d" % i) for i in range(30)))
-            await until(lambda: head.door.open == 1)
-            await until(lambda: not len(head.door))
+            await until(lambda: head.clients.open == 1)
+            await until(lambda: not len(head.clients))
             connection.close()
     run(story())
 
@@ -186,7 +186,7 @@
     async def story():
         node = Node("a", 0)
         async with started(node) as (head, _):
-            head.door.busy_most = 0
+            head.clients.busy_most = 0
             reader, writer = await asyncio.open_connection(HOST, head.platform.port)
             for shed in (1, 2) if plain else (1,):
                 writer.write(sent)
@@ -195,7 +195,7 @@
                 assert sum(head.engine.reducer.figures.shed) == shed
                 assert (b"Date" in said) is not plain
             if plain:  # and once there is room, it is heard
-                head.door.busy_most = 8
+                head.clients.busy_most = 8
                 writer.write(sent)
                 assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 200 ")
             assert len(node.seen) == int(plain)
@@ -215,7 +215,7 @@
 def test_a_head_that_sends_clients_away_ends_the_connections_it_refuses_on():
     async def story():
         async with started(Node("a", 0)) as (head, _):
-            head.door.busy_most, head.drain.out = 0, True
+            head.clients.busy_most, head.drain.out = 0, True
             said = await exchange(head, GOOD)
             assert b"Connection: close\r\n" in said and said.startswith(b"HTTP/1.1 503 ")
     run(story())
@@ -230,13 +230,13 @@
 def test_fewer_may_be_open_while_the_loop_is_late_or_a_new_process_takes_over():
     async def story():
         async with started(Node("a", 0)) as (head, _):
-            door = head.door
-            assert door.busy_bound() == door.busy_most > door.busy_pressed
+            table = head.clients
+            assert table.busy_bound() == table.busy_most > table.busy_pressed
             head.generations.told({"busy": 7})
-            assert door.busy_bound() == door.busy_pressed - 7
+            assert table.busy_bound() == table.busy_pressed - 7
             head.generations.told({})
-            door.pressed_until = 0.0
-            assert door.busy_bound() == door.busy_most
-            door.press(timedelta(seconds=60))
-            assert door.busy_bound() == door.busy_pressed
+            table.pressed_until = 0.0
+            assert table.busy_bound() == table.busy_most
+            table.press(timedelta(seconds=60))
+            assert table.busy_bound() == table.busy_pressed
     run(story())
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -20,7 +20,7 @@
 from stoatrouter.core.list_times import MS
 from stoatrouter.head import Head
 from stoatrouter.net import presence
-from stoatrouter.net.door import State
+from stoatrouter.net.clients import State
 from stoatrouter.net.nodes import NodeClient
 from tests.bench_free import MS as MS_
 from tests.bench_free import SECOND, Hand
@@ -118,7 +118,7 @@
             reader, writer = await raw(head)
             writer.write(text(HEADERS))
             await until(lambda: dials.waiting == 1)
-            (client,) = head.engine.clients.values()
+            (client,) = head.engine.callers.values()
             client.pause_reading()  # as for a body that waits for room, or a client that sent much at once
             writer.write(b"y" * 1000)
             await writer.drain()
@@ -169,8 +169,8 @@
             reader, writer = await raw(head)
             writer.write(text(HEADERS))
             assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 200")
-            await until(lambda: head.door.held[State.ONCE])
-            (connection,) = head.door.held[State.ONCE]
+            await until(lambda: head.clients.held[State.ONCE])
+            (connection,) = head.clients.held[State.ONCE]
             # it has rested for long, and its next request comes as it is to be ended: the loop has not read
             # it
             sock = connection.transport.get_extra_info("socket")
@@ -178,13 +178,13 @@
             select.select([sock], [], [])
             assert connection.state is State.ONCE
             if ends == "sweep":
-                head.door.held[State.ONCE][connection] -= 3600
-                head.door.sweep()
+                head.clients.held[State.ONCE][connection] -= 3600
+                head.clients.sweep()
             else:
-                head.door.end_idle()
+                head.clients.end_idle()
             assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 200") and len(a.seen) == 2
             await until(lambda: connection.state is State.IDLE)
-            head.door.end_idle()  # with nothing unread it ends
+            head.clients.end_idle()  # with nothing unread it ends
             assert await reader.read() == b""
             writer.close()
     run(story())
@@ -195,18 +195,18 @@
         a = Node("a", 0)
         async with started(a) as (head, _):
             reader, writer = await raw(head)
-            await until(lambda: head.door.held[State.SILENT])
-            assert head.door.just_come()
-            head.door.end_idle()
+            await until(lambda: head.clients.held[State.SILENT])
+            assert head.clients.just_come()
+            head.clients.end_idle()
             writer.write(text(HEADERS))
             assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 200")
             writer.close()
             reader, writer = await raw(head)
-            await until(lambda: head.door.held[State.SILENT])
-            (connection,) = head.door.held[State.SILENT]
+            await until(lambda: head.clients.held[State.SILENT])
+            (connection,) = head.clients.held[State.SILENT]
             connection.since -= 3600  # it has had its time
-            assert not head.door.just_come()
-            head.door.end_idle()
+            assert not head.clients.just_come()
+            head.clients.end_idle()
             assert await reader.read() == b""
             writer.close()
     run(story())
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -54,7 +54,7 @@
                 stack.callback(writer.close)
                 writer.write(b"GET /control/re" if i % 2 else b"")
             assert (await call(head, "GET", READY))[0] == 200
-            assert len(head.management_door) <= MOST_CALLERS + 8
+            assert len(head.management_clients) <= MOST_CALLERS + 8
     run(story())
 
 
@@ -81,7 +81,7 @@
                 assert response.status == 200 and "Connection" not in response.headers
             async with session.get("/healthz") as response:
                 assert response.status == 200
-            await until(lambda: head.door.open == 0)
+            await until(lambda: head.clients.open == 0)
     monkeypatch.setattr(listener, "NEW_ONES_STOP", listener.RESENT_FOR)
     run(story())
 
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -323,7 +323,7 @@
 def test_a_stopping_head_answers_before_it_may_be_killed(monkeypatch, longest, take, answer):
     monkeypatch.undo()
     ms = timedelta(milliseconds=1)
-    assert listener.farewell(longest * ms) == listener.Farewell(take * ms, answer * ms)
+    assert listener.shutdown_deadlines(longest * ms) == listener.ShutdownDeadlines(take * ms, answer * ms)
 
 
 def test_what_a_stopping_head_still_takes_has_no_more_time_than_the_head():
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -266,10 +266,10 @@
         async with started(Node("a", 0)) as (head, _):
             head.generations.succession.folder = str(tmp_path)
             await head.generations.listen()
-            assert head.door.busy_bound() == head.door.busy_most
+            assert head.clients.busy_bound() == head.clients.busy_most
             early = Announcement()
             early.make(str(tmp_path))
-            await until(lambda: head.door.busy_bound() == head.door.busy_pressed)
+            await until(lambda: head.clients.busy_bound() == head.clients.busy_pressed)
             early.end()
             assert head.serving and not head.drain.handed
     run(story())
