--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 
 import pytest
@@ -106,3 +107,55 @@
     after.handle(hand.now, api.NodeList(api.ListKind.RESTORED, tuple(nodes)))
     handover.take_over(after, handover.hand_over(hand.scheduler, hand.now))
     assert after.sharers() == few
+
+
+# -- heads restarted in the same seconds as nodes
+# --------------------------------------------------------------
+HEARD = SECOND // 2  # after a node's start its heads are told
+
+
+def cold_sends(seed, heads, units, restarts, count=12):
+    """Units sent to each node that restarted, by heads that had been told of it: some nodes restart, seven in
+    ten heads in the same seconds or none, nodes are asked for several times as often as others, and heads ask
+    differently."""
+    chance, up = random.Random(f"cold/{seed}"), START + 5 * SECOND
+    rules = RULES | {"cold_units": units, "fall_multiple": 3.0}
+    cold = [i for i in range(count) if chance.random() < 0.6]
+    weight = [(1 + 3 * chance.random()) ** 2 for _ in range(count)]
+    taken = {i: [] for i in cold}
+    for me in range(heads):
+        dead = restarts and chance.random() < 0.7
+        after = [api.NodeEntry(f"n{i}", i, up_since=up * (i in cold)) for i in range(count)]
+        before = [api.NodeEntry(f"n{i}", i) for i in range(count)]
+        hand = Hand(hosts=heads, me=me, nodes=after if dead else before, rules=rules,
+                    start=up + int(chance.random() * 4 * SECOND) if dead else START, seed=seed * 100 + me)
+        own, size, told = [w * (0.3 + 3 * chance.random()) for w in weight], {}, dead
+        pace, reply = int(15 * MS * (0.4 + 1.6 * chance.random())), answer_units_after(300 * MS, size)
+        while hand.now < up + 9 * SECOND:
+            name = f"r{len(size)}"
+            size[name] = chance.choice((1, 1, 2, 2, 4))
+            hand.request(name, shard=chance.choices(range(count), own)[0], units=size[name])
+            hand.wait(pace, reply)
+            if not told and hand.now >= up + HEARD:
+                told = True
+                hand.listed(*after)
+        for at, send in hand.sends():
+            if (node := int(send.node[1:])) in taken and at > up + HEARD:
+                taken[node].append((at - up, size[send.request]))
+    return list(taken.values())
+
+
+@pytest.mark.parametrize(("heads", "restarts"), [(20, False), (20, True), (30, False), (30, True)])
+@pytest.mark.parametrize("units", [4.0, 34.0])
+def test_all_heads_together_keep_to_what_a_cold_node_bears_and_chance(heads, restarts, units):
+    """Beyond N calls of mean work that the slowest node bears in the time, 2 sqrt(N) + 2 are put down to
+    chance."""
+    mean = 2.0  # units of a call
+    print("seed 1", heads, restarts, units)
+    sends = cold_sends(1, heads, units, restarts)
+    assert sum(len(sent) for sent in sends) > 20
+    for sent in sends:
+        for end, _ in sent:
+            bears = units / mean * (1 + (1 / FROM - 1) * max(0, end - FALL / 2) / COLD)
+            calls = sum(u for at, u in sent if end - FALL < at <= end) / mean
+            assert calls <= bears + 2 * math.sqrt(bears) + 2
