--- a/stoatrouter/peering/streams.py
+++ b/stoatrouter/peering/streams.py
@@ -17,7 +17,7 @@
 from loguru import logger
 
 from stoatrouter.agreement.records import Voter
-from stoatrouter.net.listener import Ear
+from stoatrouter.net.listener import ListeningSocket
 from stoatrouter.peering.counts import Counts
 from stoatrouter.peering.envelope import LARGEST, Envelope, OlderProcess, Seal, Unbelieved
 
@@ -55,7 +55,7 @@
             timeout=aiohttp.ClientTimeout(total=ASK.total_seconds(), connect=CONNECT.total_seconds()))
         if listen is not None:
             self.server = web.Server(self.take, access_log=None, handler_cancellation=True)
-            with_ear = Ear()
+            with_ear = ListeningSocket()
             with_ear.setsockopt(1, 2, 1)  # SOL_SOCKET, SO_REUSEADDR
             with_ear.bind(listen)
             with_ear.setblocking(False)
