Read nodes' zones from the list, so that a repeat keyed by zone stays in its zone

Found by reading: discovery's zone field was never read (net/discovery.py, read_node), so on sockets all nodes counted as one zone, and a class whose repeats one zone drops (Group zone) could be sent again in another: an effect twice. Change: zones are numbered as the settings name them (Areas); one that they do not name is its own. A keyed request that may have run is filed at a node of its zone, not at one where it is then barred. An unknown RegistryMode is refused in words instead of taken as pushed. Result: both cases of the test on sockets fail with the zone left out.

--- a/cypressworks/logic.py
+++ b/cypressworks/logic.py
@@ -154,11 +154,11 @@
         """File a request at a node of its shard, the least loaded that is on, else one that drains."""
         if r.node is not None:
             r.node.held.pop(r.id, None)
-        # what may have run where repeats are dropped by shard is of use at no other shard
-        ran = r.kind.effect is Effect.KEYED and r.kind.group is Group.SHARD and [
-            a.node.shard for a in r.attempts if a.may_have_run()]
-        shard = ran[0] if ran else r.shard
-        able = [n for n in self.nodes.values() if n.takes(self.now) and shard in (n.shard, -1)]
+        # what may have run where repeats are dropped by shard or zone is of use nowhere else
+        home = next((a.node for a in r.attempts if r.kind.effect is Effect.KEYED and a.may_have_run()), None)
+        shard = home.shard if home and r.kind.group is Group.SHARD else r.shard
+        able = [n for n in self.nodes.values() if n.takes(self.now) and shard in (n.shard, -1)
+                and (not home or r.kind.group is not Group.ZONE or n.zone == home.zone)]
         # Guards a node against hosts with little traffic: with nothing out anywhere, all of them would find
         # the same node first. The one to come counts too, so that a window that was cut tells. New data goes
         # to a cold node last: what it bears is for the reads that no other can serve.
--- a/cypressworks/simhost.py
+++ b/cypressworks/simhost.py
@@ -16,6 +16,7 @@
 Fields = dict[str, Any]
 
 EFFECTS = {"retryable": api.Effect.SAFE, "dedup": api.Effect.KEYED, "fragile": api.Effect.UNSAFE}
+REGISTRY = {"automatic": False, "subscribe": True}  # whether the list must be asked for
 GROUPS = {"all": api.Group.ALL, "zone": api.Group.ZONE, "cell": api.Group.SHARD}
 PHASES = {"on": api.Phase.ON, "fading": api.Phase.DRAINING, "off": api.Phase.GONE}
 LISTS = {"update": api.ListKind.CHANGES, "replace": api.ListKind.FULL,
@@ -65,7 +66,7 @@
         max_attempts=limits["MostTries"], parallel_attempts=bool(limits.get("ParallelTries")),
         may_cancel=bool(limits.get("Cancel")), may_probe=bool(limits.get("Probes")),
         takes_advice=bool(limits.get("RetryAfter")), max_advice=limits.get("MaxRetryAfter") or 0,
-        list_on_request=data.get("RegistryMode") == "subscribe",
+        list_on_request=REGISTRY[data.get("RegistryMode") or "automatic"],
         share_worth=extra.get("FairWorth", 1.0), beyond_worth=extra.get("BeyondShare", 1.0),
         mean_units=extra.get("UnitMean") or 1.0, max_units=extra.get("MostUnits") or 1.0,
         meter_period=extra.get("Metering") or 0, meters_others=bool(extra.get("SaysOthers")),
--- a/stoatrouter/config.py
+++ b/stoatrouter/config.py
@@ -39,6 +39,7 @@
     max_open: int
     shards: int  # 0: not told
     drain_grace: timedelta  # as the settings have it
+    zones: tuple[str, ...] = ()  # by name, as the settings number them
     management: str | None = None  # the operators' address; None: there is none
     inherited: int | None = None  # the descriptor of a listening socket that is held for this head
     folder: str | None = None  # where an upgrade finds what this head keeps; None: nothing is kept
@@ -111,6 +112,7 @@
         conn_idle=span(raw["Limits"].get("ConnIdle") or 30_000_000),
         max_open=int(raw["Limits"].get("MaxOpen") or 1 << 20),
         shards=int((raw.get("Extra") or {}).get("Shards") or 0),
+        zones=tuple(str(zone) for zone in raw.get("Areas") or ()),
         drain_grace=span(raw["Contract"].get("DrainGrace") or 0), management=data.get("management") or None,
         peers=addresses(data.get("peers")), peer_listen=data.get("peer_listen") or None)
 
--- a/stoatrouter/faults.py
+++ b/stoatrouter/faults.py
@@ -11,11 +11,13 @@
 NUMBER, WHOLE, TEXT, LIST, FIELDS = (int, float), (int,), (str,), (list,), (dict,)
 WORDS = {NUMBER: "a number", WHOLE: "a whole number", TEXT: "text", LIST: "a list", FIELDS: "fields"}
 EFFECTS, GROUPS = ("retryable", "dedup", "fragile"), ("all", "zone", "cell")
+REGISTRY = ("automatic", "subscribe")
 # field, type, least, what may stand instead; a field in brackets may be left out
 TOP = (("name", TEXT, None), ("listen", TEXT, None), ("discovery", TEXT, None), ("settings", FIELDS, None),
        ("[limits]", FIELDS, None), ("[known]", FIELDS, None))
 SETTINGS = (("Balancers", WHOLE, 1), ("Me", WHOLE, 0), ("Classes", LIST, None), ("Contracts", LIST, None),
-            ("Contract", FIELDS, None), ("Limits", FIELDS, None), ("[Extra]", FIELDS, None))
+            ("Contract", FIELDS, None), ("Limits", FIELDS, None), ("[Extra]", FIELDS, None),
+            ("[RegistryMode]", TEXT, REGISTRY))
 CLASS = (("Name", TEXT, None), ("Points", NUMBER, 0), ("Promise", WHOLE, 1), ("HardLimit", WHOLE, 1),
          ("Effect", TEXT, EFFECTS), ("[Group]", TEXT, GROUPS), ("[LateWorth]", NUMBER, 0),
          ("[Window]", WHOLE, 0))
--- a/stoatrouter/head.py
+++ b/stoatrouter/head.py
@@ -64,7 +64,7 @@
                              Keep(conf.folder))
         self.watch = Watch(conf.discovery, conf.known, self.engine.told,
                            self.engine.reducer.tally.add, not conf.settings.list_on_request,
-                           list_times(not conf.settings.list_on_request, conf.drain_grace))
+                           list_times(not conf.settings.list_on_request, conf.drain_grace), conf.zones)
         self.clients = ClientTable(budget.clients, int(conf.sockets * IDLE_SHARE),
                          int(conf.sockets * BUSY_SHARE), busy_pressed(conf.sockets))
         self.drain = Drain(self.clients)
--- a/stoatrouter/net/discovery.py
+++ b/stoatrouter/net/discovery.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import random
+import zlib
 from collections.abc import Callable, Mapping
 from datetime import timedelta
 from types import MappingProxyType
@@ -21,6 +22,7 @@
 
 PACE = timedelta(milliseconds=50)  # of calls that are answered at once and bring nothing
 LARGEST_LIST = 4 * 1024 * 1024
+UNNAMED_ZONES = 1 << 16  # numbers from here on are of zones that the settings do not name
 MOST_SAID = 1000  # faults of entries that are remembered as said
 NONE_HELD: Mapping[str, NodeInfo] = MappingProxyType({})
 PHASES = {"SERVING": Phase.ON, "DRAINING": Phase.DRAINING, "DELETED": Phase.GONE}
@@ -34,8 +36,9 @@
 
     def __init__(self, address: str, known: dict[str, Any], told: Told,
                  count: Callable[[str], None] = lambda _: None, pushed: bool = True,
-                 times: ListTimes | None = None) -> None:
+                 times: ListTimes | None = None, zones: tuple[str, ...] = ()) -> None:
         self.address, self.told, self.count, self.pushed = address, told, count, pushed
+        self.zones = zones  # by name, as the settings number them
         self.times = times or list_times(pushed, timedelta(seconds=2))
         # in the loop's time: when the present call began, and up to when all is known
         self.asked, self.sure = 0.0, None
@@ -49,7 +52,8 @@
     def restore(self) -> None:
         """Tell the list as this head last had it; it may be out of date."""
         try:
-            generation, _, nodes, faults = read_list(self.known) if self.known else (None, True, (), ())
+            generation, _, nodes, faults = (
+                read_list(self.known, zones=self.zones) if self.known else (None, True, (), ()))
         except ValueError as error:
             logger.warning("discovery: the known list cannot be read: {error}",
                            event="discovery.known_unreadable", error=str(error))
@@ -152,7 +156,7 @@
 
     def take(self, data: Any, age: timedelta | None = timedelta(0)) -> bool:
         """Take one message, if it makes sense as what follows the list that is held."""
-        generation, whole, nodes, faults = read_list(data, self.held)
+        generation, whole, nodes, faults = read_list(data, self.held, self.zones)
         if not whole and (self.generation is None or generation < self.generation):
             # Guards against changes to another list than the one held, as from an agent that counts anew.
             self.generation = None  # the next call asks for the whole
@@ -201,7 +205,7 @@
         self.failures = 0
 
 
-def read_list(data: Any, held: Mapping[str, NodeInfo] = NONE_HELD,
+def read_list(data: Any, held: Mapping[str, NodeInfo] = NONE_HELD, zones: tuple[str, ...] = (),
               ) -> tuple[int, bool, tuple[NodeInfo, ...], tuple[str, ...]]:
     """Read a message of discovery: its entries, and what is wrong with those that cannot be read. ValueError
     where the message as a whole is not what the protocol promises."""
@@ -216,7 +220,7 @@
     for entry in entries:
         # Guards the list against one spoilt entry: it would void all others, and what they say of drains.
         try:
-            nodes.append(read_node(entry))
+            nodes.append(read_node(entry, zones))
         except (KeyError, TypeError, AttributeError, OverflowError, ValueError) as error:
             name = entry.get("instanceId") if isinstance(entry, dict) else None
             faults.append(f"{name!r}: {type(error).__name__}: {error}"[:200])
@@ -226,12 +230,19 @@
     return generation, whole, tuple(nodes), tuple(faults)
 
 
-def read_node(entry: dict[str, Any]) -> NodeInfo:
+def zone_number(name: Any, zones: tuple[str, ...]) -> int:
+    """A zone's number as the settings have it. Guards repeats that only one zone drops: a zone that the
+    settings do not name is one of its own, with the same number in every process."""
+    return zones.index(name) if name in zones else UNNAMED_ZONES + zlib.crc32(str(name).encode())
+
+
+def read_node(entry: dict[str, Any], zones: tuple[str, ...] = ()) -> NodeInfo:
     """Read one entry. The address may be absent from an entry that says the node is gone."""
     phase = PHASES[entry["lifecycle"]]
     address = str(entry.get("hostPort") or "")
     if not address and phase is not Phase.GONE:
         raise ValueError(f"no hostPort for {entry['instanceId']!r}")
     return NodeInfo(id=str(entry["instanceId"]), address=address, shard=int(entry.get("cell", -1)),
-                    phase=phase, weight=float(entry.get("weight") or 1.0),
+                    phase=phase, zone=zone_number(entry.get("zone"), zones),
+                    weight=float(entry.get("weight") or 1.0),
                     started=timedelta(milliseconds=int(entry.get("startedAtMs") or 0)))
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -27,6 +27,15 @@
     return data
 
 
+def test_a_way_of_getting_the_list_that_is_not_known_is_refused_in_words(tmp_path):
+    data = config_data({"generation": 1, "reset": True, "instances": []})
+    data["settings"] = data["settings"] | {"RegistryMode": "gossip"}
+    (tmp_path / "config.json").write_text(json.dumps(data))
+    said = "settings.RegistryMode: found 'gossip' .allowed: automatic, subscribe"
+    with pytest.raises(config.ConfigError, match=said):
+        config.load({"NODE_CONFIG": str(tmp_path / "config.json")})
+
+
 def test_a_good_one_is_read_and_nothing_is_found_wrong_with_it(tmp_path):
     (tmp_path / "c.json").write_text(json.dumps(GOOD))
     assert config.load({"NODE_CONFIG": str(tmp_path / "c.json")}).name == "n0"
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -11,6 +11,7 @@
 from dataclasses import replace
 from datetime import timedelta
 
+import aiohttp
 import pytest
 from aiohttp.http_writer import StreamWriter
 
@@ -24,15 +25,7 @@
 from stoatrouter.net.nodes import NodeClient
 from tests.bench_free import MS as MS_
 from tests.bench_free import SECOND, Hand
-from tests.peers import (
-    HOST,
-    Node,
-    head_config,
-    nodes_up,
-    run,
-    told,
-    until,
-)
+from tests.peers import HOST, SETTINGS, Node, config_data, head_config, nodes_up, run, told, until
 from tests.test_network import HEADERS, PATH, WRITE, attempt, started
 from tests.test_program import program, read
 
@@ -109,6 +102,30 @@
     run(story())
 
 
+@pytest.mark.parametrize("elsewhere", ["south", "not named"])
+def test_a_repeat_that_only_a_zone_drops_stays_in_it(elsewhere):
+    async def story():
+        nodes = [Node(f"n{i}", i, *["reset"] * 50) for i in range(6)]
+        zones = {node.name: "north" if i % 2 else elsewhere for i, node in enumerate(nodes)}
+        settings = SETTINGS | {"Areas": ["north", "south"], "Classes": [
+            c | {"Group": "zone"} if c["Name"] == "event-write" else c for c in SETTINGS["Classes"]]}
+        async with nodes_up(*nodes):
+            known = told(1, *(n.entry(zone=zones[n.name]) for n in nodes))
+            head = Head(config.parse(config_data(known) | {"settings": settings}))
+            await head.start()
+            try:
+                async with aiohttp.ClientSession(f"http://{HOST}:{head.platform.port}") as session:
+                    for i in range(6):
+                        new = {"X-IO": "units=1,shard=-1,hosts=1", "Idempotency-Key": "k", "Req-Id": f"r{i}"}
+                        async with session.put(WRITE, data=b"x", headers=HEADERS | new) as answer:
+                            assert answer.status == 502
+            finally:
+                await head.stop()
+        came = [(request.headers["Req-Id"], zones[node.name]) for node in nodes for request in node.requests]
+        assert len(came) > 12 and len(set(came)) == 6  # repeated, each request in one zone
+    run(story())
+
+
 @pytest.mark.parametrize("way", ["closed", "reset"])
 def test_a_client_that_left_behind_unread_bytes_gets_no_attempt(way):
     async def story():
