Signals while starting, out of service and under a large answer; a gone client of the object front

Need: rows of docs/design/races.md without a test. Change: tests/test_shutdown.py, each signal at a point that a stand-in holds.

--- /dev/null
+++ b/tests/test_shutdown.py
@@ -0,0 +1,123 @@
+"""Ends of the program at awkward moments: each signal comes at a point that a stand-in holds, on real
+sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import sys
+
+import aiohttp
+import pytest
+
+from stoatrouter.net import presence
+from tests.agent import Agent, agent_up
+from tests.heads.processes import end_with_parent
+from tests.peers import HOST, Node, config_data, nodes_up, run, told, until
+from tests.test_network import HEADERS, PATH
+from tests.test_objects import BODY, gateway
+from tests.test_program import ROOT, free_port, program, read
+
+LARGE = 3 * 1024 * 1024
+
+
+def test_a_signal_while_the_head_waits_for_its_first_answer_ends_it_in_order(tmp_path):
+    async def story():
+        a, agent = Node("a", 0), Agent()  # an agent that never answers
+        async with nodes_up(a), agent_up(agent) as at:
+            data = config_data(told(1, a.entry()), at, free_port())
+            (tmp_path / "config.json").write_text(json.dumps(data))
+            environ = os.environ | {"NODE_CONFIG": str(tmp_path / "config.json"), "PYTHONPATH": str(ROOT)}
+            environ.pop("NODE_DISCOVERY", None)
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-B", "-m", "stoatrouter", cwd=tmp_path, env=environ,
+                preexec_fn=end_with_parent, stderr=asyncio.subprocess.PIPE)
+            await until(lambda: agent.calls)
+            process.send_signal(signal.SIGTERM)
+            _, said = await process.communicate()
+            assert process.returncode == 0 and b"stop: all that was taken is answered" in said
+    run(story())
+
+
+def test_a_large_answer_that_flows_as_the_head_is_asked_to_stop_comes_whole(tmp_path):
+    async def story():
+        class Slow(Node):
+            async def handle(self, request):
+                response = aiohttp.web.StreamResponse(headers={"Content-Length": str(LARGE)})
+                await response.prepare(request)
+                await response.write(b"x" * (LARGE // 2))
+                self.halfway.set()
+                await self.go.wait()
+                await response.write(b"x" * (LARGE - LARGE // 2))
+                return response
+        node = Slow("a", 0)
+        node.halfway, node.go = asyncio.Event(), asyncio.Event()
+        async with program(tmp_path, node) as (process, session, base, _):
+            async with session.get(base + PATH, headers=HEADERS) as response:
+                first = await response.content.read(1000)
+                await node.halfway.wait()
+                process.send_signal(signal.SIGTERM)
+                await asyncio.sleep(0)
+                node.go.set()
+                assert len(first) + len(await response.read()) == LARGE
+            assert await process.wait() == 0
+    run(story())
+
+
+def test_a_head_that_is_out_of_service_still_answers_what_it_took_before_it_ends(tmp_path):
+    async def story():
+        node, management = Node("a", 0), f"{HOST}:{free_port()}"
+        taken, go = asyncio.Event(), asyncio.Event()
+
+        async def hold(_):
+            taken.set()
+            await go.wait()
+        node.gate = hold
+        environ = {"NODE_MANAGEMENT": management}
+        async with program(tmp_path, node, environ=environ) as (process, session, base, _):
+            held = asyncio.create_task(read(session, base, "held"))
+            await taken.wait()
+            async with session.post(f"http://{management}/control/out-of-service") as answer:
+                assert answer.status == 200
+            process.send_signal(signal.SIGTERM)
+            go.set()
+            assert (await held)[0] == 200
+            assert await process.wait() == 0
+    run(story())
+
+
+@pytest.mark.parametrize("seen", [1, 2])
+def test_a_client_of_the_object_front_that_left_gets_no_further_piece(seen):
+    """One call is several requests of the core: it leaves behind unread bytes between two of them."""
+    async def story():
+        nodes = Node("a", 0), Node("b", 1)
+
+        def came() -> int:
+            return sum(len(node.seen) for node in nodes)
+        async with gateway(*nodes) as client:
+            assert (await client.call("PUT", "/footage/match", BODY))[0] == 200
+            before, reached, go = came(), asyncio.Event(), asyncio.Event()
+
+            async def hold(_):
+                if came() >= before + seen:
+                    reached.set()
+                    await go.wait()
+            for node in nodes:
+                node.gate = hold
+            reader, writer = await asyncio.open_connection(HOST, client.head.objects.port)
+            writer.write(b"GET /footage/match HTTP/1.1\r\nHost: x\r\n\r\n")
+            await reached.wait()
+            transport = next(iter(client.head.engine.callers.values()))
+            transport.pause_reading()
+            writer.write(b"y" * 1000)
+            await writer.drain()
+            writer.close()
+            await until(lambda: presence.gone(transport))
+            out = came()
+            go.set()
+            await until(lambda: not client.head.engine.reducer.records)
+            # what was at nodes already has come; nothing more was sent
+            assert came() == out < before + 5
+    run(story())
