--- a/tests/test_list_and_descriptors.py
+++ b/tests/test_list_and_descriptors.py
@@ -17,6 +17,7 @@
 import pytest
 
 from cypressworks.interface import Phase
+from stoatrouter import head as head_module
 from stoatrouter.core.descriptors import share_out
 from stoatrouter.core.list_times import COUNTS_AS_TOLD, MS, list_times
 from stoatrouter.core.spans import micros
@@ -100,7 +101,9 @@
 
 
 @pytest.mark.parametrize("discovery", ["answers", "silent"])
-def test_a_new_process_asks_before_it_accepts_yet_does_not_wait_for_long(discovery):
+def test_a_new_process_asks_before_it_accepts_yet_does_not_wait_for_long(discovery, monkeypatch):
+    monkeypatch.setattr(head_module, "list_times", list_times)  # as in service
+
     async def story():
         a, b, known = Node("a", 0), Node("b", 0), []
         says = [told(2, a.entry(lifecycle="DRAINING"), reset=False)] if discovery == "answers" else []
