--- a/benchmarks/expressions.py
+++ b/benchmarks/expressions.py
@@ -65,7 +65,7 @@
     'cidr("10.20.0.0/16").containsIP(source.ip)',
     'cidr("10.0.0.0/8").containsIP(source.ip) && !cidr("10.99.0.0/16").containsIP(source.ip)',
     "hex16(hash(request.path))",
-    'hex16(hash(size(request.segments) > 4 ? request.segments[2] + request.segments[4] : request.path))',
+    "hex16(hash(size(request.segments) > 4 ? request.segments[2] + request.segments[4] : request.path))",
     'hash(request.headers[?"x-client"].orValue("")) % 100 < 5',
     "request.size > 0 && request.size <= 65536",
     'try(int(request.headers[?"x-priority"].orValue("5"))).orValue(5) > 6 ? "event-write" : "score-read"',
--- a/benchmarks/follower_search.py
+++ b/benchmarks/follower_search.py
@@ -1,6 +1,6 @@
 """The search of tests/test_follower.py, deeper: all orders of faults up to a depth, and the states visited.
 
-    python -m benchmarks.follower_search [--depth 11]
+python -m benchmarks.follower_search [--depth 11]
 """
 
 from __future__ import annotations
--- a/benchmarks/http_front.py
+++ b/benchmarks/http_front.py
@@ -80,9 +80,7 @@
         (folder / "http.cue").write_text(f'listen: "{HOST}:{http}"\nrules: "rules.cue"\n')
         async with nodes(2) as known:
             environ = {"STOATROUTER_HTTP": str(folder / "http.cue"), "PYTHONPATH": str(ROOT)}
-            with head(
-                ROOT, sys.executable, known, listen, environ
-            ) as process:
+            with head(ROOT, sys.executable, known, listen, environ) as process:
                 await ready(listen, 120)
                 found: dict[str, list[tuple[float, float, float]]] = {"platform": [], "http": []}
                 for run in range(runs):
--- a/benchmarks/matching.py
+++ b/benchmarks/matching.py
@@ -33,10 +33,16 @@
         (f'request.method == "GET" && request.path.startsWith("/t{i}/l-{j}/")', f"/t{i}/l-{j}/a", ""),
         (f'request.method == "GET" && request.path == "/t{i}/match-{j}"', f"/t{i}/match-{j}", ""),
         (f'request.method in ["GET"] && request.headers[?"x-team"].orValue("") == "team-{j}"', "", ""),
-        (f'request.method == "GET" && request.segments[?2].orValue("") == "part-{j}"',
-         f"/t{i}/x/part-{j}", ""),
-        (f'request.method == "GET" && request.query[?"match"].orValue("") == "m{j}"', f"/t{i}/x?match=m{j}",
-         f', key: expr: #"hash(request.query[?"match"].orValue("") + "{j}")"#'),
+        (
+            f'request.method == "GET" && request.segments[?2].orValue("") == "part-{j}"',
+            f"/t{i}/x/part-{j}",
+            "",
+        ),
+        (
+            f'request.method == "GET" && request.query[?"match"].orValue("") == "m{j}"',
+            f"/t{i}/x?match=m{j}",
+            f', key: expr: #"hash(request.query[?"match"].orValue("") + "{j}")"#',
+        ),
     )
     when, target, more = kinds[j % 5]
     return f'\t{{name: "r{j}", when: #"{when}"#, class: "score-read"{more}}},', target
--- a/cypressworks/handover.py
+++ b/cypressworks/handover.py
@@ -19,8 +19,28 @@
 # Taken off each store: the new process opens its connections anew, and what it sends first comes late.
 LATE = 0.3  # seconds of its limit
 VOLUME = ("hosts", "stamp", "excess", "reserve", "store", "lowest")
-NODE = ("closes", "up_since", "known", "spent", "window", "cut_at", "last_sent", "reads", "answers", "trip",
-        "step", "output", "pinned", "heard", "read_at", "newest", "quiet", "crowd", "crowd_at", "unit")
+NODE = (
+    "closes",
+    "up_since",
+    "known",
+    "spent",
+    "window",
+    "cut_at",
+    "last_sent",
+    "reads",
+    "answers",
+    "trip",
+    "step",
+    "output",
+    "pinned",
+    "heard",
+    "read_at",
+    "newest",
+    "quiet",
+    "crowd",
+    "crowd_at",
+    "unit",
+)
 
 
 def hand_over(scheduler: Scheduler, now: int) -> dict[str, Any]:
@@ -43,14 +63,27 @@
             told["store"] = max(volume.lowest, volume.store - kept - late)
             volume.store = volume.lowest + kept
         volumes[name] = told | {"plan": plans.index(volume.plan)}
-    nodes = {name: {key: getattr(node, key) for key in NODE}
-             | {"shard": node.shard, "zone": node.zone, "errors": list(node.errors), "writes": node.writes,
-                "throttled": sorted(node.throttled), "sent": [list(pair) for pair in node.sent],
-                "keys": list(node.keys)}
-             for name, node in scheduler.nodes.items()}
-    return {"born": scheduler.born, "vanish": scheduler.vanish, "rests": scheduler.rests,
-            "asked": list(scheduler.asked.items()),
-            "volumes": volumes, "nodes": nodes}
+    nodes = {
+        name: {key: getattr(node, key) for key in NODE}
+        | {
+            "shard": node.shard,
+            "zone": node.zone,
+            "errors": list(node.errors),
+            "writes": node.writes,
+            "throttled": sorted(node.throttled),
+            "sent": [list(pair) for pair in node.sent],
+            "keys": list(node.keys),
+        }
+        for name, node in scheduler.nodes.items()
+    }
+    return {
+        "born": scheduler.born,
+        "vanish": scheduler.vanish,
+        "rests": scheduler.rests,
+        "asked": list(scheduler.asked.items()),
+        "volumes": volumes,
+        "nodes": nodes,
+    }
 
 
 def take_back(scheduler: Scheduler, now: int) -> None:
--- a/cypressworks/interface.py
+++ b/cypressworks/interface.py
@@ -123,8 +123,15 @@
     taken_on_arrival: bool = False  # a request takes its units of a limit where an attempt comes to a node
 
     def __post_init__(self) -> None:
-        times = (self.answer_slack, self.drain_grace, self.cold_time, self.fall_time,
-                 self.ask_within or 0, self.key_rest or 0, self.budget_time or 0)
+        times = (
+            self.answer_slack,
+            self.drain_grace,
+            self.cold_time,
+            self.fall_time,
+            self.ask_within or 0,
+            self.key_rest or 0,
+            self.budget_time or 0,
+        )
         if min(times) < 0:
             raise ValueError("rules: times must not be negative")
         if not 0 < self.cold_from <= 1:
@@ -314,6 +321,7 @@
 @dataclass(slots=True, eq=False)
 class Attempt:
     """One sending of a request; outcome is None while it is out; node is the module's own record."""
+
     node: Any
     sent: int
     outcome: Outcome | None = None
@@ -326,6 +334,7 @@
 @dataclass(slots=True, eq=False)
 class Request:
     """A request this host owes an answer for, or that still has an attempt out."""
+
     id: str
     kind: RequestClass
     volume: Any
--- a/cypressworks/simhost.py
+++ b/cypressworks/simhost.py
@@ -19,8 +19,12 @@
 REGISTRY = {"automatic": False, "subscribe": True}  # whether the list must be asked for
 GROUPS = {"all": api.Group.ALL, "zone": api.Group.ZONE, "cell": api.Group.SHARD}
 PHASES = {"on": api.Phase.ON, "fading": api.Phase.DRAINING, "off": api.Phase.GONE}
-LISTS = {"update": api.ListKind.CHANGES, "replace": api.ListKind.FULL,
-         "restored": api.ListKind.RESTORED, "unavailable": api.ListKind.UNAVAILABLE}
+LISTS = {
+    "update": api.ListKind.CHANGES,
+    "replace": api.ListKind.FULL,
+    "restored": api.ListKind.RESTORED,
+    "unavailable": api.ListKind.UNAVAILABLE,
+}
 REPEAT_BIT, WRITE_BIT = 2, 4
 
 
@@ -34,19 +38,30 @@
     writes = extra.get("ChangesData") or []
     classes = tuple(
         api.RequestClass(
-            name=c["Name"], worth=c["Points"], aim=c["Promise"], deadline=c["HardLimit"],
-            late_worth=c.get("LateWorth") or 0.0, effect=EFFECTS[c["Effect"]],
-            group=GROUPS[c.get("Group") or "all"], repeat_window=c.get("Window") or 0,
+            name=c["Name"],
+            worth=c["Points"],
+            aim=c["Promise"],
+            deadline=c["HardLimit"],
+            late_worth=c.get("LateWorth") or 0.0,
+            effect=EFFECTS[c["Effect"]],
+            group=GROUPS[c.get("Group") or "all"],
+            repeat_window=c.get("Window") or 0,
             writes=bool(writes[i]) if i < len(writes) else False,
-            in_turn=bool(c.get("InTurn")), stream=bool(c.get("Stream")),
+            in_turn=bool(c.get("InTurn")),
+            stream=bool(c.get("Stream")),
         )
         for i, c in enumerate(data["Classes"])
     )
     plans = tuple(
         api.Plan(
-            name=p["Name"], usual_rate=p.get("UsualRate") or 0.0, reserve=p.get("Guaranteed") or 0.0,
-            share=p.get("Shares", 1.0), price=p.get("Price", 1.0), limit=p.get("Limit") or 0.0,
-            burst=p.get("Burst") or 0.0, tolerance=p.get("Tolerance") or 0.0,
+            name=p["Name"],
+            usual_rate=p.get("UsualRate") or 0.0,
+            reserve=p.get("Guaranteed") or 0.0,
+            share=p.get("Shares", 1.0),
+            price=p.get("Price", 1.0),
+            limit=p.get("Limit") or 0.0,
+            burst=p.get("Burst") or 0.0,
+            tolerance=p.get("Tolerance") or 0.0,
         )
         for p in data["Contracts"]
     )
@@ -54,22 +69,36 @@
         classes=classes,
         plans=plans,
         rules=api.Rules(
-            answer_slack=rules.get("AnswerSlack") or 0, drain_grace=rules.get("DrainGrace") or 0,
-            cold_from=rules.get("ColdFrom", 1.0), cold_time=rules.get("Cold") or 0,
-            cold_units=extra.get("ColdBears") or 0.0, fall_time=rules.get("Fall") or 0,
+            answer_slack=rules.get("AnswerSlack") or 0,
+            drain_grace=rules.get("DrainGrace") or 0,
+            cold_from=rules.get("ColdFrom", 1.0),
+            cold_time=rules.get("Cold") or 0,
+            cold_units=extra.get("ColdBears") or 0.0,
+            fall_time=rules.get("Fall") or 0,
             fall_multiple=rules.get("FallMultiple") or 1.0,
-            ask_within=rules.get("AskWithin"), key_rest=rules.get("KeyRest"),
-            budget_time=rules.get("CountedOver"), budget_free=rules.get("SpareAttempts") or 0.0,
+            ask_within=rules.get("AskWithin"),
+            key_rest=rules.get("KeyRest"),
+            budget_time=rules.get("CountedOver"),
+            budget_free=rules.get("SpareAttempts") or 0.0,
             budget_share=rules.get("ExtraRatio") or 0.0,
         ),
-        hosts=data["Balancers"], me=data["Me"], zone=data.get("Zone") or 0, tick=data.get("Tick") or 0,
-        max_attempts=limits["MostTries"], parallel_attempts=bool(limits.get("ParallelTries")),
-        may_cancel=bool(limits.get("Cancel")), may_probe=bool(limits.get("Probes")),
-        takes_advice=bool(limits.get("RetryAfter")), max_advice=limits.get("MaxRetryAfter") or 0,
+        hosts=data["Balancers"],
+        me=data["Me"],
+        zone=data.get("Zone") or 0,
+        tick=data.get("Tick") or 0,
+        max_attempts=limits["MostTries"],
+        parallel_attempts=bool(limits.get("ParallelTries")),
+        may_cancel=bool(limits.get("Cancel")),
+        may_probe=bool(limits.get("Probes")),
+        takes_advice=bool(limits.get("RetryAfter")),
+        max_advice=limits.get("MaxRetryAfter") or 0,
         list_on_request=REGISTRY[data.get("RegistryMode") or "automatic"],
-        share_worth=extra.get("FairWorth", 1.0), beyond_worth=extra.get("BeyondShare", 1.0),
-        mean_units=extra.get("UnitMean") or 1.0, max_units=extra.get("MostUnits") or 1.0,
-        meter_period=extra.get("Metering") or 0, meters_others=bool(extra.get("SaysOthers")),
+        share_worth=extra.get("FairWorth", 1.0),
+        beyond_worth=extra.get("BeyondShare", 1.0),
+        mean_units=extra.get("UnitMean") or 1.0,
+        max_units=extra.get("MostUnits") or 1.0,
+        meter_period=extra.get("Metering") or 0,
+        meters_others=bool(extra.get("SaysOthers")),
         report_fields=tuple((data.get("Report") or {}).get("Fields") or ()),
     )
 
@@ -79,8 +108,14 @@
     return api.NodeList(
         LISTS[e["Form"]],
         tuple(
-            api.NodeEntry(n["Brick"], n["UnitGroup"], n["RegionPart"], PHASES[n["Phase"]], n["Weight"],
-                          n.get("UpSince") or 0)
+            api.NodeEntry(
+                n["Brick"],
+                n["UnitGroup"],
+                n["RegionPart"],
+                PHASES[n["Phase"]],
+                n["Weight"],
+                n.get("UpSince") or 0,
+            )
             for n in e["NodesList"] or ()
         ),
     )
@@ -90,17 +125,32 @@
     """Read a client's request."""
     bits = e["Bitmap"]
     return api.RequestArrived(
-        request=e["MsgId"], volume=e["ShareId"], plan=e["ServiceLevel"], request_class=e["Service"],
-        shard=int(e["Shard"]), time_left=e["Left"], units=e["Weight"], hosts=int(e["Writers"]),
-        key=e["Item"], repeat=bool(bits & REPEAT_BIT), write=bool(bits & WRITE_BIT),
+        request=e["MsgId"],
+        volume=e["ShareId"],
+        plan=e["ServiceLevel"],
+        request_class=e["Service"],
+        shard=int(e["Shard"]),
+        time_left=e["Left"],
+        units=e["Weight"],
+        hosts=int(e["Writers"]),
+        key=e["Item"],
+        repeat=bool(bits & REPEAT_BIT),
+        write=bool(bits & WRITE_BIT),
     )
 
 
 def read_outcome(e: Fields) -> api.AttemptEnded:
     """Read how an attempt ended."""
     return api.AttemptEnded(
-        e["MsgId"], e["SeqNo"], e["Brick"], api.Outcome(e["Status"]), e["TimeTaken"], bool(e["Finished"]),
-        e.get("Used") or 0, e.get("ByOthers") or 0.0, e.get("Load"),
+        e["MsgId"],
+        e["SeqNo"],
+        e["Brick"],
+        api.Outcome(e["Status"]),
+        e["TimeTaken"],
+        bool(e["Finished"]),
+        e.get("Used") or 0,
+        e.get("ByOthers") or 0.0,
+        e.get("Load"),
     )
 
 
@@ -109,8 +159,9 @@
     "JOB_IN": read_request,
     "RESULT": read_outcome,
     "HEADERS": lambda e: api.StreamStarted(e["MsgId"], e["SeqNo"], e["Brick"]),
-    "CHECK_RESULT": lambda e: api.ProbeEnded(e["Brick"], api.Outcome(e["Status"]), e["TimeTaken"],
-                                             e.get("Load")),
+    "CHECK_RESULT": lambda e: api.ProbeEnded(
+        e["Brick"], api.Outcome(e["Status"]), e["TimeTaken"], e.get("Load")
+    ),
     "LEFT": lambda e: api.ClientGone(e["MsgId"]),
     "DUE": lambda e: api.TimerFired(e["Cookie"]),
     "INBOX": lambda e: None,  # hosts keep every rule alone and tell each other nothing
--- a/stoatrouter/__main__.py
+++ b/stoatrouter/__main__.py
@@ -47,12 +47,21 @@
     if form == "json":
         logger.add(sys.stderr, serialize=True, level="INFO", backtrace=False, diagnose=False)
         return
-    logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {message}", level="INFO", backtrace=False,
-               diagnose=False)
-
-
-async def run(conf: config.Config, objects: ObjectSettings | None, http: HttpSettings | None,
-              heads: HeadsSettings | None) -> None:
+    logger.add(
+        sys.stderr,
+        format="{time:HH:mm:ss.SSS} {level} {message}",
+        level="INFO",
+        backtrace=False,
+        diagnose=False,
+    )
+
+
+async def run(
+    conf: config.Config,
+    objects: ObjectSettings | None,
+    http: HttpSettings | None,
+    heads: HeadsSettings | None,
+) -> None:
     """Serve until asked to stop."""
     loop, stop = asyncio.get_running_loop(), asyncio.Event()
     for sign in (signal.SIGTERM, signal.SIGINT):
--- a/stoatrouter/agreement/leading.py
+++ b/stoatrouter/agreement/leading.py
@@ -81,10 +81,12 @@
         entries: tuple[Entry, ...] = ()
         # one batch is under way at a time; it is sent again when no answer came for a while
         if peer.next <= self.log.last and (
-                peer.sent_at is None or self.now >= peer.sent_at + 3 * self.timing.heartbeat):
+            peer.sent_at is None or self.now >= peer.sent_at + 3 * self.timing.heartbeat
+        ):
             entries, peer.sent_at = self.log.since(peer.next), self.now
-        return Send(voter, Append(self.term, peer.next - 1, prev, entries, self.commit, self.round,
-                                  peer.match))
+        return Send(
+            voter, Append(self.term, peer.next - 1, prev, entries, self.commit, self.round, peer.match)
+        )
 
     def _appended(self, sender: Voter, said: Appended) -> list[Effect]:
         peer = self.peers.get(sender.identity)
@@ -106,8 +108,10 @@
         """Commit what a majority has on disk. Only entries of the own term count (3.6.2)."""
         if not self.leads:
             return []
-        at = sorted((self.durable if v == self.me else self.peers[v.identity].match for v in self.voters),
-                    reverse=True)[len(self.voters) // 2]
+        at = sorted(
+            (self.durable if v == self.me else self.peers[v.identity].match for v in self.voters),
+            reverse=True,
+        )[len(self.voters) // 2]
         if at <= self.commit or self.log.term(at) != self.term:
             return []
         effects = self._commit(at)
--- a/stoatrouter/agreement/log.py
+++ b/stoatrouter/agreement/log.py
@@ -49,7 +49,7 @@
         """Entries from an index on, as many as one message may hold (one at the least)."""
         taken: list[Entry] = []
         size = 0
-        for entry in self.entries[max(0, index - self.first):]:
+        for entry in self.entries[max(0, index - self.first) :]:
             if until is not None and entry.index > until or len(taken) >= MOST_IN_MESSAGE:
                 break
             size += len(entry.body) + 32
@@ -59,18 +59,18 @@
         return tuple(taken)
 
     def between(self, after: int, to: int) -> tuple[Entry, ...]:
-        return tuple(self.entries[max(0, after + 1 - self.first):max(0, to + 1 - self.first)])
+        return tuple(self.entries[max(0, after + 1 - self.first) : max(0, to + 1 - self.first)])
 
     def cut(self, index: int) -> None:
         """Entries from an index on go."""
-        del self.entries[max(0, index - self.first):]
+        del self.entries[max(0, index - self.first) :]
         self.changes = [entry for entry in self.changes if entry.index < index]
 
     def compact(self, snapshot: Snapshot, keep: int) -> int:
         """Take a snapshot and keep some entries before it for heads a little behind; returns the first
         kept."""
         kept_from = max(self.first, snapshot.index + 1 - keep)
-        self.entries = self.entries[kept_from - self.first:]
+        self.entries = self.entries[kept_from - self.first :]
         self.snapshot = snapshot
         return kept_from
 
--- a/stoatrouter/agreement/standing.py
+++ b/stoatrouter/agreement/standing.py
@@ -50,10 +50,23 @@
         return Standing(State.UNFOUNDED, serves=True, changes=False, draws=False, voice=False, ready=True)
     if not touched:
         waiting = facts.touched_ago is None and waited < wait_at_start
-        return Standing(State.CUT_OFF, serves=not waiting, changes=False, draws=False,
-                        voice=facts.votes and facts.disk, ready=not waiting)
+        return Standing(
+            State.CUT_OFF,
+            serves=not waiting,
+            changes=False,
+            draws=False,
+            voice=facts.votes and facts.disk,
+            ready=not waiting,
+        )
     if not facts.caught_up:
-        return Standing(State.CATCHING_UP, serves=False, changes=False, draws=False,
-                        voice=facts.votes and facts.disk, ready=False)
-    return Standing(State.IN_TOUCH, serves=True, changes=True, draws=True, voice=facts.votes and facts.disk,
-                    ready=True)
+        return Standing(
+            State.CATCHING_UP,
+            serves=False,
+            changes=False,
+            draws=False,
+            voice=facts.votes and facts.disk,
+            ready=False,
+        )
+    return Standing(
+        State.IN_TOUCH, serves=True, changes=True, draws=True, voice=facts.votes and facts.disk, ready=True
+    )
--- a/stoatrouter/agreement/state.py
+++ b/stoatrouter/agreement/state.py
@@ -90,8 +90,11 @@
 
     def majority_heard(self, now: timedelta) -> bool:
         """A leader that heard a majority within an election's time, itself counted."""
-        heard = sum(v == self.me or self.peers[v.identity].heard + 2 * self.timing.election > now
-                    for v in self.voters if v == self.me or v.identity in self.peers)
+        heard = sum(
+            v == self.me or self.peers[v.identity].heard + 2 * self.timing.election > now
+            for v in self.voters
+            if v == self.me or v.identity in self.peers
+        )
         return self.leads and 2 * heard > len(self.voters)
 
     # -- what several parts need ---------------------------------------------------------------------------
--- a/stoatrouter/config.py
+++ b/stoatrouter/config.py
@@ -14,8 +14,12 @@
 from stoatrouter.core.spans import micros, span
 
 LIMIT_SLACK = timedelta(milliseconds=150)  # by what a limit allows in this time its slack grows on sockets
-VARIABLES = {"name": "NODE_NAME", "listen": "NODE_LISTEN", "discovery": "NODE_DISCOVERY",
-             "management": "NODE_MANAGEMENT"}
+VARIABLES = {
+    "name": "NODE_NAME",
+    "listen": "NODE_LISTEN",
+    "discovery": "NODE_DISCOVERY",
+    "management": "NODE_MANAGEMENT",
+}
 
 
 class ConfigError(Exception):
@@ -72,11 +76,14 @@
     try:
         for key, variable in VARIABLES.items():
             data[key] = first.get(key) or data.get(key) or environ.get(variable)
-        conf = replace(parse(data), objects=environ.get("STOATROUTER_OBJECTS") or None,
-                       http=environ.get("STOATROUTER_HTTP") or None,
-                       heads=environ.get("STOATROUTER_HEADS") or None,
-                       folder=environ.get("TMPDIR") or None,
-                       inherited=descriptor(environ.get("NODE_INHERITED_FD")))
+        conf = replace(
+            parse(data),
+            objects=environ.get("STOATROUTER_OBJECTS") or None,
+            http=environ.get("STOATROUTER_HTTP") or None,
+            heads=environ.get("STOATROUTER_HEADS") or None,
+            folder=environ.get("TMPDIR") or None,
+            inherited=descriptor(environ.get("NODE_INHERITED_FD")),
+        )
         address(conf.listen), address(conf.discovery), conf.management and address(conf.management)
     except (KeyError, ValueError, TypeError, AttributeError, OverflowError) as error:
         raise ConfigError(f"bad configuration in {path}: {told(data, error)}") from None
@@ -105,16 +112,24 @@
     raw, limits = data["settings"], data.get("limits") or {}
     connect_timeout = span(raw["Limits"].get("ConnectTimeout") or 250_000)
     return Config(
-        name=str(data["name"]), listen=str(data["listen"]), discovery=str(data["discovery"]),
-        seed=int(str(data.get("seed") or "0"), 16), settings=on_sockets(read_settings(raw), connect_timeout),
-        known=data.get("known") or {}, sockets=int(limits.get("sockets") or 1024),
-        memory_mb=int(limits.get("memory_mb") or 192), connect_timeout=connect_timeout,
+        name=str(data["name"]),
+        listen=str(data["listen"]),
+        discovery=str(data["discovery"]),
+        seed=int(str(data.get("seed") or "0"), 16),
+        settings=on_sockets(read_settings(raw), connect_timeout),
+        known=data.get("known") or {},
+        sockets=int(limits.get("sockets") or 1024),
+        memory_mb=int(limits.get("memory_mb") or 192),
+        connect_timeout=connect_timeout,
         conn_idle=span(raw["Limits"].get("ConnIdle") or 30_000_000),
         max_open=int(raw["Limits"].get("MaxOpen") or 1 << 20),
         shards=int((raw.get("Extra") or {}).get("Shards") or 0),
         zones=tuple(str(zone) for zone in raw.get("Areas") or ()),
-        drain_grace=span(raw["Contract"].get("DrainGrace") or 0), management=data.get("management") or None,
-        peers=addresses(data.get("peers")), peer_listen=data.get("peer_listen") or None)
+        drain_grace=span(raw["Contract"].get("DrainGrace") or 0),
+        management=data.get("management") or None,
+        peers=addresses(data.get("peers")),
+        peer_listen=data.get("peer_listen") or None,
+    )
 
 
 def addresses(value: Any) -> tuple[str, ...]:
--- a/stoatrouter/core/descriptors.py
+++ b/stoatrouter/core/descriptors.py
@@ -35,5 +35,8 @@
     below, all shrink together, at the cost of what is accepted in one moment."""
     fixed = min(Descriptors(0, 0).fixed, int(sockets * LARGEST_FIXED))
     left, whole = sockets - fixed, CLIENTS + NODES
-    return Descriptors(max(1, min(int(sockets * CLIENTS), int(left * CLIENTS / whole))),
-                       max(1, min(int(sockets * NODES), int(left * NODES / whole))), fixed)
+    return Descriptors(
+        max(1, min(int(sockets * CLIENTS), int(left * CLIENTS / whole))),
+        max(1, min(int(sockets * NODES), int(left * NODES / whole))),
+        fixed,
+    )
--- a/stoatrouter/core/invariants.py
+++ b/stoatrouter/core/invariants.py
@@ -18,6 +18,7 @@
         raise AssertionError(f"{what}: {details}")
     broken[what] += 1
     if broken[what] <= LOGGED_EACH:
-        logger.error("invariant broken: {what} {details}", event="invariant.broken", what=what,
-                     details=details)
+        logger.error(
+            "invariant broken: {what} {details}", event="invariant.broken", what=what, details=details
+        )
     return False
--- a/stoatrouter/core/list_times.py
+++ b/stoatrouter/core/list_times.py
@@ -3,7 +3,7 @@
 A watch may fall silent in the moment in which it was asked. What it misses counts as told 6 s after discovery
 had it and could be reached; where lists are pushed, what the agent got at its return counts at once, so there
 only the grace of the drain rule is left. Pure figures: the network code keeps to them, the tests hold them
-against those bounds. """
+against those bounds."""
 
 from __future__ import annotations
 
--- a/stoatrouter/core/model.py
+++ b/stoatrouter/core/model.py
@@ -221,8 +221,22 @@
     counts: dict[str, int]
 
 
-Event = (Arrived | TurnedAway | AttemptEnded | FlowEnded | ProbeEnded | ListTold | ClientLeft | TimerDue
-         | Overdue | PutByHand | HandedOver | TakenBack | TakenOver | OutElsewhere)
+Event = (
+    Arrived
+    | TurnedAway
+    | AttemptEnded
+    | FlowEnded
+    | ProbeEnded
+    | ListTold
+    | ClientLeft
+    | TimerDue
+    | Overdue
+    | PutByHand
+    | HandedOver
+    | TakenBack
+    | TakenOver
+    | OutElsewhere
+)
 
 
 # -- effects: what is to be done ----------------------------------------------------------------------------
@@ -285,8 +299,17 @@
     module: dict[str, Any]
 
 
-Effect = (SendAttempt | CancelAttempt | Probe | SetTimer | WatchOverdue | GiveAnswer | TurnAway | KeepByHand
-          | TellNext)
+Effect = (
+    SendAttempt
+    | CancelAttempt
+    | Probe
+    | SetTimer
+    | WatchOverdue
+    | GiveAnswer
+    | TurnAway
+    | KeepByHand
+    | TellNext
+)
 
 
 # -- what the reducer keeps ---------------------------------------------------------------------------------
--- a/stoatrouter/core/reducer.py
+++ b/stoatrouter/core/reducer.py
@@ -120,11 +120,21 @@
         self.tally.add("taken")
         self.figures.active += 1
         effects: list[model.Effect] = [model.WatchOverdue(request.time_left + OVERDUE_AFTER, request.id)]
-        return effects + self._decide(api.RequestArrived(
-            request=request.id, volume=request.volume, plan=request.plan,
-            request_class=request.request_class, shard=request.shard, time_left=micros(request.time_left),
-            units=request.units, hosts=request.hosts, key=request.key, repeat=request.repeat,
-            write=request.write))
+        return effects + self._decide(
+            api.RequestArrived(
+                request=request.id,
+                volume=request.volume,
+                plan=request.plan,
+                request_class=request.request_class,
+                shard=request.shard,
+                time_left=micros(request.time_left),
+                units=request.units,
+                hosts=request.hosts,
+                key=request.key,
+                repeat=request.repeat,
+                write=request.write,
+            )
+        )
 
     def _turn_away(self, request_class: int, answer: model.Answer, why: str) -> list[model.Effect]:
         self.tally.add(why)
@@ -205,18 +215,29 @@
         finished = ok or record.answered
         served = model.Served(event.body, attempt.shard, event.flow, event.head)
         effects = self._answer(event.request, served) if ok else []
-        effects += self._decide(api.AttemptEnded(
-            request=event.request, attempt=event.attempt, node=attempt.node, outcome=event.outcome,
-            took=micros(self.now - attempt.sent), finished=finished,
-            units_by_others=event.units_by_others, load=event.load))
+        effects += self._decide(
+            api.AttemptEnded(
+                request=event.request,
+                attempt=event.attempt,
+                node=attempt.node,
+                outcome=event.outcome,
+                took=micros(self.now - attempt.sent),
+                finished=finished,
+                units_by_others=event.units_by_others,
+                load=event.load,
+            )
+        )
         if event.request in self.records:
             self._forget(event.request)
         return effects
 
     def _send(self, action: api.Send) -> list[model.Effect]:
         record, node = self.records.get(action.request), self.nodes.get(action.node)
-        if not invariant(record is not None and not record.answered, "a send for a request that is over",
-                         request=action.request):
+        if not invariant(
+            record is not None and not record.answered,
+            "a send for a request that is over",
+            request=action.request,
+        ):
             return []
         assert record is not None
         record.attempts.append(model.Attempt(action.node, node.shard if node else -1, self.now))
@@ -244,16 +265,26 @@
             handover.take_over(self.scheduler, event.module)
         except (KeyError, TypeError, ValueError, AttributeError, IndexError) as error:
             # Guards a start against what another version of the program wrote: it then starts from nothing.
-            logger.error("upgrade: what the old process learnt cannot be read: {error}",
-                         event="upgrade.unlearnt", error=repr(error))
+            logger.error(
+                "upgrade: what the old process learnt cannot be read: {error}",
+                event="upgrade.unlearnt",
+                error=repr(error),
+            )
         return effects
 
-    def _tell(self, kind: api.ListKind, nodes: tuple[model.NodeInfo, ...],
-              since: timedelta | None = None) -> list[model.Effect]:
+    def _tell(
+        self, kind: api.ListKind, nodes: tuple[model.NodeInfo, ...], since: timedelta | None = None
+    ) -> list[model.Effect]:
         seen = (self.by_hand.seen(node) for node in nodes)
-        return self._decide(api.NodeList(kind, tuple(
-            api.NodeEntry(n.id, n.shard, n.zone, n.phase, n.weight, micros(n.started)) for n in seen),
-            micros(self.now if since is None else since)))
+        return self._decide(
+            api.NodeList(
+                kind,
+                tuple(
+                    api.NodeEntry(n.id, n.shard, n.zone, n.phase, n.weight, micros(n.started)) for n in seen
+                ),
+                micros(self.now if since is None else since),
+            )
+        )
 
     def _put(self, event: model.PutByHand) -> list[model.Effect]:
         """A node out or back, by hand; no effects where it is not known."""
--- a/stoatrouter/credit/holder.py
+++ b/stoatrouter/credit/holder.py
@@ -245,8 +245,9 @@
         if not settles and not want and not (due and news):
             return None
         settles += [Settle(held.id, held.spent, False) for held in news]
-        return Turn(purse.customer, tuple(h.id for h in purse.held), tuple(settles), want,
-                    purse.least if want else 0)
+        return Turn(
+            purse.customer, tuple(h.id for h in purse.held), tuple(settles), want, purse.least if want else 0
+        )
 
     def _wanted(self, purse: Purse, now: timedelta) -> int:
         """How much more: enough for the recent use over a lease and a half, asked for before it runs out."""
--- a/stoatrouter/credit/ledger.py
+++ b/stoatrouter/credit/ledger.py
@@ -133,8 +133,9 @@
         return msgspec.msgpack.encode(answer)
 
     def state(self) -> bytes:
-        return msgspec.msgpack.encode(Held(list(self.accounts.values()), list(self.entries.values()),
-                                           self.heads))
+        return msgspec.msgpack.encode(
+            Held(list(self.accounts.values()), list(self.entries.values()), self.heads)
+        )
 
     def restore(self, state: bytes) -> None:
         held = msgspec.msgpack.decode(state, type=Held) if state else Held([], [], {})
@@ -184,7 +185,10 @@
         account = self.accounts.get(command.customer)
         if before is not None:
             same = (before.customer, before.amount, before.kind) == (
-                command.customer, command.amount, command.kind)
+                command.customer,
+                command.amount,
+                command.kind,
+            )
             balance = account.balance if account is not None else 0
             return Booked(same, "" if same else f"{command.id!r} was booked otherwise", balance, again=True)
         if account is None or not account.open:
@@ -192,8 +196,16 @@
         if command.kind != "correction" and command.amount <= 0:
             return Booked(False, f"a {command.kind} is more than 0")
         account.paid += command.amount
-        self.entries[command.id] = Entry(index, command.id, command.customer, command.amount, command.kind,
-                                         command.by, command.why, command.when)
+        self.entries[command.id] = Entry(
+            index,
+            command.id,
+            command.customer,
+            command.amount,
+            command.kind,
+            command.by,
+            command.why,
+            command.when,
+        )
         if len(self.entries) > MOST_ENTRIES:
             self.entries.popitem(last=False)
         return Booked(True, balance=account.balance)
@@ -251,8 +263,9 @@
         if amount > 0:
             account.out[id] = Allotment(account.name, command.holder, command.identity, amount)
             self.places[id] = account.name
-        return Grant(account.name, id if amount > 0 else "", amount, account.balance, account.low_water,
-                     account.open)
+        return Grant(
+            account.name, id if amount > 0 else "", amount, account.balance, account.low_water, account.open
+        )
 
     def expired(self, command: Expired) -> Booked:
         for id in command.allotments:
--- a/stoatrouter/faults.py
+++ b/stoatrouter/faults.py
@@ -13,18 +13,48 @@
 EFFECTS, GROUPS = ("retryable", "dedup", "fragile"), ("all", "zone", "cell")
 REGISTRY = ("automatic", "subscribe")
 # field, type, least, what may stand instead; a field in brackets may be left out
-TOP = (("name", TEXT, None), ("listen", TEXT, None), ("discovery", TEXT, None), ("settings", FIELDS, None),
-       ("[limits]", FIELDS, None), ("[known]", FIELDS, None))
-SETTINGS = (("Balancers", WHOLE, 1), ("Me", WHOLE, 0), ("Classes", LIST, None), ("Contracts", LIST, None),
-            ("Contract", FIELDS, None), ("Limits", FIELDS, None), ("[Extra]", FIELDS, None),
-            ("[RegistryMode]", TEXT, REGISTRY))
-CLASS = (("Name", TEXT, None), ("Points", NUMBER, 0), ("Promise", WHOLE, 1), ("HardLimit", WHOLE, 1),
-         ("Effect", TEXT, EFFECTS), ("[Group]", TEXT, GROUPS), ("[LateWorth]", NUMBER, 0),
-         ("[Window]", WHOLE, 0))
-PLAN = (("Name", TEXT, None), *((f"[{name}]", NUMBER, 0) for name in (
-    "UsualRate", "Guaranteed", "Shares", "Price", "Limit", "Burst", "Tolerance")))
-LIMITS = (("MostTries", WHOLE, 1), ("[ConnectTimeout]", WHOLE, 0), ("[ConnIdle]", WHOLE, 0),
-          ("[MaxOpen]", WHOLE, 0), ("[MaxRetryAfter]", WHOLE, 0))
+TOP = (
+    ("name", TEXT, None),
+    ("listen", TEXT, None),
+    ("discovery", TEXT, None),
+    ("settings", FIELDS, None),
+    ("[limits]", FIELDS, None),
+    ("[known]", FIELDS, None),
+)
+SETTINGS = (
+    ("Balancers", WHOLE, 1),
+    ("Me", WHOLE, 0),
+    ("Classes", LIST, None),
+    ("Contracts", LIST, None),
+    ("Contract", FIELDS, None),
+    ("Limits", FIELDS, None),
+    ("[Extra]", FIELDS, None),
+    ("[RegistryMode]", TEXT, REGISTRY),
+)
+CLASS = (
+    ("Name", TEXT, None),
+    ("Points", NUMBER, 0),
+    ("Promise", WHOLE, 1),
+    ("HardLimit", WHOLE, 1),
+    ("Effect", TEXT, EFFECTS),
+    ("[Group]", TEXT, GROUPS),
+    ("[LateWorth]", NUMBER, 0),
+    ("[Window]", WHOLE, 0),
+)
+PLAN = (
+    ("Name", TEXT, None),
+    *(
+        (f"[{name}]", NUMBER, 0)
+        for name in ("UsualRate", "Guaranteed", "Shares", "Price", "Limit", "Burst", "Tolerance")
+    ),
+)
+LIMITS = (
+    ("MostTries", WHOLE, 1),
+    ("[ConnectTimeout]", WHOLE, 0),
+    ("[ConnIdle]", WHOLE, 0),
+    ("[MaxOpen]", WHOLE, 0),
+    ("[MaxRetryAfter]", WHOLE, 0),
+)
 RULES = (("[DrainGrace]", WHOLE, 0), ("[Cold]", WHOLE, 0), ("[ColdFrom]", NUMBER, 0), ("[Fall]", WHOLE, 0))
 
 
--- a/stoatrouter/fronts/exchange.py
+++ b/stoatrouter/fronts/exchange.py
@@ -38,8 +38,9 @@
             raise BadRequest("the body cannot be read") from None
         return body
 
-    async def pass_on(self, request: web.BaseRequest, name: str, flow: Flow,
-                      response: web.StreamResponse | None = None) -> web.StreamResponse:
+    async def pass_on(
+        self, request: web.BaseRequest, name: str, flow: Flow, response: web.StreamResponse | None = None
+    ) -> web.StreamResponse:
         """Pass an answer on as it comes. A broken one ends its connection, so that the client can tell."""
         response = self.drain.mark(response or web.StreamResponse())
         if flow.length is not None:
--- a/stoatrouter/fronts/objects/extents.py
+++ b/stoatrouter/fronts/objects/extents.py
@@ -54,7 +54,7 @@
         return None
     payload = data[HEADER:]
     # Guards against an answer that belongs to another piece, or is not whole.
-    if data[:len(MAGIC)] != MAGIC or data[len(MAGIC):HEADER] != digest(piece, payload):
+    if data[: len(MAGIC)] != MAGIC or data[len(MAGIC) : HEADER] != digest(piece, payload):
         raise BadPiece(piece)
     return payload
 
@@ -70,7 +70,7 @@
 def unpack_page(payload: bytes) -> list[Ref]:
     if len(payload) % REF.size:
         raise BadPiece("a page of references is not whole")
-    return [Ref.unpack(payload[i:i + REF.size]) for i in range(0, len(payload), REF.size)]
+    return [Ref.unpack(payload[i : i + REF.size]) for i in range(0, len(payload), REF.size)]
 
 
 def overlapping(refs: Sequence[Ref], start: int, stop: int) -> list[tuple[Ref, int, int]]:
--- a/stoatrouter/fronts/objects/front.py
+++ b/stoatrouter/fronts/objects/front.py
@@ -35,13 +35,25 @@
 META = "x-amz-meta-"
 # Query fields of calls that are served; any other names a call that is not.
 FIELDS = {"uploads", "uploadId", "partNumber", "x-id"}
-NOT_SERVED = ("x-amz-copy-source", "x-amz-tagging", "x-amz-object-lock-mode", "x-amz-acl",
-              "x-amz-server-side-encryption", "x-amz-server-side-encryption-customer-algorithm",
-              "x-amz-website-redirect-location")
+NOT_SERVED = (
+    "x-amz-copy-source",
+    "x-amz-tagging",
+    "x-amz-object-lock-mode",
+    "x-amz-acl",
+    "x-amz-server-side-encryption",
+    "x-amz-server-side-encryption-customer-algorithm",
+    "x-amz-website-redirect-location",
+)
 XML = '<?xml version="1.0" encoding="UTF-8"?>\n'
-OPERATIONS = {("GET",): "read", ("HEAD",): "read", ("PUT",): "write", ("POST", "uploads"): "initiate",
-              ("PUT", "partNumber", "uploadId"): "write-part", ("POST", "uploadId"): "complete",
-              ("DELETE", "uploadId"): "abort"}
+OPERATIONS = {
+    ("GET",): "read",
+    ("HEAD",): "read",
+    ("PUT",): "write",
+    ("POST", "uploads"): "initiate",
+    ("PUT", "partNumber", "uploadId"): "write-part",
+    ("POST", "uploadId"): "complete",
+    ("DELETE", "uploadId"): "abort",
+}
 Choose = Callable[[web.BaseRequest, ObjectSettings, Bucket, str, str], tuple[ObjectSettings, Bucket, Pieces]]
 NAMESPACE = "http://s3.amazonaws.com/doc/2006-03-01/"
 
@@ -49,8 +61,14 @@
 class ObjectFront:
     """Serves the object API; keeps nothing between calls."""
 
-    def __init__(self, serve: Serve, settings: api.Settings, conf: ObjectSettings, drain: Drain,
-                 choose: Choose | None = None) -> None:
+    def __init__(
+        self,
+        serve: Serve,
+        settings: api.Settings,
+        conf: ObjectSettings,
+        drain: Drain,
+        choose: Choose | None = None,
+    ) -> None:
         self.serve, self.settings, self.conf, self.drain = serve, settings, conf, drain
         self.choose = choose  # what rules say of a call; None: the file's classes hold for all
         self.tokens = Tokens(conf.secret)
@@ -72,8 +90,9 @@
             response = self._failed(request, error, name)
         except Exception:
             # Guards the client's one final answer against a fault of our own.
-            logger.exception("objects: {request} failed in an unforeseen way", event="objects.fault",
-                             request=name)
+            logger.exception(
+                "objects: {request} failed in an unforeseen way", event="objects.fault", request=name
+            )
             response = self._failed(request, ObjectError("InternalError", "the call failed"), name)
         finally:
             self.operations -= 1
@@ -84,8 +103,13 @@
 
     def _failed(self, request: web.BaseRequest, error: ObjectError, name: str) -> web.StreamResponse:
         if error.code == "InternalError":
-            logger.warning("objects: {request} {method}: {reason}", event="objects.failed", request=name,
-                           method=request.method, reason=error.message)
+            logger.warning(
+                "objects: {request} {method}: {reason}",
+                event="objects.failed",
+                request=name,
+                method=request.method,
+                reason=error.message,
+            )
         path = request.raw_path.partition("?")[0]
         response = error_response(error, unquote(path, errors="replace"), name, request.method != "HEAD")
         if request.body_exists and not request.content.is_eof():
@@ -156,8 +180,12 @@
 
     async def _read(self, request: web.BaseRequest, store: Store, key: str) -> web.StreamResponse:
         found = await self._manifest(store, key)
-        headers = {"ETag": f'"{found.etag}"', "Last-Modified": ranges.http_date(found.modified),
-                   "Accept-Ranges": "bytes", "Content-Type": found.content_type}
+        headers = {
+            "ETag": f'"{found.etag}"',
+            "Last-Modified": ranges.http_date(found.modified),
+            "Accept-Ranges": "bytes",
+            "Content-Type": found.content_type,
+        }
         headers |= {META + k: v for k, v in found.metadata.items()}
         if not ranges.check_preconditions(request.headers, found.etag, found.modified):
             return web.Response(status=304, headers=headers)
@@ -175,8 +203,9 @@
             await self._send(request, response, body)
         return response
 
-    async def _send(self, request: web.BaseRequest, response: web.StreamResponse,
-                    body: AsyncIterator[bytes]) -> None:
+    async def _send(
+        self, request: web.BaseRequest, response: web.StreamResponse, body: AsyncIterator[bytes]
+    ) -> None:
         """Send a body. Its first piece is read before the status goes out, so a refusal can still be told."""
         first = await anext(body, b"")
         await response.prepare(request)
@@ -187,8 +216,11 @@
         except (ObjectError, TimeoutError) as error:
             # Guards against a short answer taken for a whole one: the connection breaks before the length
             # that was promised, which a client can see; it may ask for the rest by a range.
-            logger.warning("objects: an answer was cut: {reason}", event="objects.cut",
-                           reason=str(error) or "its reader stalled")
+            logger.warning(
+                "objects: an answer was cut: {reason}",
+                event="objects.cut",
+                reason=str(error) or "its reader stalled",
+            )
             if request.transport is not None:
                 request.transport.abort()
             response.force_close()
@@ -208,8 +240,9 @@
         check_md5(request.headers, md5)
         etag = md5.hex()
         refs = await store.fold(refs, MOST_REFS)
-        await self._write_manifest(store, key, Manifest(
-            store.bucket.name, key, etag, size, int(time.time()), refs, kind, metadata))
+        await self._write_manifest(
+            store, key, Manifest(store.bucket.name, key, etag, size, int(time.time()), refs, kind, metadata)
+        )
         return web.Response(headers={"ETag": f'"{etag}"'})
 
     async def _write_manifest(self, store: Store, key: str, manifest: Manifest) -> None:
@@ -262,11 +295,13 @@
         kind, metadata = read_metadata(request.headers)
         upload = self.tokens.new_upload(store.bucket.name, key)
         await store.write_piece(Upload("open", kind, metadata).dump(), *self._upload_place(upload))
-        return xml_response("InitiateMultipartUploadResult", Bucket=store.bucket.name, Key=key,
-                            UploadId=upload)
+        return xml_response(
+            "InitiateMultipartUploadResult", Bucket=store.bucket.name, Key=key, UploadId=upload
+        )
 
-    async def _put_part(self, request: web.BaseRequest, store: Store, key: str, upload: str,
-                        number: str) -> web.StreamResponse:
+    async def _put_part(
+        self, request: web.BaseRequest, store: Store, key: str, upload: str, number: str
+    ) -> web.StreamResponse:
         if not number.isascii() or not number.isdigit() or not 1 <= int(number[:9]) <= MOST_PARTS:
             raise ObjectError("InvalidArgument", f"partNumber is not from 1 to {MOST_PARTS}")
         if (await self._upload(store, key, upload)).state != "open":
@@ -277,8 +312,9 @@
         part = Part(int(number), md5, refs[0] if refs else None)
         return web.Response(headers={"ETag": f'"{self.tokens.part_etag(upload, part)}"'})
 
-    async def _complete(self, request: web.BaseRequest, store: Store, key: str,
-                        upload: str) -> web.StreamResponse:
+    async def _complete(
+        self, request: web.BaseRequest, store: Store, key: str, upload: str
+    ) -> web.StreamResponse:
         if (request.content_length or 0) > LARGEST_XML:
             raise ObjectError("MalformedXML", "the list of parts is too long")
         state = await self._upload(store, key, upload)
@@ -289,15 +325,27 @@
             refs = tuple(p.ref for p in parts if p.ref is not None)
             size = sum(r.size for r in refs)
             refs = await store.fold(refs, MOST_REFS)
-            await self._write_manifest(store, key, Manifest(
-                store.bucket.name, key, etag, size, int(time.time()), refs, state.content_type,
-                state.metadata))
+            await self._write_manifest(
+                store,
+                key,
+                Manifest(
+                    store.bucket.name,
+                    key,
+                    etag,
+                    size,
+                    int(time.time()),
+                    refs,
+                    state.content_type,
+                    state.metadata,
+                ),
+            )
             done = Upload("complete", state.content_type, state.metadata, etag)
             await store.write_piece(done.dump(), *self._upload_place(upload))
         elif (state.state, state.etag) != ("complete", etag):
             raise ObjectError("NoSuchUpload", "the upload is over")  # else: asked again, the same answer
-        return xml_response("CompleteMultipartUploadResult", Bucket=store.bucket.name, Key=key,
-                            ETag=f'"{etag}"')
+        return xml_response(
+            "CompleteMultipartUploadResult", Bucket=store.bucket.name, Key=key, ETag=f'"{etag}"'
+        )
 
     def _listed_parts(self, upload: str, listed: list[tuple[int, str]]) -> list[Part]:
         """The parts that a client names, each checked against its ETag."""
@@ -384,5 +432,6 @@
 
 def xml_response(root: str, **fields: str) -> web.Response:
     inner = "".join(f"<{name}>{escape(value)}</{name}>" for name, value in fields.items())
-    return web.Response(content_type="application/xml",
-                        body=f'{XML}<{root} xmlns="{NAMESPACE}">{inner}</{root}>'.encode())
+    return web.Response(
+        content_type="application/xml", body=f'{XML}<{root} xmlns="{NAMESPACE}">{inner}</{root}>'.encode()
+    )
--- a/stoatrouter/fronts/objects/manifest.py
+++ b/stoatrouter/fronts/objects/manifest.py
@@ -26,17 +26,28 @@
 
     def dump(self) -> bytes:
         refs = base64.b64encode(pack_page(self.refs)).decode()
-        return json.dumps({"bucket": self.bucket, "key": self.key, "etag": self.etag, "size": self.size,
-                           "modified": self.modified, "refs": refs, "type": self.content_type,
-                           "metadata": self.metadata}, separators=(",", ":")).encode()
+        return json.dumps(
+            {
+                "bucket": self.bucket,
+                "key": self.key,
+                "etag": self.etag,
+                "size": self.size,
+                "modified": self.modified,
+                "refs": refs,
+                "type": self.content_type,
+                "metadata": self.metadata,
+            },
+            separators=(",", ":"),
+        ).encode()
 
     @classmethod
     def load(cls, data: bytes) -> Manifest:
         try:
             d = json.loads(data)
             refs = tuple(unpack_page(base64.b64decode(d["refs"])))
-            found = cls(d["bucket"], d["key"], d["etag"], d["size"], d["modified"], refs, d["type"],
-                        d["metadata"])
+            found = cls(
+                d["bucket"], d["key"], d["etag"], d["size"], d["modified"], refs, d["type"], d["metadata"]
+            )
         except (ValueError, KeyError, TypeError) as error:
             raise BadPiece(f"not a manifest: {error}") from None
         # Guards reads against a manifest whose extents and size differ: an answer's length would be wrong.
@@ -55,8 +66,10 @@
     etag: str = ""
 
     def dump(self) -> bytes:
-        return json.dumps({"state": self.state, "type": self.content_type, "metadata": self.metadata,
-                           "etag": self.etag}, separators=(",", ":")).encode()
+        return json.dumps(
+            {"state": self.state, "type": self.content_type, "metadata": self.metadata, "etag": self.etag},
+            separators=(",", ":"),
+        ).encode()
 
     @classmethod
     def load(cls, data: bytes) -> Upload:
--- a/stoatrouter/fronts/objects/ranges.py
+++ b/stoatrouter/fronts/objects/ranges.py
@@ -28,8 +28,9 @@
         if last and int(last) < int(first):
             return None  # not a valid range: ignored
     if start >= size or start >= stop:
-        raise ObjectError("InvalidRange", "the range lies beyond the object",
-                          headers={"Content-Range": f"bytes */{size}"})
+        raise ObjectError(
+            "InvalidRange", "the range lies beyond the object", headers={"Content-Range": f"bytes */{size}"}
+        )
     return start, stop
 
 
--- a/stoatrouter/fronts/objects/rules.py
+++ b/stoatrouter/fronts/objects/rules.py
@@ -29,13 +29,19 @@
     def __init__(self, matcher: Matcher, settings: api.Settings, clock: Clock, advice: timedelta) -> None:
         self.matcher, self.settings, self.clock, self.advice = matcher, settings, clock, advice
 
-    def __call__(self, request: web.BaseRequest, conf: ObjectSettings, bucket: Bucket, key: str,
-                 operation: str) -> tuple[ObjectSettings, Bucket, Pieces]:
+    def __call__(
+        self, request: web.BaseRequest, conf: ObjectSettings, bucket: Bucket, key: str, operation: str
+    ) -> tuple[ObjectSettings, Bucket, Pieces]:
         """The settings, the bucket and the placing of pieces for one call; raises ObjectError."""
         try:
             size = request.content_length
-            given = read_input(request.method, request.raw_path, request.raw_headers,
-                               request.remote or "0.0.0.0", -1 if size is None else size)
+            given = read_input(
+                request.method,
+                request.raw_path,
+                request.raw_headers,
+                request.remote or "0.0.0.0",
+                -1 if size is None else size,
+            )
         except Unreadable as error:
             raise ObjectError("InvalidRequest", str(error)) from None
         given.bucket, given.key, given.operation = bucket.name, key, operation
@@ -48,8 +54,9 @@
             raise ObjectError("AccessDenied", "no rule gives this call a plan")
         return conf, bucket, Pieces()
 
-    def chosen(self, decided: Decision, conf: ObjectSettings,
-               bucket: Bucket) -> tuple[ObjectSettings, Bucket, Pieces]:
+    def chosen(
+        self, decided: Decision, conf: ObjectSettings, bucket: Bucket
+    ) -> tuple[ObjectSettings, Bucket, Pieces]:
         if self.settings.classes[decided.request_class].writes:
             conf = replace(conf, write_class=decided.request_class)
         else:
--- a/stoatrouter/fronts/objects/settings.py
+++ b/stoatrouter/fronts/objects/settings.py
@@ -102,8 +102,18 @@
     window, operations = int(data.get("window", 4)), int(data.get("max_operations", 64))
     if window < 1 or operations < 1:
         raise ValueError("window and max_operations must be at least 1")
-    return ObjectSettings(str(data["listen"]), secret, read_class, write_class, shards, settings.max_units,
-                          buckets, window, operations, rules_file(data))
+    return ObjectSettings(
+        str(data["listen"]),
+        secret,
+        read_class,
+        write_class,
+        shards,
+        settings.max_units,
+        buckets,
+        window,
+        operations,
+        rules_file(data),
+    )
 
 
 def rules_file(data: dict[str, Any]) -> Path | None:
--- a/stoatrouter/fronts/objects/store.py
+++ b/stoatrouter/fronts/objects/store.py
@@ -53,8 +53,14 @@
 class Store:
     """The pieces of one volume."""
 
-    def __init__(self, serve: Serve, settings: api.Settings, conf: ObjectSettings, bucket: Bucket,
-                 pieces: Pieces = ANYWHERE) -> None:
+    def __init__(
+        self,
+        serve: Serve,
+        settings: api.Settings,
+        conf: ObjectSettings,
+        bucket: Bucket,
+        pieces: Pieces = ANYWHERE,
+    ) -> None:
         self.serve, self.settings, self.conf, self.bucket, self.pieces = serve, settings, conf, bucket, pieces
 
     # -- single pieces ------------------------------------------------------------------------------------
@@ -81,12 +87,22 @@
         if self.pieces.deadline is not None:
             time_left = min(time_left, self.pieces.deadline)
         return model.Request(
-            id=secrets.token_hex(8), request_class=kind, plan=bucket.plan, volume=bucket.volume, key=piece,
-            shard=shard, units=self._units(size), hosts=bucket.hosts, time_left=time_left,
-            write=chosen.writes, method="PUT" if chosen.writes else "GET",
-            target=f"/{chosen.name}/{bucket.volume}/{piece}", body=body,
+            id=secrets.token_hex(8),
+            request_class=kind,
+            plan=bucket.plan,
+            volume=bucket.volume,
+            key=piece,
+            shard=shard,
+            units=self._units(size),
+            hosts=bucket.hosts,
+            time_left=time_left,
+            write=chosen.writes,
+            method="PUT" if chosen.writes else "GET",
+            target=f"/{chosen.name}/{bucket.volume}/{piece}",
+            body=body,
             # fresh for each writing: a manifest written anew is no repeat of the one before
-            idempotency_key=secrets.token_hex(8) if keyed else None)
+            idempotency_key=secrets.token_hex(8) if keyed else None,
+        )
 
     def _units(self, size: int) -> float:
         """Units by size: a full piece counts as the largest request there is."""
@@ -127,7 +143,7 @@
         while len(refs) > most:
             pages = []
             for i in range(0, len(refs), PAGE_REFS):
-                below = refs[i:i + PAGE_REFS]
+                below = refs[i : i + PAGE_REFS]
                 page = await self.write_piece(pack_page(below))
                 depth = 1 + max(r.depth for r in below)
                 pages.append(Ref(page.piece, page.shard, sum(r.size for r in below), depth))
@@ -144,8 +160,9 @@
             async for done in window.rest():
                 yield done
 
-    async def _leaves(self, refs: tuple[Ref, ...], start: int, stop: int,
-                      level: int = 0) -> AsyncIterator[tuple[Ref, int, int]]:
+    async def _leaves(
+        self, refs: tuple[Ref, ...], start: int, stop: int, level: int = 0
+    ) -> AsyncIterator[tuple[Ref, int, int]]:
         """The pieces that hold a range; of the pages above them only those that are needed are read."""
         # Guards against references that lead back to themselves.
         if level > DEEPEST:
--- a/stoatrouter/fronts/objects/tokens.py
+++ b/stoatrouter/fronts/objects/tokens.py
@@ -52,8 +52,9 @@
         data = decode(upload)
         if len(data) != NONCE + MAC:
             return False
-        return hmac.compare_digest(data[NONCE:], self.mac("upload", bucket.encode(), key.encode(),
-                                                          data[:NONCE]))
+        return hmac.compare_digest(
+            data[NONCE:], self.mac("upload", bucket.encode(), key.encode(), data[:NONCE])
+        )
 
     def part_etag(self, upload: str, part: Part) -> str:
         data = PART.pack(part.number, part.md5, part.ref is not None)
@@ -66,8 +67,8 @@
         body, mac = data[:-MAC], data[-MAC:]
         if not hmac.compare_digest(mac, self.mac("part", upload.encode(), body)):
             return None
-        number, md5, more = PART.unpack(body[:PART.size])
-        ref = Ref.unpack(body[PART.size:PART.size + REF.size]) if more else None
+        number, md5, more = PART.unpack(body[: PART.size])
+        ref = Ref.unpack(body[PART.size : PART.size + REF.size]) if more else None
         return Part(number, md5, ref)
 
     def place(self, purpose: str, shards: int, *fields: str) -> tuple[str, int]:
--- a/stoatrouter/fronts/platform.py
+++ b/stoatrouter/fronts/platform.py
@@ -99,10 +99,21 @@
         if units > self.settings.max_units:
             raise BadRequest("more units than a request may have")
         return model.Request(
-            id=name, request_class=kind, plan=plan, volume=parts[2], key=parts[3], shard=shard, units=units,
-            hosts=hosts, time_left=self.time_left(headers.get("Req-Deadline-Ms", ""), kind),
-            write=request.method == "PUT", repeat=headers.get("Req-Retry") == "1", method=request.method,
-            target=target, idempotency_key=headers.get("Idempotency-Key"))
+            id=name,
+            request_class=kind,
+            plan=plan,
+            volume=parts[2],
+            key=parts[3],
+            shard=shard,
+            units=units,
+            hosts=hosts,
+            time_left=self.time_left(headers.get("Req-Deadline-Ms", ""), kind),
+            write=request.method == "PUT",
+            repeat=headers.get("Req-Retry") == "1",
+            method=request.method,
+            target=target,
+            idempotency_key=headers.get("Idempotency-Key"),
+        )
 
     def time_left(self, text: str, kind: int) -> timedelta:
         if not text.isascii() or not text.isdigit():
--- a/stoatrouter/fronts/wiring.py
+++ b/stoatrouter/fronts/wiring.py
@@ -27,13 +27,16 @@
     """The table of the object front; raises ConfigError."""
     assert objects.rules is not None
     plans = [plan.name for plan in conf.settings.plans]
-    buckets = {name: Bucket(bucket.volume, plans[bucket.plan] if bucket.plan >= 0 else None)
-               for name, bucket in objects.buckets.items()}
+    buckets = {
+        name: Bucket(bucket.volume, plans[bucket.plan] if bucket.plan >= 0 else None)
+        for name, bucket in objects.buckets.items()
+    }
     return service(conf, tables(conf, objects.rules, OBJECTS, buckets), None)
 
 
-def tables(conf: Config, path: Path, environment: Environment = HTTP,
-           buckets: dict[str, Bucket] | None = None) -> Tables:
+def tables(
+    conf: Config, path: Path, environment: Environment = HTTP, buckets: dict[str, Bucket] | None = None
+) -> Tables:
     return Tables(path, vocabulary(conf), environment, buckets)
 
 
--- a/stoatrouter/head.py
+++ b/stoatrouter/head.py
@@ -52,21 +52,41 @@
 class Head:
     """The parts of one head, put together."""
 
-    def __init__(self, conf: config.Config, objects: ObjectSettings | None = None,
-                 http: HttpSettings | None = None, heads: HeadsSettings | None = None) -> None:
+    def __init__(
+        self,
+        conf: config.Config,
+        objects: ObjectSettings | None = None,
+        http: HttpSettings | None = None,
+        heads: HeadsSettings | None = None,
+    ) -> None:
         self.conf, self.object_settings, self.http_settings = conf, objects, http
         self.tables: list[TableService] = []
         self.recorder = None
         budget = share_out(conf.sockets)
-        nodes = NodeClient(conf.connect_timeout, conf.conn_idle, budget.nodes,
-                           span(min(c.aim for c in conf.settings.classes)))
-        self.engine = Engine(Reducer(conf.settings, conf.seed, conf.max_open), Clock(), nodes,
-                             Keep(conf.folder))
-        self.watch = Watch(conf.discovery, conf.known, self.engine.told,
-                           self.engine.reducer.tally.add, not conf.settings.list_on_request,
-                           list_times(not conf.settings.list_on_request, conf.drain_grace), conf.zones)
-        self.clients = ClientTable(budget.clients, int(conf.sockets * IDLE_SHARE),
-                         int(conf.sockets * BUSY_SHARE), busy_pressed(conf.sockets))
+        nodes = NodeClient(
+            conf.connect_timeout,
+            conf.conn_idle,
+            budget.nodes,
+            span(min(c.aim for c in conf.settings.classes)),
+        )
+        self.engine = Engine(
+            Reducer(conf.settings, conf.seed, conf.max_open), Clock(), nodes, Keep(conf.folder)
+        )
+        self.watch = Watch(
+            conf.discovery,
+            conf.known,
+            self.engine.told,
+            self.engine.reducer.tally.add,
+            not conf.settings.list_on_request,
+            list_times(not conf.settings.list_on_request, conf.drain_grace),
+            conf.zones,
+        )
+        self.clients = ClientTable(
+            budget.clients,
+            int(conf.sockets * IDLE_SHARE),
+            int(conf.sockets * BUSY_SHARE),
+            busy_pressed(conf.sockets),
+        )
         self.drain = Drain(self.clients)
         self.room = Room(max(SMALL, conf.memory_mb * 1_000_000 - BASE), conf.folder)
         front = PlatformFront(self.engine, conf.settings, self.drain, self.room)
@@ -87,8 +107,9 @@
             self.open_heads(heads, started_with)
         # a table of its own: however many clients come, operators are heard
         self.management_clients = ClientTable(MOST_CALLERS, MOST_CALLERS, MOST_CALLERS)
-        self.generations = Generations(self.engine, self.watch, self.clients, self.drain, conf.folder,
-                                       self.rest, self.accept)
+        self.generations = Generations(
+            self.engine, self.watch, self.clients, self.drain, conf.folder, self.rest, self.accept
+        )
         self.serving = False
         calls = Management(self.engine, self.drain, self.ready, self.heads.call if self.heads else None)
         self.management = Listener(calls.handle, Drain(self.management_clients))
@@ -105,10 +126,12 @@
 
             service = object_tables(self.conf, objects)
             self.tables.append(service)
-            choose = Chooser(service.matcher, self.conf.settings, self.engine.clock.now,
-                             self.engine.reducer.advice)
-        self.object_front = ObjectFront(self.engine.serve_whole, self.conf.settings, objects, self.drain,
-                                        choose)
+            choose = Chooser(
+                service.matcher, self.conf.settings, self.engine.clock.now, self.engine.reducer.advice
+            )
+        self.object_front = ObjectFront(
+            self.engine.serve_whole, self.conf.settings, objects, self.drain, choose
+        )
         self.objects = Listener(self.object_front.handle, self.drain)
 
     def open_http(self, http: HttpSettings) -> None:
@@ -118,8 +141,15 @@
         service = self.http_tables = http_tables(self.conf, http)
         self.tables.append(service)
         self.recorder = recorder(http)
-        self.http_front = HttpFront(self.engine, self.conf.settings, self.drain, self.room, service.matcher,
-                                    self.recorder, http.forwarded)
+        self.http_front = HttpFront(
+            self.engine,
+            self.conf.settings,
+            self.drain,
+            self.room,
+            service.matcher,
+            self.recorder,
+            http.forwarded,
+        )
         self.http = Listener(self.http_front.handle, self.drain)
 
     def open_heads(self, settings: HeadsSettings, started_with: int) -> None:
@@ -152,15 +182,18 @@
         await self.accept()
         announcement.end()
         await self.generations.listen()
-        self.background += [loop.create_task(self.clients.keep_swept()),
-                            loop.create_task(self.generations.follow()),
-                            loop.create_task(self.management_clients.keep_swept()),
-                            loop.create_task(watch_loop(self.engine, self.clients, LAG_EVERY, LAG_LIMIT)),
-                            *(loop.create_task(service.keep_told()) for service in self.tables)]
+        self.background += [
+            loop.create_task(self.clients.keep_swept()),
+            loop.create_task(self.generations.follow()),
+            loop.create_task(self.management_clients.keep_swept()),
+            loop.create_task(watch_loop(self.engine, self.clients, LAG_EVERY, LAG_LIMIT)),
+            *(loop.create_task(service.keep_told()) for service in self.tables),
+        ]
         if self.recorder is not None:
             self.background.append(loop.create_task(self.recorder.run()))
-        logger.info("start: {name} listens on {address}", event="start", name=self.conf.name,
-                    address=self.conf.listen)
+        logger.info(
+            "start: {name} listens on {address}", event="start", name=self.conf.name, address=self.conf.listen
+        )
 
     async def accept(self) -> None:
         """Accept clients at both fronts."""
@@ -186,16 +219,24 @@
             conf = config.reload(environ)
         except config.ConfigError as error:
             # Guards a serving head against a file that is half written or wrong.
-            logger.error("reload: the configuration in force stays: {error}", event="reload.refused",
-                         error=str(error))
+            logger.error(
+                "reload: the configuration in force stays: {error}", event="reload.refused", error=str(error)
+            )
             return
         fixed = ("name", "listen", "settings", "sockets", "memory_mb", "conn_idle", "max_open")
         later = [name for name in fixed if getattr(conf, name) != getattr(self.conf, name)]
         if later:
-            logger.warning("reload: changes of {fields} wait for the next start", event="reload.later",
-                           fields=", ".join(later))
-        logger.info("reload: discovery at {address}, was {before}", event="reload.taken",
-                    address=conf.discovery, before=self.watch.address)
+            logger.warning(
+                "reload: changes of {fields} wait for the next start",
+                event="reload.later",
+                fields=", ".join(later),
+            )
+        logger.info(
+            "reload: discovery at {address}, was {before}",
+            event="reload.taken",
+            address=conf.discovery,
+            before=self.watch.address,
+        )
         self.watch.move(conf.discovery)
 
     async def stop(self) -> None:
--- a/stoatrouter/history/activation.py
+++ b/stoatrouter/history/activation.py
@@ -21,8 +21,14 @@
     why: str = ""  # with the place of the error
 
 
-def decide(number: int, said: Mapping[str, Checked], live: Iterable[str], waited: timedelta,
-           within: timedelta, keep: int) -> Activate | Abandon | None:
+def decide(
+    number: int,
+    said: Mapping[str, Checked],
+    live: Iterable[str],
+    waited: timedelta,
+    within: timedelta,
+    keep: int,
+) -> Activate | Abandon | None:
     """Put it in force, abandon it, or wait on."""
     for head in sorted(said):
         if not said[head].ok:
--- a/stoatrouter/history/kept.py
+++ b/stoatrouter/history/kept.py
@@ -29,8 +29,8 @@
     """Raises Unreadable."""
     if not data.startswith(MAGIC):
         raise Unreadable("it does not begin as a kept version does")
-    body = data[len(MAGIC) + SUM:]
-    if hashlib.blake2b(body, digest_size=SUM).digest() != data[len(MAGIC):len(MAGIC) + SUM]:
+    body = data[len(MAGIC) + SUM :]
+    if hashlib.blake2b(body, digest_size=SUM).digest() != data[len(MAGIC) : len(MAGIC) + SUM]:
         raise Unreadable("it does not match its checksum")
     try:
         return msgspec.msgpack.decode(body, type=Kept)
--- a/stoatrouter/history/register.py
+++ b/stoatrouter/history/register.py
@@ -53,8 +53,16 @@
         return msgspec.msgpack.encode(answer)
 
     def state(self) -> bytes:
-        return msgspec.msgpack.encode(Held(self.versions, self.contents, self.pending,
-                                           list(self.ended.values()), self.numbers, self.dropped))
+        return msgspec.msgpack.encode(
+            Held(
+                self.versions,
+                self.contents,
+                self.pending,
+                list(self.ended.values()),
+                self.numbers,
+                self.dropped,
+            )
+        )
 
     def restore(self, state: bytes) -> None:
         held = msgspec.msgpack.decode(state, type=Held) if state else Held([], {}, None, [], 0, 0)
@@ -104,12 +112,13 @@
         at = next((i for i, v in enumerate(self.versions) if v.number == undo.version), None)
         if at is None:
             return self._refuse(f"version {undo.version} is not in the history{self._oldest()}")
-        if since := self.versions[at + 1:]:
+        if since := self.versions[at + 1 :]:
             names = ", ".join(f"{v.number} by {v.author}" for v in since)
             return self._refuse(f"others have edited since: {names}; name the version to return to")
         if at == 0:
-            return self._refuse(f"what was in force before version {undo.version} is not in the "
-                                f"history{self._oldest()}")
+            return self._refuse(
+                f"what was in force before version {undo.version} is not in the history{self._oldest()}"
+            )
         before = self.versions[at - 1]
         return self._propose("undo", undo, before.digest, self.newest, undo.version, before.number)
 
@@ -127,11 +136,22 @@
     def _oldest(self) -> str:
         return f" (it begins with {self.versions[0].number})" if self.versions else " (it is empty)"
 
-    def _propose(self, kind: str, asked: Edit | Undo, digest: str, base: int, undoes: int,
-                 restores: int) -> Answer:
+    def _propose(
+        self, kind: str, asked: Edit | Undo, digest: str, base: int, undoes: int, restores: int
+    ) -> Answer:
         self.numbers += 1
-        self.pending = Version(self.numbers, kind, asked.id, digest, base, undoes, restores, asked.author,
-                               asked.reason, asked.when)
+        self.pending = Version(
+            self.numbers,
+            kind,
+            asked.id,
+            digest,
+            base,
+            undoes,
+            restores,
+            asked.author,
+            asked.reason,
+            asked.when,
+        )
         return Answer(True, self.numbers, newest=self.newest)
 
     def _take_back(self, undo: Undo) -> Answer:
@@ -140,8 +160,18 @@
         assert pending is not None
         self._end(pending, f"taken back by {undo.author}: {undo.reason}")
         self.numbers += 1
-        asked = Version(self.numbers, "undo", undo.id, "", self.newest, pending.number, self.newest,
-                        undo.author, undo.reason, undo.when)
+        asked = Version(
+            self.numbers,
+            "undo",
+            undo.id,
+            "",
+            self.newest,
+            pending.number,
+            self.newest,
+            undo.author,
+            undo.reason,
+            undo.when,
+        )
         self._tell(Ended(asked, f"version {pending.number} was taken back before it was in force"))
         return Answer(True, self.numbers, newest=self.newest)
 
--- a/stoatrouter/importer/apache.py
+++ b/stoatrouter/importer/apache.py
@@ -54,8 +54,13 @@
             continue
         whole, held = (held + line).strip(), ""
         if whole and not whole.startswith("#"):
-            yield began, [re.sub(r"\\(.)", r"\1", quoted) if quoted or not bare else bare
-                          for quoted, bare in WORD.findall(whole)]
+            yield (
+                began,
+                [
+                    re.sub(r"\\(.)", r"\1", quoted) if quoted or not bare else bare
+                    for quoted, bare in WORD.findall(whole)
+                ],
+            )
 
 
 def substitute(word: str, variables: dict[str, str], where: str) -> str:
@@ -63,6 +68,7 @@
         if match[1] not in variables:
             raise ImportFailed(f"{where}: ${{{match[1]}}} is not defined in this file")
         return variables[match[1]]
+
     return VARIABLE.sub(value, word)
 
 
@@ -86,9 +92,12 @@
     flags = read_status(fields.get("status", ""), where)
     if flags & {"R", "H"}:
         found.note(f"{where}: {name} is a spare or standby: it holds a shard of its own and gets nothing")
-    members = found.balancers.setdefault(balancer[len(BALANCER):].rstrip("/"), [])
-    members.append(Member(name, scheme, host, port, read_weight(fields.get("loadfactor", "1"), where),
-                          not flags & RESTING))
+    members = found.balancers.setdefault(balancer[len(BALANCER) :].rstrip("/"), [])
+    members.append(
+        Member(
+            name, scheme, host, port, read_weight(fields.get("loadfactor", "1"), where), not flags & RESTING
+        )
+    )
 
 
 def read_url(url: str, where: str) -> tuple[str, str, int]:
--- a/stoatrouter/importer/jk.py
+++ b/stoatrouter/importer/jk.py
@@ -8,8 +8,20 @@
 
 VARIABLE = re.compile(r"\$\(([^)]+)\)")
 ADDITIVE = {"balance_workers", "balanced_workers", "list"}  # further lines add to these
-CARRIED = {"type", "host", "port", "lbfactor", "activation", "disabled", "stopped", "route", "jvm_route",
-           "reference", "balance_workers", "balanced_workers"}
+CARRIED = {
+    "type",
+    "host",
+    "port",
+    "lbfactor",
+    "activation",
+    "disabled",
+    "stopped",
+    "route",
+    "jvm_route",
+    "reference",
+    "balance_workers",
+    "balanced_workers",
+}
 MOST_REFERENCES = 20  # as mod_jk has it
 TRUE = {"true", "1", "on", "yes", "t", "y"}
 NODE_TYPES = {"ajp13", "ajp14"}
@@ -89,8 +101,14 @@
     host, port = workers.get(name, "host") or "localhost", workers.get(name, "port") or "8009"
     route = workers.get(name, "route") or workers.get(name, "jvm_route") or name
     note_others(found, workers, name)
-    return Member(route, "ajp", host.strip("[]"), read_port(port, where),
-                  read_weight(workers.get(name, "lbfactor") or "1", where), is_active(workers, name, where))
+    return Member(
+        route,
+        "ajp",
+        host.strip("[]"),
+        read_port(port, where),
+        read_weight(workers.get(name, "lbfactor") or "1", where),
+        is_active(workers, name, where),
+    )
 
 
 def is_active(workers: Workers, name: str, where: str) -> bool:
--- a/stoatrouter/importer/members.py
+++ b/stoatrouter/importer/members.py
@@ -54,10 +54,18 @@
         if m.name in seen:
             raise ImportFailed(f"two members are called {m.name!r}")
         seen.add(m.name)
-        entries.append({
-            "instanceId": m.name, "hostPort": f"{host_of(m)}:{port_of(m, http_port)}", "zone": "a",
-            "machineType": "imported", "cell": cell, "lifecycle": "SERVING" if m.serving else "DRAINING",
-            "weight": m.weight, "startedAtMs": 0})
+        entries.append(
+            {
+                "instanceId": m.name,
+                "hostPort": f"{host_of(m)}:{port_of(m, http_port)}",
+                "zone": "a",
+                "machineType": "imported",
+                "cell": cell,
+                "lifecycle": "SERVING" if m.serving else "DRAINING",
+                "weight": m.weight,
+                "startedAtMs": 0,
+            }
+        )
     return {"generation": 0, "reset": True, "instances": entries}
 
 
@@ -71,9 +79,12 @@
         return member.port
     if member.scheme == "ajp" and http_port is not None:
         return http_port
-    raise ImportFailed(f"{member.name!r} is reached by {member.scheme}; a head speaks plain HTTP: "
-                       "give its port with --http-port" if member.scheme == "ajp" else
-                       f"{member.name!r} is reached by {member.scheme}; a head speaks plain HTTP only")
+    raise ImportFailed(
+        f"{member.name!r} is reached by {member.scheme}; a head speaks plain HTTP: "
+        "give its port with --http-port"
+        if member.scheme == "ajp"
+        else f"{member.name!r} is reached by {member.scheme}; a head speaks plain HTTP only"
+    )
 
 
 def read_port(text: str, where: str) -> int:
--- a/stoatrouter/lab/fleet/credit.py
+++ b/stoatrouter/lab/fleet/credit.py
@@ -116,8 +116,11 @@
     def expire(self) -> None:
         now = self.world.clock(ACCOUNT)
         self.seen = {id: self.seen.get(id, now) for id in self.ledger.places}
-        over = tuple(id for id, since in self.seen.items()
-                     if since + LEASE * 1.05 < now and not self.ledger.allotment(id).expired)
+        over = tuple(
+            id
+            for id, since in self.seen.items()
+            if since + LEASE * 1.05 < now and not self.ledger.allotment(id).expired
+        )
         if over:
             self.apply(Expired(over), f"expired{self.index}")
         self.world.at(LEASE / 4, self.expire)
@@ -133,6 +136,7 @@
         def arrive() -> None:
             self.apply(Book(id, customer, amount, "top-up", "x", "y", "z"), call)
             self.world.send(ACCOUNT, via, lambda: self.acknowledged.add(id))
+
         self.world.send(via, ACCOUNT, arrive)
         self.world.at(AGAIN, lambda: self.top_up(customer, amount, id))
 
@@ -167,13 +171,19 @@
         here, now = self.heads[name], self.world.clock(name)
         if here.saying is None:
             if not here.begun:
-                self.say(name, Begin(name, here.identity, here.over, self.next(here), tuple(here.disk.spent)),
-                         lambda answer: self.begun(name, answer))
+                self.say(
+                    name,
+                    Begin(name, here.identity, here.over, self.next(here), tuple(here.disk.spent)),
+                    lambda answer: self.begun(name, answer),
+                )
             else:
                 turns = here.holder.turns(now)
                 if turns:
-                    self.say(name, Turns(name, here.identity, self.next(here), tuple(turns)),
-                             lambda answer: self.granted(name, turns, answer, now))
+                    self.say(
+                        name,
+                        Turns(name, here.identity, self.next(here), tuple(turns)),
+                        lambda answer: self.granted(name, turns, answer, now),
+                    )
         self.world.on(name, timedelta(milliseconds=50), lambda: self.tick(name))
 
     @staticmethod
@@ -197,6 +207,7 @@
             for id in before:
                 here.disk.end(id)
             here.begun, here.before = True, {}
+
         self.say(name, Turns(name, here.identity, self.next(here), (turn,)), settled)
 
     def say(self, name: str, command: Turns | Begin, answered: Callable[[bytes], None]) -> None:
@@ -222,6 +233,7 @@
             if self.heads[name] is here and here.saying == command.number:
                 here.saying = None
                 answered(answer)
+
         send()
 
     def granted(self, name: str, turns: list[Turn], answer: bytes, asked_at: timedelta) -> None:
@@ -230,7 +242,7 @@
         for turn, grant in zip(turns, grants, strict=False):
             here.holder.granted(turn, grant, asked_at, now)
             here.asked_at[grant.allotment] = asked_at
-        for turn in turns[len(grants):]:
+        for turn in turns[len(grants) :]:
             here.holder.unanswered(turn)
             here.begun, here.over = False, here.identity
 
@@ -255,6 +267,7 @@
 
         def attempt() -> None:
             self.end(name, here, id, customer, charge, sent)
+
         world.on(name, timedelta(seconds=world.draws.uniform(0.01, 0.4)), attempt)
 
     def end(self, name: str, here: Here, id: str, customer: str, charge: int, sent: bool) -> None:
@@ -285,8 +298,11 @@
             names = self.names
             # uneven: a customer comes through one head above all, and which one that is changes every 5 s
             turn = int(self.world.now / timedelta(seconds=5)) + customer
-            name = names[(int(len(names) * draws.random() ** 4) + turn) % len(names)] if self.uneven else \
-                draws.choice(names)
+            name = (
+                names[(int(len(names) * draws.random() ** 4) + turn) % len(names)]
+                if self.uneven
+                else draws.choice(names)
+            )
             self.request(name, f"c{customer}", draws.randint(1, 9), draws.randrange(3))
         self.world.at(every * draws.uniform(0.2, 1.8), lambda: self.load(until, every))
 
--- a/stoatrouter/lab/fleet/detectors.py
+++ b/stoatrouter/lab/fleet/detectors.py
@@ -36,8 +36,9 @@
 
     def boot(self, name: str, incarnation: int) -> None:
         peers = tuple(other for other in self.world.names if other != name)
-        self.detectors[name] = self.make(name, incarnation, peers,
-                                         self.world.seed * 7 + self.world.machines[name].life, self.timing)
+        self.detectors[name] = self.make(
+            name, incarnation, peers, self.world.seed * 7 + self.world.machines[name].life, self.timing
+        )
         self.world.on(name, self.timing.period * self.world.draws.random(), lambda: self.tick(name))
 
     def tick(self, name: str) -> None:
@@ -51,8 +52,14 @@
                     data = encode(effect.message, SECRET, "fleet")
                     self.largest = max(self.largest, len(data))
                     self.world.note(f"{name}>{effect.address} {len(data)}")
-                    self.world.send(name, effect.address, lambda a=effect.address, d=data: self.put(
-                        a, Heard(self.world.clock(a), name, decode(d, SECRET, "fleet"))), len(data))
+                    self.world.send(
+                        name,
+                        effect.address,
+                        lambda a=effect.address, d=data: self.put(
+                            a, Heard(self.world.clock(a), name, decode(d, SECRET, "fleet"))
+                        ),
+                        len(data),
+                    )
                 case Changed():
                     so = effect.name in self.down_since
                     self.changes.append((self.world.now, name, effect.name, effect.status, so))
@@ -73,19 +80,27 @@
     # -- what is measured and promised --------------------------------------------------------------------
     def views(self, of: str) -> set[Status | None]:
         """How those that are up see a head."""
-        return {d.roster.status(of) for n, d in self.detectors.items()
-                if self.world.machines[n].up and n != of}
+        return {
+            d.roster.status(of) for n, d in self.detectors.items() if self.world.machines[n].up and n != of
+        }
 
     def complete(self) -> bool:
         """Each head that is down is seen as gone by all that are up, each that is up as alive."""
         return all(
             views <= {Status.FAILED, Status.LEFT, None} if n in self.down_since else views == {Status.ALIVE}
-            for n in self.world.names if (views := self.views(n)))
+            for n in self.world.names
+            if (views := self.views(n))
+        )
 
     def false_failures(self) -> int:
         """Heads that were up and taken for failed, counted by who did first."""
-        return len({(of, at // timedelta(seconds=30)) for at, _, of, status, so in self.changes
-                    if status is Status.FAILED and not so})
+        return len(
+            {
+                (of, at // timedelta(seconds=30))
+                for at, _, of, status, so in self.changes
+                if status is Status.FAILED and not so
+            }
+        )
 
     def suspicions(self) -> int:
         return sum(status is Status.SUSPECT and not so for _, _, _, status, so in self.changes)
--- a/stoatrouter/lab/fleet/exhaustive.py
+++ b/stoatrouter/lab/fleet/exhaustive.py
@@ -61,10 +61,24 @@
         voters = []
         for here in self.here:
             raft = here.raft
-            voters.append((raft.term, raft.voted, raft.role, raft.leader, raft.commit, raft.applied,
-                           raft.durable, tuple(raft.writes.values()), tuple(sorted(raft.votes)),
-                           tuple((p.next, p.match, p.round) for p in raft.peers.values()), raft.round,
-                           raft.log.entries, here.disk, [(d.write, d.then) for d in here.pending]))
+            voters.append(
+                (
+                    raft.term,
+                    raft.voted,
+                    raft.role,
+                    raft.leader,
+                    raft.commit,
+                    raft.applied,
+                    raft.durable,
+                    tuple(raft.writes.values()),
+                    tuple(sorted(raft.votes)),
+                    tuple((p.next, p.match, p.round) for p in raft.peers.values()),
+                    raft.round,
+                    raft.log.entries,
+                    here.disk,
+                    [(d.write, d.then) for d in here.pending],
+                )
+            )
         between = sorted(pickle.dumps(m) for m in self.between)
         return pickle.dumps((voters, between, self.crashes, self.proposals, sorted(self.leaders.items())))
 
@@ -137,8 +151,9 @@
             self.between.append((i, to, send.message))
 
 
-def search(voters: int, depth: int, make: Callable[..., Raft] = Raft, crashes: int = 1,
-           most: int = 1 << 62) -> tuple[int, int]:
+def search(
+    voters: int, depth: int, make: Callable[..., Raft] = Raft, crashes: int = 1, most: int = 1 << 62
+) -> tuple[int, int]:
     """All states up to a depth, breadth first: how many there were, and the depth that was done. Raises
     Broken."""
     everybody = tuple(Voter(f"h{i}", f"h{i}/0") for i in range(voters))
--- a/stoatrouter/lab/fleet/faults.py
+++ b/stoatrouter/lab/fleet/faults.py
@@ -21,15 +21,23 @@
     amount: float = 0.0
 
     def __str__(self) -> str:
-        return (f"{self.at.total_seconds():.3f} {self.what} {','.join(self.whom)} "
-                f"for {self.span.total_seconds():.3f} ({self.amount:.2f})")
+        return (
+            f"{self.at.total_seconds():.3f} {self.what} {','.join(self.whom)} "
+            f"for {self.span.total_seconds():.3f} ({self.amount:.2f})"
+        )
 
 
 KINDS = ("split", "one_way", "loss", "delay", "twice", "pause", "kill", "kill", "wipe")
 
 
-def draw(seed: int, names: list[str], until: timedelta, kinds: tuple[str, ...] = KINDS,
-         every: timedelta = timedelta(seconds=1.5), most: timedelta = timedelta(seconds=9)) -> list[Fault]:
+def draw(
+    seed: int,
+    names: list[str],
+    until: timedelta,
+    kinds: tuple[str, ...] = KINDS,
+    every: timedelta = timedelta(seconds=1.5),
+    most: timedelta = timedelta(seconds=9),
+) -> list[Fault]:
     """Faults that overlap, some in one instant, all over by `until`."""
     draws = random.Random(f"faults/{seed}")
     faults, at = [], timedelta(seconds=draws.uniform(0.5, 3))
@@ -44,22 +52,27 @@
     return faults
 
 
-def play(world: World, faults: list[Fault], kill: Callable[[str, bool], None],
-         start: Callable[[str], None]) -> None:
+def play(
+    world: World, faults: list[Fault], kill: Callable[[str, bool], None], start: Callable[[str], None]
+) -> None:
     """Put a script on a world's clock. `kill` takes a name and whether its disk goes too."""
     for fault in faults:
         world.at(fault.at - world.now, lambda fault=fault: strike(world, fault, kill, start))
 
 
-def strike(world: World, fault: Fault, kill: Callable[[str, bool], None],
-           start: Callable[[str], None]) -> None:
+def strike(
+    world: World, fault: Fault, kill: Callable[[str, bool], None], start: Callable[[str], None]
+) -> None:
     world.note(str(fault))
     whom = set(fault.whom)
     links = [link for (a, b), link in world.links.items() if (a in whom) != (b in whom)]
     match fault.what:
         case "split" | "one_way":
-            chosen = links if fault.what == "split" else [
-                link for (a, b), link in world.links.items() if a in whom and b not in whom]
+            chosen = (
+                links
+                if fault.what == "split"
+                else [link for (a, b), link in world.links.items() if a in whom and b not in whom]
+            )
             for link in chosen:
                 link.cut = True
             world.at(fault.span, lambda: [setattr(link, "cut", False) for link in chosen])
--- a/stoatrouter/lab/fleet/stories.py
+++ b/stoatrouter/lab/fleet/stories.py
@@ -28,8 +28,13 @@
     changes: int
 
 
-def agreement(seed: int, heads: int = 5, make: Callable[..., Raft] = Raft, span: timedelta = 20 * SECOND,
-              script: list[faults.Fault] | None = None) -> Told:
+def agreement(
+    seed: int,
+    heads: int = 5,
+    make: Callable[..., Raft] = Raft,
+    span: timedelta = 20 * SECOND,
+    script: list[faults.Fault] | None = None,
+) -> Told:
     """Agreement under faults. Raises Broken (or AssertionError, the program's own) where a promise is not
     kept."""
     names = [f"h{i}" for i in range(heads)]
@@ -67,7 +72,7 @@
             done.append((at, value))
         elif what == "read" and value is not None:
             reads += 1
-            if list(value) != final[:len(value)]:
+            if list(value) != final[: len(value)]:
                 raise Broken(f"a read at {at} shows values in another order than the log's")
             missing = [v for when, v in done if when < asked[who] and v not in value]
             if missing:
@@ -75,8 +80,9 @@
     return reads
 
 
-def credit(seed: int, heads: int = 5, span: timedelta = 20 * SECOND, wipes: bool = True,
-           **how: object) -> CreditFleet:
+def credit(
+    seed: int, heads: int = 5, span: timedelta = 20 * SECOND, wipes: bool = True, **how: object
+) -> CreditFleet:
     """Credit under faults, a little of it: accounts run empty again and again. Raises Broken."""
     names = [*(f"h{i}" for i in range(heads)), ACCOUNT]
     world = World(seed, names)
--- a/stoatrouter/lab/fleet/voters.py
+++ b/stoatrouter/lab/fleet/voters.py
@@ -98,16 +98,21 @@
 
     def __post_init__(self) -> None:
         names = self.world.names
-        firsts = tuple(Voter(name, f"{name}/0") for name in names[:self.voters])
+        firsts = tuple(Voter(name, f"{name}/0") for name in names[: self.voters])
         founded = Founded(firsts[0].identity, firsts)
         for name in names:
-            disk = Disk(0, None, founded.snapshot()) if name in names[:self.voters] else Disk()
+            disk = Disk(0, None, founded.snapshot()) if name in names[: self.voters] else Disk()
             self.boot(name, Voter(name, f"{name}/0"), disk)
 
     # -- machines -----------------------------------------------------------------------------------------
     def boot(self, name: str, voter: Voter, disk: Disk) -> None:
-        raft = self.make(voter, disk, self.world.seed * 1000 + self.world.machines[name].life,
-                         self.timing, now=self.world.clock(name))
+        raft = self.make(
+            voter,
+            disk,
+            self.world.seed * 1000 + self.world.machines[name].life,
+            self.timing,
+            now=self.world.clock(name),
+        )
         head = self.heads[name] = Head(voter, raft, disk, index=disk.snapshot.index)
         head.values = restored(disk.snapshot.state)
         self.world.on(name, TICK * self.world.draws.random(), lambda: self.tick(name))
@@ -192,6 +197,7 @@
             there = self.heads[to.name]
             if there.voter == to:  # one of an earlier life may well arrive: promises hold all the same
                 self.put(to.name, Received(self.world.clock(to.name), sender, effect.message))
+
         self.world.send(name, to.name, arrive)
 
     def wrote(self, name: str, head: Head) -> None:
@@ -269,9 +275,13 @@
                 voters = head.raft.voters
                 here = {h.voter for h in self.heads.values()}
                 gone = [v for v in voters if v not in here]
-                others = [h.voter for n, h in self.heads.items()
-                          if h.voter not in voters and h.index + 50 > head.index and n not in
-                          {v.name for v in voters}]
+                others = [
+                    h.voter
+                    for n, h in self.heads.items()
+                    if h.voter not in voters
+                    and h.index + 50 > head.index
+                    and n not in {v.name for v in voters}
+                ]
                 if gone:
                     after = tuple(v for v in voters if v != gone[0])
                 elif others and len(voters) < 5:
@@ -291,12 +301,15 @@
         longest = max(up, key=lambda h: h.index)
         for head in up:
             if head.values != longest.values:
-                raise Broken(f"{head.voter.name} differs after the faults: {len(head.values)} values, "
-                             f"{longest.voter.name} has {len(longest.values)}")
+                raise Broken(
+                    f"{head.voter.name} differs after the faults: {len(head.values)} values, "
+                    f"{longest.voter.name} has {len(longest.values)}"
+                )
         for value, index in self.acknowledged.items():
             if longest.values.count(value) != 1:
-                raise Broken(f"{value!r}, acknowledged at {index}, is there "
-                             f"{longest.values.count(value)} times")
+                raise Broken(
+                    f"{value!r}, acknowledged at {index}, is there {longest.values.count(value)} times"
+                )
         if not any(h.raft.leads for h in up):
             raise Broken("nobody leads after the faults")
 
--- a/stoatrouter/lab/fleet/world.py
+++ b/stoatrouter/lab/fleet/world.py
@@ -83,6 +83,7 @@
             if machine.paused_until > self.now:
                 return self.on(name, machine.paused_until - self.now, what)
             what()
+
         self.at(after, run)
 
     def send(self, a: str, b: str, what: Callable[[], None], size: int = 0) -> None:
@@ -127,7 +128,7 @@
     # -- faults -------------------------------------------------------------------------------------------
     def split(self, *sides: list[str], both: bool = True) -> None:
         for i, side in enumerate(sides):
-            for other in sides[i + 1:]:
+            for other in sides[i + 1 :]:
                 for a in side:
                     for b in other:
                         self.links[a, b].cut = True
--- a/stoatrouter/lab/histories/judge.py
+++ b/stoatrouter/lab/histories/judge.py
@@ -45,8 +45,15 @@
 
 def judge(history: History) -> list[str]:
     """All that is broken; nothing where all promises are kept."""
-    return [*one_leader(history), *versions_go_up(history), *credit(history), *entries(history),
-            *register(history), *contents(history), *detector(history)]
+    return [
+        *one_leader(history),
+        *versions_go_up(history),
+        *credit(history),
+        *entries(history),
+        *register(history),
+        *contents(history),
+        *detector(history),
+    ]
 
 
 def one_leader(history: History) -> list[str]:
@@ -101,8 +108,9 @@
             most[customer] += charge
     wrong += [f"request {id} is in the history {n} times" for id, n in seen.items() if n > 1]
     for customer, charges in served.items():
-        moments = sorted([(at, 1, -amount) for at, amount in charges]
-                         + [(at, 0, amount) for at, amount in paid[customer]])
+        moments = sorted(
+            [(at, 1, -amount) for at, amount in charges] + [(at, 0, amount) for at, amount in paid[customer]]
+        )
         left = 0
         for at, _, amount in moments:
             left += amount
@@ -115,8 +123,10 @@
         if line["balance"] != line["paid"] - line["charged"]:
             wrong.append(f"{customer}: balance {line['balance']} of {line['paid']} less {line['charged']}")
         if not least[customer] <= line["charged"] <= most[customer] + lost:
-            wrong.append(f"{customer}: charged {line['charged']}, clients say {least[customer]} to "
-                         f"{most[customer]}, and {lost} may be lost")
+            wrong.append(
+                f"{customer}: charged {line['charged']}, clients say {least[customer]} to "
+                f"{most[customer]}, and {lost} may be lost"
+            )
     return wrong
 
 
@@ -128,8 +138,10 @@
         sure = {p["id"]: p["amount"] for p in pays if p["status"] == 200}
         perhaps = {p["id"]: p["amount"] for p in pays}
         if not sum(sure.values()) <= line["paid"] <= sum(perhaps.values()):
-            wrong.append(f"{line['customer']}: {line['paid']} is booked, {sum(sure.values())} was "
-                         f"acknowledged and {sum(perhaps.values())} asked for")
+            wrong.append(
+                f"{line['customer']}: {line['paid']} is booked, {sum(sure.values())} was "
+                f"acknowledged and {sum(perhaps.values())} asked for"
+            )
     return wrong
 
 
@@ -138,8 +150,14 @@
     calls = []
     for line in history.of("register"):
         answer = tuple(line["answer"]) if line["answer"] is not None else None
-        calls.append(Call(line["at"], line["until"] if answer is not None else NEVER,
-                          Asked(line["kind"], line["id"], line["base"]), answer))
+        calls.append(
+            Call(
+                line["at"],
+                line["until"] if answer is not None else NEVER,
+                Asked(line["kind"], line["id"], line["base"]),
+                answer,
+            )
+        )
     if linearizable(calls, (0, ()), register_step):
         return []
     return [f"the history of {len(calls)} edits and reads has no order that a register allows"]
@@ -166,15 +184,22 @@
         if until - since < line["detect_within"]:
             continue
         for other in line["witnesses"]:
-            seen = [e for e in history.logs[other] if e["event"] == "heads.seen" and e["head"] == name
-                    and since <= e["at"] <= until]
+            seen = [
+                e
+                for e in history.logs[other]
+                if e["event"] == "heads.seen" and e["head"] == name and since <= e["at"] <= until
+            ]
             if not any(e["status"] in ("failed", "left") for e in seen):
                 wrong.append(f"{other} did not see within {until - since:.1f} s that {name} was down")
     for line in history.of("calm"):
         for other, log in history.logs.items():
-            wrong += [f"{other} took {e['head']} for failed in calm times" for e in log
-                      if e["event"] == "heads.seen" and e["status"] == "failed"
-                      and line["at"] <= e["at"] <= line["until"]]
+            wrong += [
+                f"{other} took {e['head']} for failed in calm times"
+                for e in log
+                if e["event"] == "heads.seen"
+                and e["status"] == "failed"
+                and line["at"] <= e["at"] <= line["until"]
+            ]
     return wrong
 
 
--- a/stoatrouter/management/calls.py
+++ b/stoatrouter/management/calls.py
@@ -25,8 +25,9 @@
 class Management:
     """Answers the operators' calls."""
 
-    def __init__(self, engine: Engine, drain: Drain, serving: Callable[[], bool],
-                 heads: HeadsCall | None = None) -> None:
+    def __init__(
+        self, engine: Engine, drain: Drain, serving: Callable[[], bool], heads: HeadsCall | None = None
+    ) -> None:
         self.engine, self.drain, self.serving, self.heads = engine, drain, serving, heads
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -91,12 +92,22 @@
 def lines(engine: Engine) -> list[str]:
     """All figures; each line is there from the start."""
     core = engine.reducer
-    told = [f"app.responses.{kind.name}.{end}:{counts[i]}|c"
-            for i, kind in enumerate(core.scheduler.settings.classes)
-            for end, counts in (("ok", core.figures.ok), ("shed", core.figures.shed),
-                                ("errors", core.figures.errors))]
-    return [*told, f"app.tries:{engine.nodes.pool.tries}|c", f"app.active:{core.figures.active}|g",
-            f"app.pool_size:{len(core.nodes)}|g", f"app.pool_ejected:{core.avoided}|g"]
+    told = [
+        f"app.responses.{kind.name}.{end}:{counts[i]}|c"
+        for i, kind in enumerate(core.scheduler.settings.classes)
+        for end, counts in (
+            ("ok", core.figures.ok),
+            ("shed", core.figures.shed),
+            ("errors", core.figures.errors),
+        )
+    ]
+    return [
+        *told,
+        f"app.tries:{engine.nodes.pool.tries}|c",
+        f"app.active:{core.figures.active}|g",
+        f"app.pool_size:{len(core.nodes)}|g",
+        f"app.pool_ejected:{core.avoided}|g",
+    ]
 
 
 async def read(request: web.BaseRequest) -> bytes | None:
--- a/stoatrouter/membership/datagram.py
+++ b/stoatrouter/membership/datagram.py
@@ -107,7 +107,7 @@
     at: int
 
     def take(self, count: int) -> bytes:
-        piece = self.data[self.at:self.at + count]
+        piece = self.data[self.at : self.at + count]
         if len(piece) < count:
             raise IndexError
         self.at += count
--- a/stoatrouter/membership/detector.py
+++ b/stoatrouter/membership/detector.py
@@ -220,13 +220,17 @@
     def _ask_others(self, probe: Probe) -> list[Effect]:
         if probe.name not in self.roster.addresses:
             return []
-        here = [n for n in self.roster.here(self.name, probe.name)
-                if self.roster.status(n) is Status.ALIVE]
+        here = [n for n in self.roster.here(self.name, probe.name) if self.roster.status(n) is Status.ALIVE]
         chosen = self.draws.sample(here, min(self.timing.others, len(here)))
         # and once more itself: at 20% loss that leaves 3 of 100 probes without an answer where 7 were
         again = self._send(self.roster.addresses[probe.name], Kind.PING, probe.number, told=probe.name)
-        return [again, *(self._send(self.roster.addresses[name], Kind.PING_FOR, probe.number, probe.name)
-                         for name in chosen)]
+        return [
+            again,
+            *(
+                self._send(self.roster.addresses[name], Kind.PING_FOR, probe.number, probe.name)
+                for name in chosen
+            ),
+        ]
 
     # -- messages -----------------------------------------------------------------------------------------
     def _heard(self, event: Heard) -> list[Effect]:
@@ -271,8 +275,11 @@
 
     def _acked(self, message: Datagram) -> list[Effect]:
         # an ack that another head passes on names whom it is about
-        if self.probe is not None and message.number == self.probe.number and \
-                self.probe.name in (message.sender, message.about):
+        if (
+            self.probe is not None
+            and message.number == self.probe.number
+            and self.probe.name in (message.sender, message.about)
+        ):
             self.probe.acked = True
         relayed = self.relayed.pop(message.number, None)
         if relayed is None:
@@ -310,8 +317,11 @@
 
     def _of_myself(self, news: News) -> list[Effect]:
         """Refute what is said of this head, unless it is what it says itself."""
-        if self.gone or news.incarnation < self.incarnation or (
-                news.status is Status.ALIVE and news.incarnation == self.incarnation):
+        if (
+            self.gone
+            or news.incarnation < self.incarnation
+            or (news.status is Status.ALIVE and news.incarnation == self.incarnation)
+        ):
             return []
         if news.status is not Status.ALIVE:
             self.doubt = min(self.timing.local_health, self.doubt + 1)
@@ -329,5 +339,10 @@
         self.rumours.add(self.myself)
         here = self.roster.here(self.name)
         chosen = self.draws.sample(here, min(2 * self.timing.others, len(here)))
-        return [SendTo(self.roster.addresses[n], Datagram(Kind.ACK, 0, self.name, self.incarnation, "",
-                                                          (self.myself,))) for n in chosen]
+        return [
+            SendTo(
+                self.roster.addresses[n],
+                Datagram(Kind.ACK, 0, self.name, self.incarnation, "", (self.myself,)),
+            )
+            for n in chosen
+        ]
--- a/stoatrouter/membership/follower.py
+++ b/stoatrouter/membership/follower.py
@@ -186,8 +186,9 @@
 class Follower:
     """One list followed. All of its state changes in `step`."""
 
-    def __init__(self, limits: Limits, seed: int, held: Mapping[str, Entry] | None = None,
-                 revision: int | None = None) -> None:
+    def __init__(
+        self, limits: Limits, seed: int, held: Mapping[str, Entry] | None = None, revision: int | None = None
+    ) -> None:
         self.limits, self.seed = limits, seed
         self.told: dict[str, Entry] = dict(held or {})  # what the core knows
         self.revision = revision  # up to which all has been told; None: nothing is held
--- a/stoatrouter/membership/roster.py
+++ b/stoatrouter/membership/roster.py
@@ -90,8 +90,11 @@
 
     def here(self, *but: str) -> list[str]:
         """Heads that take part and can be reached, by name."""
-        return sorted(n for n, news in self.held.items()
-                      if news.status <= Status.SUSPECT and n in self.addresses and n not in but)
+        return sorted(
+            n
+            for n, news in self.held.items()
+            if news.status <= Status.SUSPECT and n in self.addresses and n not in but
+        )
 
     def count(self) -> int:
         """Heads that take part, this one with them."""
--- a/stoatrouter/net/bodies.py
+++ b/stoatrouter/net/bodies.py
@@ -103,7 +103,7 @@
         view = memoryview(data)
         try:
             while view:
-                view = view[self.file.write(view):]
+                view = view[self.file.write(view) :]
         except OSError as error:  # guards against a folder that is full
             raise NoRoom from error
         self.size += len(data)
@@ -203,7 +203,7 @@
         size, data = len(self.first), self.first
         while data:
             for at in range(0, len(data), PIECE):
-                yield data[at:at + PIECE]
+                yield data[at : at + PIECE]
             data = await self.next()
             size += len(data)
             if size > LARGEST:  # guards clients against an answer without end
--- a/stoatrouter/net/clients.py
+++ b/stoatrouter/net/clients.py
@@ -95,8 +95,15 @@
             silent = None
         long_silent = silent is not None and now - silent.since > JUST_COME.total_seconds()
         stale = begun is not None and now - begun.since > STALE.total_seconds()
-        return (oldest[State.ENDING] or (silent if long_silent else None) or (begun if stale else None)
-                or oldest[State.ONCE] or oldest[State.IDLE] or silent or begun)
+        return (
+            oldest[State.ENDING]
+            or (silent if long_silent else None)
+            or (begun if stale else None)
+            or oldest[State.ONCE]
+            or oldest[State.IDLE]
+            or silent
+            or begun
+        )
 
     @property
     def open(self) -> int:
@@ -158,14 +165,20 @@
 class ClientConnection(RequestHandler):
     """aiohttp's server connection, with bounds on what a bad client can do to it."""
 
-    __slots__ = ("clients", "loop", "state", "since", "begun", "unread", "unread_since", "answered",
-                 "refuse")
+    __slots__ = ("clients", "loop", "state", "since", "begun", "unread", "unread_since", "answered", "refuse")
 
-    def __init__(self, manager: web.Server, clients: ClientTable, refuse: Refuse | None,
-                 loop: asyncio.AbstractEventLoop, **more: Any) -> None:
+    def __init__(
+        self,
+        manager: web.Server,
+        clients: ClientTable,
+        refuse: Refuse | None,
+        loop: asyncio.AbstractEventLoop,
+        **more: Any,
+    ) -> None:
         # the table's sweep ends idle connections, long before aiohttp's own timer would
-        super().__init__(manager, loop=loop, keepalive_timeout=10 * IDLE.total_seconds(), lingering_time=0,
-                         **more)
+        super().__init__(
+            manager, loop=loop, keepalive_timeout=10 * IDLE.total_seconds(), lingering_time=0, **more
+        )
         self.clients, self.refuse, self.loop = clients, refuse, loop
         self.state, self.since, self.begun = State.SILENT, 0.0, 0.0
         self.unread, self.unread_since, self.answered = 0, 0.0, False
@@ -207,8 +220,12 @@
     def data_received(self, data: bytes) -> None:
         if self.state is State.ENDING:
             return  # read only so that the answer arrives
-        if (self.refuse is not None and self.clients.open >= self.clients.busy_bound()
-                and self.state in (State.SILENT, State.ONCE, State.IDLE) and (said := self.refuse(data))):
+        if (
+            self.refuse is not None
+            and self.clients.open >= self.clients.busy_bound()
+            and self.state in (State.SILENT, State.ONCE, State.IDLE)
+            and (said := self.refuse(data))
+        ):
             return self._refused(said)
         open_before = self.state is State.BUSY
         super().data_received(data)
@@ -243,8 +260,13 @@
         self.clients.put(self, State.BEGUN)
 
     # -- answers ------------------------------------------------------------------------------------------
-    def handle_error(self, request: web.BaseRequest, status: int = 500, exc: BaseException | None = None,
-                     message: str | None = None) -> web.StreamResponse:
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
         """The answer to what cannot be read, or to a fault of our own."""
         if exc is not None and not isinstance(exc, HttpProcessingError):
             logger.opt(exception=exc).error("request failed in an unforeseen way", event="request.fault")
@@ -254,8 +276,9 @@
         response.force_close()
         return response
 
-    async def finish_response(self, request: web.BaseRequest, resp: web.StreamResponse,
-                              start_time: float | None) -> tuple[web.StreamResponse, bool]:
+    async def finish_response(
+        self, request: web.BaseRequest, resp: web.StreamResponse, start_time: float | None
+    ) -> tuple[web.StreamResponse, bool]:
         """Write the answer; if it is the last one, let it arrive before the connection ends."""
         resp, reset = await super().finish_response(request, resp, start_time)
         transport = self.transport
@@ -274,7 +297,6 @@
         await asyncio.sleep(2 * LINGER.total_seconds())
         return resp, reset
 
-
     def _last(self) -> None:
         """Nothing more is said here; the connection ends once that has arrived."""
         self.clients.put(self, State.ENDING)
@@ -290,10 +312,16 @@
         if self._messages:
             return False  # what comes next has them already
         self._parser = HttpRequestParser(
-            self, self.loop, self._read_bufsize, max_line_size=self.max_line_size,
-            max_field_size=self.max_field_size, max_headers=self.max_headers,
-            payload_exception=web.RequestPayloadError, auto_decompress=False,
-            max_msg_queue_size=MAX_MSG_QUEUE_SIZE)
+            self,
+            self.loop,
+            self._read_bufsize,
+            max_line_size=self.max_line_size,
+            max_field_size=self.max_field_size,
+            max_headers=self.max_headers,
+            payload_exception=web.RequestPayloadError,
+            auto_decompress=False,
+            max_msg_queue_size=MAX_MSG_QUEUE_SIZE,
+        )
         return True
 
 
--- a/stoatrouter/net/discovery.py
+++ b/stoatrouter/net/discovery.py
@@ -34,9 +34,16 @@
 class Watch:
     """Follows the list and tells what changed."""
 
-    def __init__(self, address: str, known: dict[str, Any], told: Told,
-                 count: Callable[[str], None] = lambda _: None, pushed: bool = True,
-                 times: ListTimes | None = None, zones: tuple[str, ...] = ()) -> None:
+    def __init__(
+        self,
+        address: str,
+        known: dict[str, Any],
+        told: Told,
+        count: Callable[[str], None] = lambda _: None,
+        pushed: bool = True,
+        times: ListTimes | None = None,
+        zones: tuple[str, ...] = (),
+    ) -> None:
         self.address, self.told, self.count, self.pushed = address, told, count, pushed
         self.zones = zones  # by name, as the settings number them
         self.times = times or list_times(pushed, timedelta(seconds=2))
@@ -53,10 +60,14 @@
         """Tell the list as this head last had it; it may be out of date."""
         try:
             generation, _, nodes, faults = (
-                read_list(self.known, zones=self.zones) if self.known else (None, True, (), ()))
+                read_list(self.known, zones=self.zones) if self.known else (None, True, (), ())
+            )
         except ValueError as error:
-            logger.warning("discovery: the known list cannot be read: {error}",
-                           event="discovery.known_unreadable", error=str(error))
+            logger.warning(
+                "discovery: the known list cannot be read: {error}",
+                event="discovery.known_unreadable",
+                error=str(error),
+            )
             generation, nodes, faults = None, (), ()
         self.generation = generation
         self.tell(ListKind.RESTORED, nodes, faults)
@@ -69,8 +80,9 @@
             async with asyncio.timeout(self.times.first.total_seconds()):
                 await self.heard.wait()
         except TimeoutError:
-            logger.warning("discovery: no answer yet, serving on the list known before",
-                           event="discovery.unheard")
+            logger.warning(
+                "discovery: no answer yet, serving on the list known before", event="discovery.unheard"
+            )
 
     def move(self, address: str) -> None:
         """Watch at another address from now on. The list and its generation stay: the next call asks there
@@ -97,8 +109,12 @@
         connector = aiohttp.TCPConnector(limit=2, keepalive_timeout=2 * self.times.hold.total_seconds())
         timeout = aiohttp.ClientTimeout(total=None, sock_connect=self.times.dial.total_seconds())
         async with aiohttp.ClientSession(
-                connector=connector, middlewares=(only_once,), cookie_jar=aiohttp.DummyCookieJar(),
-                trust_env=False, timeout=timeout) as session:
+            connector=connector,
+            middlewares=(only_once,),
+            cookie_jar=aiohttp.DummyCookieJar(),
+            trust_env=False,
+            timeout=timeout,
+        ) as session:
             while True:
                 try:
                     news = await self.call(session)
@@ -174,15 +190,23 @@
             return timedelta(0)  # told by being written
         return None if self.sure is None else timedelta(seconds=max(0.0, self.asked - self.sure))
 
-    def tell(self, kind: ListKind, nodes: tuple[NodeInfo, ...], faults: tuple[str, ...],
-             age: timedelta | None = timedelta(0)) -> None:
+    def tell(
+        self,
+        kind: ListKind,
+        nodes: tuple[NodeInfo, ...],
+        faults: tuple[str, ...],
+        age: timedelta | None = timedelta(0),
+    ) -> None:
         """Tell what could be read, and say once what could not."""
         for fault in faults:
             self.count("entry_unreadable")
             if fault not in self.said and len(self.said) < MOST_SAID:
                 self.said.add(fault)
-                logger.warning("discovery: an entry cannot be read, the others are taken: {error}",
-                               event="discovery.entry_unreadable", error=fault)
+                logger.warning(
+                    "discovery: an entry cannot be read, the others are taken: {error}",
+                    event="discovery.entry_unreadable",
+                    error=fault,
+                )
         if kind is not ListKind.CHANGES:
             self.held.clear()
         for node in nodes:
@@ -194,19 +218,28 @@
 
     def failed(self, error: BaseException) -> None:
         if not self.failures:
-            logger.warning("discovery: not reached, the list held stays in use: {error}",
-                           event="discovery.lost", error=repr(error))
+            logger.warning(
+                "discovery: not reached, the list held stays in use: {error}",
+                event="discovery.lost",
+                error=repr(error),
+            )
         self.failures += 1
 
     def recovered(self) -> None:
         if self.failures:
-            logger.info("discovery: reached again, generation {generation}", event="discovery.reached",
-                        generation=self.generation)
+            logger.info(
+                "discovery: reached again, generation {generation}",
+                event="discovery.reached",
+                generation=self.generation,
+            )
         self.failures = 0
 
 
-def read_list(data: Any, held: Mapping[str, NodeInfo] = NONE_HELD, zones: tuple[str, ...] = (),
-              ) -> tuple[int, bool, tuple[NodeInfo, ...], tuple[str, ...]]:
+def read_list(
+    data: Any,
+    held: Mapping[str, NodeInfo] = NONE_HELD,
+    zones: tuple[str, ...] = (),
+) -> tuple[int, bool, tuple[NodeInfo, ...], tuple[str, ...]]:
     """Read a message of discovery: its entries, and what is wrong with those that cannot be read. ValueError
     where the message as a whole is not what the protocol promises."""
     try:
@@ -242,7 +275,12 @@
     address = str(entry.get("hostPort") or "")
     if not address and phase is not Phase.GONE:
         raise ValueError(f"no hostPort for {entry['instanceId']!r}")
-    return NodeInfo(id=str(entry["instanceId"]), address=address, shard=int(entry.get("cell", -1)),
-                    phase=phase, zone=zone_number(entry.get("zone"), zones),
-                    weight=float(entry.get("weight") or 1.0),
-                    started=timedelta(milliseconds=int(entry.get("startedAtMs") or 0)))
+    return NodeInfo(
+        id=str(entry["instanceId"]),
+        address=address,
+        shard=int(entry.get("cell", -1)),
+        phase=phase,
+        zone=zone_number(entry.get("zone"), zones),
+        weight=float(entry.get("weight") or 1.0),
+        started=timedelta(milliseconds=int(entry.get("startedAtMs") or 0)),
+    )
--- a/stoatrouter/net/engine.py
+++ b/stoatrouter/net/engine.py
@@ -115,11 +115,16 @@
         assert isinstance(effects[0], model.TurnAway)
         return effects[0].answer
 
-    def told(self, kind: ListKind, nodes: tuple[model.NodeInfo, ...],
-             age: timedelta | None = timedelta(0)) -> None:
+    def told(
+        self, kind: ListKind, nodes: tuple[model.NodeInfo, ...], age: timedelta | None = timedelta(0)
+    ) -> None:
         """Pass on what discovery tells, and for how long it may have counted as told; None: nobody knows."""
-        logger.info("discovery: {kind} with {entries} entries", event="discovery.told", kind=kind.value,
-                    entries=len(nodes))
+        logger.info(
+            "discovery: {kind} with {entries} entries",
+            event="discovery.told",
+            kind=kind.value,
+            entries=len(nodes),
+        )
         now = self.clock.now()
         self.put(model.ListTold(now, kind, nodes, timedelta(0) if age is None else now - age))
 
@@ -133,8 +138,12 @@
         """Leave a node out or put it back: whether that is kept; None where the node is not known."""
         effects = self.reducer.reduce(model.PutByHand(self.clock.now(), node, out))
         if effects:
-            logger.info("bricks: {node} is {state} by hand", event="bricks.by_hand", node=node,
-                        state="out" if out else "back")
+            logger.info(
+                "bricks: {node} is {state} by hand",
+                event="bricks.by_hand",
+                node=node,
+                state="out" if out else "back",
+            )
         self.run_all(effects)
         return self.kept if effects else None
 
@@ -217,9 +226,19 @@
         else:
             reply = task.result()
         self.attempts.pop((effect.request.id, effect.attempt), None)
-        self.put(model.AttemptEnded(self.clock.now(), effect.request.id, effect.attempt, reply.outcome,
-                                    reply.body, reply.units_by_others, reply.load, reply.flow,
-                                    reply.head))
+        self.put(
+            model.AttemptEnded(
+                self.clock.now(),
+                effect.request.id,
+                effect.attempt,
+                reply.outcome,
+                reply.body,
+                reply.units_by_others,
+                reply.load,
+                reply.flow,
+                reply.head,
+            )
+        )
         # Guards a connection against an answer that came after the one that was given.
         if reply.flow is not None and not reply.flow.taken:
             reply.flow.close()
@@ -232,8 +251,9 @@
         self.put(model.ProbeEnded(now, effect.node, reply.outcome, now - began, reply.load))
 
 
-async def watch_loop(engine: Engine, clients: ClientTable, every: timedelta, lag_limit: timedelta,
-                     tally_every: int = 100) -> None:
+async def watch_loop(
+    engine: Engine, clients: ClientTable, every: timedelta, lag_limit: timedelta, tally_every: int = 100
+) -> None:
     """Watches the loop's lag, and logs now and then what has been done."""
     loop, rounds, worst = asyncio.get_running_loop(), 0, 0.0
     while True:
@@ -248,7 +268,12 @@
         if rounds % tally_every == 0:
             counts = engine.reducer.tally.take()
             if counts:
-                logger.info("tally: open={open} worst_lag_ms={worst_lag_ms:.0f} {said}", event="tally",
-                            open=engine.reducer.open, worst_lag_ms=worst * 1000, counts=counts,
-                            said=" ".join(f"{k}={v}" for k, v in sorted(counts.items())))
+                logger.info(
+                    "tally: open={open} worst_lag_ms={worst_lag_ms:.0f} {said}",
+                    event="tally",
+                    open=engine.reducer.open,
+                    worst_lag_ms=worst * 1000,
+                    counts=counts,
+                    said=" ".join(f"{k}={v}" for k, v in sorted(counts.items())),
+                )
             worst = 0.0
--- a/stoatrouter/net/generations.py
+++ b/stoatrouter/net/generations.py
@@ -26,8 +26,16 @@
 class Generations:
     """This process between the one before it and the one after."""
 
-    def __init__(self, engine: Engine, watch: Watch, clients: ClientTable, drain: Drain, folder: str | None,
-                 rest: Callable[[], Awaitable[None]], resume: Callable[[], Awaitable[None]]) -> None:
+    def __init__(
+        self,
+        engine: Engine,
+        watch: Watch,
+        clients: ClientTable,
+        drain: Drain,
+        folder: str | None,
+        rest: Callable[[], Awaitable[None]],
+        resume: Callable[[], Awaitable[None]],
+    ) -> None:
         self.engine, self.watch, self.clients, self.drain = engine, watch, clients, drain
         self.rest, self.resume = rest, resume  # stop accepting, and accept again
         self.succession = Succession(folder)
@@ -44,18 +52,27 @@
         try:
             state = self.predecessor.state
             nodes = tuple(read_node(node) for node in state["nodes"])
-            self.engine.put(model.TakenOver(self.engine.clock.now(), nodes, read_by_hand(state["by_hand"]),
-                                            state["module"]))
+            self.engine.put(
+                model.TakenOver(
+                    self.engine.clock.now(), nodes, read_by_hand(state["by_hand"]), state["module"]
+                )
+            )
             self.watch.generation = state["generation"]
             if state["out_of_service"]:
                 self.drain.out_of_service()
             self.told(state["holds"])
         except (KeyError, TypeError, ValueError, AttributeError) as error:
-            logger.error("upgrade: what the old process told cannot be read: {error}",
-                         event="upgrade.unreadable", error=repr(error))
+            logger.error(
+                "upgrade: what the old process told cannot be read: {error}",
+                event="upgrade.unreadable",
+                error=repr(error),
+            )
             return False
-        logger.info("upgrade: taken over, the old process holds {holds}", event="upgrade.taken_over",
-                    holds=state["holds"])
+        logger.info(
+            "upgrade: taken over, the old process holds {holds}",
+            event="upgrade.taken_over",
+            holds=state["holds"],
+        )
         return True
 
     async def follow(self) -> None:
@@ -94,24 +111,36 @@
             writer.close()
 
     async def hand_over(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        logger.info("upgrade: handing over, {open} requests open", event="upgrade.handing_over",
-                    open=self.engine.reducer.open)
+        logger.info(
+            "upgrade: handing over, {open} requests open",
+            event="upgrade.handing_over",
+            open=self.engine.reducer.open,
+        )
         self.drain.handed = True
         self.clients.press(UNSETTLED)
         await self.rest()
         try:
             known = self.engine.hand_over()
-            await tell(writer, {
-                "v": VERSION, "generation": self.watch.generation, "out_of_service": self.drain.out,
-                "nodes": [write_node(node) for node in known.nodes], "by_hand": write_by_hand(known.by_hand),
-                "module": known.module, "holds": self.holds()})
+            await tell(
+                writer,
+                {
+                    "v": VERSION,
+                    "generation": self.watch.generation,
+                    "out_of_service": self.drain.out,
+                    "nodes": [write_node(node) for node in known.nodes],
+                    "by_hand": write_by_hand(known.by_hand),
+                    "module": known.module,
+                    "holds": self.holds(),
+                },
+            )
             ended = asyncio.ensure_future(reader.read())
             while not ended.done():
                 await asyncio.wait([ended], timeout=TELL_EVERY.total_seconds())
                 await tell(writer, self.holds())
         except OSError as error:
-            logger.warning("upgrade: the new process broke off: {error}", event="upgrade.broke_off",
-                           error=repr(error))
+            logger.warning(
+                "upgrade: the new process broke off: {error}", event="upgrade.broke_off", error=repr(error)
+            )
         except Exception:
             # Guards against a fault on the way: without this, nobody would accept clients.
             logger.exception("upgrade: handing over failed", event="upgrade.fault")
@@ -125,8 +154,12 @@
         out: dict[str, int] = {}
         for node in self.engine.reducer.nodes_out():
             out[node] = out.get(node, 0) + 1
-        return {"clients": len(self.clients), "connections": len(self.engine.nodes.pool.alive), "out": out,
-                "busy": self.clients.open}
+        return {
+            "clients": len(self.clients),
+            "connections": len(self.engine.nodes.pool.alive),
+            "out": out,
+            "busy": self.clients.open,
+        }
 
     async def close(self) -> None:
         await self.succession.close()
--- a/stoatrouter/net/keep.py
+++ b/stoatrouter/net/keep.py
@@ -38,6 +38,9 @@
         try:
             return read_by_hand(json.loads(self.path.read_text()))
         except (OSError, ValueError, RecursionError) as error:
-            logger.error("bricks: what was kept cannot be read, no brick is out: {error}",
-                         event="bricks.unreadable", error=str(error))
+            logger.error(
+                "bricks: what was kept cannot be read, no brick is out: {error}",
+                event="bricks.unreadable",
+                error=str(error),
+            )
             return ByHand()
--- a/stoatrouter/net/listener.py
+++ b/stoatrouter/net/listener.py
@@ -82,8 +82,11 @@
     def out_of_service(self) -> None:
         """Send clients away; called again, nothing changes."""
         if not self.out:
-            logger.info("drain: out of service, {connections} connections", event="drain.out",
-                        connections=len(self.clients))
+            logger.info(
+                "drain: out of service, {connections} connections",
+                event="drain.out",
+                connections=len(self.clients),
+            )
             self.out = True
             self.sending_away = asyncio.get_running_loop().create_task(self.send_away())
 
@@ -126,13 +129,15 @@
 
     def __init__(self, handler: Handler, drain: Drain, refuse: Refuse | None = None) -> None:
         self.drain = drain
+
         async def serve(request: web.BaseRequest) -> web.StreamResponse:
             CLIENT.set(request.transport)
             return await handler(request)
 
         # handler_cancellation: a client that closes its connection has gone, and its request with it
-        self.server = Server(serve, drain.clients, refuse, handler_cancellation=True, access_log=None,
-                             auto_decompress=False)
+        self.server = Server(
+            serve, drain.clients, refuse, handler_cancellation=True, access_log=None, auto_decompress=False
+        )
         self.sockets: asyncio.Server | None = None
 
     async def start(self, host: str, port: int, inherited: int | None = None) -> None:
@@ -147,7 +152,8 @@
         ear.setblocking(False)
         # Guards the descriptors: asyncio accepts as many at once as it believes the backlog to be.
         self.sockets = await asyncio.get_running_loop().create_server(
-            self.server, sock=ear, backlog=ACCEPT_AT_ONCE)
+            self.server, sock=ear, backlog=ACCEPT_AT_ONCE
+        )
 
     def rest(self) -> None:
         """Accept no more. What waits at an inherited socket is for the process that accepts there."""
--- a/stoatrouter/net/nodes.py
+++ b/stoatrouter/net/nodes.py
@@ -28,9 +28,22 @@
 READ_AHEAD = 64 * 1024  # of a body, before reading pauses
 LARGEST_COUNT = 1e6  # that a node can mean
 NUMBER = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?")
-HOP_BY_HOP = frozenset((
-    "connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "proxy-connection", "te",
-    "trailer", "transfer-encoding", "upgrade", "srv-load", "srv-declined", "x-served-elsewhere"))
+HOP_BY_HOP = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "srv-load",
+        "srv-declined",
+        "x-served-elsewhere",
+    )
+)
 SKIPPED = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 
@@ -78,8 +91,12 @@
             self.mark_written(not transport.is_closing(), conn)
         return response
 
-    async def write_bytes(self, writer: AbstractStreamWriter, conn: aiohttp.connector.Connection,
-                          content_length: int | None = None) -> None:
+    async def write_bytes(
+        self,
+        writer: AbstractStreamWriter,
+        conn: aiohttp.connector.Connection,
+        content_length: int | None = None,
+    ) -> None:
         transport = conn.transport
         broken = transport is None or transport.is_closing()  # then nothing goes out; the call below says so
         await super().write_bytes(writer, conn, content_length)
@@ -105,23 +122,35 @@
 class NodeClient:
     """Connections to all nodes, in one bounded pool."""
 
-    def __init__(self, connect_timeout: timedelta, conn_idle: timedelta, most: int,
-                 rest_within: timedelta = REST_WITHIN) -> None:
+    def __init__(
+        self,
+        connect_timeout: timedelta,
+        conn_idle: timedelta,
+        most: int,
+        rest_within: timedelta = REST_WITHIN,
+    ) -> None:
         self.pool = NodePool(most, conn_idle * IDLE_PART, rest_within)
         self.session = aiohttp.ClientSession(
             connector=self.pool,
-            request_class=TrackedRequest, middlewares=(only_once,),
-            cookie_jar=aiohttp.DummyCookieJar(), auto_decompress=False, trust_env=False,
-            skip_auto_headers=SKIPPED, read_bufsize=READ_AHEAD,
-            timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_timeout.total_seconds()))
+            request_class=TrackedRequest,
+            middlewares=(only_once,),
+            cookie_jar=aiohttp.DummyCookieJar(),
+            auto_decompress=False,
+            trust_env=False,
+            skip_auto_headers=SKIPPED,
+            read_bufsize=READ_AHEAD,
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_timeout.total_seconds()),
+        )
 
     async def close(self) -> None:
         await self.session.close()
 
     async def attempt(self, effect: model.SendAttempt, may_begin: Callable[[], bool] | None = None) -> Reply:
         """Make one attempt; whatever happens to it becomes an outcome."""
-        async def ask_first(request: aiohttp.ClientRequest,
-                            handler: ClientHandlerType) -> aiohttp.ClientResponse:
+
+        async def ask_first(
+            request: aiohttp.ClientRequest, handler: ClientHandlerType
+        ) -> aiohttp.ClientResponse:
             request.may_begin = may_begin  # type: ignore[attr-defined]
             return await only_once(request, handler)
 
@@ -139,8 +168,9 @@
         response = None
         try:
             async with asyncio.timeout(effect.timeout.total_seconds()):
-                response = await self.session.request(r.method, url, headers=headers, data=data,
-                                                      allow_redirects=False, middlewares=(ask_first,))
+                response = await self.session.request(
+                    r.method, url, headers=headers, data=data, allow_redirects=False, middlewares=(ask_first,)
+                )
                 reply = await take(response, r.passes)
             if reply.flow is not None:
                 response = None  # whoever passes it on closes it
@@ -156,8 +186,12 @@
             return Reply(Outcome.RESET if error.written else Outcome.CONNECT_FAILED)
         except (aiohttp.ClientError, OSError, ValueError) as error:
             # the answer broke off or could not be read: the attempt may have run
-            logger.debug("attempt at {address}: {error}", event="attempt.broke", address=effect.address,
-                         error=repr(error))
+            logger.debug(
+                "attempt at {address}: {error}",
+                event="attempt.broke",
+                address=effect.address,
+                error=repr(error),
+            )
             return Reply(Outcome.RESET)
         finally:
             if response is not None:
@@ -167,8 +201,9 @@
         """Ask a node for its load."""
         try:
             async with asyncio.timeout(PROBE_TIMEOUT.total_seconds()):
-                async with self.session.get(URL(f"http://{effect.address}/load", encoded=True),
-                                            allow_redirects=False) as response:
+                async with self.session.get(
+                    URL(f"http://{effect.address}/load", encoded=True), allow_redirects=False
+                ) as response:
                     body = await read_small(response)
                     load = read_load(response.headers.get("Srv-Load") or body.decode("ascii", "replace"))
                     return Reply(Outcome.OK if response.status == 200 else Outcome.FULL, load=load)
--- a/stoatrouter/net/pool.py
+++ b/stoatrouter/net/pool.py
@@ -104,7 +104,7 @@
     def _take_head(self, data: bytes) -> None:
         self.head += data
         while (end := self.head.find(HEAD_END)) >= 0:
-            head, rest = self.head[:end + len(HEAD_END)], self.head[end + len(HEAD_END):]
+            head, rest = self.head[: end + len(HEAD_END)], self.head[end + len(HEAD_END) :]
             status = head[9:12]
             if status == b"101":
                 return self._spoilt("another protocol, which nobody asked for")
@@ -113,7 +113,7 @@
             self.head = rest  # an interim answer: the one that counts is still to come
         self._watch()
         # Guards memory against a head that never ends, and time against what is no head at all.
-        if len(self.head) > LARGEST_HEAD or self.head[:7] != b"HTTP/1."[:len(self.head)]:
+        if len(self.head) > LARGEST_HEAD or self.head[:7] != b"HTTP/1."[: len(self.head)]:
             self._spoilt("no head")
 
     def _begin(self, head: bytes, rest: bytes) -> None:
@@ -132,7 +132,7 @@
             self._take_body(rest, head)
 
     def _take_body(self, data: bytes, head: bytes = b"") -> None:
-        mine, more = data[:self.left], data[self.left:]
+        mine, more = data[: self.left], data[self.left :]
         self.left -= len(mine)
         if self.left:
             self._watch(anew=bool(mine))
@@ -202,8 +202,12 @@
         self.alive: set[NodeConnection] = set()
         self.tries = 0  # attempts written whole, since the start
         # aiohttp has no public way to say which connections a connector makes
-        self._factory = partial(NodeConnection, loop=asyncio.get_running_loop(), pool=self,  # type: ignore
-                                rest_within=rest_within)
+        self._factory = partial(
+            NodeConnection,
+            loop=asyncio.get_running_loop(),
+            pool=self,  # type: ignore
+            rest_within=rest_within,
+        )
 
     def allow(self, most: int) -> None:
         """Another bound, as the process before this one still holds connections."""
@@ -252,7 +256,7 @@
     told: two lengths, none on a connection that stays, one that is no number or over the bound, or a length
     with chunks."""
     lengths, codings, closes = [], [], head[:8] == b"HTTP/1.0"
-    for line in head[:-len(HEAD_END)].split(b"\r\n")[1:]:
+    for line in head[: -len(HEAD_END)].split(b"\r\n")[1:]:
         name, colon, value = line.partition(b":")
         if not colon or not name or name.strip() != name:
             raise ValueError("a header that cannot be read")
--- a/stoatrouter/net/state.py
+++ b/stoatrouter/net/state.py
@@ -12,15 +12,19 @@
 
 
 def write_by_hand(by_hand: ByHand) -> dict[str, Any]:
-    return {"out": {node: micros(at) for node, at in by_hand.out.items()},
-            "back": {node: [micros(a), micros(b)] for node, (a, b) in by_hand.back.items()}}
+    return {
+        "out": {node: micros(at) for node, at in by_hand.out.items()},
+        "back": {node: [micros(a), micros(b)] for node, (a, b) in by_hand.back.items()},
+    }
 
 
 def read_by_hand(data: Any) -> ByHand:
     """Read what write_by_hand wrote; ValueError where it is anything else."""
     try:
-        return ByHand({str(node): span(int(at)) for node, at in data["out"].items()},
-                      {str(node): (span(int(a)), span(int(b))) for node, (a, b) in data["back"].items()})
+        return ByHand(
+            {str(node): span(int(at)) for node, at in data["out"].items()},
+            {str(node): (span(int(a)), span(int(b))) for node, (a, b) in data["back"].items()},
+        )
     except UNREADABLE as error:
         raise ValueError(f"{type(error).__name__}: {error}") from None
 
@@ -33,7 +37,8 @@
     """Read what write_node wrote; ValueError where it is anything else."""
     try:
         name, address, shard, phase, zone, weight, started = data
-        return NodeInfo(str(name), str(address), int(shard), Phase[phase], int(zone), float(weight),
-                        span(int(started)))
+        return NodeInfo(
+            str(name), str(address), int(shard), Phase[phase], int(zone), float(weight), span(int(started))
+        )
     except UNREADABLE as error:
         raise ValueError(f"{type(error).__name__}: {error}") from None
--- a/stoatrouter/net/succession.py
+++ b/stoatrouter/net/succession.py
@@ -41,8 +41,11 @@
             while line := await self.reader.readline():
                 told(json.loads(line))
         except (OSError, ValueError) as error:
-            logger.warning("upgrade: the old process cannot be followed: {error}",
-                           event="upgrade.unfollowed", error=repr(error))
+            logger.warning(
+                "upgrade: the old process cannot be followed: {error}",
+                event="upgrade.unfollowed",
+                error=repr(error),
+            )
         finally:
             self.writer.close()
             told({})
@@ -71,8 +74,9 @@
                 return Predecessor(reader, writer, state)
         except (OSError, TimeoutError, ValueError, KeyError, TypeError) as error:
             # Guards a start against what an old process left behind as it died: nothing is to be had there.
-            logger.warning("upgrade: no old process hands over: {error}", event="upgrade.none",
-                           error=repr(error))
+            logger.warning(
+                "upgrade: no old process hands over: {error}", event="upgrade.none", error=repr(error)
+            )
             return None
 
     async def listen(self, asked: Callable[[asyncio.StreamReader, asyncio.StreamWriter], Any]) -> None:
@@ -88,8 +92,11 @@
                 self.server = await asyncio.start_unix_server(asked, sock=ear.dup(), limit=LARGEST_LINE)
                 os.replace(aside, Path(short) / NAME)  # never without one that answers
         except OSError as error:
-            logger.error("upgrade: a new process will not find this one: {error}",
-                         event="upgrade.unfindable", error=str(error))
+            logger.error(
+                "upgrade: a new process will not find this one: {error}",
+                event="upgrade.unfindable",
+                error=str(error),
+            )
 
     async def close(self) -> None:
         if self.server is not None:
--- a/stoatrouter/net/tables.py
+++ b/stoatrouter/net/tables.py
@@ -97,8 +97,10 @@
     def reload(self) -> None:
         """Read the files again, beside the requests. Asked again meanwhile, it does so once more after."""
         if self.managed:
-            logger.warning("rules: the files are not read, the table comes from the heads' history",
-                           event="rules.managed")
+            logger.warning(
+                "rules: the files are not read, the table comes from the heads' history",
+                event="rules.managed",
+            )
             return
         if self.reloading is not None and not self.reloading.done():
             self.again = True
@@ -130,8 +132,9 @@
 
     def load(self) -> tuple[tuple[Table, Sources], Table | None]:
         """Make the tables; once the head serves, in a thread of its own, so that requests go on."""
-        return quietly(lambda: (self.tables.load(),
-                                self.shadow.load()[0] if self.shadow is not None else None))
+        return quietly(
+            lambda: (self.tables.load(), self.shadow.load()[0] if self.shadow is not None else None)
+        )
 
     async def compile(self, path: Path) -> Made:
         """A table of other files, made beside the requests and put nowhere yet; raises SettingsError."""
--- a/stoatrouter/peering/agreed.py
+++ b/stoatrouter/peering/agreed.py
@@ -52,9 +52,18 @@
 class Agreed:
     """One head's agreement, running."""
 
-    def __init__(self, me: Voter, found: Found, storage: Storage, machine: Machine, timing: Timing, seed: int,
-                 now: Callable[[], timedelta], send: Callable[[Voter, AnyMessage], None],
-                 told: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        me: Voter,
+        found: Found,
+        storage: Storage,
+        machine: Machine,
+        timing: Timing,
+        seed: int,
+        now: Callable[[], timedelta],
+        send: Callable[[Voter, AnyMessage], None],
+        told: Callable[[], None],
+    ) -> None:
         self.loop = asyncio.get_running_loop()
         self.machine, self.now, self.send, self.told = machine, now, send, told
         self.raft = Raft(me, found.disk, seed, timing, now=now())
@@ -127,8 +136,14 @@
     def hear(self, sender: Voter, message: AnyMessage) -> None:
         self.put(Received(self.now(), sender, message))
 
-    def learn(self, prev_index: int, prev_term: int, entries: tuple[Entry, ...], commit: int,
-              snapshot: Snapshot | None) -> None:
+    def learn(
+        self,
+        prev_index: int,
+        prev_term: int,
+        entries: tuple[Entry, ...],
+        commit: int,
+        snapshot: Snapshot | None,
+    ) -> None:
         self.put(Learnt(self.now(), prev_index, prev_term, entries, commit, snapshot))
 
     # -- events in, effects out ---------------------------------------------------------------------------
@@ -154,13 +169,20 @@
                 if (future := self.asked.get(effect.id)) is not None and not future.done():
                     future.set_result(effect.index)
             case Role():
-                logger.info("heads: term {term}, {leader} leads", event="heads.role", term=effect.term,
-                            leader=effect.leader or "nobody known")
+                logger.info(
+                    "heads: term {term}, {leader} leads",
+                    event="heads.role",
+                    term=effect.term,
+                    leader=effect.leader or "nobody known",
+                )
                 self.told()
             case Forgot():
-                logger.error("heads: the disk holds {held} of {acknowledged} entries acknowledged: it "
-                             "votes no more", event="heads.forgot", held=effect.held,
-                             acknowledged=effect.acknowledged)
+                logger.error(
+                    "heads: the disk holds {held} of {acknowledged} entries acknowledged: it votes no more",
+                    event="heads.forgot",
+                    held=effect.held,
+                    acknowledged=effect.acknowledged,
+                )
 
     def wrote(self, effect: Durable) -> None:
         for send in effect.then:
@@ -208,8 +230,9 @@
         self.told()
 
     def disk_failed(self, why: str) -> None:
-        logger.error("heads: the disk takes no writes, this head has no voice: {why}", event="heads.disk",
-                     why=why)
+        logger.error(
+            "heads: the disk takes no writes, this head has no voice: {why}", event="heads.disk", why=why
+        )
         self.lasting = False
         self.put(DiskFailed(self.now()))
 
@@ -226,6 +249,7 @@
             self.raft = Raft(raft.me, Disk(term, None, snapshot), raft.seed, raft.timing, now=self.now())
             self.restore(snapshot)
             done()
+
         self.writer.put(write, begun)
 
     async def run_for_ever(self) -> None:
--- a/stoatrouter/peering/book.py
+++ b/stoatrouter/peering/book.py
@@ -38,12 +38,15 @@
         found: dict[str, int] = {}
         for slot in range(SLOTS):
             at = slot * SIZE
-            name = self.map[at:at + NAME].rstrip(b"\0")
+            name = self.map[at : at + NAME].rstrip(b"\0")
             if not name:
                 continue
             first, second, check = SPENT.unpack_from(self.map, at + NAME)
-            spent = first if zlib.crc32(first.to_bytes(8, "little")) == check and first == second else max(
-                first, second)
+            spent = (
+                first
+                if zlib.crc32(first.to_bytes(8, "little")) == check and first == second
+                else max(first, second)
+            )
             found[name.decode("ascii", "replace")] = spent
             self.places[name.decode("ascii", "replace")] = slot
         self.free = [slot for slot in range(SLOTS - 1, -1, -1) if slot not in self.places.values()]
@@ -54,19 +57,20 @@
             return False
         slot = self.places[allotment] = self.free.pop()
         self.set(allotment, 0)
-        self.map[slot * SIZE:slot * SIZE + NAME] = allotment.encode().ljust(NAME, b"\0")
+        self.map[slot * SIZE : slot * SIZE + NAME] = allotment.encode().ljust(NAME, b"\0")
         return True
 
     def set(self, allotment: str, spent: int) -> None:
         slot = self.places.get(allotment)
         if slot is not None:
-            SPENT.pack_into(self.map, slot * SIZE + NAME, spent, spent,
-                            zlib.crc32(spent.to_bytes(8, "little")))
+            SPENT.pack_into(
+                self.map, slot * SIZE + NAME, spent, spent, zlib.crc32(spent.to_bytes(8, "little"))
+            )
 
     def end(self, allotment: str) -> None:
         slot = self.places.pop(allotment, None)
         if slot is not None:
-            self.map[slot * SIZE:(slot + 1) * SIZE] = bytes(SIZE)
+            self.map[slot * SIZE : (slot + 1) * SIZE] = bytes(SIZE)
             self.free.append(slot)
 
     def close(self) -> None:
--- a/stoatrouter/peering/calls.py
+++ b/stoatrouter/peering/calls.py
@@ -7,7 +7,14 @@
 from stoatrouter.agreement.records import AnyMessage, Entry, Snapshot, Voter
 
 AGREE, FETCH, COMMAND, READ, PROMISE, FOUND, REPORT = (
-    "agree", "fetch", "command", "read", "promise", "found", "report")
+    "agree",
+    "fetch",
+    "command",
+    "read",
+    "promise",
+    "found",
+    "report",
+)
 
 Batch = list[tuple[str, AnyMessage]]  # each for a head of this identity
 
--- a/stoatrouter/peering/counts.py
+++ b/stoatrouter/peering/counts.py
@@ -17,8 +17,12 @@
         name = f"{way}.dropped.{why}"
         self.counts[name] += 1
         if self.counts[name] == 1:
-            logger.warning("heads: dropped from {where}: {why} (said once, counted from here on)",
-                           event="heads.dropped", where=where, why=f"{way} {why}")
+            logger.warning(
+                "heads: dropped from {where}: {why} (said once, counted from here on)",
+                event="heads.dropped",
+                where=where,
+                why=f"{way} {why}",
+            )
 
     def add(self, name: str, count: int = 1) -> None:
         self.counts[name] += count
--- a/stoatrouter/peering/credit.py
+++ b/stoatrouter/peering/credit.py
@@ -38,9 +38,15 @@
 class CreditService:
     """Runs one head's holder, and at the leader the expiry of all allotments."""
 
-    def __init__(self, settings: CreditSettings, fleet: Fleet, ledger: Ledger,
-                 classes: Sequence[api.RequestClass], background: set[str],
-                 now: Callable[[], timedelta]) -> None:
+    def __init__(
+        self,
+        settings: CreditSettings,
+        fleet: Fleet,
+        ledger: Ledger,
+        classes: Sequence[api.RequestClass],
+        background: set[str],
+        now: Callable[[], timedelta],
+    ) -> None:
         # the core's time: set once at the start and monotonic since, so leases hold whatever clocks do
         self.now = now
         self.settings, self.fleet, self.ledger = settings, fleet, ledger
@@ -105,7 +111,7 @@
         now = self.now()
         for turn, grant in zip(turns, grants.grants, strict=False):
             self.holder.granted(turn, grant, asked_at, now)
-        for turn in turns[len(grants.grants):]:
+        for turn in turns[len(grants.grants) :]:
             self.holder.unanswered(turn)
         self.told.set()
         self.told = asyncio.Event()
@@ -113,8 +119,9 @@
     async def say(self, turns: list[Turn]) -> Grants:
         """One word to the account, said under one number until it is answered."""
         self.number += 1
-        body = msgspec.msgpack.encode(Turns(self.fleet.settings.name, self.fleet.me.identity, self.number,
-                                            tuple(turns)))
+        body = msgspec.msgpack.encode(
+            Turns(self.fleet.settings.name, self.fleet.me.identity, self.number, tuple(turns))
+        )
         answer = await self.until_answered(body)
         return msgspec.msgpack.decode(answer, type=Grants) if answer else Grants(())
 
@@ -134,16 +141,20 @@
         over, booked = self.ledger.heads.get(name, ("", 0))[0], Booked(False)
         while not booked.ok and not self.closing:
             self.number += 1
-            body = msgspec.msgpack.encode(Begin(name, me.identity, over, self.number,
-                                                (*self.before, *sorted(held))))
+            body = msgspec.msgpack.encode(
+                Begin(name, me.identity, over, self.number, (*self.before, *sorted(held)))
+            )
             answer = await self.until_answered(body)
             booked = msgspec.msgpack.decode(answer, type=Booked) if answer else booked
             over = booked.why
         if self.before:
             settles = tuple(Settle(id, spent, True) for id, spent in self.before.items())
             await self.say([Turn("", (), settles)])
-            logger.info("credit: settled {count} allotments of the process before", event="credit.settled",
-                        count=len(settles))
+            logger.info(
+                "credit: settled {count} allotments of the process before",
+                event="credit.settled",
+                count=len(settles),
+            )
         for id in self.before:
             self.book.end(id)
         self.before = {}
@@ -158,8 +169,11 @@
         if not self.fleet.agreed.raft.settled:
             return
         lease = self.settings.lease * DRIFT + MARGIN
-        over = tuple(id for id, since in self.seen.items()
-                     if since + lease < now and not self.ledger.allotment(id).expired)
+        over = tuple(
+            id
+            for id, since in self.seen.items()
+            if since + lease < now and not self.ledger.allotment(id).expired
+        )
         if over:
             body = msgspec.msgpack.encode(Expired(over))
             id = f"expired/{self.fleet.me.identity}/{now.total_seconds()}"
@@ -179,8 +193,10 @@
                         if settle.final:
                             self.book.end(settle.allotment)
             except TimeoutError:
-                logger.warning("credit: ends before its last word was heard; the next process says it",
-                               event="credit.unsettled")
+                logger.warning(
+                    "credit: ends before its last word was heard; the next process says it",
+                    event="credit.unsettled",
+                )
         self.book.close()
 
     # -- for operators ------------------------------------------------------------------------------------
--- a/stoatrouter/peering/datagrams.py
+++ b/stoatrouter/peering/datagrams.py
@@ -30,9 +30,16 @@
 class Datagrams(asyncio.DatagramProtocol):
     """Runs the detector's effects on one socket."""
 
-    def __init__(self, detector: Detector, secret: bytes, fleet: str, peers: tuple[str, ...],
-                 now: Callable[[], timedelta], counts: Counts,
-                 changed: Callable[[str, Status], None]) -> None:
+    def __init__(
+        self,
+        detector: Detector,
+        secret: bytes,
+        fleet: str,
+        peers: tuple[str, ...],
+        now: Callable[[], timedelta],
+        counts: Counts,
+        changed: Callable[[str, Status], None],
+    ) -> None:
         self.detector, self.secret, self.fleet = detector, secret, fleet
         self.peers, self.now, self.counts, self.changed = set(peers), now, counts, changed
         self.transport: asyncio.DatagramTransport | None = None
@@ -78,8 +85,12 @@
                 if self.transport is not None and not self.transport.is_closing():
                     self.transport.sendto(data, (host, int(port)))
             case Changed():
-                logger.info("heads: {head} is {status}, as seen from here", event="heads.seen",
-                            head=effect.name, status=effect.status.name.lower())
+                logger.info(
+                    "heads: {head} is {status}, as seen from here",
+                    event="heads.seen",
+                    head=effect.name,
+                    status=effect.status.name.lower(),
+                )
                 self.changed(effect.name, effect.status)
             case Dropped():
                 self.counts.drop("datagram", effect.why, where)
--- a/stoatrouter/peering/envelope.py
+++ b/stoatrouter/peering/envelope.py
@@ -42,8 +42,10 @@
     except OSError as error:
         raise ConfigError(f"{path}: the heads' secret cannot be read: {error.strerror}") from None
     if len(secret) < SHORTEST_SECRET:
-        raise ConfigError(f"{path}: the heads' secret has {len(secret)} bytes (allowed: {SHORTEST_SECRET} or "
-                          "more; `head -c 32 /dev/urandom | base64` makes one)")
+        raise ConfigError(
+            f"{path}: the heads' secret has {len(secret)} bytes (allowed: {SHORTEST_SECRET} or "
+            "more; `head -c 32 /dev/urandom | base64` makes one)"
+        )
     return hashlib.blake2b(secret, digest_size=64).digest()
 
 
--- a/stoatrouter/peering/fleet.py
+++ b/stoatrouter/peering/fleet.py
@@ -46,22 +46,42 @@
         self.storage = Storage(settings.folder)
         found = self.found = self.storage.open()
         if found.fresh is not None:
-            logger.error("heads: begins under a new identity, without a vote: {why}", event="heads.fresh",
-                         why=found.fresh)
+            logger.error(
+                "heads: begins under a new identity, without a vote: {why}",
+                event="heads.fresh",
+                why=found.fresh,
+            )
         self.me = Voter(settings.name, found.identity)
         self.founding = Founding(self.me, settings.voters, found.origin, found.promised)
         # what an earlier process of this head said is told from what this one says by a number that goes up,
         # also without a disk as long as the clock does not go back
         self.process = max(time.time_ns() // 1_000_000, found.boot)
-        self.agreed = Agreed(self.me, found, self.storage, Machine(parts), settings.agreement, seed, self.now,
-                             self.send, self.look)
-        self.streams = Streams(Seal(settings.secret, settings.fleet, settings.name), self.me, self.process,
-                               settings.streams, self.counts, self.take, lambda: self.founding.origin)
+        self.agreed = Agreed(
+            self.me,
+            found,
+            self.storage,
+            Machine(parts),
+            settings.agreement,
+            seed,
+            self.now,
+            self.send,
+            self.look,
+        )
+        self.streams = Streams(
+            Seal(settings.secret, settings.fleet, settings.name),
+            self.me,
+            self.process,
+            settings.streams,
+            self.counts,
+            self.take,
+            lambda: self.founding.origin,
+        )
         self.datagrams: Datagrams | None = None
         if settings.peer_listen is not None:
             detector = Detector(settings.name, self.process, settings.peers, seed, settings.detector)
-            self.datagrams = Datagrams(detector, settings.secret, settings.fleet, settings.peers, self.now,
-                                       self.counts, self.seen)
+            self.datagrams = Datagrams(
+                detector, settings.secret, settings.fleet, settings.peers, self.now, self.counts, self.seen
+            )
         self.began = self.now()
         self.belongs = bool(found.origin)  # and its beginning is on the disk
         self.touched: timedelta | None = None
@@ -89,11 +109,18 @@
         if self.datagrams is not None and settings.peer_listen is not None:
             await self.datagrams.start(*config.address(settings.peer_listen))
             self.tasks.append(loop.create_task(self.datagrams.run_for_ever()))
-        self.tasks += [loop.create_task(work) for work in (
-            self.agreed.run_for_ever(), self.follow(), self.found_fleet(), self.keep_looking())]
-        logger.info("heads: {name} of {fleet} is {identity}, process {process}", event="heads.start",
-                    name=settings.name, fleet=settings.fleet, identity=self.me.identity[:8],
-                    process=self.process)
+        self.tasks += [
+            loop.create_task(work)
+            for work in (self.agreed.run_for_ever(), self.follow(), self.found_fleet(), self.keep_looking())
+        ]
+        logger.info(
+            "heads: {name} of {fleet} is {identity}, process {process}",
+            event="heads.start",
+            name=settings.name,
+            fleet=settings.fleet,
+            identity=self.me.identity[:8],
+            process=self.process,
+        )
 
     async def close(self) -> None:
         if self.datagrams is not None:
@@ -111,14 +138,16 @@
             self.touch(raft.commit)
         ago = None if self.touched is None else now - self.touched
         caught_up = self.goal is not None and self.agreed.machine.index >= self.goal
-        return Facts(bool(self.founding.origin), caught_up, ago, raft.votes_here, raft.leads,
-                     self.agreed.lasting)
+        return Facts(
+            bool(self.founding.origin), caught_up, ago, raft.votes_here, raft.leads, self.agreed.lasting
+        )
 
     def look(self) -> None:
         """Look where this head stands, and say so when that has changed."""
         settings = self.settings
-        standing = stand(self.facts(), settings.cut_off_after, self.now() - self.began,
-                         settings.wait_at_start)
+        standing = stand(
+            self.facts(), settings.cut_off_after, self.now() - self.began, settings.wait_at_start
+        )
         if standing != self.standing:
             before, self.standing = self.standing, standing
             if before is None or before.state is not standing.state:
@@ -217,16 +246,20 @@
                 continue
             others = [name for name in self.settings.voters if name != self.settings.name]
             answers: list[Any] = await asyncio.gather(
-                *(self.streams.ask(name, calls.PROMISE, b"") for name in others), return_exceptions=True)
-            told = [msgspec.msgpack.decode(a[1], type=Promised) for a in answers
-                    if isinstance(a, tuple) and a[1]]
+                *(self.streams.ask(name, calls.PROMISE, b"") for name in others), return_exceptions=True
+            )
+            told = [
+                msgspec.msgpack.decode(a[1], type=Promised) for a in answers if isinstance(a, tuple) and a[1]
+            ]
             for answer in told or [self.founding.promise(self.me)]:
                 founded = self.founding.heard(answer)
                 if founded is not None:
                     self.adopt(founded)
                     body = msgspec.msgpack.encode(founded)
-                    await asyncio.gather(*(self.streams.ask(name, calls.FOUND, body) for name in others),
-                                         return_exceptions=True)
+                    await asyncio.gather(
+                        *(self.streams.ask(name, calls.FOUND, body) for name in others),
+                        return_exceptions=True,
+                    )
                     break
 
     def adopt(self, founded: Founded) -> None:
@@ -234,8 +267,12 @@
         if not self.founding.adopt(founded):
             return
 
-        logger.info("heads: the fleet {origin} is founded by {voters}", event="heads.founded",
-                    origin=founded.origin[:8], voters=", ".join(v.name for v in founded.voters))
+        logger.info(
+            "heads: the fleet {origin} is founded by {voters}",
+            event="heads.founded",
+            origin=founded.origin[:8],
+            voters=", ".join(v.name for v in founded.voters),
+        )
         self.agreed.begin(founded.snapshot(), 0, founded.origin, self.begun)
 
     def begun(self) -> None:
@@ -284,8 +321,11 @@
         mine = self.founding.origin
         if not told.origin or (mine and (told.origin != mine or not self.belongs)):
             return False
-        if not self.founding.origin and told.snapshot is not None and self.founding.adopt(
-                Founded(told.origin, told.voters)):
+        if (
+            not self.founding.origin
+            and told.snapshot is not None
+            and self.founding.adopt(Founded(told.origin, told.voters))
+        ):
             self.agreed.begin(told.snapshot, 0, told.origin, self.begun)
             return False  # it promised to its founder and missed the founding
         self.belong(told.origin)
@@ -307,11 +347,18 @@
                         await agreed.changed.wait()
         raft = agreed.raft
         told: dict[str, Any] = {
-            "origin": self.founding.origin, "touched": self.stands.changes, "commit": raft.commit,
-            "leader": raft.leader.name if raft.leader else None, "voters": raft.voters}
+            "origin": self.founding.origin,
+            "touched": self.stands.changes,
+            "commit": raft.commit,
+            "leader": raft.leader.name if raft.leader else None,
+            "voters": raft.voters,
+        }
         if raft.log.term(ask.after) == ask.after_term and ask.after:
-            told |= {"prev_index": ask.after, "prev_term": ask.after_term,
-                     "entries": raft.log.since(ask.after + 1, raft.commit)}
+            told |= {
+                "prev_index": ask.after,
+                "prev_term": ask.after_term,
+                "entries": raft.log.since(ask.after + 1, raft.commit),
+            }
         elif self.founding.origin:
             told["snapshot"] = raft.log.snapshot
         return msgspec.msgpack.encode(calls.Fetched(**told))
@@ -339,8 +386,9 @@
         """Bring a command through at whoever leads; its answer. Raises NotAgreed: it may come to hold later,
         and asked again under its id it gives the one answer."""
         command = Command(id, part, body, self.settings.name)
-        answer = await self.at_leader(calls.COMMAND, msgspec.msgpack.encode(command), within,
-                                      lambda: self.commanded(command))
+        answer = await self.at_leader(
+            calls.COMMAND, msgspec.msgpack.encode(command), within, lambda: self.commanded(command)
+        )
         return answer.body
 
     async def read(self, within: timedelta) -> None:
@@ -350,8 +398,9 @@
         if not await self.agreed.applied(answer.index, max(AGAIN, deadline - self.now())):
             raise NotAgreed("what was agreed on has not come here in time")
 
-    async def at_leader(self, kind: str, body: bytes, within: timedelta,
-                        here: Callable[[], Awaitable[bytes]]) -> calls.Answer:
+    async def at_leader(
+        self, kind: str, body: bytes, within: timedelta, here: Callable[[], Awaitable[bytes]]
+    ) -> calls.Answer:
         deadline, why, hint, wait = self.now() + within, "no leader is known", None, AGAIN
         while (left := deadline - self.now()) > timedelta(0):
             raft = self.agreed.raft
@@ -368,8 +417,12 @@
             except (Unreachable, msgspec.MsgspecError) as error:
                 why, hint, self.leader = str(error), None, None
                 self.turn += 1
-            await asyncio.sleep(min(wait.total_seconds() * (0.5 + self.draws.random()),
-                                    max(0.0, (deadline - self.now()).total_seconds())))
+            await asyncio.sleep(
+                min(
+                    wait.total_seconds() * (0.5 + self.draws.random()),
+                    max(0.0, (deadline - self.now()).total_seconds()),
+                )
+            )
             wait = min(2 * wait, timedelta(milliseconds=400))
         raise NotAgreed(why)
 
--- a/stoatrouter/peering/heads.py
+++ b/stoatrouter/peering/heads.py
@@ -46,8 +46,12 @@
         while self.rules is not None and not self.rules.caught_up:
             await asyncio.sleep(0.02)
         until = self.fleet.now() + self.settings.wait_at_start
-        while self.credit is not None and not self.credit.begun and self.fleet.stands.draws \
-                and self.fleet.now() < until:
+        while (
+            self.credit is not None
+            and not self.credit.begun
+            and self.fleet.stands.draws
+            and self.fleet.now() < until
+        ):
             await asyncio.sleep(0.02)
 
     @property
--- a/stoatrouter/peering/operators.py
+++ b/stoatrouter/peering/operators.py
@@ -1,9 +1,9 @@
 """Operators' calls about the heads themselves: who is there, who votes, and what to do when voters are lost.
 
-    GET    /control/heads                where this head stands, whom it sees, who votes
-    POST   /control/heads/voters/NAME    the head becomes a voter, under the identity that its disk has now
-    DELETE /control/heads/voters/NAME    it is one no more
-    POST   /control/heads/recover        voters lost for good: this head goes on alone, as a new fleet
+GET    /control/heads                where this head stands, whom it sees, who votes
+POST   /control/heads/voters/NAME    the head becomes a voter, under the identity that its disk has now
+DELETE /control/heads/voters/NAME    it is one no more
+POST   /control/heads/recover        voters lost for good: this head goes on alone, as a new fleet
 """
 
 from __future__ import annotations
@@ -50,18 +50,35 @@
     def told(self) -> dict[str, Any]:
         fleet = self.fleet
         standing, raft, now = fleet.stands, fleet.agreed.raft, fleet.now()
-        seen = {} if fleet.datagrams is None else {
-            name: news.status.name.lower() for name, news in
-            sorted(fleet.datagrams.detector.roster.held.items())}
+        seen = (
+            {}
+            if fleet.datagrams is None
+            else {
+                name: news.status.name.lower()
+                for name, news in sorted(fleet.datagrams.detector.roster.held.items())
+            }
+        )
         return {
-            "name": fleet.settings.name, "identity": fleet.me.identity, "process": fleet.process,
-            "fleet": fleet.settings.fleet, "origin": fleet.founding.origin, "state": standing.state.value,
-            "majority_heard_s_ago": None if fleet.touched is None else
-            round((now - fleet.touched).total_seconds(), 3),
-            "term": raft.term, "leader": raft.leader.name if raft.leader else fleet.leader,
-            "leads": raft.leads, "votes": raft.votes_here, "disk": fleet.agreed.lasting,
-            "voters": {v.name: v.identity for v in raft.voters}, "applied": fleet.agreed.machine.index,
-            "committed": raft.commit, "seen": seen, "counts": dict(sorted(fleet.counts.counts.items()))}
+            "name": fleet.settings.name,
+            "identity": fleet.me.identity,
+            "process": fleet.process,
+            "fleet": fleet.settings.fleet,
+            "origin": fleet.founding.origin,
+            "state": standing.state.value,
+            "majority_heard_s_ago": None
+            if fleet.touched is None
+            else round((now - fleet.touched).total_seconds(), 3),
+            "term": raft.term,
+            "leader": raft.leader.name if raft.leader else fleet.leader,
+            "leads": raft.leads,
+            "votes": raft.votes_here,
+            "disk": fleet.agreed.lasting,
+            "voters": {v.name: v.identity for v in raft.voters},
+            "applied": fleet.agreed.machine.index,
+            "committed": raft.commit,
+            "seen": seen,
+            "counts": dict(sorted(fleet.counts.counts.items())),
+        }
 
     async def voter(self, method: str, name: str) -> web.Response:
         """Add or remove one voter; answered once the change is agreed on."""
@@ -82,8 +99,9 @@
             await self.fleet.agreed.change_voters(write_voters(after), WITHIN)
         except (NotAgreed, Unreachable) as error:
             return answer(503, {"error": str(error)})
-        logger.info("heads: voters are {voters}", event="heads.voters",
-                    voters=", ".join(v.name for v in after))
+        logger.info(
+            "heads: voters are {voters}", event="heads.voters", voters=", ".join(v.name for v in after)
+        )
         return answer(200, {"voters": [v.name for v in after]})
 
     async def identify(self, name: str) -> Voter:
@@ -93,8 +111,9 @@
         if name == fleet.settings.name:
             return fleet.me
         held = next((v for v in fleet.agreed.raft.voters if v.name == name), None)
-        voter, body = await fleet.streams.ask(name, calls.FETCH, msgspec.msgpack.encode(
-            calls.Fetch(1 << 60, 0)))
+        voter, body = await fleet.streams.ask(
+            name, calls.FETCH, msgspec.msgpack.encode(calls.Fetch(1 << 60, 0))
+        )
         told = msgspec.msgpack.decode(body, type=calls.Fetched)
         if held == voter:
             return voter
@@ -114,8 +133,12 @@
             return answer(409, {"error": "this head cannot vote: its disk fails, or it has no address"})
         machine, raft = fleet.agreed.machine, fleet.agreed.raft
         origin = secrets.token_hex(16)
-        logger.warning("heads: recovered as {origin}, alone, with what was agreed on up to {index}",
-                       event="heads.recovered", origin=origin[:8], index=machine.index)
+        logger.warning(
+            "heads: recovered as {origin}, alone, with what was agreed on up to {index}",
+            event="heads.recovered",
+            origin=origin[:8],
+            index=machine.index,
+        )
         snapshot = Snapshot(max(1, machine.index), raft.term, (fleet.me,), machine.state())
         fleet.founding.origin = origin
         fleet.agreed.begin(snapshot, raft.term + 1, origin, fleet.begun)
--- a/stoatrouter/peering/parts.py
+++ b/stoatrouter/peering/parts.py
@@ -21,8 +21,9 @@
 Call = Callable[[str, str, bytes], Awaitable[web.Response | None]]
 
 
-def credit(settings: HeadsSettings, head: Head, fleet: Fleet, parts: dict[str, Part],
-           calls: list[Call]) -> CreditService | None:
+def credit(
+    settings: HeadsSettings, head: Head, fleet: Fleet, parts: dict[str, Part], calls: list[Call]
+) -> CreditService | None:
     """Prepaid credit, asked by the core before its module for every front."""
     if settings.credit is None:
         return None
@@ -32,16 +33,28 @@
 
     ledger = parts[PART] = Ledger()
     scheduler = head.engine.reducer.scheduler
-    service = CreditService(settings.credit, fleet, ledger, scheduler.settings.classes, scheduler.background,
-                            head.engine.clock.now)
+    service = CreditService(
+        settings.credit,
+        fleet,
+        ledger,
+        scheduler.settings.classes,
+        scheduler.background,
+        head.engine.clock.now,
+    )
     head.engine.reducer.gate = service.gate
     head.engine.prepare = service.prepare
     calls.append(CreditCalls(service).call)
     return service
 
 
-def rules(settings: HeadsSettings, head: Head, fleet: Fleet, parts: dict[str, Part], calls: list[Call],
-          started_with: int) -> RulesService | None:
+def rules(
+    settings: HeadsSettings,
+    head: Head,
+    fleet: Fleet,
+    parts: dict[str, Part],
+    calls: list[Call],
+    started_with: int,
+) -> RulesService | None:
     """The shared history of the HTTP front's rules."""
     if settings.rules is None or head.http_tables is None:
         return None
--- a/stoatrouter/peering/rulecalls.py
+++ b/stoatrouter/peering/rulecalls.py
@@ -1,12 +1,12 @@
 """Operators' calls about the history of rules. They need no rule table: no edit can lock anybody out of them.
 
-    GET  /control/rules               which version this head decides by, how old it is, the history
-    GET  /control/rules/newest        the newest version, as a majority confirms it
-    GET  /control/rules/versions/N    one version, with its files
-    POST /control/rules/edits         {"id", "base", "root", "files", "author", "reason"}
-    POST /control/rules/undo          {"id", "version", "to", "author", "reason"}
-    GET  /control/rules/edits/ID      what became of an edit or undo: accepted, in force on N of M,
-                                      everywhere, or abandoned and why
+GET  /control/rules               which version this head decides by, how old it is, the history
+GET  /control/rules/newest        the newest version, as a majority confirms it
+GET  /control/rules/versions/N    one version, with its files
+POST /control/rules/edits         {"id", "base", "root", "files", "author", "reason"}
+POST /control/rules/undo          {"id", "version", "to", "author", "reason"}
+GET  /control/rules/edits/ID      what became of an edit or undo: accepted, in force on N of M,
+                                  everywhere, or abandoned and why
 """
 
 from __future__ import annotations
@@ -58,7 +58,7 @@
     async def call(self, method: str, path: str, body: bytes) -> web.Response | None:
         if path != ROOT and not path.startswith(ROOT + "/"):
             return None
-        parts = [unquote(part) for part in path[len(ROOT):].split("/")[1:]]
+        parts = [unquote(part) for part in path[len(ROOT) :].split("/")[1:]]
         try:
             match method, parts:
                 case "GET", []:
@@ -77,8 +77,14 @@
         except (msgspec.MsgspecError, ValueError) as error:
             return answer(400, {"error": str(error)})
         except NotAgreed as error:
-            return answer(503, {"error": str(error), "unknown": True,
-                                "advice": "it may still come to hold: ask by its id, or call again with it"})
+            return answer(
+                503,
+                {
+                    "error": str(error),
+                    "unknown": True,
+                    "advice": "it may still come to hold: ask by its id, or call again with it",
+                },
+            )
         return answer(404, {"error": "no such call"})
 
     def told(self) -> dict[str, Any]:
@@ -86,15 +92,18 @@
         fleet = service.fleet
         now = fleet.now()
         return {
-            "version": service.active, "held_for_s": round((now - service.active_since).total_seconds(), 1),
+            "version": service.active,
+            "held_for_s": round((now - service.active_since).total_seconds(), 1),
             "state": fleet.stands.state.value,
-            "majority_heard_s_ago": None if fleet.touched is None else round(
-                (now - fleet.touched).total_seconds(), 1),
-            "newest_known": register.newest, "history_from": register.versions[0].number if register.versions
-            else None,
+            "majority_heard_s_ago": None
+            if fleet.touched is None
+            else round((now - fleet.touched).total_seconds(), 1),
+            "newest_known": register.newest,
+            "history_from": register.versions[0].number if register.versions else None,
             "pending": None if register.pending is None else described(register.pending),
             "unloadable_here": service.faults,
-            "versions": [described(v) for v in register.versions[-50:]]}
+            "versions": [described(v) for v in register.versions[-50:]],
+        }
 
     async def version(self, number: int) -> web.Response:
         await self.service.fleet.read(WITHIN)
@@ -146,17 +155,25 @@
             return answer(200, described(ended.version) | {"state": "abandoned", "why": ended.why})
         version = register.by_id(id)
         if version is None:
-            return answer(404, {"error": f"nothing is known under {id!r}: it was refused, never came, or is "
-                                         "past the history's end"})
+            return answer(
+                404,
+                {
+                    "error": f"nothing is known under {id!r}: it was refused, never came, or is "
+                    "past the history's end"
+                },
+            )
         if version == register.pending:
             return answer(200, described(version) | {"state": "accepted"})
         spread = await service.spread()
         told: dict[str, Any] = described(version) | {"state": "in force", "newest": register.newest}
         if spread is not None:
             there = [name for name in spread.live if spread.active.get(name, 0) >= version.number]
-            told |= {"on": len(there), "of": len(spread.live),
-                     "missing": sorted(set(spread.live) - set(there)),
-                     "state": "everywhere" if len(there) == len(spread.live) else "in force"}
+            told |= {
+                "on": len(there),
+                "of": len(spread.live),
+                "missing": sorted(set(spread.live) - set(there)),
+                "state": "everywhere" if len(there) == len(spread.live) else "in force",
+            }
         return answer(200, told)
 
 
--- a/stoatrouter/peering/rules.py
+++ b/stoatrouter/peering/rules.py
@@ -97,9 +97,13 @@
         aside = file.with_name(f"{FILE}.spoilt-{secrets.token_hex(4)}")
         with contextlib.suppress(OSError):
             os.replace(file, aside)
-        logger.error("rules: the kept version is set aside as {aside}, this head's own files hold until "
-                     "another is heard: {error}", event="rules.kept_spoilt", aside=aside.name,
-                     error=str(error))
+        logger.error(
+            "rules: the kept version is set aside as {aside}, this head's own files hold until "
+            "another is heard: {error}",
+            event="rules.kept_spoilt",
+            aside=aside.name,
+            error=str(error),
+        )
         return None
 
 
@@ -194,8 +198,12 @@
         # where the set lies at this head is of no use to whoever reads it at another
         why = why.replace(f"{self.folder / version.digest}{os.sep}", "")
         self.faults[version.digest] = why[:LONGEST_WHY]
-        logger.error("rules: version {number} cannot be loaded: {why}", event="rules.unloadable",
-                     number=version.number, why=why[:LONGEST_WHY])
+        logger.error(
+            "rules: version {number} cannot be loaded: {why}",
+            event="rules.unloadable",
+            number=version.number,
+            why=why[:LONGEST_WHY],
+        )
 
     def put_in_force(self) -> None:
         """What is agreed on as in force, once its table is made. Numbers only go up."""
@@ -204,8 +212,14 @@
             return
         self.tables.put(self.made[newest.digest])
         self.active, self.active_since = newest.number, self.fleet.now()
-        logger.info("rules: version {number} of {author} is in force here", event="rules.version",
-                    number=newest.number, author=newest.author, kind=newest.kind, digest=newest.digest)
+        logger.info(
+            "rules: version {number} of {author} is in force here",
+            event="rules.version",
+            number=newest.number,
+            author=newest.author,
+            kind=newest.kind,
+            digest=newest.digest,
+        )
         self.keep(newest)
         needed = {v.digest for v in self.wanted()} | {newest.digest}
         self.made = {digest: made for digest, made in self.made.items() if digest in needed}
@@ -229,8 +243,13 @@
                 async with self.keeping_one:  # in order: the newest is what stays
                     await in_thread(write)
             except OSError as error:
-                logger.error("rules: version {number} cannot be kept for a start without others: {error}",
-                             event="rules.unkept", number=version.number, error=str(error))
+                logger.error(
+                    "rules: version {number} cannot be kept for a start without others: {error}",
+                    event="rules.unkept",
+                    number=version.number,
+                    error=str(error),
+                )
+
         task = asyncio.get_running_loop().create_task(kept_aside())
         self.keeping.add(task)  # the loop itself holds tasks only weakly
         task.add_done_callback(self.keeping.discard)
@@ -277,10 +296,19 @@
         if self.pending_since[0] != pending.number:
             self.pending_since = (pending.number, now)
         self.heard[self.fleet.settings.name] = Heard(self.own(), now)
-        said = {name: Checked(h.said.ok, h.said.why) for name, h in self.heard.items()
-                if h.said.checked == pending.number}
-        decided = decide(pending.number, said, self.fleet.live(), now - self.pending_since[1],
-                         self.settings.check_within, self.settings.versions)
+        said = {
+            name: Checked(h.said.ok, h.said.why)
+            for name, h in self.heard.items()
+            if h.said.checked == pending.number
+        }
+        decided = decide(
+            pending.number,
+            said,
+            self.fleet.live(),
+            now - self.pending_since[1],
+            self.settings.check_within,
+            self.settings.versions,
+        )
         if decided is not None:
             await self.bring(decided)
 
@@ -291,8 +319,12 @@
         except NotAgreed:
             return  # whoever leads next decides anew
         if isinstance(decided, Abandon):
-            logger.warning("rules: version {number} is abandoned: {why}", event="rules.abandoned",
-                           number=decided.number, why=decided.why)
+            logger.warning(
+                "rules: version {number} is abandoned: {why}",
+                event="rules.abandoned",
+                number=decided.number,
+                why=decided.why,
+            )
 
     async def asked(self, envelope: Envelope) -> bytes:
         return msgspec.msgpack.encode(self.spread_here())
@@ -300,8 +332,10 @@
     def spread_here(self) -> Spread:
         now = self.fleet.now()
         self.heard[self.fleet.settings.name] = Heard(self.own(), now)
-        return Spread({name: h.said.active for name, h in self.heard.items() if now < h.at + FORGET},
-                      sorted(self.fleet.live()))
+        return Spread(
+            {name: h.said.active for name, h in self.heard.items() if now < h.at + FORGET},
+            sorted(self.fleet.live()),
+        )
 
     async def spread(self) -> Spread | None:
         """Which version each head decides by, from the leader; None where it is not reached."""
--- a/stoatrouter/peering/settings.py
+++ b/stoatrouter/peering/settings.py
@@ -111,22 +111,39 @@
     listen = made.listen or made.streams.get(conf.name)
     timing = made.detector
     return HeadsSettings(
-        conf.name, made.fleet, read_secret(path.parent / made.secret_file),
-        path.parent / made.folder / conf.name, made.streams, made.voters, listen, span_of(made.cut_off_after),
+        conf.name,
+        made.fleet,
+        read_secret(path.parent / made.secret_file),
+        path.parent / made.folder / conf.name,
+        made.streams,
+        made.voters,
+        listen,
+        span_of(made.cut_off_after),
         span_of(made.wait_at_start),
-        DetectorTiming(span_of(timing.period), span_of(timing.ack_within), timing.others, timing.suspicion,
-                       local_health=timing.local_health),
+        DetectorTiming(
+            span_of(timing.period),
+            span_of(timing.ack_within),
+            timing.others,
+            timing.suspicion,
+            local_health=timing.local_health,
+        ),
         AgreementTiming(span_of(made.agreement.heartbeat), span_of(made.agreement.election)),
-        conf.peers, conf.peer_listen, credit_of(path, made, conf),
-        None if made.rules is None else RulesSettings(
-            made.rules.versions, span_of(made.rules.check_within), made.rules.largest))
+        conf.peers,
+        conf.peer_listen,
+        credit_of(path, made, conf),
+        None
+        if made.rules is None
+        else RulesSettings(made.rules.versions, span_of(made.rules.check_within), made.rules.largest),
+    )
 
 
 def check(path: Path, made: HeadsFile, conf: Config) -> None:
     """What the schema cannot say."""
+
     def wrong(place: str, found: str, allowed: str) -> ConfigError:
-        return ConfigError(f"bad settings of the heads:\n{path.name}: {place}: found {found} "
-                           f"(allowed: {allowed})")
+        return ConfigError(
+            f"bad settings of the heads:\n{path.name}: {place}: found {found} (allowed: {allowed})"
+        )
 
     if not NAME.fullmatch(conf.name):
         raise wrong("NODE_NAME", repr(conf.name), "1 to 24 letters, digits, _ . -")
@@ -147,7 +164,9 @@
         return None
     classes = [c.name for c in conf.settings.classes]
     if unknown := [name for name in made.credit.prices if name not in classes]:
-        raise ConfigError(f"bad settings of the heads:\n{path.name}: credit.prices: found "
-                          f"{', '.join(unknown)} (allowed: classes of the settings: {', '.join(classes)})")
+        raise ConfigError(
+            f"bad settings of the heads:\n{path.name}: credit.prices: found "
+            f"{', '.join(unknown)} (allowed: classes of the settings: {', '.join(classes)})"
+        )
     prices = tuple(made.credit.prices.get(name, 0) for name in classes)
     return CreditSettings(prices, span_of(made.credit.lease), span_of(made.credit.wait))
--- a/stoatrouter/peering/storage.py
+++ b/stoatrouter/peering/storage.py
@@ -120,9 +120,11 @@
         try:
             fcntl.flock(self.lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except BlockingIOError:
-            raise ConfigError(f"{self.folder}: another process of this head uses the folder; end it first "
-                              "(with heads that know each other on, a new version does not start beside the "
-                              "old one)") from None
+            raise ConfigError(
+                f"{self.folder}: another process of this head uses the folder; end it first "
+                "(with heads that know each other on, a new version does not start beside the "
+                "old one)"
+            ) from None
 
     def _read(self) -> Found:
         if not self.path.exists():
@@ -138,8 +140,10 @@
         if application != APPLICATION and tables:
             raise ConfigError(f"{self.path}: this database belongs to another program; name another folder")
         if version > VERSION:
-            raise ConfigError(f"{self.path}: written by a later version (schema {version}, this one knows "
-                              f"{VERSION}); start that version, or name another folder")
+            raise ConfigError(
+                f"{self.path}: written by a later version (schema {version}, this one knows "
+                f"{VERSION}); start that version, or name another folder"
+            )
         with self._doubts():
             if base.execute("PRAGMA quick_check").fetchone()[0] != "ok":
                 raise Spoilt("the database is damaged")
@@ -151,8 +155,10 @@
         try:
             identity, boot = meta["identity"].decode(), int(meta["boot"]) + 1
             self.number = int(meta["number"])
-            entries = [self._entry(at, data, held) for at, data, held
-                       in base.execute("SELECT at, data, sum FROM entries ORDER BY at")]
+            entries = [
+                self._entry(at, data, held)
+                for at, data, held in base.execute("SELECT at, data, sum FROM entries ORDER BY at")
+            ]
             snapshot = Snapshot(0, 0, (), b"")
             for data, held in base.execute("SELECT data, sum FROM snapshot"):
                 if checksum(data) != held:
@@ -165,13 +171,20 @@
             raise Spoilt("entries are missing")
         assert self.mark is not None
         if self.number < self.mark.read():
-            raise Spoilt(f"it is older than what this head acknowledged (write {self.number}, and "
-                         f"{self.mark.read()} was done)")
+            raise Spoilt(
+                f"it is older than what this head acknowledged (write {self.number}, and "
+                f"{self.mark.read()} was done)"
+            )
         base.execute("UPDATE meta SET value = ? WHERE key = 'boot'", (str(boot).encode(),))
         base.commit()
         voted = meta.get("voted", b"").decode() or None
-        return Found(identity, boot, Disk(term, voted, snapshot, tuple(entries)),
-                     meta.get("origin", b"").decode(), meta.get("promised", b"").decode())
+        return Found(
+            identity,
+            boot,
+            Disk(term, voted, snapshot, tuple(entries)),
+            meta.get("origin", b"").decode(),
+            meta.get("promised", b"").decode(),
+        )
 
     @staticmethod
     def _entry(at: int, data: bytes, held: bytes) -> Entry:
@@ -210,8 +223,11 @@
     def _begin(self, why: str | None) -> Found:
         """A new database under a new identity."""
         self.base = base = self._connect()
-        base.executescript("PRAGMA journal_mode = WAL; PRAGMA synchronous = FULL;" + SCHEMA +
-                           f"PRAGMA application_id = {APPLICATION}; PRAGMA user_version = {VERSION};")
+        base.executescript(
+            "PRAGMA journal_mode = WAL; PRAGMA synchronous = FULL;"
+            + SCHEMA
+            + f"PRAGMA application_id = {APPLICATION}; PRAGMA user_version = {VERSION};"
+        )
         identity = secrets.token_hex(16)
         self.number = 0
         for key, value in (("identity", identity), ("boot", "1"), ("number", "0"), ("term", "0")):
@@ -233,8 +249,9 @@
                 base.execute("DELETE FROM entries WHERE at >= ?", (write.cut_from,))
             for entry in write.entries:
                 data = msgspec.msgpack.encode(entry)
-                base.execute("INSERT OR REPLACE INTO entries VALUES (?, ?, ?)",
-                             (entry.index, data, checksum(data)))
+                base.execute(
+                    "INSERT OR REPLACE INTO entries VALUES (?, ?, ?)", (entry.index, data, checksum(data))
+                )
             if write.snapshot is not None:
                 data = msgspec.msgpack.encode(write.snapshot)
                 base.execute("INSERT OR REPLACE INTO snapshot VALUES (1, ?, ?)", (data, checksum(data)))
