--- a/stoatrouter/peering/streams.py
+++ b/stoatrouter/peering/streams.py
@@ -38,8 +38,16 @@
 class Streams:
     """What a head says to others over streams, and what it hears."""
 
-    def __init__(self, seal: Seal, me: Voter, process: int, addresses: dict[str, str], counts: Counts,
-                 handler: Handler, origin: Callable[[], str]) -> None:
+    def __init__(
+        self,
+        seal: Seal,
+        me: Voter,
+        process: int,
+        addresses: dict[str, str],
+        counts: Counts,
+        handler: Handler,
+        origin: Callable[[], str],
+    ) -> None:
         self.seal, self.me, self.process = seal, me, process
         self.addresses, self.counts, self.handler, self.origin = addresses, counts, handler, origin
         self.number = self.open = 0
@@ -52,7 +60,8 @@
     async def start(self, listen: tuple[str, int] | None) -> None:
         self.session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0, limit_per_host=8),
-            timeout=aiohttp.ClientTimeout(total=ASK.total_seconds(), connect=CONNECT.total_seconds()))
+            timeout=aiohttp.ClientTimeout(total=ASK.total_seconds(), connect=CONNECT.total_seconds()),
+        )
         if listen is not None:
             self.server = web.Server(self.take, access_log=None, handler_cancellation=True)
             with_ear = ListeningSocket()
@@ -102,8 +111,9 @@
             self.open -= 1
         if answer is None:
             return web.Response(status=204)
-        return web.Response(body=self.seal.close(self.envelope(envelope.sender.name, envelope.number,
-                                                               envelope.kind, answer)))
+        return web.Response(
+            body=self.seal.close(self.envelope(envelope.sender.name, envelope.number, envelope.kind, answer))
+        )
 
     @staticmethod
     async def read(request: web.BaseRequest) -> bytes:
@@ -131,8 +141,10 @@
         self.counts.add("streams.sent")
         self.counts.add("streams.bytes", len(data))
         try:
-            async with asyncio.timeout(within.total_seconds()), self.session.post(
-                    f"http://{address}{PATH}", data=data) as response:
+            async with (
+                asyncio.timeout(within.total_seconds()),
+                self.session.post(f"http://{address}{PATH}", data=data) as response,
+            ):
                 said = await response.read()
                 if response.status == 204:
                     return Voter(name, ""), b""
--- a/stoatrouter/peering/writer.py
+++ b/stoatrouter/peering/writer.py
@@ -19,8 +19,9 @@
 class Writer:
     """Puts writes to the storage, one after the other. `failed` is called once, with the reason."""
 
-    def __init__(self, storage: Storage, loop: asyncio.AbstractEventLoop, failed: Callable[[str], None],
-                 lasting: bool) -> None:
+    def __init__(
+        self, storage: Storage, loop: asyncio.AbstractEventLoop, failed: Callable[[str], None], lasting: bool
+    ) -> None:
         self.storage, self.loop, self.failed, self.lasting = storage, loop, failed, lasting
         self.waiting: queue.Queue[tuple[Write | dict[str, str], Done] | None] = queue.Queue(MOST_WAITING)
         self.broken = not lasting
--- a/stoatrouter/settings/constraints.py
+++ b/stoatrouter/settings/constraints.py
@@ -51,7 +51,6 @@
     return re2.compile(pattern, options)
 
 
-
 def kind_of_value(value: Any) -> str:
     if value is None:
         return "null"
--- a/tests/agent.py
+++ b/tests/agent.py
@@ -23,7 +23,7 @@
                 if isinstance(step, bytes):
                     writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(step) + step)
                 elif step == "half":
-                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n{\"gen")
+                    writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n{"gen')
                 elif step == "trickle":
                     writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n")
                     while not self.ended.is_set():
@@ -34,7 +34,7 @@
                 elif step == "reset":
                     writer.transport.abort()
                 elif step == "cut":
-                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n{\"gen")
+                    writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n{"gen')
                     writer.close()
         writer.close()
 
--- a/tests/bench_free.py
+++ b/tests/bench_free.py
@@ -19,13 +19,25 @@
 class Hand:
     """Feeds events to a scheduler, fires its timers in order, and keeps every action with its time."""
 
-    def __init__(self, *, classes=CLASSES, plans=(PLAN,), rules: dict[str, Any] | None = None,
-                 nodes=None, start: int = 100 * SECOND, seed: int = 1, **settings: Any) -> None:
+    def __init__(
+        self,
+        *,
+        classes=CLASSES,
+        plans=(PLAN,),
+        rules: dict[str, Any] | None = None,
+        nodes=None,
+        start: int = 100 * SECOND,
+        seed: int = 1,
+        **settings: Any,
+    ) -> None:
         settings = {"max_attempts": 4, "parallel_attempts": True, "max_units": 8, "mean_units": 2} | settings
         self.now = start
         self.scheduler = Scheduler(
-            api.Settings(classes=tuple(classes), plans=tuple(plans), rules=api.Rules(**(rules or {})),
-                         **settings), seed)
+            api.Settings(
+                classes=tuple(classes), plans=tuple(plans), rules=api.Rules(**(rules or {})), **settings
+            ),
+            seed,
+        )
         self.log: list[tuple[int, api.Action]] = []
         self.timers: list[tuple[int, int]] = []
         self.attempts: dict[str, int] = {}
@@ -47,17 +59,32 @@
     def listed(self, *entries: api.NodeEntry, kind=api.ListKind.CHANGES) -> list[api.Action]:
         return self.event(api.NodeList(kind, tuple(entries)))
 
-    def request(self, name: str, request_class: int = 0, *, volume: str = "v1", plan: int = 0, shard: int = 0,
-                left: int = 2 * SECOND, units: float = 1, hosts: int = 1, key: str | None = None):
+    def request(
+        self,
+        name: str,
+        request_class: int = 0,
+        *,
+        volume: str = "v1",
+        plan: int = 0,
+        shard: int = 0,
+        left: int = 2 * SECOND,
+        units: float = 1,
+        hosts: int = 1,
+        key: str | None = None,
+    ):
         return self.event(
-            api.RequestArrived(name, volume, plan, request_class, shard, left, units, hosts, key))
+            api.RequestArrived(name, volume, plan, request_class, shard, left, units, hosts, key)
+        )
 
     def end(self, name: str, outcome=api.Outcome.OK, **more: Any) -> list[api.Action]:
         """End the oldest attempt of a request that is out."""
         found = next(s for s in self.open_sends if s[0] == name)
         self.open_sends.remove(found)
-        return self.event(api.AttemptEnded(name, found[1], found[2], outcome, self.now - found[3],
-                                           outcome is api.Outcome.OK, **more))
+        return self.event(
+            api.AttemptEnded(
+                name, found[1], found[2], outcome, self.now - found[3], outcome is api.Outcome.OK, **more
+            )
+        )
 
     def wait(self, span: int, reply=None) -> None:
         """Let time pass: timers fire; reply(hand) is called at each stop, at least every 5 ms."""
@@ -82,8 +109,10 @@
 
 def answer_after(took: int, outcome=api.Outcome.OK):
     """A reply for Hand.wait: each attempt ends after this long."""
+
     def reply(hand: Hand) -> None:
         for name, _, _, sent in list(hand.open_sends):
             if hand.now - sent >= took:
                 hand.end(name, outcome)
+
     return reply
--- a/tests/fleet_story.py
+++ b/tests/fleet_story.py
@@ -22,16 +22,31 @@
 DEADLINE, WINDOW, GRACE = 1.2, 0.5, 0.5
 KINDS = {"look": Kind("safe"), "note": Kind("keyed", WINDOW), "lend": Kind("unsafe")}
 EFFECTS = {"safe": "retryable", "keyed": "dedup", "unsafe": "fragile"}
-CLASSES = [{"Name": name, "Effect": EFFECTS[kind.effect], "Group": "cell", "Points": 2.0, "LateWorth": 0.2,
-            "Promise": 400_000, "HardLimit": int(DEADLINE * 1e6), "Stream": False,
-            "Window": int(kind.window * 1e6)} for name, kind in KINDS.items()]
+CLASSES = [
+    {
+        "Name": name,
+        "Effect": EFFECTS[kind.effect],
+        "Group": "cell",
+        "Points": 2.0,
+        "LateWorth": 0.2,
+        "Promise": 400_000,
+        "HardLimit": int(DEADLINE * 1e6),
+        "Stream": False,
+        "Window": int(kind.window * 1e6),
+    }
+    for name, kind in KINDS.items()
+]
 START = "from stoatrouter.__main__ import main\nimport sys\nsys.exit(main())\n"
 
 
 def settings(heads: int) -> dict[str, Any]:
     rules = SETTINGS["Contract"] | {"DrainGrace": int(GRACE * 1e6)}
-    return SETTINGS | {"Classes": CLASSES, "Contract": rules, "Balancers": heads,
-                       "Extra": SETTINGS["Extra"] | {"ChangesData": [False, True, True]}}
+    return SETTINGS | {
+        "Classes": CLASSES,
+        "Contract": rules,
+        "Balancers": heads,
+        "Extra": SETTINGS["Extra"] | {"ChangesData": [False, True, True]},
+    }
 
 
 class History:
@@ -41,7 +56,6 @@
     def write(self, what: str, at: float | None = None, **more: Any) -> None:
         self.lines.append({"what": what, "at": time.monotonic() if at is None else at, **more})
 
-
     def in_flight(self, head: str) -> int:
         """How many requests of a head are at nodes now."""
         mine = {line["request"] for line in self.lines if line["what"] == "sent" and line["head"] == head}
@@ -69,8 +83,9 @@
                     break
         writer.close()
 
-    async def answer(self, request: str, began: float, reader: asyncio.StreamReader,
-                     writer: asyncio.StreamWriter) -> bool:
+    async def answer(
+        self, request: str, began: float, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
         self.history.write("attempt", request=request, node=self.name, first=began)
         fate = self.draws.random()
         if fate < 0.08:
@@ -100,8 +115,16 @@
         self.history.write("over", request=request, node=self.name, ran=ran)
 
     def entry(self) -> dict[str, Any]:
-        return {"instanceId": self.name, "hostPort": self.address, "zone": "a", "machineType": "m",
-                "cell": self.cell, "lifecycle": self.phase, "weight": 1.0, "startedAtMs": 0}
+        return {
+            "instanceId": self.name,
+            "hostPort": self.address,
+            "zone": "a",
+            "machineType": "m",
+            "cell": self.cell,
+            "lifecycle": self.phase,
+            "weight": 1.0,
+            "startedAtMs": 0,
+        }
 
 
 class PushingAgent:
@@ -160,18 +183,24 @@
 class StoryHead:
     """One process, started again under its name after each end. prelude: what a broken program does first."""
 
-    def __init__(self, name: str, folder: Path, nodes: list[RoughNode], history: History,
-                 prelude: str) -> None:
+    def __init__(
+        self, name: str, folder: Path, nodes: list[RoughNode], history: History, prelude: str
+    ) -> None:
         self.name, self.folder, self.nodes, self.history, self.prelude = name, folder, nodes, history, prelude
         self.host, self.agent = own_host(), PushingAgent(name, nodes, history)
         self.port, self.at = free_ports(self.host, 2)
         self.process: asyncio.subprocess.Process | None = None
 
     async def start(self, heads: int) -> None:
-        data = {"name": self.name, "listen": f"{self.host}:{self.port}",
-                "discovery": f"{self.host}:{self.at}", "seed": "1",
-                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-                "known": told(1, *(n.entry() for n in self.nodes)), "settings": settings(heads)}
+        data = {
+            "name": self.name,
+            "listen": f"{self.host}:{self.port}",
+            "discovery": f"{self.host}:{self.at}",
+            "seed": "1",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "known": told(1, *(n.entry() for n in self.nodes)),
+            "settings": settings(heads),
+        }
         path = self.folder / f"{self.name}.json"
         path.write_text(json.dumps(data))
         environ = os.environ | {"NODE_CONFIG": str(path), "PYTHONPATH": str(ROOT)}
@@ -179,8 +208,15 @@
             environ.pop(name, None)
         with (self.folder / f"{self.name}.log").open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
-                sys.executable, "-B", "-c", self.prelude + START, cwd=ROOT, env=environ, stderr=log,
-                preexec_fn=end_with_parent)
+                sys.executable,
+                "-B",
+                "-c",
+                self.prelude + START,
+                cwd=ROOT,
+                env=environ,
+                stderr=log,
+                preexec_fn=end_with_parent,
+            )
         while not await self.ready():
             assert self.process.returncode is None, (self.folder / f"{self.name}.log").read_text()[-2000:]
             await asyncio.sleep(0.02)
@@ -224,10 +260,15 @@
         self.count += 1
         name, kind = f"c{self.number}-{self.count}", self.draws.choice(list(KINDS))
         body = b"" if kind == "look" else b"new"
-        fields = {"Host": "x", "Req-Id": name, "X-Plan": "premium",
-                  "Req-Deadline-Ms": str(int(DEADLINE * 1000)),
-                  "X-IO": f"units=1,shard={self.draws.randrange(2)},hosts=1", "Idempotency-Key": name,
-                  "Content-Length": str(len(body))}
+        fields = {
+            "Host": "x",
+            "Req-Id": name,
+            "X-Plan": "premium",
+            "Req-Deadline-Ms": str(int(DEADLINE * 1000)),
+            "X-IO": f"units=1,shard={self.draws.randrange(2)},hosts=1",
+            "Idempotency-Key": name,
+            "Content-Length": str(len(body)),
+        }
         text = "".join(f"{field}: {value}\r\n" for field, value in fields.items())
         method = "PUT" if body else "GET"
         resting = reader.at_eof()
@@ -242,22 +283,27 @@
                 return False
         try:
             head = (await reader.readuntil(b"\r\n\r\n")).decode()
-            length = next(int(line.split(":")[1]) for line in head.lower().split("\r\n")
-                          if line.startswith("content-length"))
+            length = next(
+                int(line.split(":")[1])
+                for line in head.lower().split("\r\n")
+                if line.startswith("content-length")
+            )
             await reader.readexactly(length)
         except (OSError, asyncio.IncompleteReadError):
             # a close that crossed a request which the head has not read: it is sent once more, so it counts
             # as gone
-            attempted = any(seen["what"] == "attempt" and seen["request"] == name
-                            for seen in self.history.lines)
+            attempted = any(
+                seen["what"] == "attempt" and seen["request"] == name for seen in self.history.lines
+            )
             self.history.write("ended" if attempted and not resting else "gone", request=name)
             return False
         self.history.write("answered", request=name, status=int(head.split(" ")[1]))
         return "connection: close" not in head.lower()
 
 
-async def play(folder: Path, seed: int, heads: int = 3, turns: int = 5,
-               prelude: str = "") -> tuple[list[dict[str, Any]], Terms]:
+async def play(
+    folder: Path, seed: int, heads: int = 3, turns: int = 5, prelude: str = ""
+) -> tuple[list[dict[str, Any]], Terms]:
     """One story: what the stand-ins and clients saw, and the terms to judge it by."""
     history, draws = History(), random.Random(f"story/{seed}")
     nodes = [RoughNode(f"n{i}", i % 2, seed, history) for i in range(6)]
@@ -288,8 +334,9 @@
     return lines, Terms(KINDS, {n.name: n.cell for n in nodes}, GRACE, slack=0.4)
 
 
-async def faults(fleet: list[StoryHead], nodes: list[RoughNode], draws: random.Random, turns: int,
-                 history: History) -> None:
+async def faults(
+    fleet: list[StoryHead], nodes: list[RoughNode], draws: random.Random, turns: int, history: History
+) -> None:
     """Drains, silent watches, restarts with requests in flight, kills, one after another and at once."""
     for turn in range(turns):
         node = nodes[draws.randrange(len(nodes))]
--- a/tests/heads/chaos.py
+++ b/tests/heads/chaos.py
@@ -21,8 +21,10 @@
 
 PRICE = 1_000
 VOLUMES = {"acme": "00000003b4d60021", "other": "00000003b4d60022", "idle": "00000003b4d60023"}
-MORE = ('credit: {prices: {"score-read": 1000, "event-write": 1000, "stats-export": 1000}, lease: "2s"}\n'
-        'rules: {check_within: "2s", versions: 5000}\n')
+MORE = (
+    'credit: {prices: {"score-read": 1000, "event-write": 1000, "stats-export": 1000}, lease: "2s"}\n'
+    'rules: {check_within: "2s", versions: 5000}\n'
+)
 DETECT_WITHIN = 15.0
 
 
@@ -61,8 +63,16 @@
             units = self.draws.randint(1, 4)
             id, at = self.name("r"), time.time()
             status, _ = await head.read(id, VOLUMES[customer], units=units, deadline=1500)
-            self.write("request", at, until=time.time(), id=id, customer=customer, charge=units * PRICE,
-                       status=status, head=head.name)
+            self.write(
+                "request",
+                at,
+                until=time.time(),
+                id=id,
+                customer=customer,
+                charge=units * PRICE,
+                status=status,
+                head=head.name,
+            )
             await asyncio.sleep(self.draws.uniform(0.005, 0.06))
 
     async def payer(self) -> None:
@@ -76,10 +86,14 @@
                     await asyncio.sleep(0.1)
                     continue
                 at = time.time()
-                status, _ = await head.call("POST", f"/control/credit/customers/{customer}/entries", {
-                    "id": id, "amount": amount, "by": "chaos", "why": "run"})
-                self.write("pay", at, until=time.time(), id=id, customer=customer, amount=amount,
-                           status=status)
+                status, _ = await head.call(
+                    "POST",
+                    f"/control/credit/customers/{customer}/entries",
+                    {"id": id, "amount": amount, "by": "chaos", "why": "run"},
+                )
+                self.write(
+                    "pay", at, until=time.time(), id=id, customer=customer, amount=amount, status=status
+                )
             await asyncio.sleep(self.draws.uniform(0.3, 1.2))
 
     async def editor(self, who: str) -> None:
@@ -100,8 +114,9 @@
         status, told = await head.call("GET", "/control/rules/newest")
         if status == 200:
             self.newest = told["newest"]
-            self.write("register", at, until=time.time(), kind="read", id="", base=0,
-                       answer=("read", told["newest"]))
+            self.write(
+                "register", at, until=time.time(), kind="read", id="", base=0, answer=("read", told["newest"])
+            )
 
     async def change(self, head: HeadProcess, kind: str, who: str) -> None:
         """An edit or undo, until it is known what became of it. Its moment lies anywhere in between."""
@@ -174,6 +189,7 @@
         async def start() -> None:
             await asyncio.sleep(span)
             await head.start(ready=False)
+
         self.starting.append(asyncio.create_task(start()))
 
     # -- a whole run --------------------------------------------------------------------------------------
@@ -181,12 +197,19 @@
         fleet, head = self.fleet, self.fleet["h0"]
         self.starting: list[asyncio.Task[None]] = []
         for name, volume in VOLUMES.items():
-            status, told = await head.call("PUT", f"/control/credit/customers/{name}", {
-                "volumes": [volume], "by": "chaos", "why": "run", "low_water": 10 * PRICE})
+            status, told = await head.call(
+                "PUT",
+                f"/control/credit/customers/{name}",
+                {"volumes": [volume], "by": "chaos", "why": "run", "low_water": 10 * PRICE},
+            )
             assert status == 200, told
         await fleet.all_equal()
-        work = [self.client() for _ in range(6)] + [self.payer(), self.payer(), self.editor("ann"),
-                                                    self.editor("bob")]
+        work = [self.client() for _ in range(6)] + [
+            self.payer(),
+            self.payer(),
+            self.editor("ann"),
+            self.editor("bob"),
+        ]
         tasks = [asyncio.create_task(w) for w in work]
         breaking = asyncio.create_task(self.break_things())
         await asyncio.sleep(seconds)
@@ -221,24 +244,41 @@
         await victim.kill()
         killed = time.time()
         await asyncio.sleep(DETECT_WITHIN)
-        self.write("down", killed, until=time.time(), head=victim.name, witnesses=witnesses,
-                   detect_within=DETECT_WITHIN - 1)
+        self.write(
+            "down",
+            killed,
+            until=time.time(),
+            head=victim.name,
+            witnesses=witnesses,
+            detect_within=DETECT_WITHIN - 1,
+        )
 
     async def settle(self, healed: float, in_touch: float) -> None:
         """After the faults: accounts without anything out, all heads with the same rules."""
         for name in VOLUMES:
             told = await self.fleet.until(lambda name=name: self.account(name), f"{name} settled")
-            self.write("settled", time.time(), customer=name, paid=told["paid"], charged=told["charged"],
-                       balance=told["balance"])
+            self.write(
+                "settled",
+                time.time(),
+                customer=name,
+                paid=told["paid"],
+                charged=told["charged"],
+                balance=told["balance"],
+            )
 
         async def equal() -> dict[str, Any] | None:
             all_told = {h.name: (await h.call("GET", "/control/rules"))[1] for h in self.fleet}
             if any(t is None or t["pending"] or t["version"] != t["newest_known"] for t in all_told.values()):
                 return None
             return all_told if len({t["newest_known"] for t in all_told.values()}) == 1 else None
+
         told = await self.fleet.until(equal, "all heads decide by the same version")
-        self.write("equal", time.time(), after_heal=round(time.time() - healed, 3),
-                   in_touch_after=round(in_touch - healed, 3))
+        self.write(
+            "equal",
+            time.time(),
+            after_heal=round(time.time() - healed, 3),
+            in_touch_after=round(in_touch - healed, 3),
+        )
         await self.resolve()
         newest = next(iter(told.values()))["newest_known"]
         if newest:
@@ -264,11 +304,19 @@
         digests = {v["number"]: v["digest"] for v in versions}
         numbers = sorted(digests)
         for version in versions:
-            if version["kind"] == "undo" and version["undoes"] in digests and \
-                    numbers.index(version["undoes"]) > 0:
+            if (
+                version["kind"] == "undo"
+                and version["undoes"] in digests
+                and numbers.index(version["undoes"]) > 0
+            ):
                 before = numbers[numbers.index(version["undoes"]) - 1]
-                self.write("restored", time.time(), undone=version["undoes"], before=digests[before],
-                           now=version["digest"])
+                self.write(
+                    "restored",
+                    time.time(),
+                    undone=version["undoes"],
+                    before=digests[before],
+                    now=version["digest"],
+                )
 
     async def account(self, name: str) -> dict[str, Any] | None:
         for head in self.fleet.up:
--- a/tests/heads/processes.py
+++ b/tests/heads/processes.py
@@ -68,18 +68,30 @@
     def write(self) -> None:
         """Its configuration and settings."""
         fleet, relay = self.fleet, self.fleet.relay
-        data = config_data(told(1, *(n.entry() for n in fleet.nodes)), fleet.discovery, self.port,
-                           f"{self.host}:{self.management}") | {"listen": f"{self.host}:{self.port}"}
+        data = config_data(
+            told(1, *(n.entry() for n in fleet.nodes)),
+            fleet.discovery,
+            self.port,
+            f"{self.host}:{self.management}",
+        ) | {"listen": f"{self.host}:{self.port}"}
         others = [n for n in fleet.names if n != self.name]
-        data |= {"name": self.name, "peer_listen": f"{self.host}:{self.datagrams}",
-                 "peers": [relay.datagram_address(self.name, other) for other in others]}
+        data |= {
+            "name": self.name,
+            "peer_listen": f"{self.host}:{self.datagrams}",
+            "peers": [relay.datagram_address(self.name, other) for other in others],
+        }
         (self.folder / "config.json").write_text(json.dumps(data))
         streams = {n: relay.stream_address(self.name, n) for n in others}
         streams[self.name] = f"{self.host}:{self.streams}"
-        text = ('fleet: "test"\nsecret_file: "secret"\nfolder: "disk"\n'
-                f'listen: "{self.host}:{self.streams}"\n'
-                + "streams: {" + ", ".join(f'"{n}": "{a}"' for n, a in streams.items()) + "}\n"
-                + f"voters: {json.dumps(fleet.voters)}\n" + fleet.more)
+        text = (
+            'fleet: "test"\nsecret_file: "secret"\nfolder: "disk"\n'
+            f'listen: "{self.host}:{self.streams}"\n'
+            + "streams: {"
+            + ", ".join(f'"{n}": "{a}"' for n, a in streams.items())
+            + "}\n"
+            + f"voters: {json.dumps(fleet.voters)}\n"
+            + fleet.more
+        )
         (self.folder / "heads.cue").write_text(text)
         (self.folder / "secret").write_text("s" * 40)
         (self.folder / "tmp").mkdir(exist_ok=True)
@@ -90,17 +102,28 @@
 
     async def start(self, ready: bool = True) -> None:
         self.write()
-        environ = os.environ | {"NODE_CONFIG": str(self.folder / "config.json"), "PYTHONPATH": str(ROOT),
-                                "STOATROUTER_HEADS": str(self.folder / "heads.cue"),
-                                "TMPDIR": str(self.folder / "tmp"), "STOATROUTER_LOG_FORMAT": "json"}
+        environ = os.environ | {
+            "NODE_CONFIG": str(self.folder / "config.json"),
+            "PYTHONPATH": str(ROOT),
+            "STOATROUTER_HEADS": str(self.folder / "heads.cue"),
+            "TMPDIR": str(self.folder / "tmp"),
+            "STOATROUTER_LOG_FORMAT": "json",
+        }
         environ.pop("NODE_DISCOVERY", None)
         if self.fleet.http:
             environ["STOATROUTER_HTTP"] = str(self.folder / "http.cue")
         with self.logs.open("ab") as logs:
             self.process = await asyncio.create_subprocess_exec(
-                sys.executable, "-B", "-m", "stoatrouter", cwd=self.folder,  # with its assertions
-                env=environ | self.fleet.environ, stderr=logs, stdout=logs,
-                preexec_fn=end_with_parent)
+                sys.executable,
+                "-B",
+                "-m",
+                "stoatrouter",
+                cwd=self.folder,  # with its assertions
+                env=environ | self.fleet.environ,
+                stderr=logs,
+                stdout=logs,
+                preexec_fn=end_with_parent,
+            )
         self.paused = False
         self.fleet.relay.where[self.name] = (self.host, self.datagrams, self.streams)
         if ready:
@@ -117,9 +140,14 @@
     async def call(self, method: str, path: str, data: Any = None, within: float = 6.0) -> tuple[int, Any]:
         """A management call: status and JSON (or text); status 0 where no answer came."""
         try:
-            async with asyncio.timeout(within), self.fleet.session.request(
-                    method, f"http://{self.host}:{self.management}{path}",
-                    data=None if data is None else json.dumps(data)) as response:
+            async with (
+                asyncio.timeout(within),
+                self.fleet.session.request(
+                    method,
+                    f"http://{self.host}:{self.management}{path}",
+                    data=None if data is None else json.dumps(data),
+                ) as response,
+            ):
                 text = await response.text()
                 kind = response.headers.get("Content-Type", "")
                 return response.status, json.loads(text) if "json" in kind else text
@@ -130,16 +158,33 @@
         status, told = await self.call("GET", "/control/heads")
         return told if status == 200 else {}
 
-    async def read(self, name: str, volume: str = "00000003b4d60021", kind: str = "score-read",
-                   units: float = 2, deadline: int = 2000, method: str = "GET",
-                   **more: str) -> tuple[int, dict[str, str]]:
+    async def read(
+        self,
+        name: str,
+        volume: str = "00000003b4d60021",
+        kind: str = "score-read",
+        units: float = 2,
+        deadline: int = 2000,
+        method: str = "GET",
+        **more: str,
+    ) -> tuple[int, dict[str, str]]:
         """One request at the platform's front: status (0: none came) and headers."""
-        headers = {"Req-Id": name, "X-Plan": "premium", "Req-Deadline-Ms": str(deadline),
-                   "X-IO": f"units={units:g},shard=0,hosts=1"} | more
+        headers = {
+            "Req-Id": name,
+            "X-Plan": "premium",
+            "Req-Deadline-Ms": str(deadline),
+            "X-IO": f"units={units:g},shard=0,hosts=1",
+        } | more
         try:
-            async with asyncio.timeout(deadline / 1000 + 1), self.fleet.session.request(
-                    method, f"http://{self.host}:{self.port}/{kind}/{volume}/7f3a9c21e0b4d655",
-                    headers=headers, data=b"x" if method == "PUT" else None) as response:
+            async with (
+                asyncio.timeout(deadline / 1000 + 1),
+                self.fleet.session.request(
+                    method,
+                    f"http://{self.host}:{self.port}/{kind}/{volume}/7f3a9c21e0b4d655",
+                    headers=headers,
+                    data=b"x" if method == "PUT" else None,
+                ) as response,
+            ):
                 await response.read()
                 return response.status, dict(response.headers)
         except (aiohttp.ClientError, TimeoutError, OSError):
@@ -179,8 +224,9 @@
 class Processes:
     """The heads of a story."""
 
-    def __init__(self, folder: Path, count: int, voters: int, seed: int, more: str, http: str,
-                 environ: dict[str, str]) -> None:
+    def __init__(
+        self, folder: Path, count: int, voters: int, seed: int, more: str, http: str, environ: dict[str, str]
+    ) -> None:
         self.folder, self.seed, self.more, self.http = folder, seed, more, http
         self.names = [f"h{i}" for i in range(count)]
         self.voters = self.names[:voters]
@@ -214,12 +260,20 @@
             await asyncio.sleep(0.05)
 
     def last_words(self) -> str:
-        return "\n".join(f"{h.name}: " + " | ".join(
-            json.loads(line)["text"].strip() for line in h.logs.read_text().splitlines()[-8:]
-            if line.startswith("{")) for h in self if h.logs.exists())
+        return "\n".join(
+            f"{h.name}: "
+            + " | ".join(
+                json.loads(line)["text"].strip()
+                for line in h.logs.read_text().splitlines()[-8:]
+                if line.startswith("{")
+            )
+            for h in self
+            if h.logs.exists()
+        )
 
     async def leader(self, among: list[str] | None = None) -> HeadProcess:
         """The head that leads and hears a majority, once there is one."""
+
         async def look() -> HeadProcess | None:
             for head in self.up:
                 if among is None or head.name in among:
@@ -227,6 +281,7 @@
                     if told.get("leads") and told["state"] == "in touch":
                         return head
             return None
+
         return await self.until(look, "a leader")
 
     async def all_in_touch(self, *names: str) -> None:
@@ -234,26 +289,40 @@
             heads = [self[n] for n in names] if names else self.up
             told = [await h.told() for h in heads]
             return all(t.get("state") == "in touch" for t in told)
+
         await self.until(look, f"{names or 'all'} in touch")
 
     async def all_equal(self) -> None:
         """All that run have applied the same."""
+
         async def look() -> bool:
             applied = {(await h.told()).get("applied") for h in self.up}
             return len(applied) == 1 and None not in applied
+
         await self.until(look, "all have applied the same")
 
 
 @contextlib.asynccontextmanager
-async def heads_up(folder: Path, count: int = 5, voters: int = 3, seed: int = 1, more: str = "",
-                   http: str = "", nodes: tuple[Node, ...] = (), environ: dict[str, str] | None = None,
-                   start: bool = True) -> AsyncIterator[Processes]:
+async def heads_up(
+    folder: Path,
+    count: int = 5,
+    voters: int = 3,
+    seed: int = 1,
+    more: str = "",
+    http: str = "",
+    nodes: tuple[Node, ...] = (),
+    environ: dict[str, str] | None = None,
+    start: bool = True,
+) -> AsyncIterator[Processes]:
     """Heads h0 to h(count-1), the first `voters` of them voting, ready to serve; all are ended at the end."""
     fleet = Processes(folder, count, voters, seed, more, http, environ or {})
     fleet.nodes = list(nodes) or [Node("a", 0)]
     print(f"seed {seed}")
-    async with nodes_up(*fleet.nodes), listening(Discovery().handle) as discovery, aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, force_close=True)) as session:
+    async with (
+        nodes_up(*fleet.nodes),
+        listening(Discovery().handle) as discovery,
+        aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0, force_close=True)) as session,
+    ):
         fleet.discovery, fleet.session = discovery, session
         await fleet.relay.start()
         fleet.heads = {name: HeadProcess(fleet, name) for name in fleet.names}
--- a/tests/heads/relay.py
+++ b/tests/heads/relay.py
@@ -62,10 +62,12 @@
                     continue
                 self.ways[a, b], self.open[a, b] = Way(), set()
                 _, ear = await loop.create_datagram_endpoint(
-                    lambda a=a, b=b: DatagramEar(self, a, b), local_addr=(HOST, 0))
+                    lambda a=a, b=b: DatagramEar(self, a, b), local_addr=(HOST, 0)
+                )
                 self.ears[a, b] = ear
                 self.streams[a, b] = await asyncio.start_server(
-                    lambda r, w, a=a, b=b: self.stream(a, b, r, w), HOST, 0)
+                    lambda r, w, a=a, b=b: self.stream(a, b, r, w), HOST, 0
+                )
 
     def datagram_address(self, a: str, b: str) -> str:
         """Where A's settings say that B's datagrams are."""
@@ -83,7 +85,7 @@
 
     def split(self, *sides: list[str]) -> None:
         for i, side in enumerate(sides):
-            for other in sides[i + 1:]:
+            for other in sides[i + 1 :]:
                 for a in side:
                     for b in other:
                         self.cut(a, b)
@@ -119,8 +121,9 @@
             self.ways[a, b].passed += 1
             ear.transport.sendto(data, self.where[b][:2])
 
-    async def stream(self, a: str, b: str, reader: asyncio.StreamReader,
-                     writer: asyncio.StreamWriter) -> None:
+    async def stream(
+        self, a: str, b: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
         """One connection from A to B; a cut lets it stand open and silent."""
         self.open[a, b].add(writer)
         onward: asyncio.StreamWriter | None = None
--- a/tests/heads/test_agreement.py
+++ b/tests/heads/test_agreement.py
@@ -62,8 +62,11 @@
 
     def _asked(self, sender, ask):
         effects = super()._asked(sender, ask)
-        return [e for d in effects for e in ((*d.then, Durable(d.number, d.write)) if isinstance(d, Durable)
-                                             else (d,))]
+        return [
+            e
+            for d in effects
+            for e in ((*d.then, Durable(d.number, d.write)) if isinstance(d, Durable) else (d,))
+        ]
 
 
 class AcknowledgesAtOnce(Raft):
@@ -73,8 +76,11 @@
 
     def _led_by(self, sender, message):
         effects = super()._led_by(sender, message)
-        return [e for d in effects for e in ((*d.then, Durable(d.number, d.write)) if isinstance(d, Durable)
-                                             else (d,))]
+        return [
+            e
+            for d in effects
+            for e in ((*d.then, Durable(d.number, d.write)) if isinstance(d, Durable) else (d,))
+        ]
 
 
 class CountsOlderTerms(Raft):
@@ -83,8 +89,14 @@
     __slots__ = ()
 
     def _count(self):
-        at = sorted((self.durable if v == self.me else self.peers[v.identity].match for v in self.voters),
-                    reverse=True)[len(self.voters) // 2] if self.leads else 0
+        at = (
+            sorted(
+                (self.durable if v == self.me else self.peers[v.identity].match for v in self.voters),
+                reverse=True,
+            )[len(self.voters) // 2]
+            if self.leads
+            else 0
+        )
         return self._commit(at) if at > self.commit else []
 
 
@@ -137,8 +149,14 @@
 
 
 # and the first seed that shows it; a few after it are tried too, should an order change
-MUTANTS = [(AcknowledgesAtOnce, 34), (VotesForAnybody, 0), (VotesTwice, 96), (ReadsAlone, 21),
-           (AnyChange, 12), (NoMatch, 246)]
+MUTANTS = [
+    (AcknowledgesAtOnce, 34),
+    (VotesForAnybody, 0),
+    (VotesTwice, 96),
+    (ReadsAlone, 21),
+    (AnyChange, 12),
+    (NoMatch, 246),
+]
 
 
 @pytest.mark.parametrize(("mutant", "first"), MUTANTS, ids=lambda m: getattr(m, "__name__", ""))
@@ -174,8 +192,11 @@
     raft.reduce(Tick(5000 * MS))
     effects = raft.reduce(Tick(10_000 * MS))
     assert any(isinstance(e, Send) and isinstance(e.message, AskVote) and e.message.pre for e in effects)
-    (durable,) = [e for e in raft.reduce(Received(raft.now, voter(1), GiveVote(raft.term + 1, True, True)))
-                  if isinstance(e, Durable)]
+    (durable,) = [
+        e
+        for e in raft.reduce(Received(raft.now, voter(1), GiveVote(raft.term + 1, True, True)))
+        if isinstance(e, Durable)
+    ]
     raft.reduce(Wrote(raft.now, durable.number))
     raft.reduce(Received(raft.now, voter(1), GiveVote(raft.term, True, False)))
     assert raft.leads
@@ -207,8 +228,11 @@
     assert raft.log.term(2) == 2 and raft.commit == 3
 
 
-SINGLE = [an_entry_of_an_older_term_is_not_committed_by_counting, a_vote_waits_for_the_disk,
-          a_leader_of_an_older_term_changes_nothing_that_was_learnt]
+SINGLE = [
+    an_entry_of_an_older_term_is_not_committed_by_counting,
+    a_vote_waits_for_the_disk,
+    a_leader_of_an_older_term_changes_nothing_that_was_learnt,
+]
 
 
 @pytest.mark.parametrize("check", SINGLE, ids=lambda c: c.__name__)
@@ -229,8 +253,10 @@
 
 
 # what no seed of 2,400 showed: their moments are too rare, so each has a check of its own
-@pytest.mark.parametrize(("mutant", "check"), [
-    (CountsOlderTerms, SINGLE[0]), (VoteNotDurable, SINGLE[1]), (LearnsNoTerm, SINGLE[2])])
+@pytest.mark.parametrize(
+    ("mutant", "check"),
+    [(CountsOlderTerms, SINGLE[0]), (VoteNotDurable, SINGLE[1]), (LearnsNoTerm, SINGLE[2])],
+)
 def test_a_mutant_of_a_rare_moment_is_caught(mutant, check):
     with pytest.raises(AssertionError):
         check(mutant)
@@ -251,8 +277,11 @@
     raft.reduce(Wrote(raft.now, raft.number))
     raft.reduce(Received(raft.now, voter(1), Appended(raft.term, True, raft.log.last, raft.round)))
     assert any(isinstance(e, Taken) for e in raft.reduce(Propose(raft.now, "a", body, "v")))
-    (refused,) = [e for e in raft.reduce(Propose(raft.now, "b", write_voters(THREE[1:]), "v"))
-                  if isinstance(e, NotTaken)]
+    (refused,) = [
+        e
+        for e in raft.reduce(Propose(raft.now, "b", write_voters(THREE[1:]), "v"))
+        if isinstance(e, NotTaken)
+    ]
     assert "under way" in refused.why
 
 
@@ -271,15 +300,23 @@
 
 
 # -- what a head does, by where it stands ----------------------------------------------------------------
-@pytest.mark.parametrize(("facts", "waited", "state", "may"), [
-    (Facts(False, False, None, False, False, True), 0, State.UNFOUNDED, "serves ready"),
-    (Facts(True, True, 100 * MS, True, True, True), 9, State.IN_TOUCH, "serves changes draws voice ready"),
-    (Facts(True, True, 100 * MS, True, False, False), 9, State.IN_TOUCH, "serves changes draws ready"),
-    (Facts(True, False, 100 * MS, True, False, True), 9, State.CATCHING_UP, "voice"),
-    (Facts(True, True, 9000 * MS, True, False, True), 9, State.CUT_OFF, "serves voice ready"),
-    (Facts(True, False, None, False, False, True), 1, State.CUT_OFF, ""),  # waits at its start
-    (Facts(True, False, None, False, False, True), 9, State.CUT_OFF, "serves ready"),
-])
+@pytest.mark.parametrize(
+    ("facts", "waited", "state", "may"),
+    [
+        (Facts(False, False, None, False, False, True), 0, State.UNFOUNDED, "serves ready"),
+        (
+            Facts(True, True, 100 * MS, True, True, True),
+            9,
+            State.IN_TOUCH,
+            "serves changes draws voice ready",
+        ),
+        (Facts(True, True, 100 * MS, True, False, False), 9, State.IN_TOUCH, "serves changes draws ready"),
+        (Facts(True, False, 100 * MS, True, False, True), 9, State.CATCHING_UP, "voice"),
+        (Facts(True, True, 9000 * MS, True, False, True), 9, State.CUT_OFF, "serves voice ready"),
+        (Facts(True, False, None, False, False, True), 1, State.CUT_OFF, ""),  # waits at its start
+        (Facts(True, False, None, False, False, True), 9, State.CUT_OFF, "serves ready"),
+    ],
+)
 def test_the_table_of_standing(facts, waited, state, may):
     standing = stand(facts, 3000 * MS, 1000 * waited * MS, 3000 * MS)
     flags = ("serves", "changes", "draws", "voice", "ready")
--- a/tests/heads/test_credit.py
+++ b/tests/heads/test_credit.py
@@ -167,17 +167,25 @@
         return super().begin(command)
 
 
-MUTANTS = [({"make": NoExpiry}, "had expired"), ({"make": ChargesTwice}, "was charged"),
-           ({"make": ForgetsOnKill}, "charged"),
-           ({"make": LastWordTooEarly}, "charged"), ({"make_ledger": GivesWhatIsOut}, "paid in"),
-           ({"make_ledger": GivesBackOnExpiry}, "charged"),
-           ({"make_ledger": BooksLateWordsAgain}, "charged"),
-           ({"make_ledger": BooksTopUpsAgain}, "booked of"),
-           ({"make_ledger": TakesTheLostForUnspent}, "charged"), ({"charged_if_unsent": True}, "was charged")]
-
-
-@pytest.mark.parametrize(("how", "words"), MUTANTS, ids=lambda m: getattr(
-    next(iter(m.values())), "__name__", "unsent") if isinstance(m, dict) else "")
+MUTANTS = [
+    ({"make": NoExpiry}, "had expired"),
+    ({"make": ChargesTwice}, "was charged"),
+    ({"make": ForgetsOnKill}, "charged"),
+    ({"make": LastWordTooEarly}, "charged"),
+    ({"make_ledger": GivesWhatIsOut}, "paid in"),
+    ({"make_ledger": GivesBackOnExpiry}, "charged"),
+    ({"make_ledger": BooksLateWordsAgain}, "charged"),
+    ({"make_ledger": BooksTopUpsAgain}, "booked of"),
+    ({"make_ledger": TakesTheLostForUnspent}, "charged"),
+    ({"charged_if_unsent": True}, "was charged"),
+]
+
+
+@pytest.mark.parametrize(
+    ("how", "words"),
+    MUTANTS,
+    ids=lambda m: getattr(next(iter(m.values())), "__name__", "unsent") if isinstance(m, dict) else "",
+)
 def test_a_mutant_is_caught(how, words):
     for seed in range(60):
         try:
@@ -193,20 +201,46 @@
 heads = st.sampled_from(["a", "b"])
 customers = st.sampled_from(["x", "y"])
 allotments = st.builds("{}.0".format, st.integers(1, 40))
-turn = st.builds(Turn, customers, st.lists(allotments, max_size=3).map(tuple),
-                 st.lists(st.builds(Settle, allotments, st.integers(-5, 500), st.booleans()),
-                          max_size=2).map(tuple), st.integers(0, 300), st.integers(0, 20))
+turn = st.builds(
+    Turn,
+    customers,
+    st.lists(allotments, max_size=3).map(tuple),
+    st.lists(st.builds(Settle, allotments, st.integers(-5, 500), st.booleans()), max_size=2).map(tuple),
+    st.integers(0, 300),
+    st.integers(0, 20),
+)
 command = st.one_of(
-    st.builds(PutCustomer, customers, st.lists(st.sampled_from(["v", "w"])).map(tuple), st.integers(-1, 50),
-              st.integers(-1, 50), st.booleans()),
+    st.builds(
+        PutCustomer,
+        customers,
+        st.lists(st.sampled_from(["v", "w"])).map(tuple),
+        st.integers(-1, 50),
+        st.integers(-1, 50),
+        st.booleans(),
+    ),
     st.builds(DropCustomer, customers),
-    st.builds(Book, st.sampled_from("pqrst"), customers, st.integers(-100, 900),
-              st.sampled_from(["top-up", "correction", "refund"]), st.just("b"), st.just("w"), st.just("t")),
-    st.builds(lambda h, n, t: Turns(h, h + "/0", n, tuple(t)), heads, st.integers(0, 60),
-              st.lists(turn, max_size=2)),
+    st.builds(
+        Book,
+        st.sampled_from("pqrst"),
+        customers,
+        st.integers(-100, 900),
+        st.sampled_from(["top-up", "correction", "refund"]),
+        st.just("b"),
+        st.just("w"),
+        st.just("t"),
+    ),
+    st.builds(
+        lambda h, n, t: Turns(h, h + "/0", n, tuple(t)), heads, st.integers(0, 60), st.lists(turn, max_size=2)
+    ),
     st.builds(lambda i: Expired((i,)), allotments),
-    st.builds(lambda h, n, i, o: Begin(h, h + i if i else "", h + o if o else "", n, ()), heads,
-              st.integers(0, 60), st.sampled_from(["", "/0", "/1"]), st.sampled_from(["", "/0", "/1"])))
+    st.builds(
+        lambda h, n, i, o: Begin(h, h + i if i else "", h + o if o else "", n, ()),
+        heads,
+        st.integers(0, 60),
+        st.sampled_from(["", "/0", "/1"]),
+        st.sampled_from(["", "/0", "/1"]),
+    ),
+)
 
 
 @given(st.lists(command, max_size=60))
@@ -266,8 +300,10 @@
 def test_the_pace_narrows_smoothly_what_can_wait_first_and_protected_reads_last():
     def passed(balance: int) -> list[int]:
         holder = held(10**9, balance, 1000)
-        return [sum(holder.take(f"{rank}.{i}", "x", 1, rank, SECOND + i * MS) is None for i in range(300))
-                for rank in range(3)]
+        return [
+            sum(holder.take(f"{rank}.{i}", "x", 1, rank, SECOND + i * MS) is None for i in range(300))
+            for rank in range(3)
+        ]
 
     before = [300, 300, 300]
     for balance in range(1000, -1, -50):
@@ -337,8 +373,12 @@
     reducer.reduce(model.ListTold(SECOND, api.ListKind.RESTORED, nodes))
     holder = held(1000, 1000)
     classes = conf.settings.classes
-    reducer.gate = Gate(holder, lambda volume: "x" if volume == "v" else None, (10, 20, 30),
-                        ranks(classes, reducer.scheduler.background))
+    reducer.gate = Gate(
+        holder,
+        lambda volume: "x" if volume == "v" else None,
+        (10, 20, 30),
+        ranks(classes, reducer.scheduler.background),
+    )
     request = model.Request("r", 0, 1, "v", "k", 0, 2.0, 1, 2 * SECOND, False)
     sent = list(reducer.reduce(model.Arrived(SECOND, request)))
     now = SECOND
@@ -360,11 +400,23 @@
 O = api.Outcome  # noqa: E741
 
 
-@pytest.mark.parametrize(("outcomes", "charged"), [
-    ((O.OK,), 20), ((O.CONNECT_FAILED,), 0), ((O.FULL,), 0), ((O.MOOT,), 0), ((O.RESET,), 20),
-    ((O.TIMEOUT,), 20), ((O.ERROR,), 20), ((None,), 20), ((O.CONNECT_FAILED, O.OK), 20),
-    ((O.RESET, O.OK), 20),
-    ((O.FULL, O.FULL), 0), ((), 20)])
+@pytest.mark.parametrize(
+    ("outcomes", "charged"),
+    [
+        ((O.OK,), 20),
+        ((O.CONNECT_FAILED,), 0),
+        ((O.FULL,), 0),
+        ((O.MOOT,), 0),
+        ((O.RESET,), 20),
+        ((O.TIMEOUT,), 20),
+        ((O.ERROR,), 20),
+        ((None,), 20),
+        ((O.CONNECT_FAILED, O.OK), 20),
+        ((O.RESET, O.OK), 20),
+        ((O.FULL, O.FULL), 0),
+        ((), 20),
+    ],
+)
 def test_a_request_is_charged_once_by_what_may_have_run(outcomes, charged):
     holder, sent = core(*outcomes)
     assert any(isinstance(e, model.SendAttempt) for e in sent)
--- a/tests/heads/test_credit_processes.py
+++ b/tests/heads/test_credit_processes.py
@@ -53,26 +53,33 @@
 
 
 async def pay(head: HeadProcess, name: str, amount: int, id: str, kind: str = "top-up"):
-    return await head.call("POST", f"/control/credit/customers/{name}/entries",
-                           {"id": id, "amount": amount, "kind": kind, "by": "test", "why": "story"})
+    return await head.call(
+        "POST",
+        f"/control/credit/customers/{name}/entries",
+        {"id": id, "amount": amount, "kind": kind, "by": "test", "why": "story"},
+    )
 
 
 async def account(fleet: Processes, name: str) -> dict:
     """The account, once some head can confirm it."""
+
     async def look():
         for head in fleet.up:
             status, told = await head.call("GET", f"/control/credit/customers/{name}")
             if status == 200:
                 return told
         return None
+
     return await fleet.until(look, f"the account of {name}")
 
 
 async def settled(fleet: Processes, name: str) -> dict:
     """The account once nothing of it is out."""
+
     async def look():
         told = await account(fleet, name)
         return told if not told["out"] else None
+
     return await fleet.until(look, f"all of {name} settled")
 
 
@@ -91,6 +98,7 @@
                     if n % 3 == 0:
                         await other.ask(head, f"o{i}-{n}", OTHER)
                     await asyncio.sleep(0.05)
+
             await asyncio.gather(*(client(i) for i in range(12)))
             assert acme.unknown == 0 and acme.served <= 60 and acme.refused >= 144 - 60
             assert other.refused == other.unknown == 0 and other.served == 48
@@ -106,6 +114,7 @@
             assert all(float(a) > 0 for a in acme.advice if a)
             told = await settled(fleet, "other")
             assert told["charged"] == other.served * CHARGE
+
     run(story(), LIMIT)
 
 
@@ -131,6 +140,7 @@
                     leader = await fleet.leader()
                     await leader.kill()
                     await leader.start()
+
             await asyncio.gather(killer(), *(payer(i) for i in range(6)))
             told = await account(fleet, "acme")
             assert told["paid"] == len(acknowledged) == 60
@@ -139,6 +149,7 @@
             assert refused == 409 and "otherwise" in said["error"]
             status, entry = await fleet["h2"].call("GET", "/control/credit/entries/t3-4")
             assert status == 200 and entry["by"] == "test" and entry["why"] == "story" and entry["when"]
+
     run(story(), LIMIT)
 
 
@@ -149,16 +160,21 @@
         async def hold(request):
             if request.headers["Req-Id"].startswith("held"):
                 await gate.wait()
+
         node.gate = hold
         async with heads_up(tmp_path, seed=3, more=CREDIT, nodes=(node,)) as fleet:
             await customer(fleet["h0"], "acme", VOLUME, paid=40 * CHARGE)
             await fleet.all_equal()
             counted, paused = Counted(), fleet["h3"]
             await counted.ask(paused, "first")
-            held = [asyncio.create_task(counted.ask(paused, f"held{i}", deadline=30_000, kind="stats-export"))
-                    for i in range(3)]
-            await fleet.until(lambda: sum(r.headers["Req-Id"].startswith("held") for r in node.requests) == 3,
-                              "three are held")
+            held = [
+                asyncio.create_task(counted.ask(paused, f"held{i}", deadline=30_000, kind="stats-export"))
+                for i in range(3)
+            ]
+            await fleet.until(
+                lambda: sum(r.headers["Req-Id"].startswith("held") for r in node.requests) == 3,
+                "three are held",
+            )
             paused.signal(signal.SIGSTOP)
             await asyncio.sleep(3.5)  # beyond its lease, by every clock
             for n in range(60):  # the others spend what they can get
@@ -172,6 +188,7 @@
             # the answer of a held request may have come too late for its client, who then saw none
             assert counted.served * CHARGE <= told["charged"] <= (counted.served + counted.unknown) * CHARGE
             assert told["charged"] <= told["paid"] and told["balance"] == told["paid"] - told["charged"]
+
     run(story(), LIMIT)
 
 
@@ -183,6 +200,7 @@
         async def hold(request):
             if request.headers["Req-Id"].startswith("held"):
                 await gate.wait()
+
         node.gate = hold
         async with heads_up(tmp_path, seed=4, more=CREDIT, nodes=(node,)) as fleet:
             await customer(fleet["h0"], "acme", VOLUME, paid=100 * CHARGE)
@@ -191,8 +209,10 @@
             for n in range(6):
                 assert await counted.ask(victim, f"s{n}") == 200
             held = [asyncio.create_task(counted.ask(victim, f"held{i}")) for i in range(3)]
-            await fleet.until(lambda: sum(r.headers["Req-Id"].startswith("held") for r in node.requests) == 3,
-                              "three are held")
+            await fleet.until(
+                lambda: sum(r.headers["Req-Id"].startswith("held") for r in node.requests) == 3,
+                "three are held",
+            )
             await victim.kill()
             await asyncio.gather(*held)
             gate.set()
@@ -210,6 +230,7 @@
                 if lost:
                     assert (await pay(fleet["h1"], "acme", lost, "refund-1", "refund"))[0] == 200
             assert await counted.ask(victim, "again") == 200
+
     run(story(), LIMIT)
 
 
@@ -243,6 +264,7 @@
             assert told["paid"] == 85 * CHARGE
             assert told["charged"] == counted.served * CHARGE and counted.unknown == 0
             assert told["charged"] <= told["paid"]
+
     run(story(), LIMIT)
 
 
@@ -253,14 +275,17 @@
         async def hold(request):
             if request.headers["Req-Id"].startswith("held"):
                 await gate.wait()
+
         node.gate = hold
         async with heads_up(tmp_path, count=3, seed=6, more=CREDIT, nodes=(node,)) as fleet:
             await customer(fleet["h0"], "acme", VOLUME, paid=20 * CHARGE)
             await customer(fleet["h0"], "next", paid=20 * CHARGE)
             await fleet.all_equal()
             counted = Counted()
-            held = [asyncio.create_task(counted.ask(fleet["h1"], f"held{i}", deadline=6000,
-                                                    kind="stats-export")) for i in range(2)]
+            held = [
+                asyncio.create_task(counted.ask(fleet["h1"], f"held{i}", deadline=6000, kind="stats-export"))
+                for i in range(2)
+            ]
             await fleet.until(lambda: len(node.requests) == 2, "two are held")
             await customer(fleet["h2"], "next", VOLUME)  # the volume moves
             await fleet.all_equal()
@@ -271,19 +296,25 @@
             assert told["charged"] == 2 * CHARGE and told["volumes"] == []
             assert (await settled(fleet, "next"))["charged"] == CHARGE
             gate.clear()
-            held = [asyncio.create_task(counted.ask(fleet["h1"], "held9", deadline=6000,
-                                                    kind="stats-export"))]
+            held = [
+                asyncio.create_task(counted.ask(fleet["h1"], "held9", deadline=6000, kind="stats-export"))
+            ]
             await fleet.until(lambda: len(node.requests) == 4, "one is held")
-            assert (await fleet["h0"].call("DELETE", "/control/credit/customers/next",
-                                           {"by": "test", "why": "gone"}))[0] == 200
+            assert (
+                await fleet["h0"].call(
+                    "DELETE", "/control/credit/customers/next", {"by": "test", "why": "gone"}
+                )
+            )[0] == 200
             gate.set()
             await asyncio.gather(*held)
 
             async def gone() -> bool:
                 return (await fleet["h0"].call("GET", "/control/credit/customers/next"))[0] == 404
+
             await fleet.until(gone, "it goes once its last charge is settled")
             await fleet.all_equal()
             assert await counted.ask(fleet["h1"], "free") == 200  # the volume is nobody's now
+
     run(story(), LIMIT)
 
 
@@ -297,6 +328,7 @@
 
 def test_clocks_that_jump_change_nothing(tmp_path):
     """A head restarts with its clock a year back, another a year ahead: both take part, and leases hold."""
+
     async def story():
         async with heads_up(tmp_path, count=3, seed=7, more=CREDIT) as fleet:
             await customer(fleet["h0"], "acme", VOLUME, paid=100 * CHARGE)
@@ -313,6 +345,7 @@
             await seen_alive(fleet)
             told = await settled(fleet, "acme")
             assert told["charged"] == counted.served * CHARGE == 9 * CHARGE
+
     run(story(), LIMIT)
 
 
@@ -323,6 +356,7 @@
 async def seen_alive(fleet: Processes) -> None:
     async def look() -> bool:
         return all([set((await h.told())["seen"].values()) == {"alive"} for h in fleet.up])
+
     await fleet.until(look, "all see all alive")
 
 
@@ -341,6 +375,7 @@
             told = await settled(fleet, "acme")
             assert told["charged"] == sum(c.served for c in counts.values()) * CHARGE
             assert not fleet["h1"].events("credit.unsettled")
+
     run(story(), LIMIT)
 
 
@@ -348,10 +383,12 @@
     async def story():
         async with heads_up(tmp_path, count=3, seed=9, more=CREDIT) as fleet:
             head = fleet["h0"]
-            for call, words in (({"volumes": [], "by": "x"}, "why"),
-                                ({"by": "x", "why": "y", "paid": 3}, "paid"),
-                                ({"by": "x", "why": "y", "unsettled": "z"}, "spent, unspent"),
-                                ({"by": "x", "why": "y", "overdraft": "much"}, "overdraft")):
+            for call, words in (
+                ({"volumes": [], "by": "x"}, "why"),
+                ({"by": "x", "why": "y", "paid": 3}, "paid"),
+                ({"by": "x", "why": "y", "unsettled": "z"}, "spent, unspent"),
+                ({"by": "x", "why": "y", "overdraft": "much"}, "overdraft"),
+            ):
                 status, told = await head.call("PUT", "/control/credit/customers/acme", call)
                 assert status == 400 and words in told["error"]
             status, told = await pay(head, "nobody", 5, "1")
@@ -362,4 +399,5 @@
             status, told = await pay(head, "acme", -5, "1")
             assert status == 409 and "more than 0" in told["error"]
             assert (await pay(head, "acme", 5, "2", "gift"))[0] == 400
+
     run(story(), LIMIT)
--- a/tests/heads/test_detector.py
+++ b/tests/heads/test_detector.py
@@ -180,8 +180,17 @@
 news = st.builds(News, names, st.integers(0, 2**48 - 1), st.sampled_from(Status))
 
 
-@given(st.builds(Datagram, st.sampled_from(Kind), st.integers(0, 2**32 - 1), names, st.integers(0, 2**48 - 1),
-                 st.one_of(st.just(""), names), st.lists(news, max_size=4).map(tuple)))
+@given(
+    st.builds(
+        Datagram,
+        st.sampled_from(Kind),
+        st.integers(0, 2**32 - 1),
+        names,
+        st.integers(0, 2**48 - 1),
+        st.one_of(st.just(""), names),
+        st.lists(news, max_size=4).map(tuple),
+    )
+)
 @settings(max_examples=200, deadline=None)
 def test_what_is_written_is_read(message):
     data = encode(message, KEY, "f")
--- a/tests/heads/test_disk.py
+++ b/tests/heads/test_disk.py
@@ -66,8 +66,11 @@
 
 
 def test_a_killed_process_loses_nothing_that_had_returned(tmp_path):
-    child = subprocess.Popen([sys.executable, "-c", CHILD, str(tmp_path)], stdout=subprocess.PIPE,
-                             env=os.environ | {"PYTHONPATH": str(ROOT)})
+    child = subprocess.Popen(
+        [sys.executable, "-c", CHILD, str(tmp_path)],
+        stdout=subprocess.PIPE,
+        env=os.environ | {"PYTHONPATH": str(ROOT)},
+    )
     try:
         assert child.stdout is not None
         last = 0
@@ -97,7 +100,7 @@
     if spoil == "empty":
         file.write_bytes(b"")
     elif spoil == "torn":
-        file.write_bytes(data[:len(data) // 2])
+        file.write_bytes(data[: len(data) // 2])
     elif spoil == "flipped":
         base = sqlite3.connect(file)
         base.execute("UPDATE entries SET data = replace(data, 'y', 'z') WHERE at = 20")
@@ -182,8 +185,13 @@
 def test_only_this_fleets_latest_process_is_believed_and_only_what_is_for_this_head():
     here = Seal(b"k" * 64, "f", "b")
     assert here.open(sealed()).body == b"x"
-    for data, why in ((sealed(b"l" * 64), "foreign"), (sealed(fleet="g"), "foreign"),
-                      (sealed(to="c"), "for_another"), (b"", "foreign"), (sealed()[:-1], "foreign")):
+    for data, why in (
+        (sealed(b"l" * 64), "foreign"),
+        (sealed(fleet="g"), "foreign"),
+        (sealed(to="c"), "for_another"),
+        (b"", "foreign"),
+        (sealed()[:-1], "foreign"),
+    ):
         with pytest.raises(Unbelieved, match=why):
             here.open(data)
     here.open(sealed(process=6))
--- a/tests/heads/test_ground.py
+++ b/tests/heads/test_ground.py
@@ -29,6 +29,7 @@
     async def look() -> bool:
         others = [h for h in by or fleet.up if h.name != of]
         return all([(await h.told()).get("seen", {}).get(of) == status for h in others])
+
     await fleet.until(look, f"{of} seen as {status}")
 
 
@@ -58,6 +59,7 @@
             await seen_as(fleet, first.name, "alive")
             assert (await first.told())["identity"] == identity
             one_leader_for_each_term(fleet)
+
     run(story(), LIMIT)
 
 
@@ -72,6 +74,7 @@
 
             async def cut_off() -> bool:
                 return all([(await fleet[n].told())["state"] == "cut off" for n in small])
+
             await fleet.until(cut_off, "both cut off")
             for name in small:
                 head = fleet[name]
@@ -85,11 +88,13 @@
             await fleet.all_equal()
             assert "h3" in (await fleet[leader.name].told())["voters"]
             one_leader_for_each_term(fleet)
+
     run(story(), LIMIT)
 
 
 def test_one_way_cuts_and_views_that_differ_move_nothing(tmp_path):
     """h3 hears h0 and is not heard by it; two others think each other gone: rights stay where they are."""
+
     async def story():
         async with heads_up(tmp_path, seed=3) as fleet:
             voters = (await (await fleet.leader()).told())["voters"]
@@ -100,6 +105,7 @@
             for head in fleet:
                 told = await head.told()
                 assert told["state"] == "in touch" and told["voters"] == voters
+
     run(story(), LIMIT)
 
 
@@ -116,10 +122,12 @@
             async def follows() -> bool:
                 told = await first.told()
                 return told["state"] == "in touch" and not told["leads"]
+
             await fleet.until(follows, "it follows")
             assert (await fleet.leader()).name == second.name
             await seen_as(fleet, first.name, "alive")  # it refuted
             one_leader_for_each_term(fleet)
+
     run(story(), LIMIT)
 
 
@@ -133,6 +141,7 @@
             assert (await leader.call("POST", "/control/heads/voters/h3"))[0] == 200
             assert (await leader.call("POST", "/control/heads/voters/h4"))[0] == 200
             await fleet.all_equal()
+
     run(story(), LIMIT)
 
 
@@ -181,6 +190,7 @@
             if how != "empty":
                 assert any("spoilt" in file.name for file in victim.disk.iterdir())
                 assert victim.events("heads.fresh")
+
     run(story(), LIMIT)
 
 
@@ -202,6 +212,7 @@
             leader = await fleet.leader()
             assert (await leader.call("POST", "/control/heads/voters/h3"))[0] == 200
             await fleet.all_equal()  # it follows all the same
+
     run(story(), LIMIT)
 
 
@@ -219,6 +230,7 @@
 
             async def cut_off() -> bool:
                 return (await survivor.told())["state"] == "cut off"
+
             await fleet.until(cut_off, "the survivor is cut off")
             assert (await survivor.call("POST", "/control/heads/recover"))[0] == 200
             assert (await fleet.leader()).name == "h3"
@@ -226,6 +238,7 @@
             for name in fleet.voters:  # they come back with empty disks and follow
                 await fleet[name].start(ready=False)
                 assert not (await fleet[name].told()).get("votes")
+
     run(story(), LIMIT)
 
 
@@ -235,6 +248,7 @@
             assert await fleet["h4"].stop() == 0
             await seen_as(fleet, "h4", "left")
             assert all(s["status"] != "failed" for h in fleet.up for s in h.events("heads.seen"))
+
     run(story(), LIMIT)
 
 
@@ -252,33 +266,48 @@
 
             async def counted() -> bool:
                 counts = (await head.told())["counts"]
-                return (counts.get("datagram.dropped.not_a_peer", 0) >= 3
-                        and counts.get("stream.dropped.foreign") == 3)
+                return (
+                    counts.get("datagram.dropped.not_a_peer", 0) >= 3
+                    and counts.get("stream.dropped.foreign") == 3
+                )
+
             await fleet.until(counted, "all counted")
             assert len([e for e in head.events("heads.dropped") if "not_a_peer" in e["why"]]) == 1
             assert (await head.read("r1"))[0] == 200
+
     run(story(), LIMIT)
 
 
 def test_where_it_is_off_nothing_of_it_is_imported():
     said = subprocess.run(
-        [sys.executable, "-B", "-c", "import sys, stoatrouter.__main__\n"
-         "print([n for n in sys.modules if any(w in n for w in "
-         "('peering', 'agreement', 'credit', 'history', 'sqlite', 'msgspec', 'membership'))])"],
-        cwd=ROOT, capture_output=True, text=True)
+        [
+            sys.executable,
+            "-B",
+            "-c",
+            "import sys, stoatrouter.__main__\n"
+            "print([n for n in sys.modules if any(w in n for w in "
+            "('peering', 'agreement', 'credit', 'history', 'sqlite', 'msgspec', 'membership'))])",
+        ],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+    )
     assert said.stdout == "[]\n", said
 
 
-@pytest.mark.parametrize(("change", "words"), [
-    (('voters: ["h0", "h1", "h2"]', 'voters: ["h0", "h1"]'), "1, 3 or 5 different heads"),
-    (('voters: ["h0", "h1", "h2"]', 'voters: ["h0", "h1", "x"]'), "heads of streams"),
-    (('fleet: "test"', "fleet: 7"), "found 7"),
-    (('fleet: "test"', 'fleet: "test"\nunknown: 1'), "unknown"),
-    (('secret_file: "secret"', 'secret_file: "none"'), "cannot be read"),
-    (('fleet: "test"', 'fleet: "test"\nagreement: election: "50ms"'), "three times"),
-    (('fleet: "test"', 'fleet: "test"\ncredit: prices: "no-class": 5'), "classes of the settings"),
-    (('fleet: "test"', 'fleet: "test"\nrules: versions: 7'), "versions"),
-])
+@pytest.mark.parametrize(
+    ("change", "words"),
+    [
+        (('voters: ["h0", "h1", "h2"]', 'voters: ["h0", "h1"]'), "1, 3 or 5 different heads"),
+        (('voters: ["h0", "h1", "h2"]', 'voters: ["h0", "h1", "x"]'), "heads of streams"),
+        (('fleet: "test"', "fleet: 7"), "found 7"),
+        (('fleet: "test"', 'fleet: "test"\nunknown: 1'), "unknown"),
+        (('secret_file: "secret"', 'secret_file: "none"'), "cannot be read"),
+        (('fleet: "test"', 'fleet: "test"\nagreement: election: "50ms"'), "three times"),
+        (('fleet: "test"', 'fleet: "test"\ncredit: prices: "no-class": 5'), "classes of the settings"),
+        (('fleet: "test"', 'fleet: "test"\nrules: versions: 7'), "versions"),
+    ],
+)
 def test_a_wrong_settings_file_ends_the_start_with_place_and_what_is_right(tmp_path, change, words):
     async def story():
         async with heads_up(tmp_path, count=3, seed=11, start=False) as fleet:
@@ -287,13 +316,22 @@
             text = (head.folder / "heads.cue").read_text()
             assert change[0] in text
             (head.folder / "heads.cue").write_text(text.replace(*change))
-            environ = os.environ | {"NODE_CONFIG": str(head.folder / "config.json"), "PYTHONPATH": str(ROOT),
-                                    "STOATROUTER_HEADS": str(head.folder / "heads.cue")}
+            environ = os.environ | {
+                "NODE_CONFIG": str(head.folder / "config.json"),
+                "PYTHONPATH": str(ROOT),
+                "STOATROUTER_HEADS": str(head.folder / "heads.cue"),
+            }
             process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "stoatrouter", env=environ, cwd=head.folder,
-                stderr=asyncio.subprocess.PIPE)
+                sys.executable,
+                "-m",
+                "stoatrouter",
+                env=environ,
+                cwd=head.folder,
+                stderr=asyncio.subprocess.PIPE,
+            )
             _, said = await process.communicate()
             assert process.returncode == 2 and words in said.decode(), said.decode()
+
     run(story(), LIMIT)
 
 
@@ -313,4 +351,5 @@
             (head.folder / "tmp").mkdir(exist_ok=True)
             await asyncio.gather(*(h.start(ready=False) for h in fleet))
             await fleet.all_in_touch()
+
     run(story(), LIMIT)
--- a/tests/heads/test_histories.py
+++ b/tests/heads/test_histories.py
@@ -21,19 +21,37 @@
     return Call(asked, answered, Asked(kind, id, base), answer)
 
 
-@pytest.mark.parametrize(("calls", "so"), [
-    ([call(0, 1, "edit", "a", 0, ("ok", 1)), call(2, 3, "read", answer=("read", 1))], True),
-    ([call(0, 1, "edit", "a", 0, ("ok", 1)), call(2, 3, "read", answer=("read", 0))], False),  # lost
-    ([call(0, 9, "edit", "a", 0, ("ok", 1)), call(2, 3, "read", answer=("read", 0))], True),  # not yet
-    ([call(0, 9, "edit", "a", 0, ("ok", 1)), call(0, 9, "edit", "b", 0, ("ok", 2))], False),  # both won
-    ([call(0, 9, "edit", "a", 0, ("ok", 1)), call(0, 9, "edit", "b", 0, ("refused", 1))], True),
-    ([call(0, 1, "edit", "a", 0, ("ok", 1)), call(2, 3, "edit", "b", 0, ("refused", 0))], False),
-    ([call(0, NEVER, "edit", "a", 0), call(2, 3, "read", answer=("read", 1)),
-      call(4, 5, "read", answer=("read", 1))], True),  # unanswered, and it acted
-    ([call(0, NEVER, "edit", "a", 0), call(2, 3, "read", answer=("read", 1)),
-      call(4, 5, "read", answer=("read", 0))], False),  # and went back
-    ([call(0, 1, "edit", "a", 0, ("ok", 1)), call(2, 3, "edit", "a", 0, ("ok", 2))], False),  # acted twice
-])
+@pytest.mark.parametrize(
+    ("calls", "so"),
+    [
+        ([call(0, 1, "edit", "a", 0, ("ok", 1)), call(2, 3, "read", answer=("read", 1))], True),
+        ([call(0, 1, "edit", "a", 0, ("ok", 1)), call(2, 3, "read", answer=("read", 0))], False),  # lost
+        ([call(0, 9, "edit", "a", 0, ("ok", 1)), call(2, 3, "read", answer=("read", 0))], True),  # not yet
+        ([call(0, 9, "edit", "a", 0, ("ok", 1)), call(0, 9, "edit", "b", 0, ("ok", 2))], False),  # both won
+        ([call(0, 9, "edit", "a", 0, ("ok", 1)), call(0, 9, "edit", "b", 0, ("refused", 1))], True),
+        ([call(0, 1, "edit", "a", 0, ("ok", 1)), call(2, 3, "edit", "b", 0, ("refused", 0))], False),
+        (
+            [
+                call(0, NEVER, "edit", "a", 0),
+                call(2, 3, "read", answer=("read", 1)),
+                call(4, 5, "read", answer=("read", 1)),
+            ],
+            True,
+        ),  # unanswered, and it acted
+        (
+            [
+                call(0, NEVER, "edit", "a", 0),
+                call(2, 3, "read", answer=("read", 1)),
+                call(4, 5, "read", answer=("read", 0)),
+            ],
+            False,
+        ),  # and went back
+        (
+            [call(0, 1, "edit", "a", 0, ("ok", 1)), call(2, 3, "edit", "a", 0, ("ok", 2))],
+            False,
+        ),  # acted twice
+    ],
+)
 def test_the_register_checker(calls, so):
     assert linearizable(calls, FIRST, register_step) is so
 
@@ -55,8 +73,15 @@
 
 
 def request(id, status, at=5.0, charge=10) -> dict:
-    return {"what": "request", "id": id, "customer": "x", "charge": charge, "at": at, "until": at,
-            "status": status}
+    return {
+        "what": "request",
+        "id": id,
+        "customer": "x",
+        "charge": charge,
+        "at": at,
+        "until": at,
+        "status": status,
+    }
 
 
 def pay(id, amount, at=1.0, status=200) -> dict:
@@ -64,8 +89,14 @@
 
 
 def settled(paid, charged, **more) -> dict:
-    return {"what": "settled", "at": 9.0, "customer": "x", "paid": paid, "charged": charged,
-            "balance": paid - charged} | more
+    return {
+        "what": "settled",
+        "at": 9.0,
+        "customer": "x",
+        "paid": paid,
+        "charged": charged,
+        "balance": paid - charged,
+    } | more
 
 
 def role(term, leader) -> dict:
@@ -81,8 +112,10 @@
 
 
 DOWN = {"what": "down", "head": "b", "at": 0.0, "until": 20.0, "detect_within": 15.0, "witnesses": ["a"]}
-WHOLE = History([pay("t", 100), request("1", 200), request("2", 503), request("3", 0), settled(100, 10)],
-                {"a": [role(1, "a"), version(1), version(2)], "b": [role(1, "a"), version(2)]})
+WHOLE = History(
+    [pay("t", 100), request("1", 200), request("2", 503), request("3", 0), settled(100, 10)],
+    {"a": [role(1, "a"), version(1), version(2)], "b": [role(1, "a"), version(2)]},
+)
 
 
 def test_a_whole_history_is_found_whole():
@@ -90,26 +123,50 @@
     assert tell([]) == "all promises are kept"
 
 
-@pytest.mark.parametrize(("lines", "logs", "words"), [
-    ([], {"b": [role(1, "b")], "a": [role(1, "a")]}, "had leaders"),
-    ([], {"a": [version(2), version(1)]}, "back to 1"),
-    ([], {"a": [version(2, "x")], "b": [version(2, "y")]}, "elsewhere"),
-    ([pay("t", 5), request("1", 200)], {}, "more than was paid in"),
-    ([pay("t", 50, at=6.0), request("1", 200, at=5.0)], {}, "more than was paid in"),
-    ([pay("t", 100), request("1", 200), request("1", 200)], {}, "2 times"),
-    ([pay("t", 100), request("1", 200), settled(100, 0)], {}, "clients say"),
-    ([pay("t", 100), request("1", 200), settled(100, 20)], {}, "clients say"),
-    ([pay("t", 100), settled(0, 0)], {}, "acknowledged"),
-    ([pay("t", 100), settled(200, 0)], {}, "asked for"),
-    ([pay("t", 100), settled(100, 0, balance=90)], {}, "balance"),
-    ([{"what": "register", "at": 0, "until": 1, "kind": "edit", "id": "a", "base": 0, "answer": ["ok", 1]},
-      {"what": "register", "at": 2, "until": 3, "kind": "read", "id": "", "base": 0, "answer": ["read", 0]}],
-     {}, "no order"),
-    ([{"what": "contents", "at": 0, "digests": {"a": "x", "b": "y"}}], {}, "different contents"),
-    ([{"what": "restored", "at": 0, "undone": 2, "before": "x", "now": "y"}], {}, "did not restore"),
-    ([DOWN], {"a": [seen("suspect")]}, "did not see"),
-    ([{"what": "calm", "at": 0.0, "until": 9.0}], {"a": [seen("failed")]}, "calm times"),
-])
+@pytest.mark.parametrize(
+    ("lines", "logs", "words"),
+    [
+        ([], {"b": [role(1, "b")], "a": [role(1, "a")]}, "had leaders"),
+        ([], {"a": [version(2), version(1)]}, "back to 1"),
+        ([], {"a": [version(2, "x")], "b": [version(2, "y")]}, "elsewhere"),
+        ([pay("t", 5), request("1", 200)], {}, "more than was paid in"),
+        ([pay("t", 50, at=6.0), request("1", 200, at=5.0)], {}, "more than was paid in"),
+        ([pay("t", 100), request("1", 200), request("1", 200)], {}, "2 times"),
+        ([pay("t", 100), request("1", 200), settled(100, 0)], {}, "clients say"),
+        ([pay("t", 100), request("1", 200), settled(100, 20)], {}, "clients say"),
+        ([pay("t", 100), settled(0, 0)], {}, "acknowledged"),
+        ([pay("t", 100), settled(200, 0)], {}, "asked for"),
+        ([pay("t", 100), settled(100, 0, balance=90)], {}, "balance"),
+        (
+            [
+                {
+                    "what": "register",
+                    "at": 0,
+                    "until": 1,
+                    "kind": "edit",
+                    "id": "a",
+                    "base": 0,
+                    "answer": ["ok", 1],
+                },
+                {
+                    "what": "register",
+                    "at": 2,
+                    "until": 3,
+                    "kind": "read",
+                    "id": "",
+                    "base": 0,
+                    "answer": ["read", 0],
+                },
+            ],
+            {},
+            "no order",
+        ),
+        ([{"what": "contents", "at": 0, "digests": {"a": "x", "b": "y"}}], {}, "different contents"),
+        ([{"what": "restored", "at": 0, "undone": 2, "before": "x", "now": "y"}], {}, "did not restore"),
+        ([DOWN], {"a": [seen("suspect")]}, "did not see"),
+        ([{"what": "calm", "at": 0.0, "until": 9.0}], {"a": [seen("failed")]}, "calm times"),
+    ],
+)
 def test_each_checker_fails_on_its_fault(lines, logs, words):
     (wrong,) = judge(History(lines, logs))
     assert words in wrong
@@ -122,6 +179,7 @@
 @pytest.mark.parametrize("seed", [1, 2])
 def test_random_faults_on_the_real_program(tmp_path, seed):
     """A short one of each; benchmarks/heads_history.py plays ten minutes."""
+
     async def story():
         async with heads_up(tmp_path, seed=seed, more=MORE, http=rules("own")) as fleet:
             chaos = Chaos(fleet, seed, tmp_path / "history.jsonl")
@@ -129,7 +187,10 @@
             wrong = judge(history)
             assert not wrong, tell(wrong) + "\n" + "\n".join(chaos.faults)
             done = [r["status"] for r in history.of("request")]
-            print(f"{len(done)} requests, {done.count(200)} served, {len(list(history.of('pay')))} top-ups, "
-                  f"{len(list(history.of('register')))} edits and reads, {len(chaos.faults)} faults")
+            print(
+                f"{len(done)} requests, {done.count(200)} served, {len(list(history.of('pay')))} top-ups, "
+                f"{len(list(history.of('register')))} edits and reads, {len(chaos.faults)} faults"
+            )
             assert done.count(200) > 50
+
     run(story(), 170.0)
--- a/tests/heads/test_history.py
+++ b/tests/heads/test_history.py
@@ -116,14 +116,22 @@
     assert len(register.contents) == 2
 
 
-@pytest.mark.parametrize(("said", "live", "waited", "decided"), [
-    ({"a": Checked(True), "b": Checked(True)}, "ab", 0, Activate(7, 100)),
-    ({"a": Checked(True)}, "ab", 1, None),
-    ({"a": Checked(True)}, "ab", 9, Activate(7, 100)),  # b is stuck: it catches up
-    ({"a": Checked(True)}, "a", 0, Activate(7, 100)),  # b has failed
-    ({"a": Checked(True), "b": Checked(False, "rules.cue:3: x")}, "a", 9,
-     Abandon(7, "b cannot load it: rules.cue:3: x")),
-    ({}, "", 9, None)])
+@pytest.mark.parametrize(
+    ("said", "live", "waited", "decided"),
+    [
+        ({"a": Checked(True), "b": Checked(True)}, "ab", 0, Activate(7, 100)),
+        ({"a": Checked(True)}, "ab", 1, None),
+        ({"a": Checked(True)}, "ab", 9, Activate(7, 100)),  # b is stuck: it catches up
+        ({"a": Checked(True)}, "a", 0, Activate(7, 100)),  # b has failed
+        (
+            {"a": Checked(True), "b": Checked(False, "rules.cue:3: x")},
+            "a",
+            9,
+            Abandon(7, "b cannot load it: rules.cue:3: x"),
+        ),
+        ({}, "", 9, None),
+    ],
+)
 def test_when_a_version_is_put_in_force(said, live, waited, decided):
     assert decide(7, said, live, 1000 * waited * MS, 5000 * MS, 100) == decided
 
@@ -219,11 +227,17 @@
         return None
 
 
-@pytest.mark.parametrize(("mutant", "story"), [
-    (EditsAnyBase, test_an_edit_against_an_older_version_names_both),
-    (UndoesWithoutComparing,
-     test_undo_of_what_others_have_edited_since_is_refused_with_their_names_unless_a_version_is_named),
-    (ActsEachTime, test_asked_twice_with_one_id_it_acts_once)])
+@pytest.mark.parametrize(
+    ("mutant", "story"),
+    [
+        (EditsAnyBase, test_an_edit_against_an_older_version_names_both),
+        (
+            UndoesWithoutComparing,
+            test_undo_of_what_others_have_edited_since_is_refused_with_their_names_unless_a_version_is_named,
+        ),
+        (ActsEachTime, test_asked_twice_with_one_id_it_acts_once),
+    ],
+)
 def test_a_mutant_is_caught(mutant, story, monkeypatch):
     monkeypatch.setitem(globals(), "Register", mutant)
     with pytest.raises((AssertionError, IndexError)):
--- a/tests/heads/test_rules_processes.py
+++ b/tests/heads/test_rules_processes.py
@@ -46,30 +46,45 @@
 
 
 async def edit(head: HeadProcess, id: str, base: int, text: str, author: str = "ann") -> tuple[int, Any]:
-    return await head.call("POST", "/control/rules/edits", {
-        "id": id, "base": base, "root": "rules.cue", "files": {"rules.cue": text}, "author": author,
-        "reason": "story"})
+    return await head.call(
+        "POST",
+        "/control/rules/edits",
+        {
+            "id": id,
+            "base": base,
+            "root": "rules.cue",
+            "files": {"rules.cue": text},
+            "author": author,
+            "reason": "story",
+        },
+    )
 
 
 async def undo(head: HeadProcess, id: str, version: int, to: int = 0) -> tuple[int, Any]:
-    return await head.call("POST", "/control/rules/undo", {
-        "id": id, "version": version, "to": to, "author": "bob", "reason": "story"})
+    return await head.call(
+        "POST",
+        "/control/rules/undo",
+        {"id": id, "version": version, "to": to, "author": "bob", "reason": "story"},
+    )
 
 
 async def became(fleet: Processes, id: str, *states: str) -> dict[str, Any]:
     """What became of an id, once it is one of these."""
+
     async def look():
         for head in fleet.up:
             status, told = await head.call("GET", f"/control/rules/edits/{id}")
             if status == 200:
                 return told if told["state"] in states else None
         return None
+
     return await fleet.until(look, f"{id} is {states}")
 
 
 async def all_marked(fleet: Processes, text: str, *names: str) -> None:
     async def look() -> bool:
         return all([await mark(h) == text for h in ([fleet[n] for n in names] or fleet.up)])
+
     await fleet.until(look, f"all decide by {text!r}")
 
 
@@ -110,6 +125,7 @@
             whole = [await h.call("GET", "/control/rules/versions/4") for h in fleet]
             assert all(w == whole[0] for w in whole) and whole[0][1]["files"] == {"rules.cue": rules("two")}
             versions_only_go_up(fleet)
+
     run(story(), LIMIT)
 
 
@@ -135,12 +151,15 @@
             await all_marked(fleet, "one")
             folder.unlink()
             await put(fleet, "e2", 1, "three")
-            for path, words in ((("GET", "/control/rules/versions/99"), "not in the history"),
-                                (("GET", "/control/rules/edits/none"), "nothing is known")):
+            for path, words in (
+                (("GET", "/control/rules/versions/99"), "not in the history"),
+                (("GET", "/control/rules/edits/none"), "nothing is known"),
+            ):
                 status, told = await fleet["h1"].call(*path)
                 assert status == 404 and words in told["error"]
             status, told = await fleet["h1"].call("POST", "/control/rules/edits", {"id": "x"})
             assert status == 400 and "base" in told["error"]
+
     run(story(), LIMIT)
 
 
@@ -161,6 +180,7 @@
 
             async def cut_off() -> bool:
                 return all([(await fleet[n].told())["state"] == "cut off" for n in small])
+
             await fleet.until(cut_off, "the smaller side cut off")
             for name in small:
                 assert await mark(fleet[name]) == "two"  # what it holds, and it says how old that is
@@ -175,6 +195,7 @@
             if status == 409:
                 assert "3 by ann" in told["error"]
             versions_only_go_up(fleet)
+
     run(story(), LIMIT)
 
 
@@ -216,6 +237,7 @@
             told = (await fleet["h0"].call("GET", "/control/rules"))[1]
             assert [v["id"] for v in told["versions"]] == ["e0", *acknowledged]
             versions_only_go_up(fleet)
+
     run(story(), LIMIT)
 
 
@@ -234,13 +256,15 @@
             await fleet.all_in_touch()
             await put(fleet, "e4", 1, "four")
             versions_only_go_up(fleet)
+
     run(story(), LIMIT)
 
 
 def test_a_head_that_died_before_activation_and_one_far_behind_catch_up_before_they_serve(tmp_path):
     async def story():
-        async with heads_up(tmp_path, seed=6, more='rules: {check_within: "1s", versions: 50}\n',
-                            http=rules("own")) as fleet:
+        async with heads_up(
+            tmp_path, seed=6, more='rules: {check_within: "1s", versions: 50}\n', http=rules("own")
+        ) as fleet:
             await put(fleet, "e1", 0, "one")
             fleet["h3"].signal(signal.SIGSTOP)  # it is waited for: there is time between check and activation
             assert (await edit(fleet["h0"], "e2", 1, rules("two")))[0] == 202
@@ -264,6 +288,7 @@
             status, told = await undo(fleet["h4"], "past", 2, to=1)
             assert status == 409 and "not in the history" in told["error"]
             versions_only_go_up(fleet)
+
     run(story(), LIMIT)
 
 
@@ -293,6 +318,7 @@
             await fleet.all_in_touch()
             await all_marked(fleet, "one")
             versions_only_go_up(fleet)
+
     run(story(), LIMIT)
 
 
@@ -306,6 +332,7 @@
                 for head in list(fleet):
                     assert await head.stop() == 0
                     await head.start()
+
             rolling = asyncio.create_task(roll())
             await asyncio.sleep(1.0)
             status = 0
@@ -316,17 +343,23 @@
             await became(fleet, "u", "everywhere")
             await all_marked(fleet, "one")
             versions_only_go_up(fleet)
+
     run(story(), LIMIT)
 
 
 def test_many_rules_come_in_force_beside_requests(tmp_path):
     """2,000 rules here; 10,000 are played by benchmarks/heads_rules.py."""
+
     async def story():
-        async with heads_up(tmp_path, count=3, seed=9, more='rules: {check_within: "30s"}\n',
-                            http=rules("own")) as fleet:
-            lines = "".join(f'\t\t{{name: "r{i}", when: #"request.path == "/p{i}""#, refuse: '
-                            '{status: 410, reason: "gone"}},\n' for i in range(2000))
-            text = rules("many").replace("\t\t{name: \"reads\"", lines + "\t\t{name: \"reads\"")
+        async with heads_up(
+            tmp_path, count=3, seed=9, more='rules: {check_within: "30s"}\n', http=rules("own")
+        ) as fleet:
+            lines = "".join(
+                f'\t\t{{name: "r{i}", when: #"request.path == "/p{i}""#, refuse: '
+                '{status: 410, reason: "gone"}},\n'
+                for i in range(2000)
+            )
+            text = rules("many").replace('\t\t{name: "reads"', lines + '\t\t{name: "reads"')
             assert (await edit(fleet["h0"], "many", 0, text))[0] == 202
             worst, done = 0.0, asyncio.create_task(became(fleet, "many", "everywhere"))
             while not done.done():
@@ -338,4 +371,5 @@
             await all_marked(fleet, "many")
             async with fleet.session.get(f"http://{fleet['h2'].host}:{fleet['h2'].http}/p1999") as response:
                 assert response.status == 410
+
     run(story(), LIMIT)
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -16,26 +16,99 @@
 
 HOST = "127.0.0.1"
 SETTINGS: dict[str, Any] = {
-    "Balancers": 1, "Me": 0, "Zone": 0, "Tick": 2000, "RegistryMode": "automatic",
+    "Balancers": 1,
+    "Me": 0,
+    "Zone": 0,
+    "Tick": 2000,
+    "RegistryMode": "automatic",
     "Classes": [
-        {"Effect": "retryable", "Group": "all", "HardLimit": 2000000, "LateWorth": 0.2, "Name": "score-read",
-         "Points": 2.0, "Promise": 400000, "Stream": False, "Window": 5000000},
-        {"Effect": "dedup", "Group": "cell", "HardLimit": 3000000, "LateWorth": 0.1, "Name": "event-write",
-         "Points": 3.0, "Promise": 600000, "Stream": False, "Window": 5000000},
-        {"Effect": "retryable", "Group": "all", "HardLimit": 6000000, "LateWorth": 0.3,
-         "Name": "stats-export", "Points": 1.0, "Promise": 2000000, "Stream": False, "Window": 5000000}],
-    "Contract": {"AnswerSlack": 8000, "AskWithin": 10000000, "Cold": 18000000, "ColdFrom": 0.16,
-                 "DrainGrace": 2000000, "Fall": 3000000, "FallMultiple": 3.0},
+        {
+            "Effect": "retryable",
+            "Group": "all",
+            "HardLimit": 2000000,
+            "LateWorth": 0.2,
+            "Name": "score-read",
+            "Points": 2.0,
+            "Promise": 400000,
+            "Stream": False,
+            "Window": 5000000,
+        },
+        {
+            "Effect": "dedup",
+            "Group": "cell",
+            "HardLimit": 3000000,
+            "LateWorth": 0.1,
+            "Name": "event-write",
+            "Points": 3.0,
+            "Promise": 600000,
+            "Stream": False,
+            "Window": 5000000,
+        },
+        {
+            "Effect": "retryable",
+            "Group": "all",
+            "HardLimit": 6000000,
+            "LateWorth": 0.3,
+            "Name": "stats-export",
+            "Points": 1.0,
+            "Promise": 2000000,
+            "Stream": False,
+            "Window": 5000000,
+        },
+    ],
+    "Contract": {
+        "AnswerSlack": 8000,
+        "AskWithin": 10000000,
+        "Cold": 18000000,
+        "ColdFrom": 0.16,
+        "DrainGrace": 2000000,
+        "Fall": 3000000,
+        "FallMultiple": 3.0,
+    },
     "Contracts": [
-        {"Burst": 48.0, "Guaranteed": 1.4, "Limit": 19.0, "Name": "basic", "Price": 0.72, "Shares": 1.0,
-         "Tolerance": 8.0, "UsualRate": 4.7},
-        {"Burst": 0.0, "Guaranteed": 7.1, "Limit": 0.0, "Name": "premium", "Price": 0.9, "Shares": 1.0,
-         "Tolerance": 0.0, "UsualRate": 7.1}],
-    "Extra": {"BeyondShare": 0.05, "ChangesData": [False, True, False], "ColdBears": 34.0, "FairWorth": 0.35,
-              "Metering": 0, "MostUnits": 8, "SaysOthers": True, "Shards": 2, "UnitMean": 1.99},
-    "Limits": {"Cancel": True, "ConnIdle": 30000000, "ConnectTimeout": 250000, "MaxOpen": 24338,
-               "MaxRetryAfter": 500000, "MostTries": 4, "ParallelTries": True, "Probes": True,
-               "RetryAfter": True},
+        {
+            "Burst": 48.0,
+            "Guaranteed": 1.4,
+            "Limit": 19.0,
+            "Name": "basic",
+            "Price": 0.72,
+            "Shares": 1.0,
+            "Tolerance": 8.0,
+            "UsualRate": 4.7,
+        },
+        {
+            "Burst": 0.0,
+            "Guaranteed": 7.1,
+            "Limit": 0.0,
+            "Name": "premium",
+            "Price": 0.9,
+            "Shares": 1.0,
+            "Tolerance": 0.0,
+            "UsualRate": 7.1,
+        },
+    ],
+    "Extra": {
+        "BeyondShare": 0.05,
+        "ChangesData": [False, True, False],
+        "ColdBears": 34.0,
+        "FairWorth": 0.35,
+        "Metering": 0,
+        "MostUnits": 8,
+        "SaysOthers": True,
+        "Shards": 2,
+        "UnitMean": 1.99,
+    },
+    "Limits": {
+        "Cancel": True,
+        "ConnIdle": 30000000,
+        "ConnectTimeout": 250000,
+        "MaxOpen": 24338,
+        "MaxRetryAfter": 500000,
+        "MostTries": 4,
+        "ParallelTries": True,
+        "Probes": True,
+        "RetryAfter": True,
+    },
     "Report": {"Fields": ["util", "inflight"], "How": "probe"},
 }
 
@@ -56,8 +129,14 @@
         body = await request.read()
         step = self.script.popleft() if self.script else "serve"
         self.requests.append(request)
-        self.seen.append((request.method, request.raw_path, asyncio.get_running_loop().time(),
-                          len(body or self.pieces.get(piece(request), b""))))
+        self.seen.append(
+            (
+                request.method,
+                request.raw_path,
+                asyncio.get_running_loop().time(),
+                len(body or self.pieces.get(piece(request), b"")),
+            )
+        )
         if step == "decline":
             return web.Response(status=503, headers={"Srv-Declined": "1"})
         if step == "elsewhere":
@@ -83,8 +162,16 @@
         return response
 
     def entry(self, **more: Any) -> dict[str, Any]:
-        return {"instanceId": self.name, "hostPort": f"{HOST}:{self.port}", "zone": "a", "machineType": "m",
-                "cell": self.shard, "lifecycle": self.lifecycle, "weight": 1.0, "startedAtMs": 0} | more
+        return {
+            "instanceId": self.name,
+            "hostPort": f"{HOST}:{self.port}",
+            "zone": "a",
+            "machineType": "m",
+            "cell": self.shard,
+            "lifecycle": self.lifecycle,
+            "weight": 1.0,
+            "startedAtMs": 0,
+        } | more
 
 
 def piece(request: web.BaseRequest) -> str:
@@ -134,11 +221,19 @@
         yield list(nodes)
 
 
-def config_data(known: dict[str, Any], discovery: int = 9, listen: int = 0, management: str | None = None,
-                **limits: Any) -> dict[str, Any]:
-    return {"name": "n0", "listen": f"{HOST}:{listen}", "discovery": f"{HOST}:{discovery}",
-            "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024} | limits,
-            "known": known, "settings": SETTINGS, "management": management}
+def config_data(
+    known: dict[str, Any], discovery: int = 9, listen: int = 0, management: str | None = None, **limits: Any
+) -> dict[str, Any]:
+    return {
+        "name": "n0",
+        "listen": f"{HOST}:{listen}",
+        "discovery": f"{HOST}:{discovery}",
+        "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024} | limits,
+        "known": known,
+        "settings": SETTINGS,
+        "management": management,
+    }
 
 
 def head_config(*nodes: Node, **more: Any) -> config.Config:
@@ -153,7 +248,9 @@
 
 def run(story: Awaitable[Any], limit: float = 30.0) -> Any:
     """Play one story; the limit only guards against a hang."""
+
     async def bounded() -> Any:
         async with asyncio.timeout(limit):
             return await story
+
     return asyncio.run(bounded())
--- a/tests/registry_model.py
+++ b/tests/registry_model.py
@@ -11,7 +11,12 @@
 
 # What happens in the registry, in turn: transactions of keys and values (None: removed). In the second a node
 # goes, in the third it comes back, in the fourth it drains together with another: one transaction of two keys.
-TRANSACTIONS = ((("a", b"up"), ("b", b"up")), (("a", None),), (("a", b"up"),), (("a", b"drain"), ("b", b"drain")))
+TRANSACTIONS = (
+    (("a", b"up"), ("b", b"up")),
+    (("a", None),),
+    (("a", b"up"),),
+    (("a", b"drain"), ("b", b"drain")),
+)
 FIRST = 10  # the revision of the first one
 
 
@@ -47,10 +52,29 @@
         """What makes two worlds the same: times and numbers of calls do not."""
         fol = self.follower
         call = None if self.call is None else (self.call[0], *self.call[2:])
-        stale = None if self.stale is None else type(self.stale).__name__ + str(getattr(self.stale, "revision", 0))
-        return (fol.phase, fol.revision, fol.resync, fol.endpoint, tuple(sorted(fol.told.items(), key=str)),
-                tuple(fol.fragments), tuple(sorted(fol.older.items())), self.done, tuple(self.applied), self.floor,
-                call, stale, tuple(sorted(self.told.items())), self.breaks, self.compactions, self.stales)
+        stale = (
+            None
+            if self.stale is None
+            else type(self.stale).__name__ + str(getattr(self.stale, "revision", 0))
+        )
+        return (
+            fol.phase,
+            fol.revision,
+            fol.resync,
+            fol.endpoint,
+            tuple(sorted(fol.told.items(), key=str)),
+            tuple(fol.fragments),
+            tuple(sorted(fol.older.items())),
+            self.done,
+            tuple(self.applied),
+            self.floor,
+            call,
+            stale,
+            tuple(sorted(self.told.items())),
+            self.breaks,
+            self.compactions,
+            self.stales,
+        )
 
     # -- the registry -------------------------------------------------------------------------------------
     def state(self, count):
@@ -111,7 +135,7 @@
         transaction = TRANSACTIONS[at]
         changes = tuple(f.Change(key, FIRST + at, value) for key, value in transaction)
         if len(changes) > 1:  # in two fragments
-            return f.Changed(self.now, call, FIRST + at, changes[part:part + 1], whole=part == 1)
+            return f.Changed(self.now, call, FIRST + at, changes[part : part + 1], whole=part == 1)
         return f.Changed(self.now, call, FIRST + at, changes)
 
     def actions(self, faults=True):
@@ -144,7 +168,9 @@
             event = self.next_event()
             if isinstance(event, f.Changed):
                 kind, call, endpoint, at, part = self.call
-                self.call = (kind, call, endpoint, at + 1, 0) if event.whole else (kind, call, endpoint, at, 1)
+                self.call = (
+                    (kind, call, endpoint, at + 1, 0) if event.whole else (kind, call, endpoint, at, 1)
+                )
             self.run(fol.step(event))
         elif action in ("wait", "silence"):
             self.breaks += action == "silence"
--- a/tests/rules.py
+++ b/tests/rules.py
@@ -7,9 +7,15 @@
 from stoatrouter.matching.table import KnownClass, Vocabulary
 
 WORDS = Vocabulary(
-    (KnownClass("score-read", True, timedelta(seconds=2)),
-     KnownClass("event-write", False, timedelta(seconds=3)),
-     KnownClass("stats-export", True, timedelta(seconds=6))), ("basic", "premium"), 2, 8)
+    (
+        KnownClass("score-read", True, timedelta(seconds=2)),
+        KnownClass("event-write", False, timedelta(seconds=3)),
+        KnownClass("stats-export", True, timedelta(seconds=6)),
+    ),
+    ("basic", "premium"),
+    2,
+    8,
+)
 FEED, APP, ARCHIVE = "00000000f0a70001", "00000000f0a70002", "00000000f0a70003"
 OPERATOR = f"""
 scopes: {{
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -26,14 +26,18 @@
 
 def in_chunks(body: bytes, size: int = 50_000) -> bytes:
     """A body in chunks, with extensions and a trailer."""
-    pieces = (body[at:at + size] for at in range(0, len(body), size))
+    pieces = (body[at : at + size] for at in range(0, len(body), size))
     return b"".join(b"%x;name=value\r\n%s\r\n" % (len(p), p) for p in pieces) + b"0\r\nX-Sum: 1\r\n\r\n"
 
 
 # -- clients' bodies ---------------------------------------------------------------------------------------
-@pytest.mark.parametrize("sent", [
-    f"{PUT}Connection: close\r\nContent-Length: {len(BODY)}\r\n\r\n".encode() + BODY,
-    f"{PUT}Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n".encode() + in_chunks(BODY)])
+@pytest.mark.parametrize(
+    "sent",
+    [
+        f"{PUT}Connection: close\r\nContent-Length: {len(BODY)}\r\n\r\n".encode() + BODY,
+        f"{PUT}Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n".encode() + in_chunks(BODY),
+    ],
+)
 def test_a_large_body_reaches_a_node_unchanged_and_can_be_sent_anew(sent):
     async def story():
         node = Node("a", 0, "decline")
@@ -43,18 +47,21 @@
             assert [seen[3] for seen in node.seen] == [len(BODY)] * 2  # declined, then sent anew
             assert {r.headers["Content-Length"] for r in node.requests} == {str(len(BODY))}
             assert not head.room.taken
+
     run(story())
 
 
 @pytest.mark.parametrize("head", [b"Content-Length: 70001\r\n\r\n", b"Transfer-Encoding: chunked\r\n\r\n"])
 def test_a_body_over_the_bound_is_turned_away(monkeypatch, head):
     """A flood, however it comes, takes no room once it is known for one."""
+
     async def story():
         node = Node("a", 0)
         async with started(node) as (there, _):
             body = in_chunks(b"b" * 200_000) if b"chunked" in head else b""
             assert b" 413 " in await exchange(there, PUT.encode() + head + body)
             assert not node.seen and not there.room.taken
+
     monkeypatch.setattr(bodies, "LARGEST", 70_000)
     run(story())
 
@@ -72,6 +79,7 @@
             writer.close()
             refused = await exchange(head, f"{PUT}Expect: wonders\r\nContent-Length: 4\r\n\r\n".encode())
             assert b" 417 " in refused
+
     run(story())
 
 
@@ -83,6 +91,7 @@
         async with started(Node("a", 0)) as (head, _):
             assert b" 408 " in await exchange(head, f"{PUT}Content-Length: 90000\r\n\r\n".encode() + b"b" * 9)
             assert not head.room.taken
+
     run(story())
 
 
@@ -94,6 +103,7 @@
             await until(lambda: head.room.taken == 90000)
             writer.close()
             await until(lambda: not head.room.taken)
+
     run(story())
 
 
@@ -104,6 +114,7 @@
             head.room.most = len(BODY)
             sent = f"{PUT}Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n".encode() + in_chunks(BODY)
             assert (await exchange(head, sent)).startswith(b"HTTP/1.1 200") and node.pieces[KEY] == BODY
+
     run(story())
 
 
@@ -114,6 +125,7 @@
             sent = f"{PUT}Content-Length: {len(BODY)}\r\n\r\n".encode() + BODY
             assert (await exchange(head, sent)).startswith(b"HTTP/1.1 503") and not head.room.taken
             assert sum(head.engine.reducer.figures.shed) == 1
+
     run(story())
 
 
@@ -138,11 +150,13 @@
         room.free(100)
         await asyncio.gather(leaving, return_exceptions=True)
         assert room.taken == 0 and not room.waiting
+
     run(story())
 
 
 def test_trailers_of_one_request_are_no_headers_of_the_next():
     """aiohttp's parser puts them before the next request's own."""
+
     async def story():
         node = Node("a", 0)
         async with started(node) as (head, _):
@@ -155,6 +169,7 @@
                     await reader.readexactly(len(b"stored"))
             assert [r.headers["Req-Id"] for r in node.requests] == [HEADERS["Req-Id"]] * 2
             writer.close()
+
     run(story())
 
 
@@ -195,14 +210,17 @@
     return b"HTTP/1.1 200 OK\r\n" + head + b"\r\n"
 
 
-FORMS = [answered(b"Content-Length: %d\r\n" % len(BODY)) + BODY,
-         answered(b"Transfer-Encoding: chunked\r\n") + in_chunks(BODY),
-         answered(b"Connection: close\r\n") + BODY]
+FORMS = [
+    answered(b"Content-Length: %d\r\n" % len(BODY)) + BODY,
+    answered(b"Transfer-Encoding: chunked\r\n") + in_chunks(BODY),
+    answered(b"Connection: close\r\n") + BODY,
+]
 
 
 @pytest.mark.parametrize("answer", FORMS)
 def test_a_large_answer_is_passed_on_as_it_comes(answer):
     """Its first bytes are the client's before its last have come."""
+
     async def story():
         node = Raw(answer[:100_000], answer[100_000:])
         async with served_by(node) as (head, session):
@@ -216,6 +234,7 @@
             await until(lambda: not head.engine.reducer.open)
             figures = head.engine.reducer.figures
             assert (figures.ok[0], figures.errors[0], figures.active) == (1, 0, 0)
+
     run(story())
 
 
@@ -234,6 +253,7 @@
                 assert BODY.startswith(got)
             await until(lambda: not head.engine.reducer.open)
             assert head.engine.reducer.figures.errors[0] == 1 and node.tries["all"] == 1
+
     run(story())
 
 
@@ -247,6 +267,7 @@
                 node.go.release()
                 with pytest.raises(aiohttp.ClientPayloadError):
                     await response.read()
+
     run(story())
 
 
@@ -260,6 +281,7 @@
             response.close()
             await until(lambda: not head.engine.reducer.open and not head.engine.nodes.pool.alive)
             assert head.engine.reducer.figures.active == 0
+
     run(story())
 
 
@@ -272,6 +294,7 @@
                 async with session.get(PATH, headers=HEADERS) as second:
                     assert second.status == 502
                 node.go.release()
+
     run(story())
 
 
@@ -289,11 +312,12 @@
             monkeypatch.setattr(head.clients, "sweep", lambda: (sweeps.update(["n"]), sweep()))
             reader, writer = await asyncio.open_connection(HOST, head.platform.port)
             for at in range(0, len(GOOD), 60):
-                writer.write(GOOD[at:at + 60])
+                writer.write(GOOD[at : at + 60])
                 before = sweeps["n"]
                 await until(lambda least=before + 6: sweeps["n"] >= least)  # past the time of idle ones
             assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 200 ")
             writer.close()
+
     run(story())
 
 
@@ -320,6 +344,5 @@
             writer.write(GOOD[50:])
             assert (await slow.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 200 ")
             assert len(head.clients) <= head.clients.most + clients.SPARE
-    run(story())
-
 
+    run(story())
--- a/tests/test_by_hand.py
+++ b/tests/test_by_hand.py
@@ -82,9 +82,17 @@
     assert [p.name for p in tmp_path.iterdir()] == ["stoatrouter-bricks.json"]
 
 
-@pytest.mark.parametrize("text", [
-    "", "{", "[]", '{"out": {"n1": null}, "back": {}}', '{"out": 3, "back": {}}',
-    json.dumps({"out": {"n1": 10**30}, "back": {}})])
+@pytest.mark.parametrize(
+    "text",
+    [
+        "",
+        "{",
+        "[]",
+        '{"out": {"n1": null}, "back": {}}',
+        '{"out": 3, "back": {}}',
+        json.dumps({"out": {"n1": 10**30}, "back": {}}),
+    ],
+)
 def test_a_spoilt_file_is_as_none(tmp_path, text):
     (tmp_path / "stoatrouter-bricks.json").write_text(text)
     assert Keep(str(tmp_path)).read() == model.ByHand()
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -44,11 +44,16 @@
     assert command("config", "check", rules).output.endswith("fine (rules)\n")
     write_rules(tmp_path, feed='rules: [{name: "x", when: "request.headers.y == \\"\\"", class: "nope"}]')
     bad = command("rules", "check", rules, "--config", conf)
-    assert bad.exit_code == 1 and "feed.cue:1: scopes.feed.rules[0].when: 1:17: request.headers[\"y\"]" in bad.output
+    assert (
+        bad.exit_code == 1
+        and 'feed.cue:1: scopes.feed.rules[0].when: 1:17: request.headers["y"]' in bad.output
+    )
     assert "class 'nope' is not of this scope" in bad.output and "2 errors" in bad.output
     data = json.loads(command("rules", "check", rules, "--config", conf, "--json").output)
     assert not data["ok"] and {(e["line"], e["path"]) for e in data["errors"]} == {
-        (1, "scopes.feed.rules[0].when"), (1, "scopes.feed.rules[0].class")}
+        (1, "scopes.feed.rules[0].when"),
+        (1, "scopes.feed.rules[0].class"),
+    }
 
 
 def test_names_are_checked_against_the_configuration(rules, conf, tmp_path):
@@ -59,23 +64,46 @@
     assert unchecked.exit_code == 0 and "were not checked" in unchecked.output
 
 
-@pytest.mark.parametrize(("name", "kind"), [("http.cue", "http"), ("objects.cue", "objects"), ("http-rules.cue", "rules")])
+@pytest.mark.parametrize(
+    ("name", "kind"), [("http.cue", "http"), ("objects.cue", "objects"), ("http-rules.cue", "rules")]
+)
 def test_the_files_that_are_shipped_are_fine(name, kind, conf):
     made = command("config", "check", ROOT / "deploy" / name, "--config", conf)
     assert made.exit_code == 0 and f"fine ({kind})" in made.output, made.output
 
 
 def test_explain_names_the_conjunct_that_failed_and_the_cost(rules, conf):
-    made = command("rules", "explain", rules, "--config", conf, "--request", "PUT /feed/x", "-H", "Host: scores.example")
+    made = command(
+        "rules", "explain", rules, "--config", conf, "--request", "PUT /feed/x", "-H", "Host: scores.example"
+    )
     assert made.exit_code == 0
-    assert 'reads: no: (request.method in ["GET", "HEAD"])' in made.output and "writes: matched" in made.output
-    assert "class: event-write" in made.output and re.search(r"cost: \d+ steps in the worst case", made.output)
-    data = json.loads(command("rules", "explain", rules, "--config", conf, "--json", "--request", "GET /archive/x",
-                              "-H", "x-client: banned").output)
+    assert (
+        'reads: no: (request.method in ["GET", "HEAD"])' in made.output and "writes: matched" in made.output
+    )
+    assert "class: event-write" in made.output and re.search(
+        r"cost: \d+ steps in the worst case", made.output
+    )
+    data = json.loads(
+        command(
+            "rules",
+            "explain",
+            rules,
+            "--config",
+            conf,
+            "--json",
+            "--request",
+            "GET /archive/x",
+            "-H",
+            "x-client: banned",
+        ).output
+    )
     assert data["decided"] == {"refused": 403, "reason": "banned", "scope": "archive", "rule": "blocked"}
     assert data["looked"][0]["matched"] and len(data["looked"]) == 1
     assert "no scope claims" in command("rules", "explain", rules, "--request", "GET /x").output
-    assert "answered 400 before any rule" in command("rules", "explain", rules, "--request", "GET /a/../b").output
+    assert (
+        "answered 400 before any rule"
+        in command("rules", "explain", rules, "--request", "GET /a/../b").output
+    )
     assert command("rules", "explain", rules, "--request", "nonsense").exit_code == 2
 
 
@@ -84,12 +112,19 @@
     new = write_rules(tmp_path / "new", feed=f"rules: [{READS[:-1]}, units: 3}}, {WRITES}]")
     log = tmp_path / "heads.jsonl"
     record = {"fields": [["Host", "scores.example"]], "peer": "10.0.0.1", "size": -1}
-    log.write_text("".join(json.dumps({"method": m, "target": t, **record}) + "\n" for m, t in (
-        ("GET", "/feed/a"), ("PUT", "/feed/a"), ("GET", "/app/a"), ("GET", "/feed/b"))) + "spoilt\n")
+    log.write_text(
+        "".join(
+            json.dumps({"method": m, "target": t, **record}) + "\n"
+            for m, t in (("GET", "/feed/a"), ("PUT", "/feed/a"), ("GET", "/app/a"), ("GET", "/feed/b"))
+        )
+        + "spoilt\n"
+    )
     made = command("rules", "diff", rules, new, "--requests", log, "--config", conf)
     assert made.exit_code == 1 and "2 feed/reads -> feed/reads: units: 1.0 -> 3.0 (lines 1, 4)" in made.output
     assert "2 of 4 requests change; 1 lines cannot be read" in made.output
-    data = json.loads(command("rules", "diff", rules, new, "--requests", log, "--config", conf, "--json").output)
+    data = json.loads(
+        command("rules", "diff", rules, new, "--requests", log, "--config", conf, "--json").output
+    )
     assert (data["requests"], data["changed"], data["differences"][0]["lines"]) == (4, 2, [1, 4])
     assert command("rules", "diff", rules, rules, "--requests", log, "--config", conf).exit_code == 0
     lined = command("rules", "explain", rules, "--config", conf, "--request", f"{log}:2")
@@ -109,8 +144,13 @@
 
 # -- the demo, as the README has it -------------------------------------------------------------------------
 def test_the_demo_shows_calls_that_work_and_ends_on_interrupt():
-    process = subprocess.Popen([sys.executable, "-m", "stoatrouter", "demo"], cwd=ROOT, text=True,
-                               stdout=subprocess.PIPE, stderr=subprocess.STDOUT)
+    process = subprocess.Popen(
+        [sys.executable, "-m", "stoatrouter", "demo"],
+        cwd=ROOT,
+        text=True,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+    )
     seen = []
     try:
         for line in process.stdout:
@@ -121,7 +161,9 @@
         assert set(base) == {"platform", "objects", "http", "management"}
 
         def call(url, method="GET", data=None, **fields):
-            request = urllib.request.Request(url, data, {k.replace("_", "-"): v for k, v in fields.items()}, method=method)
+            request = urllib.request.Request(
+                url, data, {k.replace("_", "-"): v for k, v in fields.items()}, method=method
+            )
             with urllib.request.urlopen(request, timeout=20) as answer:
                 return answer.read()
 
@@ -129,8 +171,16 @@
         assert call(base["http"] + "/feed/matches/7") == b"1:0"
         call(base["objects"] + "/match-footage/readme", "PUT", b"text" * 100)
         assert call(base["objects"] + "/match-footage/readme", Range="bytes=0-7") == b"texttext"
-        call(base["platform"] + "/event-write/00000000f0a70001/0000000000000007", "PUT", b"goal", Req_Id="demo-1",
-             X_Plan="premium", Req_Deadline_Ms="2000", X_IO="units=1,shard=-1,hosts=1", Idempotency_Key="1")
+        call(
+            base["platform"] + "/event-write/00000000f0a70001/0000000000000007",
+            "PUT",
+            b"goal",
+            Req_Id="demo-1",
+            X_Plan="premium",
+            Req_Deadline_Ms="2000",
+            X_IO="units=1,shard=-1,hosts=1",
+            Idempotency_Key="1",
+        )
         assert b"app.responses.event-write.ok" in call(base["management"] + "/control/counters")
         process.send_signal(signal.SIGINT)
         rest, _ = process.communicate(timeout=60)
@@ -145,9 +195,14 @@
 
 # -- logs ---------------------------------------------------------------------------------------------------
 def test_a_head_logs_json_with_event_and_fields(conf):
-    environ = os.environ | {"NODE_CONFIG": str(conf), "STOATROUTER_LOG_FORMAT": "json", "TMPDIR": str(conf.parent)}
-    process = subprocess.Popen([sys.executable, "-m", "stoatrouter"], cwd=ROOT, env=environ, text=True,
-                               stderr=subprocess.PIPE)
+    environ = os.environ | {
+        "NODE_CONFIG": str(conf),
+        "STOATROUTER_LOG_FORMAT": "json",
+        "TMPDIR": str(conf.parent),
+    }
+    process = subprocess.Popen(
+        [sys.executable, "-m", "stoatrouter"], cwd=ROOT, env=environ, text=True, stderr=subprocess.PIPE
+    )
     began, found = time.monotonic(), []
     for line in process.stderr:
         record = json.loads(line)["record"]
@@ -164,8 +219,12 @@
     """Each call of the logger: its file, line, text and event."""
     for path in sorted((ROOT / "stoatrouter").rglob("*.py")):
         for node in ast.walk(ast.parse(path.read_text())):
-            if isinstance(node, ast.Call) and isinstance(node.func, ast.Attribute) and node.func.attr in (
-                    "info", "warning", "error", "exception", "debug") and "logger" in ast.unparse(node.func.value):
+            if (
+                isinstance(node, ast.Call)
+                and isinstance(node.func, ast.Attribute)
+                and node.func.attr in ("info", "warning", "error", "exception", "debug")
+                and "logger" in ast.unparse(node.func.value)
+            ):
                 event = [k.value.value for k in node.keywords if k.arg == "event"]
                 yield f"{path.name}:{node.lineno}", node.args[0].value, event[0] if event else None
 
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -42,18 +42,21 @@
     assert explain(GOOD) == []
 
 
-@pytest.mark.parametrize(("path", "value", "words"), [
-    ("settings", ..., "settings: found nothing (allowed: fields)"),
-    ("settings.Classes", ..., "settings.Classes: found nothing (allowed: a list)"),
-    ("settings.Classes.1.Promise", ..., "Classes[1].Promise: found nothing (allowed: a whole number"),
-    ("settings.Classes.1.Promise", "soon", "Classes[1].Promise: found 'soon' (allowed: a whole"),
-    ("settings.Classes.0.Promise", -5, "settings.Classes[0].Promise: found -5 (allowed: a whole"),
-    ("settings.Classes.0.Effect", "maybe", "found 'maybe' (allowed: retryable, dedup, fragile)"),
-    ("settings.Contracts.0.Guaranteed", -1, "settings.Contracts[0].Guaranteed: found -1 (allowed: a"),
-    ("settings.Limits.MostTries", 0, "settings.Limits.MostTries: found 0 (allowed: a whole number"),
-    ("settings.Balancers", 0, "settings.Balancers: found 0"),
-    ("settings.Contracts", [], "settings.Contracts: found none (allowed: one or more)"),
-])
+@pytest.mark.parametrize(
+    ("path", "value", "words"),
+    [
+        ("settings", ..., "settings: found nothing (allowed: fields)"),
+        ("settings.Classes", ..., "settings.Classes: found nothing (allowed: a list)"),
+        ("settings.Classes.1.Promise", ..., "Classes[1].Promise: found nothing (allowed: a whole number"),
+        ("settings.Classes.1.Promise", "soon", "Classes[1].Promise: found 'soon' (allowed: a whole"),
+        ("settings.Classes.0.Promise", -5, "settings.Classes[0].Promise: found -5 (allowed: a whole"),
+        ("settings.Classes.0.Effect", "maybe", "found 'maybe' (allowed: retryable, dedup, fragile)"),
+        ("settings.Contracts.0.Guaranteed", -1, "settings.Contracts[0].Guaranteed: found -1 (allowed: a"),
+        ("settings.Limits.MostTries", 0, "settings.Limits.MostTries: found 0 (allowed: a whole number"),
+        ("settings.Balancers", 0, "settings.Balancers: found 0"),
+        ("settings.Contracts", [], "settings.Contracts: found none (allowed: one or more)"),
+    ],
+)
 def test_a_bad_one_is_refused_with_place_fault_and_what_would_be_right(tmp_path, path, value, words):
     (tmp_path / "c.json").write_text(json.dumps(changed(path, value)))
     with pytest.raises(config.ConfigError) as refused:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -62,9 +62,11 @@
     r = reducer(node())
     r.reduce(model.Arrived(START, request()))
     assert only(r.reduce(model.ClientLeft(START + MS, "r")), model.CancelAttempt) == [
-        model.CancelAttempt("r", 0)]
-    assert not only(r.reduce(model.AttemptEnded(START + 2 * MS, "r", 0, Outcome.OK, b"late")),
-                    model.GiveAnswer)
+        model.CancelAttempt("r", 0)
+    ]
+    assert not only(
+        r.reduce(model.AttemptEnded(START + 2 * MS, "r", 0, Outcome.OK, b"late")), model.GiveAnswer
+    )
     assert r.open == 0
 
 
@@ -76,9 +78,13 @@
     assert list(r.scheduler.requests) == ["r"]
 
 
-@pytest.mark.parametrize("told", [
-    model.ListTold(START + MS, ListKind.CHANGES, (node(phase=Phase.GONE),)),
-    model.ListTold(START + MS, ListKind.FULL, (node("n2"),))])
+@pytest.mark.parametrize(
+    "told",
+    [
+        model.ListTold(START + MS, ListKind.CHANGES, (node(phase=Phase.GONE),)),
+        model.ListTold(START + MS, ListKind.FULL, (node("n2"),)),
+    ],
+)
 def test_a_node_that_left_the_list_gets_nothing(told):
     r = reducer(node())
     r.reduce(told)
@@ -119,8 +125,14 @@
 from stoatrouter.core.invariants import broken as counted
 print(assert_not, given[0].answer, sum(counted.values()), r.tally.counts["decision_failed"])
 """
-    done = subprocess.run([sys.executable, "-O", "-B", "-c", code], cwd=ROOT, capture_output=True, text=True,
-                          timeout=60, check=False)
+    done = subprocess.run(
+        [sys.executable, "-O", "-B", "-c", code],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=False,
+    )
     assert done.stdout == "[] Failed() 1 1\n", done.stderr
     assert "decision failed on RequestArrived" in done.stderr and "invariant broken" in done.stderr
 
@@ -135,8 +147,10 @@
     assert on_sockets(settings, timedelta(milliseconds=250)).rules.drain_grace == 1_750_000
 
 
-@pytest.mark.parametrize(("text", "read"), [
-    ("127.0.0.1:8443", ("127.0.0.1", 8443)), ("[::1]:80", ("::1", 80)), (":80", None), ("host", None)])
+@pytest.mark.parametrize(
+    ("text", "read"),
+    [("127.0.0.1:8443", ("127.0.0.1", 8443)), ("[::1]:80", ("::1", 80)), (":80", None), ("host", None)],
+)
 def test_addresses(text, read):
     if read is None:
         with pytest.raises(ConfigError):
@@ -145,10 +159,14 @@
         assert address(text) == read
 
 
-@pytest.mark.parametrize(("events", "counts"), [
-    ([model.AttemptEnded(START + MS, "r", 0, Outcome.OK, b"")] * 2, (1, 0, 0)),
-    ([model.ClientLeft(START + MS, "r")] * 2, (0, 0, 0)),
-    ([model.ClientLeft(START + MS, "r"), model.AttemptEnded(START + MS, "r", 0, Outcome.OK)], (0, 0, 0))])
+@pytest.mark.parametrize(
+    ("events", "counts"),
+    [
+        ([model.AttemptEnded(START + MS, "r", 0, Outcome.OK, b"")] * 2, (1, 0, 0)),
+        ([model.ClientLeft(START + MS, "r")] * 2, (0, 0, 0)),
+        ([model.ClientLeft(START + MS, "r"), model.AttemptEnded(START + MS, "r", 0, Outcome.OK)], (0, 0, 0)),
+    ],
+)
 def test_a_request_counts_once_and_none_stays_active(events, counts):
     r = reducer(node())
     r.reduce(model.Arrived(START, request()))
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -65,8 +65,11 @@
             (name,) = head.engine.reducer.nodes_out()
             left, right = (a, b) if name == "a" else (b, a)
             now = int(head.engine.clock.now() / MS)
-            entry = {"draining": {"lifecycle": "DRAINING"}, "gone": {"lifecycle": "DELETED"},
-                     "restarted": {"startedAtMs": now + 1}}[change]
+            entry = {
+                "draining": {"lifecycle": "DRAINING"},
+                "gone": {"lifecycle": "DELETED"},
+                "restarted": {"startedAtMs": now + 1},
+            }[change]
             # a long while ago, as where an agent was silent
             head.watch.take(told(2, left.entry(**entry), reset=False), None)
             await asyncio.sleep(0.005)  # the start that was told is over
@@ -78,6 +81,7 @@
             # the connection went back whole: it is there for what is decided next
             assert head.engine.reducer.tally.counts["not_begun"] == 1
             assert len(head.engine.nodes.pool.alive) == dials.waiting
+
     run(story())
 
 
@@ -99,6 +103,7 @@
             answer = await asked
             # it may have run, so it has failed, and was sent once
             assert answer.status == 502 and len(a.seen) == 1 and now() >= base
+
     run(story())
 
 
@@ -107,8 +112,12 @@
     async def story():
         nodes = [Node(f"n{i}", i, *["reset"] * 50) for i in range(6)]
         zones = {node.name: "north" if i % 2 else elsewhere for i, node in enumerate(nodes)}
-        settings = SETTINGS | {"Areas": ["north", "south"], "Classes": [
-            c | {"Group": "zone"} if c["Name"] == "event-write" else c for c in SETTINGS["Classes"]]}
+        settings = SETTINGS | {
+            "Areas": ["north", "south"],
+            "Classes": [
+                c | {"Group": "zone"} if c["Name"] == "event-write" else c for c in SETTINGS["Classes"]
+            ],
+        }
         async with nodes_up(*nodes):
             known = told(1, *(n.entry(zone=zones[n.name]) for n in nodes))
             head = Head(config.parse(config_data(known) | {"settings": settings}))
@@ -123,6 +132,7 @@
                 await head.stop()
         came = [(request.headers["Req-Id"], zones[node.name]) for node in nodes for request in node.requests]
         assert len(came) > 12 and len(set(came)) == 6  # repeated, each request in one zone
+
     run(story())
 
 
@@ -147,6 +157,7 @@
             dials.let.set()
             await until(lambda: not head.engine.reducer.records)
             assert not a.seen and head.engine.reducer.tally.counts["client_gone"] == 1
+
     run(story())
 
 
@@ -163,17 +174,20 @@
             nodes = NodeClient(timedelta(seconds=1), timedelta(seconds=30), 4)
             drain = StreamWriter.drain
             try:
+
                 async def reset_after(writer):
                     await drain(writer)
                     # the node has begun the request; its reset is read before the task that wrote goes on
                     await until(lambda: a.seen)
                     writer.transport.abort()
+
                 StreamWriter.drain = reset_after
                 reply = await nodes.attempt(attempt(f"{HOST}:{a.port}", "PUT", b"x", WRITE))
             finally:
                 StreamWriter.drain = drain
                 await nodes.close()
             assert a.seen and reply.outcome is Outcome.RESET and not reply.outcome.never_ran
+
     run(story())
 
 
@@ -204,6 +218,7 @@
             head.clients.end_idle()  # with nothing unread it ends
             assert await reader.read() == b""
             writer.close()
+
     run(story())
 
 
@@ -226,6 +241,7 @@
             head.clients.end_idle()
             assert await reader.read() == b""
             writer.close()
+
     run(story())
 
 
@@ -238,6 +254,7 @@
             process.send_signal(signal.SIGTERM)
             assert (await read(session, base, "two"))[0] == 200
             assert await process.wait() == 0
+
     run(story())
 
 
@@ -268,5 +285,3 @@
     kept = config.on_sockets(settings, timedelta(milliseconds=350)).plans[0].tolerance
     assert kept == pytest.approx(8.0 - 10.0 * 0.2)
     assert config.on_sockets(settings, timedelta(milliseconds=100)).plans[0].tolerance == 8.0
-
-
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -61,17 +61,24 @@
 
 def answer_units_after(took, size):
     """A reply for Hand.wait: each unit of an attempt takes so long."""
+
     def reply(hand):
         for name, _, _, sent in list(hand.open_sends):
             if hand.now - sent >= took * size[name]:
                 hand.end(name)
+
     return reply
 
 
 def most_in_a_window(sent, units):
     """Of what a node was sent in any window, the largest part of what it bears then."""
-    return max((sum(u for at, u in sent if end - FALL < at <= end) / units / (1 + (1 / FROM - 1) * end / COLD)
-                for end, _ in sent), default=0.0)
+    return max(
+        (
+            sum(u for at, u in sent if end - FALL < at <= end) / units / (1 + (1 / FROM - 1) * end / COLD)
+            for end, _ in sent
+        ),
+        default=0.0,
+    )
 
 
 @pytest.mark.parametrize("seed", [1, 2])
@@ -127,8 +134,14 @@
         dead = restarts and chance.random() < 0.7
         after = [api.NodeEntry(f"n{i}", i, up_since=up * (i in cold)) for i in range(count)]
         before = [api.NodeEntry(f"n{i}", i) for i in range(count)]
-        hand = Hand(hosts=heads, me=me, nodes=after if dead else before, rules=rules,
-                    start=up + int(chance.random() * 4 * SECOND) if dead else START, seed=seed * 100 + me)
+        hand = Hand(
+            hosts=heads,
+            me=me,
+            nodes=after if dead else before,
+            rules=rules,
+            start=up + int(chance.random() * 4 * SECOND) if dead else START,
+            seed=seed * 100 + me,
+        )
         own, size, told = [w * (0.3 + 3 * chance.random()) for w in weight], {}, dead
         pace, reply = int(15 * MS * (0.4 + 1.6 * chance.random())), answer_units_after(300 * MS, size)
         while hand.now < up + 9 * SECOND:
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -31,7 +31,10 @@
     """Resumes behind the next revision."""
 
     def begin(self, at):
-        return [f.Watch(e.call, e.endpoint, e.after + 1) if isinstance(e, f.Watch) else e for e in super().begin(at)]
+        return [
+            f.Watch(e.call, e.endpoint, e.after + 1) if isinstance(e, f.Watch) else e
+            for e in super().begin(at)
+        ]
 
 
 class WatchesOn(f.Follower):
@@ -76,8 +79,10 @@
         return super().progress(event)
 
 
-@pytest.mark.parametrize("mutant", [TellsFragments, SkipsOne, WatchesOn, TakesOlder, HearsTheDead, ForgetsRemovals,
-                                    BelievesProgress])
+@pytest.mark.parametrize(
+    "mutant",
+    [TellsFragments, SkipsOne, WatchesOn, TakesOlder, HearsTheDead, ForgetsRemovals, BelievesProgress],
+)
 def test_the_search_finds_each_fault(mutant):
     with pytest.raises(Wrong):
         search(mutant, DEPTH)
@@ -98,7 +103,9 @@
     made = watching(a=b"up")
     assert made.step(f.Tick(timedelta(seconds=4.9))) == []
     effects = made.step(f.Tick(timedelta(seconds=5)))
-    assert isinstance(effects[0], f.End) and effects[1].at - timedelta(seconds=5) <= timedelta(milliseconds=200)
+    assert isinstance(effects[0], f.End) and effects[1].at - timedelta(seconds=5) <= timedelta(
+        milliseconds=200
+    )
     resumed = made.step(f.Tick(effects[1].at))[0]
     assert (resumed.endpoint, resumed.after) == (1, 10)
 
@@ -108,7 +115,9 @@
     assert made.step(f.Refused(T, made.call))[0] == f.RereadToken()
     made = watching(a=b"up")
     many = tuple(f.Change(f"k{i}", 11, b"up") for i in range(f.MOST_FRAGMENT + 1))
-    assert isinstance(made.step(f.Changed(T, made.call, 11, many, False))[1], f.ReadAll) and not made.fragments
+    assert (
+        isinstance(made.step(f.Changed(T, made.call, 11, many, False))[1], f.ReadAll) and not made.fragments
+    )
 
 
 def test_a_registry_restored_from_an_older_copy_changes_nothing_until_it_is_accepted():
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -132,6 +132,7 @@
             hand.request(f"r{i}", left=1 * SECOND)
         hand.wait(2 * SECOND, answer_after(5 * MS, Outcome.CONNECT_FAILED))
         return hand.log
+
     assert run(3) == run(3) and run(3) != run(4)
 
 
--- a/tests/test_half_time.py
+++ b/tests/test_half_time.py
@@ -25,7 +25,7 @@
     hand.request("r", left=2 * SECOND)
     hand.wait(2 * SECOND)
     assert not hand.sends("r")
-    (answered, final), = [(t, a) for t, a in hand.log if isinstance(a, api.Refuse | api.Fail)]
+    ((answered, final),) = [(t, a) for t, a in hand.log if isinstance(a, api.Refuse | api.Fail)]
     assert isinstance(final, api.Refuse) and answered - began < SECOND
 
 
--- a/tests/test_list_and_descriptors.py
+++ b/tests/test_list_and_descriptors.py
@@ -40,8 +40,9 @@
 from tests.test_network import HEADERS, PATH
 from tests.test_program import ROOT, ready
 
-AT_ONCE = replace(list_times(True, 2000 * MS), hold=30 * MS, late=30 * MS, dial=30 * MS, answer=60 * MS,
-                  first=50 * MS)
+AT_ONCE = replace(
+    list_times(True, 2000 * MS), hold=30 * MS, late=30 * MS, dial=30 * MS, answer=60 * MS, first=50 * MS
+)
 
 
 # -- the list ------------------------------------------------------------------------------------------------
@@ -60,12 +61,20 @@
 def test_a_watch_that_goes_wrong_in_any_way_is_asked_anew_and_briefly(fault, pushed):
     async def story():
         a, heard = Node("a", 0), []
-        agent = Agent(json.dumps(told(2, a.entry())).encode(), fault,
-                      json.dumps(told(3, a.entry(lifecycle="DRAINING"), reset=False)).encode(),
-                      json.dumps(told(3, reset=False)).encode())
+        agent = Agent(
+            json.dumps(told(2, a.entry())).encode(),
+            fault,
+            json.dumps(told(3, a.entry(lifecycle="DRAINING"), reset=False)).encode(),
+            json.dumps(told(3, reset=False)).encode(),
+        )
         async with agent_up(agent) as port:
-            watch = Watch(f"{HOST}:{port}", told(1), pushed=pushed, times=AT_ONCE,
-                          told=lambda kind, nodes, age: heard.append((nodes[0].phase, age)))
+            watch = Watch(
+                f"{HOST}:{port}",
+                told(1),
+                pushed=pushed,
+                times=AT_ONCE,
+                told=lambda kind, nodes, age: heard.append((nodes[0].phase, age)),
+            )
             task = asyncio.create_task(watch.run())
             await until(lambda: len(heard) == 2 and len(agent.calls) == 4)
             task.cancel()
@@ -76,6 +85,7 @@
         assert [phase for phase, _ in heard] == [Phase.ON, Phase.DRAINING]
         # pushed, it counted from when the agent had it: some time since the last answer that was whole
         assert (heard[1][1] > timedelta(0)) == pushed and heard[0][1] == (None if pushed else timedelta(0))
+
     run(story())
 
 
@@ -97,6 +107,7 @@
                 await until(lambda: agent.calls)
                 task.cancel()
                 await asyncio.gather(task, return_exceptions=True)
+
     run(story())
 
 
@@ -115,6 +126,7 @@
             async def accepting():
                 known.append((len(peer.calls), head.engine.reducer.nodes["a"].phase))
                 await accept()
+
             head.accept = accepting
             await head.start()
             try:
@@ -126,6 +138,7 @@
                     assert known[0][1] is Phase.ON and len(known) == 1 and head.serving
             finally:
                 await head.stop()
+
     run(story())
 
 
@@ -155,10 +168,18 @@
             def limit():
                 end_with_parent()
                 resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
+
             environ = os.environ | {"NODE_CONFIG": str(tmp_path / "config.json"), "PYTHONPATH": str(ROOT)}
             process = await asyncio.create_subprocess_exec(
-                sys.executable, "-B", "-m", "stoatrouter", cwd=tmp_path, env=environ, preexec_fn=limit,
-                stderr=asyncio.subprocess.DEVNULL)
+                sys.executable,
+                "-B",
+                "-m",
+                "stoatrouter",
+                cwd=tmp_path,
+                env=environ,
+                preexec_fn=limit,
+                stderr=asyncio.subprocess.DEVNULL,
+            )
             clients = []
             try:
                 async with aiohttp.ClientSession() as session:
@@ -173,8 +194,10 @@
                     server = await asyncio.start_server(agent.serve, host, at)
                     await until(lambda: len(agent.calls) >= 2)  # it has the list, and asks for what is newer
                     headers = HEADERS | {"X-IO": "units=2,shard=1,hosts=1"}
-                    async with aiohttp.ClientSession() as fresh, fresh.get(
-                            f"http://{host}:{port}{PATH}", headers=headers) as answer:
+                    async with (
+                        aiohttp.ClientSession() as fresh,
+                        fresh.get(f"http://{host}:{port}{PATH}", headers=headers) as answer,
+                    ):
                         assert answer.status == 200 and len(b.seen) == 1
                     assert process.returncode is None
                     agent.ended.set()
@@ -184,4 +207,5 @@
                     writer.close()
                 process.kill()
                 await process.wait()
+
     run(story())
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -28,13 +28,22 @@
     return started(*nodes, management=f"{HOST}:0", **conf)
 
 
-@pytest.mark.parametrize(("method", "path", "status"), [
-    ("GET", READY, 200), ("POST", READY, 405), ("GET", "/control/out-of-service", 405),
-    ("GET", "/control", 404), ("GET", "/healthz", 404), ("POST", "/control/ready/", 404)])
+@pytest.mark.parametrize(
+    ("method", "path", "status"),
+    [
+        ("GET", READY, 200),
+        ("POST", READY, 405),
+        ("GET", "/control/out-of-service", 405),
+        ("GET", "/control", 404),
+        ("GET", "/healthz", 404),
+        ("POST", "/control/ready/", 404),
+    ],
+)
 def test_calls_are_looked_up_by_path_and_method(method, path, status):
     async def story():
         async with managed(Node("a", 0)) as (head, _):
             assert (await call(head, method, path))[0] == status
+
     run(story())
 
 
@@ -43,6 +52,7 @@
         async with managed(Node("a", 0)) as (head, _):
             head.serving = False
             assert (await call(head, "GET", READY))[0] == 503
+
     run(story())
 
 
@@ -55,11 +65,13 @@
                 writer.write(b"GET /control/re" if i % 2 else b"")
             assert (await call(head, "GET", READY))[0] == 200
             assert len(head.management_clients) <= MOST_CALLERS + 8
+
     run(story())
 
 
 def test_a_drained_head_says_so_and_sends_its_clients_away(monkeypatch):
     """Answers end their connections; idle ones end once new ones have stopped; what comes is still served."""
+
     async def story():
         node = Node("a", 0)
         async with managed(node) as (head, session):
@@ -82,6 +94,7 @@
             async with session.get("/healthz") as response:
                 assert response.status == 200
             await until(lambda: head.clients.open == 0)
+
     monkeypatch.setattr(listener, "NEW_ONES_STOP", listener.RESENT_FOR)
     run(story())
 
@@ -98,6 +111,7 @@
             assert (await call(head, "POST", "/control/bricks/a/online"))[0] == 200
             async with session.get(PATH, headers=HEADERS) as response:
                 assert response.status == 200
+
     run(story())
 
 
@@ -119,6 +133,7 @@
 
             async def wait(_):
                 await hold.wait()
+
             node.gate = wait
             asking = asyncio.create_task(session.get(PATH, headers=HEADERS))
             await until(lambda: bool(node.seen))
@@ -134,7 +149,12 @@
             assert (await call(head, "POST", "/control/bricks/a/offline"))[0] == 200
             end = figures((await call(head, "GET", "/control/counters"))[1])
             assert {k: v for k, v in end.items() if v} == {
-                "app.responses.score-read.ok": 1, "app.responses.score-read.errors": 1,
-                "app.responses.event-write.errors": 1, "app.tries": len(node.seen), "app.pool_size": 1,
-                "app.pool_ejected": 1}
+                "app.responses.score-read.ok": 1,
+                "app.responses.score-read.errors": 1,
+                "app.responses.event-write.errors": 1,
+                "app.tries": len(node.seen),
+                "app.pool_size": 1,
+                "app.pool_ejected": 1,
+            }
+
     run(story())
--- a/tests/test_matching.py
+++ b/tests/test_matching.py
@@ -23,9 +23,17 @@
 from stoatrouter.settings import SettingsError
 from tests.rules import APP, FEED, OPERATOR, READS, WORDS, write_rules
 
-DETERMINED = settings(max_examples=300, deadline=None, derandomize=True, suppress_health_check=list(HealthCheck))
-EVERYTHING = Scope(("*",), ("/",), ("score-read", "event-write", "stats-export"), ("basic", "premium"), (FEED, APP),
-                   1_000_000)
+DETERMINED = settings(
+    max_examples=300, deadline=None, derandomize=True, suppress_health_check=list(HealthCheck)
+)
+EVERYTHING = Scope(
+    ("*",),
+    ("/",),
+    ("score-read", "event-write", "stats-export"),
+    ("basic", "premium"),
+    (FEED, APP),
+    1_000_000,
+)
 
 
 def ask(target="/feed/a", method="GET", fields=(), peer="10.0.0.1", **more):
@@ -66,13 +74,32 @@
     ("/a", ((b"Cookie", b"a=1; b=2"), (b"Cookie", b"a=3; c")), "cookies", {"a": "1", "b": "2"}),
 ]
 UNREADABLE = [
-    ("/a/../b", (), 400), ("/a/./b", (), 400), ("/a/%2e%2E/b", (), 400), ("/a%00b", (), 400), ("/a%0d%0a", (), 400),
-    ("/a%zz", (), 400), ("/a%", (), 400), ("/%ff", (), 400), ("/a?x=%ff", (), 400), ("/a?x=%q1", (), 400),
-    ("/" + "a" * 2048, (), 414), ("/" + "a" * 256, (), 414), ("/a" * 33, (), 414), ("/a?" + "x" * 4097, (), 414),
-    ("/a?" + "x&" * 64, (), 414), ("/a", ((b"x-a", b"v" * 8193),), 431), ("/a b", (), 400), ("*", (), 400),
-    ("/a", tuple((b"x-%d" % i, b"") for i in range(64)), 431), ("/a", ((b"Host", b"other"),), 400),
-    ("/a", tuple((b"x-a", b"v" * 200) for _ in range(50)), 431), ("/a", ((b"Cookie", b"a=1;" * 65),), 431),
-    ("http://a b/x", (), 400), ("http://h@x/y", (), 400), ("ftp://x/y", (), 400), ("/é", (), 400),
+    ("/a/../b", (), 400),
+    ("/a/./b", (), 400),
+    ("/a/%2e%2E/b", (), 400),
+    ("/a%00b", (), 400),
+    ("/a%0d%0a", (), 400),
+    ("/a%zz", (), 400),
+    ("/a%", (), 400),
+    ("/%ff", (), 400),
+    ("/a?x=%ff", (), 400),
+    ("/a?x=%q1", (), 400),
+    ("/" + "a" * 2048, (), 414),
+    ("/" + "a" * 256, (), 414),
+    ("/a" * 33, (), 414),
+    ("/a?" + "x" * 4097, (), 414),
+    ("/a?" + "x&" * 64, (), 414),
+    ("/a", ((b"x-a", b"v" * 8193),), 431),
+    ("/a b", (), 400),
+    ("*", (), 400),
+    ("/a", tuple((b"x-%d" % i, b"") for i in range(64)), 431),
+    ("/a", ((b"Host", b"other"),), 400),
+    ("/a", tuple((b"x-a", b"v" * 200) for _ in range(50)), 431),
+    ("/a", ((b"Cookie", b"a=1;" * 65),), 431),
+    ("http://a b/x", (), 400),
+    ("http://h@x/y", (), 400),
+    ("ftp://x/y", (), 400),
+    ("/é", (), 400),
 ]
 
 
@@ -105,15 +132,32 @@
 
 # -- which rule wins ----------------------------------------------------------------------------------------
 CONJUNCTS = [
-    'request.method == "GET"', 'request.method in ["PUT", "POST"]', '"GET" == request.method',
-    'request.path.startsWith("/a/")', 'request.path.startsWith("/a/b")', 'request.path == "/a/b/c"',
-    'request.path.startsWith("/")', 'request.path in ["/a/x", "/b"]', 'request.host == "scores.example"',
-    'request.headers[?"X-T"].orValue("") == "1"', 'request.headers[?"x-t"].orValue("1") == "1"',
-    'request.headers[?"x-t"].orValue("") in ["1", "2"]', '"x-t" in request.headers && request.headers["x-t"] == "2"',
-    "has(request.headers.host)", "size(request.segments) > 1", "size(request.segments) >= 2",
-    'size(request.segments) > 1 && request.segments[1] == "b"', 'request.segments[?1].orValue("b") == "b"',
-    'request.query[?"q"].orValue("") == "1"', "true", "false", 'request.path.endsWith("c")', '!(request.method == "GET")',
-    'request.method == "GET" || request.path == "/b"', 'request.class == "score-read"', "request.size > 10",
+    'request.method == "GET"',
+    'request.method in ["PUT", "POST"]',
+    '"GET" == request.method',
+    'request.path.startsWith("/a/")',
+    'request.path.startsWith("/a/b")',
+    'request.path == "/a/b/c"',
+    'request.path.startsWith("/")',
+    'request.path in ["/a/x", "/b"]',
+    'request.host == "scores.example"',
+    'request.headers[?"X-T"].orValue("") == "1"',
+    'request.headers[?"x-t"].orValue("1") == "1"',
+    'request.headers[?"x-t"].orValue("") in ["1", "2"]',
+    '"x-t" in request.headers && request.headers["x-t"] == "2"',
+    "has(request.headers.host)",
+    "size(request.segments) > 1",
+    "size(request.segments) >= 2",
+    'size(request.segments) > 1 && request.segments[1] == "b"',
+    'request.segments[?1].orValue("b") == "b"',
+    'request.query[?"q"].orValue("") == "1"',
+    "true",
+    "false",
+    'request.path.endsWith("c")',
+    '!(request.method == "GET")',
+    'request.method == "GET" || request.path == "/b"',
+    'request.class == "score-read"',
+    "request.size > 10",
 ]
 REQUESTS = [
     ask(target, method, fields, size=size, request_class=kind)
@@ -141,56 +185,72 @@
     conditions = [condition(parse(when)) for when in whens]
     made = table(*(rule(f"r{i}", when) for i, when in enumerate(whens))).compartments["all"]
     idle = {i for i, _ in Coverage(conditions).covered()} | {
-        i for i, c in enumerate(conditions) if c.never or c.contradiction()}
+        i for i, c in enumerate(conditions) if c.never or c.contradiction()
+    }
     for request in REQUESTS:
         assert next((i for i, r in enumerate(made.rules) if r.when(request)), None) not in idle
 
 
-@pytest.mark.parametrize(("earlier", "later", "covered"), [
-    ('request.method == "GET"', 'request.method == "GET" && request.path == "/a"', True),
-    ('request.path.startsWith("/a/")', 'request.path.startsWith("/a/b/")', True),
-    ('request.path.startsWith("/a/")', 'request.path == "/a/b"', True),
-    ('request.path.startsWith("/a/b/")', 'request.path.startsWith("/a/")', False),
-    ('request.method in ["GET", "PUT"]', 'request.method == "PUT"', True),
-    ('request.method == "PUT"', 'request.method in ["GET", "PUT"]', False),
-    ("true", "request.size > 3", True), ("request.size > 3", "request.size > 3", True),
-    ("request.size > 3", "request.size > 4", False),  # more than parts of conditions show
-    ('"x" in request.headers', 'request.headers[?"X"].orValue("") == "1"', True),
-    ("size(request.segments) > 0", 'request.segments[?2].orValue("") == "1"', True),
-    ("size(request.segments) > 3", 'request.segments[?2].orValue("") == "1"', False),
-])
+@pytest.mark.parametrize(
+    ("earlier", "later", "covered"),
+    [
+        ('request.method == "GET"', 'request.method == "GET" && request.path == "/a"', True),
+        ('request.path.startsWith("/a/")', 'request.path.startsWith("/a/b/")', True),
+        ('request.path.startsWith("/a/")', 'request.path == "/a/b"', True),
+        ('request.path.startsWith("/a/b/")', 'request.path.startsWith("/a/")', False),
+        ('request.method in ["GET", "PUT"]', 'request.method == "PUT"', True),
+        ('request.method == "PUT"', 'request.method in ["GET", "PUT"]', False),
+        ("true", "request.size > 3", True),
+        ("request.size > 3", "request.size > 3", True),
+        ("request.size > 3", "request.size > 4", False),  # more than parts of conditions show
+        ('"x" in request.headers', 'request.headers[?"X"].orValue("") == "1"', True),
+        ("size(request.segments) > 0", 'request.segments[?2].orValue("") == "1"', True),
+        ("size(request.segments) > 3", 'request.segments[?2].orValue("") == "1"', False),
+    ],
+)
 def test_coverage(earlier, later, covered):
     made = table(rule("first", earlier), rule("second", later))
-    assert [w for w in made.warnings if "'second' never matches" in w.what and "'first'" in w.what] != [] if covered \
+    assert (
+        [w for w in made.warnings if "'second' never matches" in w.what and "'first'" in w.what] != []
+        if covered
         else not made.warnings
+    )
 
 
 def test_an_index_over_many_rules_tries_few():
-    conditions = [condition(parse(f'request.path.startsWith("/a/{i}/") && request.method == "GET"'))
-                  for i in range(500)]
+    conditions = [
+        condition(parse(f'request.path.startsWith("/a/{i}/") && request.method == "GET"')) for i in range(500)
+    ]
     tree = index.build(conditions)
     assert len(tree.find(ask("/a/123/x"))) <= index.LEAF and 123 in tree.find(ask("/a/123/x"))
     assert tree.worst([10] * 500) < 100
 
 
 # -- what is refused at load --------------------------------------------------------------------------------
-@pytest.mark.parametrize(("given", "what"), [
-    (rule("r", 'request.headers["X-Team"] == "a"'), 'request.headers["x-team"] may be missing'),
-    (rule("r", 'request.path.startsWith("/other/")'), "outside of this scope"),
-    (rule("r", 'request.host == "other"'), "outside of this scope"),
-    (rule("r", "true", request_class="score-read"), "may be repeated freely"),
-    (rule("r", 'request.method == "PUT"', request_class="score-read"), "may be repeated freely"),
-    (rule("r", 'request.method in ["GET", "PUT"]', request_class="score-read"), "may be repeated freely"),
-    (rule("r", "true", request_class="nope"), "is not of this scope"),
-    (rule("r", "true", plan="nope"), "is not of this scope"),
-    (rule("r", "true", volume="0000000000000009"), "is not of this scope"),
-    (rule("r", "true", shard=2), "out of the shard's range"), (rule("r", "true", units=9), "out of the number of units"),
-    (rule("r", "true", key="xyz"), "is not 16 hex digits"), (rule("r", "true", deadline="0s"), "no deadline"),
-    (rule("r", "request.size"), "yields int, but bool is wanted"),
-    (rule("r", "request.segments.exists(a, request.segments.exists(b, a + b == a))"), "steps"),
-])
+@pytest.mark.parametrize(
+    ("given", "what"),
+    [
+        (rule("r", 'request.headers["X-Team"] == "a"'), 'request.headers["x-team"] may be missing'),
+        (rule("r", 'request.path.startsWith("/other/")'), "outside of this scope"),
+        (rule("r", 'request.host == "other"'), "outside of this scope"),
+        (rule("r", "true", request_class="score-read"), "may be repeated freely"),
+        (rule("r", 'request.method == "PUT"', request_class="score-read"), "may be repeated freely"),
+        (rule("r", 'request.method in ["GET", "PUT"]', request_class="score-read"), "may be repeated freely"),
+        (rule("r", "true", request_class="nope"), "is not of this scope"),
+        (rule("r", "true", plan="nope"), "is not of this scope"),
+        (rule("r", "true", volume="0000000000000009"), "is not of this scope"),
+        (rule("r", "true", shard=2), "out of the shard's range"),
+        (rule("r", "true", units=9), "out of the number of units"),
+        (rule("r", "true", key="xyz"), "is not 16 hex digits"),
+        (rule("r", "true", deadline="0s"), "no deadline"),
+        (rule("r", "request.size"), "yields int, but bool is wanted"),
+        (rule("r", "request.segments.exists(a, request.segments.exists(b, a + b == a))"), "steps"),
+    ],
+)
 def test_a_rule_out_of_its_bounds_is_refused(given, what):
-    scope = Scope(("scores.example",), ("/feed/",), ("score-read", "event-write"), ("basic",), (FEED,), 20_000)
+    scope = Scope(
+        ("scores.example",), ("/feed/",), ("score-read", "event-write"), ("basic",), (FEED,), 20_000
+    )
     with pytest.raises(TableError) as refusal:
         table(given, scope=scope)
     assert what in str(refusal.value) and "scopes.all.rules[0]" in str(refusal.value)
@@ -198,16 +258,20 @@
 
 def computed(expr):
     from stoatrouter.matching.records import Computed
+
     return Computed(expr)
 
 
-@pytest.mark.parametrize(("expr", "fine"), [
-    ('request.method == "GET" ? "score-read" : "event-write"', True),
-    ('request.method != "GET" ? "event-write" : "score-read"', True),
-    ('request.method == "PUT" ? "event-write" : "score-read"', False),  # what else may come: a POST
-    ('{"a": "score-read"}[?request.class].orValue("event-write")', False),
-    ("request.method", False),
-])
+@pytest.mark.parametrize(
+    ("expr", "fine"),
+    [
+        ('request.method == "GET" ? "score-read" : "event-write"', True),
+        ('request.method != "GET" ? "event-write" : "score-read"', True),
+        ('request.method == "PUT" ? "event-write" : "score-read"', False),  # what else may come: a POST
+        ('{"a": "score-read"}[?request.class].orValue("event-write")', False),
+        ("request.method", False),
+    ],
+)
 def test_a_computed_class_is_proven_for_every_text_that_it_yields(expr, fine):
     given = rule("r", "true", request_class=computed(expr))
     if fine:
@@ -219,8 +283,14 @@
 
 def test_the_operator_may_give_the_right_to_repeat_unsafe_methods():
     from stoatrouter.matching.records import Rights
+
     scope = Scope(("*",), ("/",), ("score-read",), ("basic",), (FEED,), 1000, rights=Rights(True))
-    assert table(rule("r", "true", request_class="score-read"), scope=scope).decide(ask(method="PUT")).request_class == 0
+    assert (
+        table(rule("r", "true", request_class="score-read"), scope=scope)
+        .decide(ask(method="PUT"))
+        .request_class
+        == 0
+    )
 
 
 def test_a_budget_is_of_what_one_request_may_meet():
@@ -233,13 +303,19 @@
 
 # -- files --------------------------------------------------------------------------------------------------
 def test_teams_are_apart_and_errors_have_their_file_and_line(tmp_path):
-    path = write_rules(tmp_path, operator=OPERATOR.replace('paths: ["/app/"]', 'paths: ["/app/", "/feed/"]'),
-                       app=f'rules: [\n{READS},\n{{name: "x", when: "1", class: "score-read"}}]\nscopes: {{}}')
+    path = write_rules(
+        tmp_path,
+        operator=OPERATOR.replace('paths: ["/app/"]', 'paths: ["/app/", "/feed/"]'),
+        app=f'rules: [\n{READS},\n{{name: "x", when: "1", class: "score-read"}}]\nscopes: {{}}',
+    )
     with pytest.raises(SettingsError) as refusal:
         Tables(path, WORDS).load()
     assert "app.cue:4: scopes: there is no such field" in str(refusal.value)  # a team says nothing of scopes
-    write_rules(tmp_path, operator=OPERATOR.replace('paths: ["/app/"]', 'paths: ["/app/", "/feed/"]'),
-                app=f'rules: [\n{READS},\n{{name: "x", when: "1", class: "score-read"}}]')
+    write_rules(
+        tmp_path,
+        operator=OPERATOR.replace('paths: ["/app/"]', 'paths: ["/app/", "/feed/"]'),
+        app=f'rules: [\n{READS},\n{{name: "x", when: "1", class: "score-read"}}]',
+    )
     with pytest.raises(SettingsError) as refusal:
         Tables(path, WORDS).load()
     text = str(refusal.value)
@@ -286,10 +362,13 @@
 
 def test_a_repeat_is_placed_even_where_the_new_table_refuses_it():
     from stoatrouter.matching.records import Refusal as Says
+
     matcher = Matcher(table(rule("old", "true")), {1: timedelta(seconds=5)})
     first = placed(matcher, 0)
     matcher.replace(table(Rule("none", "true", refuse=Says(403, "closed"))))
-    assert placed(matcher, 1) == first and placed(matcher, 1, key="k2") == Refusal(403, "closed", "all", "none")
+    assert placed(matcher, 1) == first and placed(matcher, 1, key="k2") == Refusal(
+        403, "closed", "all", "none"
+    )
 
 
 def test_a_key_of_another_request_is_refused():
@@ -320,7 +399,11 @@
 
 def test_hostile_sources_in_a_table_are_flaws_with_a_place():
     with pytest.raises(TableError) as refusal:
-        table(rule("long", "(" * (LONGEST + 1)), rule("open", "((("), rule("loop", "request.segments.map(x, x).map("))
+        table(
+            rule("long", "(" * (LONGEST + 1)),
+            rule("open", "((("),
+            rule("loop", "request.segments.map(x, x).map("),
+        )
     assert [flaw.path for flaw in refusal.value.flaws] == [f"scopes.all.rules[{i}].when" for i in range(3)]
 
 
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -237,8 +237,14 @@
         hand = Hand(hosts=200, me=me, seed=me)
         for i in range(100):
             hand.request(f"r{i}", left=2 * SECOND)
-            hand.wait(200 * MS, lambda h: [h.end(n, Outcome.TIMEOUT) for n, _, _, at in list(h.open_sends)
-                                           if h.now - at >= 2 * SECOND])
+            hand.wait(
+                200 * MS,
+                lambda h: [
+                    h.end(n, Outcome.TIMEOUT)
+                    for n, _, _, at in list(h.open_sends)
+                    if h.now - at >= 2 * SECOND
+                ],
+            )
         sent += len([t for t, _ in hand.sends() if t > hand.now - 10 * SECOND])
     assert sent / 20 <= 3
 
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -20,14 +20,37 @@
 
 PATH = "/score-read/00000003b4d60021/7f3a9c21e0b4d655"
 WRITE = "/event-write/00000003b4d60021/7f3a9c21e0b4d655"
-HEADERS = {"Req-Id": "9b1f03aa5c7e2d41", "X-Plan": "premium", "Req-Deadline-Ms": "2000",
-           "X-IO": "units=2,shard=0,hosts=1"}
-
-
-def attempt(address: str, method: str = "GET", body: bytes = b"", target: str = PATH,
-            timeout: timedelta = timedelta(seconds=5)) -> model.SendAttempt:
-    request = model.Request("id1", 0, 0, "v", "k", 0, 1.0, 1, timeout, bool(body), method=method,
-                            target=target, body=body, idempotency_key="key1" if body else None)
+HEADERS = {
+    "Req-Id": "9b1f03aa5c7e2d41",
+    "X-Plan": "premium",
+    "Req-Deadline-Ms": "2000",
+    "X-IO": "units=2,shard=0,hosts=1",
+}
+
+
+def attempt(
+    address: str,
+    method: str = "GET",
+    body: bytes = b"",
+    target: str = PATH,
+    timeout: timedelta = timedelta(seconds=5),
+) -> model.SendAttempt:
+    request = model.Request(
+        "id1",
+        0,
+        0,
+        "v",
+        "k",
+        0,
+        1.0,
+        1,
+        timeout,
+        bool(body),
+        method=method,
+        target=target,
+        body=body,
+        idempotency_key="key1" if body else None,
+    )
     return model.SendAttempt(request, 0, address, timeout)
 
 
@@ -53,26 +76,41 @@
 
 
 # -- the node client ---------------------------------------------------------------------------------------
-@pytest.mark.parametrize(("step", "outcome"), [
-    ("serve", Outcome.OK), ("decline", Outcome.FULL), ("elsewhere", Outcome.MOOT),
-    ("error", Outcome.ERROR), ("reset", Outcome.RESET), ("cut", Outcome.RESET), ("silent", Outcome.TIMEOUT)])
+@pytest.mark.parametrize(
+    ("step", "outcome"),
+    [
+        ("serve", Outcome.OK),
+        ("decline", Outcome.FULL),
+        ("elsewhere", Outcome.MOOT),
+        ("error", Outcome.ERROR),
+        ("reset", Outcome.RESET),
+        ("cut", Outcome.RESET),
+        ("silent", Outcome.TIMEOUT),
+    ],
+)
 @pytest.mark.parametrize("method", ["GET", "PUT"])
 def test_what_a_node_does_becomes_an_outcome(method, step, outcome):
     async def story():
         node = Node("a", 0, step)
         async with nodes_up(node), client() as nodes:
-            effect = attempt(f"{HOST}:{node.port}", method, b"b" * 65536 if method == "PUT" else b"",
-                             timeout=timedelta(milliseconds=300 if step == "silent" else 5000))
+            effect = attempt(
+                f"{HOST}:{node.port}",
+                method,
+                b"b" * 65536 if method == "PUT" else b"",
+                timeout=timedelta(milliseconds=300 if step == "silent" else 5000),
+            )
             if step == "cut" and method == "PUT":
                 return  # a node cuts answers to reads only
             assert (await nodes.attempt(effect)).outcome is outcome
             assert len(node.seen) == 1
+
     run(story())
 
 
 @pytest.mark.parametrize("method", ["GET", "PUT"])
 def test_a_dropped_keep_alive_connection_is_not_used_to_send_again(method):
     """aiohttp's client sends idempotent methods again by itself: each would count as an attempt."""
+
     async def story():
         node = Node("a", 0, "serve", "reset")
         async with nodes_up(node), client() as nodes:
@@ -80,6 +118,7 @@
             assert (await nodes.attempt(effect)).outcome is Outcome.OK
             assert (await nodes.attempt(effect)).outcome is Outcome.RESET
             assert len(node.seen) == 2
+
     run(story())
 
 
@@ -90,20 +129,24 @@
             async with client() as nodes:
                 reply = await nodes.attempt(attempt(f"{HOST}:{taken.getsockname()[1]}"))
                 assert reply.outcome is Outcome.CONNECT_FAILED
+
     run(story())
 
 
 def test_a_break_before_the_last_byte_never_ran():
     """A node that stops reading and goes: what is left of the request was never written."""
+
     async def story():
         async def go(reader, writer):
             await reader.read(1)
             writer.transport.abort()
+
         server = await asyncio.start_server(go, HOST, 0, limit=1)
         port = server.sockets[0].getsockname()[1]
         async with server, client() as nodes:
             reply = await nodes.attempt(attempt(f"{HOST}:{port}", "PUT", b"b" * (32 << 20)))
             assert reply.outcome is Outcome.CONNECT_FAILED
+
     run(story())
 
 
@@ -120,20 +163,41 @@
             assert node.pieces[PATH.split("/", 2)[2]] == body
             assert node.requests[1].headers["Idempotency-Key"] == "key1"
             assert not {"Accept-Encoding", "Cookie", "Content-Type"} & node.requests[0].headers.keys()
+
     run(story())
 
 
-@pytest.mark.parametrize(("text", "load"), [
-    ("inflight=7,queue=2,util=0.61", {"inflight": 7.0, "queue": 2.0, "util": 0.61}),
-    ("util=0.5,nonsense,x=", {"util": 0.5}), ("", None), (None, None), ("util=nan", None),
-    ("inflight=-1,util=0.2", {"util": 0.2})])
+@pytest.mark.parametrize(
+    ("text", "load"),
+    [
+        ("inflight=7,queue=2,util=0.61", {"inflight": 7.0, "queue": 2.0, "util": 0.61}),
+        ("util=0.5,nonsense,x=", {"util": 0.5}),
+        ("", None),
+        (None, None),
+        ("util=nan", None),
+        ("inflight=-1,util=0.2", {"util": 0.2}),
+    ],
+)
 def test_load_reports(text, load):
     assert read_load(text) == load
 
 
-@pytest.mark.parametrize(("text", "number"), [
-    ("3", 3.0), ("2.5", 2.5), (None, None), ("nan", None), ("inf", None), ("-2", None), ("x", None),
-    ("1e300", None), ("1_0", None), ("9" * 12, None), ("", None)])
+@pytest.mark.parametrize(
+    ("text", "number"),
+    [
+        ("3", 3.0),
+        ("2.5", 2.5),
+        (None, None),
+        ("nan", None),
+        ("inf", None),
+        ("-2", None),
+        ("x", None),
+        ("1e300", None),
+        ("1_0", None),
+        ("9" * 12, None),
+        ("", None),
+    ],
+)
 def test_counts_that_a_node_tells(text, number):
     assert read_number(text) == number
 
@@ -142,33 +206,58 @@
 def test_the_watch_goes_on_whatever_discovery_does():
     async def story():
         a = Node("a", 0)
-        script = (b"no json", 500, {"generation": 2}, told(2, a.entry(lifecycle="DRAINING"), reset=False),
-                  told(3, a.entry(lifecycle="SLEEPING"), reset=False), told(4, reset=False),
-                  told(5, a.entry(), reset=True))
+        script = (
+            b"no json",
+            500,
+            {"generation": 2},
+            told(2, a.entry(lifecycle="DRAINING"), reset=False),
+            told(3, a.entry(lifecycle="SLEEPING"), reset=False),
+            told(4, reset=False),
+            told(5, a.entry(), reset=True),
+        )
         peer, heard = Discovery(*script), []
         async with listening(peer.handle) as port:
-            watch = Watch(f"{HOST}:{port}", told(1, a.entry()), lambda kind, nodes, _: heard.append(
-                (kind, [n.phase for n in nodes])))
+            watch = Watch(
+                f"{HOST}:{port}",
+                told(1, a.entry()),
+                lambda kind, nodes, _: heard.append((kind, [n.phase for n in nodes])),
+            )
             watch.restore()
             task = asyncio.create_task(watch.run())
             await until(lambda: len(peer.calls) == len(script) + 1)
             task.cancel()
             await asyncio.gather(task, return_exceptions=True)
-        assert heard == [(ListKind.RESTORED, [Phase.ON]), (ListKind.CHANGES, [Phase.DRAINING]),
-                         (ListKind.FULL, [Phase.ON])]
+        assert heard == [
+            (ListKind.RESTORED, [Phase.ON]),
+            (ListKind.CHANGES, [Phase.DRAINING]),
+            (ListKind.FULL, [Phase.ON]),
+        ]
         # an answer that makes no sense moves nothing: the next call asks from the list that is held; an entry
         # that makes none is passed over
         assert [path.split("from=")[1].split("&")[0] for _, path in peer.calls] == list("11112345")
+
     run(story())
 
 
-@pytest.mark.parametrize("spoilt", [
-    {"lifecycle": "SLEEPING"}, {"cell": "x"}, {"hostPort": ""}, {"startedAtMs": 1e400}, {"weight": [1]},
-    {"instanceId": None, "lifecycle": 3}])
+@pytest.mark.parametrize(
+    "spoilt",
+    [
+        {"lifecycle": "SLEEPING"},
+        {"cell": "x"},
+        {"hostPort": ""},
+        {"startedAtMs": 1e400},
+        {"weight": [1]},
+        {"instanceId": None, "lifecycle": 3},
+    ],
+)
 def test_a_spoilt_entry_costs_itself_alone(spoilt):
     a, b, counted, heard = Node("a", 0), Node("b", 1), [], []
-    watch = Watch(f"{HOST}:9", told(1, a.entry(), b.entry()), lambda kind, nodes, _: heard.append(
-        {n.id: n.phase for n in nodes}), counted.append)
+    watch = Watch(
+        f"{HOST}:9",
+        told(1, a.entry(), b.entry()),
+        lambda kind, nodes, _: heard.append({n.id: n.phase for n in nodes}),
+        counted.append,
+    )
     watch.restore()
     for generation, reset in (2, True), (3, False), (4, True):
         entries = a.entry(lifecycle="DRAINING"), b.entry(**spoilt), "nonsense"
@@ -192,6 +281,7 @@
         times = [at for at, _ in peer.calls]
         assert times[2] - times[0] >= 2 * discovery.PACE.total_seconds()
         assert not watch.failures
+
     run(story())
 
 
@@ -201,8 +291,9 @@
         old = Discovery(told(2, a.entry(), reset=True))  # then silence
         new = Discovery(told(3, a.entry(lifecycle="DRAINING"), reset=False), told(2, reset=False))
         async with listening(old.handle) as before, listening(new.handle) as after:
-            watch = Watch(f"{HOST}:{before}", told(1),
-                          lambda kind, nodes, _: heard.append((kind, len(nodes))))
+            watch = Watch(
+                f"{HOST}:{before}", told(1), lambda kind, nodes, _: heard.append((kind, len(nodes)))
+            )
             watch.restore()
             task = asyncio.create_task(watch.run())
             await until(lambda: len(old.calls) == 2)
@@ -211,8 +302,12 @@
             task.cancel()
             await asyncio.gather(task, return_exceptions=True)
         assert [path.partition("&")[0] for _, path in new.calls] == [
-            "/v1/servers?from=2", "/v1/servers?from=3", "/v1/servers"]  # one that goes back fits no more
+            "/v1/servers?from=2",
+            "/v1/servers?from=3",
+            "/v1/servers",
+        ]  # one that goes back fits no more
         assert heard == [(ListKind.RESTORED, 0), (ListKind.FULL, 1), (ListKind.CHANGES, 1)]
+
     run(story())
 
 
@@ -220,12 +315,14 @@
     async def story():
         def told_badly(*_):
             raise RuntimeError("no such thing")
+
         peer = Discovery(b"[" * 100_000, told(2), told(3))
         async with listening(peer.handle) as port:
             task = asyncio.create_task(Watch(f"{HOST}:{port}", {}, told_badly).run())
             await until(lambda: len(peer.calls) == 4)
             task.cancel()
             await asyncio.gather(task, return_exceptions=True)
+
     run(story())
 
 
@@ -238,18 +335,32 @@
             await until(lambda: len(peer.calls) >= 3)
             task.cancel()
             await asyncio.gather(task, return_exceptions=True)
+
     run(story())
 
 
 # -- the platform's front ------------------------------------------------------------------------------------
-@pytest.mark.parametrize(("path", "change", "status"), [
-    (PATH, {}, 200), ("/score-read/xyz/7f3a9c21e0b4d655", {}, 404), ("/elsewhere", {}, 404),
-    ("/nothing" + PATH[11:], {}, 400), (PATH, {"Req-Kind": "event-write"}, 400),
-    (PATH, {"Req-Id": None}, 400), (PATH, {"Req-Id": "a b"}, 400), (PATH, {"X-Plan": "silver"}, 400),
-    (PATH, {"X-Plan": None}, 400), (PATH, {"Req-Deadline-Ms": "-1"}, 400),
-    (PATH, {"Req-Deadline-Ms": "²"}, 400), (PATH, {"X-IO": None}, 400),
-    (PATH, {"X-IO": "units=nan,shard=0,hosts=1"}, 400), (PATH, {"X-IO": "units=9,shard=0,hosts=1"}, 400),
-    (PATH, {"X-IO": "units=1,shard=-2,hosts=1"}, 400), (PATH, {"X-IO": "units=1,shard=0,hosts=0"}, 400)])
+@pytest.mark.parametrize(
+    ("path", "change", "status"),
+    [
+        (PATH, {}, 200),
+        ("/score-read/xyz/7f3a9c21e0b4d655", {}, 404),
+        ("/elsewhere", {}, 404),
+        ("/nothing" + PATH[11:], {}, 400),
+        (PATH, {"Req-Kind": "event-write"}, 400),
+        (PATH, {"Req-Id": None}, 400),
+        (PATH, {"Req-Id": "a b"}, 400),
+        (PATH, {"X-Plan": "silver"}, 400),
+        (PATH, {"X-Plan": None}, 400),
+        (PATH, {"Req-Deadline-Ms": "-1"}, 400),
+        (PATH, {"Req-Deadline-Ms": "²"}, 400),
+        (PATH, {"X-IO": None}, 400),
+        (PATH, {"X-IO": "units=nan,shard=0,hosts=1"}, 400),
+        (PATH, {"X-IO": "units=9,shard=0,hosts=1"}, 400),
+        (PATH, {"X-IO": "units=1,shard=-2,hosts=1"}, 400),
+        (PATH, {"X-IO": "units=1,shard=0,hosts=0"}, 400),
+    ],
+)
 def test_malformed_requests_get_their_reason_and_never_reach_the_core(path, change, status):
     async def story():
         node = Node("a", 0)
@@ -260,6 +371,7 @@
                 assert response.status == status
             if status != 200:
                 assert text.count("\n") == 1 and not node.seen and not head.engine.reducer.tally.counts
+
     run(story())
 
 
@@ -274,14 +386,18 @@
             await until(lambda: not head.engine.attempts and not head.engine.waiting)
             assert head.engine.reducer.open == 0
             assert head.engine.reducer.tally.counts["client_gone"] == 1
+
     run(story())
 
 
 def test_what_is_given_up_is_refused_with_advice():
     async def story():
-        async with started() as (_, session), session.get(
-                PATH, headers=HEADERS | {"Req-Deadline-Ms": "100"}) as response:
+        async with (
+            started() as (_, session),
+            session.get(PATH, headers=HEADERS | {"Req-Deadline-Ms": "100"}) as response,
+        ):
             assert response.status == 503 and float(response.headers["Retry-After"]) >= 0
+
     run(story())
 
 
@@ -291,6 +407,7 @@
 
         async def hold(_):
             await go.wait()
+
         node.gate = hold
         async with started(node) as (head, session):
             first = asyncio.create_task(session.get(PATH, headers=HEADERS))
@@ -301,11 +418,13 @@
             go.set()
             assert (await first).status == 200
             assert len(node.seen) == 1 and head.engine.reducer.tally.counts["duplicate_id"] == 1
+
     run(story())
 
 
 def test_an_attempt_called_off_before_it_began_is_told_of_too():
     """A task cancelled before its first step runs none of its code: its end must not hang on that."""
+
     async def story():
         node = Node("a", 0)
         async with started(node) as (head, _):
@@ -316,6 +435,7 @@
             engine.put(model.ClientLeft(now, "r"))
             await until(lambda: not engine.attempts)
             assert engine.reducer.open == 0 and not engine.reducer.scheduler.requests
+
     run(story(), limit=10)
 
 
@@ -334,4 +454,5 @@
             async with session.get(PATH, headers=HEADERS) as response:  # it would have 2 s
                 assert response.status == 503
             assert head.engine.clock.now() < head.engine.answer_by + timedelta(seconds=1)
+
     run(story())
--- a/tests/test_objects.py
+++ b/tests/test_objects.py
@@ -24,9 +24,15 @@
 
 SECRET = b"a secret of at least thirty-two bytes"
 OPERATOR = {
-    "listen": f"{HOST}:0", "read_class": "stats-export", "write_class": "event-write", "window": 3,
-    "buckets": {"footage": {"volume": "00000000f0a70001", "plan": "premium", "hosts": 1},
-                "exports": {"volume": "00000000f0a70002", "plan": "basic", "hosts": 1}}}
+    "listen": f"{HOST}:0",
+    "read_class": "stats-export",
+    "write_class": "event-write",
+    "window": 3,
+    "buckets": {
+        "footage": {"volume": "00000000f0a70001", "plan": "premium", "hosts": 1},
+        "exports": {"volume": "00000000f0a70002", "plan": "basic", "hosts": 1},
+    },
+}
 BODY = bytes(i * 7 % 251 for i in range(3 * PAYLOAD + 1234))
 
 
@@ -54,7 +60,8 @@
         """Upload a part; told to slow down, come back as any client does: with a new call."""
         while True:
             status, headers, data = await self.call(
-                "PUT", f"{path}?partNumber={number}&uploadId={upload}", body)
+                "PUT", f"{path}?partNumber={number}&uploadId={upload}", body
+            )
             if status == 200:
                 return headers["ETag"]
             assert (status, error_code(data)) == (503, "SlowDown")
@@ -62,8 +69,11 @@
 
     async def complete(self, path: str, upload: str, etags: list[tuple[int, str]]):
         listed = "".join(f"<Part><PartNumber>{n}</PartNumber><ETag>{e}</ETag></Part>" for n, e in etags)
-        return await self.call("POST", f"{path}?uploadId={upload}",
-                               f"<CompleteMultipartUpload>{listed}</CompleteMultipartUpload>".encode())
+        return await self.call(
+            "POST",
+            f"{path}?uploadId={upload}",
+            f"<CompleteMultipartUpload>{listed}</CompleteMultipartUpload>".encode(),
+        )
 
 
 @contextlib.asynccontextmanager
@@ -100,8 +110,11 @@
         nodes = two()
         async with gateway(*nodes) as client:
             status, headers, _ = await client.call(
-                "PUT", "/footage/derby%20night/a%2Fb.mp4", BODY, **{"Content-Type": "video/mp4",
-                                                                   "x-amz-meta-camera": "4"})
+                "PUT",
+                "/footage/derby%20night/a%2Fb.mp4",
+                BODY,
+                **{"Content-Type": "video/mp4", "x-amz-meta-camera": "4"},
+            )
             assert status == 200 and headers["ETag"] == f'"{hashlib.md5(BODY).hexdigest()}"'
             status, headers, data = await client.call("GET", "/footage/derby%20night/a/b.mp4")
             assert (status, data) == (200, BODY)
@@ -110,23 +123,28 @@
             assert (status, data, headers["Content-Length"]) == (200, b"", str(len(BODY)))
             settled(client)
             assert max(Counter(r.headers["Req-Id"] for n in nodes for r in n.requests).values()) == 1
-            assert all(r.headers.get("Idempotency-Key") for n in nodes for r in n.requests
-                       if r.method == "PUT")
+            assert all(
+                r.headers.get("Idempotency-Key") for n in nodes for r in n.requests if r.method == "PUT"
+            )
+
     run(story())
 
 
-@pytest.mark.parametrize(("asked", "status", "start", "stop"), [
-    ("bytes=0-99", 206, 0, 100),
-    (f"bytes={PAYLOAD - 5}-{PAYLOAD + 4}", 206, PAYLOAD - 5, PAYLOAD + 5),  # over the edge of two pieces
-    (f"bytes={len(BODY) - 10}-", 206, len(BODY) - 10, len(BODY)),
-    ("bytes=-7", 206, len(BODY) - 7, len(BODY)),
-    (f"bytes=5-{10 ** 12}", 206, 5, len(BODY)),
-    (f"bytes={len(BODY)}-", 416, 0, 0),
-    ("bytes=-0", 416, 0, 0),
-    ("bytes=9-3", 200, 0, len(BODY)),
-    ("bytes=0-1,4-5", 200, 0, len(BODY)),
-    ("lines=1-2", 200, 0, len(BODY)),
-])
+@pytest.mark.parametrize(
+    ("asked", "status", "start", "stop"),
+    [
+        ("bytes=0-99", 206, 0, 100),
+        (f"bytes={PAYLOAD - 5}-{PAYLOAD + 4}", 206, PAYLOAD - 5, PAYLOAD + 5),  # over the edge of two pieces
+        (f"bytes={len(BODY) - 10}-", 206, len(BODY) - 10, len(BODY)),
+        ("bytes=-7", 206, len(BODY) - 7, len(BODY)),
+        (f"bytes=5-{10**12}", 206, 5, len(BODY)),
+        (f"bytes={len(BODY)}-", 416, 0, 0),
+        ("bytes=-0", 416, 0, 0),
+        ("bytes=9-3", 200, 0, len(BODY)),
+        ("bytes=0-1,4-5", 200, 0, len(BODY)),
+        ("lines=1-2", 200, 0, len(BODY)),
+    ],
+)
 def test_ranges(asked, status, start, stop):
     async def story():
         async with gateway(*two()) as client:
@@ -141,24 +159,39 @@
             if status == 206:
                 assert headers["Content-Range"] == f"bytes {start}-{stop - 1}/{len(BODY)}"
             settled(client)
+
     run(story())
 
 
-@pytest.mark.parametrize(("headers", "whole"), [
-    ({"If-Range": '"{etag}"'}, False), ({"If-Range": '"other"'}, True), ({"If-Range": 'W/"{etag}"'}, True),
-    ({"If-Range": "{date}"}, False), ({"If-Range": "Thu, 01 Jan 1970 00:00:00 GMT"}, True),
-    ({"If-Range": "nonsense"}, True)])
+@pytest.mark.parametrize(
+    ("headers", "whole"),
+    [
+        ({"If-Range": '"{etag}"'}, False),
+        ({"If-Range": '"other"'}, True),
+        ({"If-Range": 'W/"{etag}"'}, True),
+        ({"If-Range": "{date}"}, False),
+        ({"If-Range": "Thu, 01 Jan 1970 00:00:00 GMT"}, True),
+        ({"If-Range": "nonsense"}, True),
+    ],
+)
 def test_if_range_joins_only_what_belongs_together(headers, whole):
     filled = {k: v.format(etag="e1", date=ranges.http_date(1_700_000_000)) for k, v in headers.items()}
     found = ranges.wanted_range({"Range": "bytes=2-4", **filled}, "e1", 1_700_000_000, 10)
     assert found == (None if whole else (2, 5))
 
 
-@pytest.mark.parametrize(("headers", "outcome"), [
-    ({}, True), ({"If-None-Match": '"e1"'}, False), ({"If-None-Match": '"x", W/"e1"'}, False),
-    ({"If-Match": '"x"'}, ObjectError), ({"If-Match": "*"}, True),
-    ({"If-Modified-Since": ranges.http_date(1_700_000_000)}, False),
-    ({"If-Unmodified-Since": ranges.http_date(1_600_000_000)}, ObjectError)])
+@pytest.mark.parametrize(
+    ("headers", "outcome"),
+    [
+        ({}, True),
+        ({"If-None-Match": '"e1"'}, False),
+        ({"If-None-Match": '"x", W/"e1"'}, False),
+        ({"If-Match": '"x"'}, ObjectError),
+        ({"If-Match": "*"}, True),
+        ({"If-Modified-Since": ranges.http_date(1_700_000_000)}, False),
+        ({"If-Unmodified-Since": ranges.http_date(1_600_000_000)}, ObjectError),
+    ],
+)
 def test_preconditions(headers, outcome):
     if outcome is ObjectError:
         with pytest.raises(ObjectError, match="PreconditionFailed"):
@@ -174,14 +207,19 @@
             await client.call("PUT", "/footage/o", BODY)
             wanted = f"bytes=10-{len(BODY) - 20}"
             # the last piece is the only one of its size; its node breaks each time, after the others came
-            last = {target.split("/", 2)[2] for n in (a, b) for _, target, _, size in n.seen
-                    if size == len(BODY) % PAYLOAD + HEADER}
+            last = {
+                target.split("/", 2)[2]
+                for n in (a, b)
+                for _, target, _, size in n.seen
+                if size == len(BODY) % PAYLOAD + HEADER
+            }
             assert len(last) == 1
 
             async def break_last(request):
                 if piece(request) in last:
                     request.transport.abort()
                     await asyncio.sleep(0)
+
             a.gate = b.gate = break_last
             with pytest.raises(aiohttp.ClientPayloadError):
                 await client.call("GET", "/footage/o", Range=wanted)
@@ -190,8 +228,9 @@
             del client.answers[cut[0]]
             a.gate = b.gate = None
             status, _, data = await client.call("GET", "/footage/o", Range=wanted)
-            assert (status, data) == (206, BODY[10:len(BODY) - 19])
+            assert (status, data) == (206, BODY[10 : len(BODY) - 19])
             settled(client)
+
     run(story())
 
 
@@ -205,6 +244,7 @@
             async def stall(request):
                 reached.set()
                 await never.wait()
+
             a.gate = b.gate = stall
             call = asyncio.create_task(client.call("GET", "/footage/o"))
             await reached.wait()
@@ -214,6 +254,7 @@
                 await asyncio.sleep(0.005)
             assert client.head.engine.reducer.open == 0
             never.set()
+
     run(story())
 
 
@@ -229,8 +270,11 @@
             ran, c.pieces = b.ran.copy(), b.pieces
             b.script.extend(["decline"] * 1000)
             before = len(b.seen)
-            others = asyncio.create_task(asyncio.wait_for(asyncio.gather(*(
-                client.part("/footage/m", upload, n, parts[n]) for n in range(2, 9))), 20))
+            others = asyncio.create_task(
+                asyncio.wait_for(
+                    asyncio.gather(*(client.part("/footage/m", upload, n, parts[n]) for n in range(2, 9))), 20
+                )
+            )
             await until(lambda: len(b.seen) > before)
             client.head.watch.take(told(2, b.entry(lifecycle="DRAINING"), c.entry(), reset=False))
             etags += list(zip(range(2, 9), await others, strict=True))
@@ -242,6 +286,7 @@
             settled(client)
             assert b.ran == ran and c.seen  # nothing ran on b once it drained
             assert max((a.ran + b.ran + c.ran).values()) == 1
+
     run(story())
 
 
@@ -249,13 +294,15 @@
     async def story():
         async with gateway(*two()) as client:
             reader, writer = await asyncio.open_connection(HOST, client.head.objects.port)
-            writer.write(b"PUT /footage/o HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
-                         b"Expect: 100-continue\r\n\r\n")
+            writer.write(
+                b"PUT /footage/o HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nExpect: 100-continue\r\n\r\n"
+            )
             assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 100 ")
             writer.write(b"body")
             assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 200 ")
             writer.close()
             assert (await client.call("GET", "/footage/o"))[2] == b"body"
+
     run(story())
 
 
@@ -270,6 +317,7 @@
             writer.close()
             assert client.head.object_front.operations == 0
             assert (await client.call("GET", "/footage/o"))[0] == 404
+
     run(story())
 
 
@@ -287,6 +335,7 @@
             assert (await client.call("GET", "/footage/m"))[2] == BODY
             status, _, data = await client.call("PUT", f"/footage/m?partNumber=2&uploadId={upload}", b"x")
             assert (status, error_code(data)) == (404, "NoSuchUpload")
+
     run(story())
 
 
@@ -301,8 +350,11 @@
             async def code(call):
                 status, _, data = await call
                 return status, error_code(data)
+
             assert await code(client.complete(path, upload, [(2, two_), (1, one)])) == (
-                400, "InvalidPartOrder")
+                400,
+                "InvalidPartOrder",
+            )
             assert await code(client.complete(path, upload, [(1, foreign)])) == (400, "InvalidPart")
             assert await code(client.complete(path, upload, [(3, one)])) == (400, "InvalidPart")
             assert await code(client.complete(path, upload, [(1, "AAAA")])) == (400, "InvalidPart")
@@ -313,6 +365,7 @@
             assert await code(client.complete(path, upload, [(1, one)])) == (404, "NoSuchUpload")
             assert await code(client.call("GET", path)) == (404, "NoSuchKey")
             settled(client)
+
     run(story())
 
 
@@ -321,8 +374,9 @@
     async def story():
         nodes = two()
         async with gateway(*nodes) as client:
-            answers = await asyncio.gather(*(
-                client.call("PUT", f"/exports/o{i}", b"x" * (2 * PAYLOAD)) for i in range(8)))
+            answers = await asyncio.gather(
+                *(client.call("PUT", f"/exports/o{i}", b"x" * (2 * PAYLOAD)) for i in range(8))
+            )
             slow = [(headers, data) for status, headers, data in answers if status == 503]
             assert slow and {status for status, _, _ in answers} <= {200, 503}
             assert all(error_code(d) == "SlowDown" and int(h["Retry-After"]) >= 1 for h, d in slow)
@@ -333,6 +387,7 @@
             for at, units in sent:
                 spent += units
                 assert spent <= 48 + 8 + 19 * (at - began + 0.15)
+
     run(story())
 
 
@@ -345,6 +400,7 @@
         async def refuse(request):
             asked.append(request)
             return model.Refused(timedelta(milliseconds=400))
+
         await head.start()
         head.object_front.serve = refuse
         async with aiohttp.ClientSession() as session:
@@ -353,27 +409,36 @@
             assert (status, error_code(data), headers["Retry-After"]) == (503, "SlowDown", "1")
             assert len(asked) == 1
         await head.stop()
+
     run(story())
 
 
-@pytest.mark.parametrize(("method", "path", "headers", "status", "code"), [
-    ("GET", "/footage/none", {}, 404, "NoSuchKey"),
-    ("GET", "/nowhere/o", {}, 404, "NoSuchBucket"),
-    ("GET", "/footage", {}, 501, "NotImplemented"),
-    ("GET", "/footage/?list-type=2", {}, 501, "NotImplemented"),
-    ("DELETE", "/footage/o", {}, 501, "NotImplemented"),
-    ("GET", "/footage/o?acl", {}, 501, "NotImplemented"),
-    ("PUT", "/footage/o", {"x-amz-copy-source": "/footage/p"}, 501, "NotImplemented"),
-    ("PUT", "/footage/o", {"If-None-Match": "*"}, 501, "NotImplemented"),
-    ("PUT", "/footage/o", {"x-amz-content-sha256": "STREAMING-AWS4-HMAC-SHA256-PAYLOAD"}, 501,
-     "NotImplemented"),
-    ("PUT", "/footage/o", {"Content-MD5": "AAAAAAAAAAAAAAAAAAAAAA=="}, 400, "BadDigest"),
-    ("PUT", "/footage/o", {"Content-MD5": "?"}, 400, "InvalidDigest"),
-    ("PUT", "/footage/o?partNumber=0&uploadId=x", {}, 400, "InvalidArgument"),
-    ("PUT", "/footage/" + "k" * 1025, {}, 400, "KeyTooLongError"),
-    ("PUT", "/footage/%ff", {}, 400, "InvalidArgument"),
-    ("POST", "/footage/o?uploadId=x", {}, 404, "NoSuchUpload"),
-])
+@pytest.mark.parametrize(
+    ("method", "path", "headers", "status", "code"),
+    [
+        ("GET", "/footage/none", {}, 404, "NoSuchKey"),
+        ("GET", "/nowhere/o", {}, 404, "NoSuchBucket"),
+        ("GET", "/footage", {}, 501, "NotImplemented"),
+        ("GET", "/footage/?list-type=2", {}, 501, "NotImplemented"),
+        ("DELETE", "/footage/o", {}, 501, "NotImplemented"),
+        ("GET", "/footage/o?acl", {}, 501, "NotImplemented"),
+        ("PUT", "/footage/o", {"x-amz-copy-source": "/footage/p"}, 501, "NotImplemented"),
+        ("PUT", "/footage/o", {"If-None-Match": "*"}, 501, "NotImplemented"),
+        (
+            "PUT",
+            "/footage/o",
+            {"x-amz-content-sha256": "STREAMING-AWS4-HMAC-SHA256-PAYLOAD"},
+            501,
+            "NotImplemented",
+        ),
+        ("PUT", "/footage/o", {"Content-MD5": "AAAAAAAAAAAAAAAAAAAAAA=="}, 400, "BadDigest"),
+        ("PUT", "/footage/o", {"Content-MD5": "?"}, 400, "InvalidDigest"),
+        ("PUT", "/footage/o?partNumber=0&uploadId=x", {}, 400, "InvalidArgument"),
+        ("PUT", "/footage/" + "k" * 1025, {}, 400, "KeyTooLongError"),
+        ("PUT", "/footage/%ff", {}, 400, "InvalidArgument"),
+        ("POST", "/footage/o?uploadId=x", {}, 404, "NoSuchUpload"),
+    ],
+)
 def test_errors_are_worded_as_the_protocol_words_them(method, path, headers, status, code):
     async def story():
         async with gateway(*two()) as client:
@@ -381,6 +446,7 @@
             got, _, data = await client.call(method, path, body, **headers)
             assert (got, error_code(data)) == (status, code)
             settled(client)
+
     run(story())
 
 
@@ -394,6 +460,7 @@
                 assert not targets & {r.raw_path for n in (a, b) if n is not node for r in n.requests}
             assert (await client.call("GET", "/footage/o"))[2] == b"x"
             settled(client)
+
     run(story())
 
 
@@ -429,13 +496,16 @@
 def object_rules(folder, rules):
     (folder / "rules.cue").write_text(
         'scopes: archive: {hosts: ["*"], paths: ["/footage/", "/exports/"], plans: ["basic", "premium"], '
-        'classes: ["score-read", "stats-export", "event-write"], volumes: ["*"], rules: [' + rules + "]}")
+        'classes: ["score-read", "stats-export", "event-write"], volumes: ["*"], rules: [' + rules + "]}"
+    )
     return {"rules": "rules.cue", "folder": folder}
 
 
 READ = '{name: "live", when: #"request.method in ["GET", "HEAD"] && object.key.startsWith("live/")"#, class: "score-read"}'
-WRITE = ('{name: "match", when: #"object.operation == "write" && object.bucket == "footage""#, class: "event-write", '
-         'key: expr: "hash(object.key)", deadline: "2s"}')
+WRITE = (
+    '{name: "match", when: #"object.operation == "write" && object.bucket == "footage""#, class: "event-write", '
+    'key: expr: "hash(object.key)", deadline: "2s"}'
+)
 BANNED = '{name: "none", when: #"request.method == "PUT" && object.key.startsWith("old/")"#, refuse: {status: 403, reason: "old"}}'
 
 
@@ -458,17 +528,22 @@
             assert (await client.call("GET", "/footage/live/a"))[2] == BODY  # its place never was the table's
             assert (await client.call("PUT", "/footage/old/x", b"1"))[0] == 200
             settled(client)
+
     run(story())
 
 
-@pytest.mark.parametrize(("rules", "what"), [
-    (WRITE[:-1] + ', plan: "basic"}', "a volume has one plan"),  # the bucket's file says premium
-    (WRITE[:-1] + ", units: 3}", "an object's pieces have their own units"),
-    (WRITE[:-1] + ', volume: "00000000f0a70001"}', "an object's pieces have their own volume"),
-])
+@pytest.mark.parametrize(
+    ("rules", "what"),
+    [
+        (WRITE[:-1] + ', plan: "basic"}', "a volume has one plan"),  # the bucket's file says premium
+        (WRITE[:-1] + ", units: 3}", "an object's pieces have their own units"),
+        (WRITE[:-1] + ', volume: "00000000f0a70001"}', "an object's pieces have their own volume"),
+    ],
+)
 def test_rules_that_an_object_front_cannot_have_are_refused(tmp_path, rules, what):
     async def story():
         async with gateway(operator=object_rules(tmp_path, rules)):
             pass
+
     with pytest.raises(ConfigError, match=what):
         run(story())
--- a/tests/test_paces.py
+++ b/tests/test_paces.py
@@ -91,9 +91,12 @@
 
     Returns how much still waits at the end and how many of the last five seconds' attempts were answered.
     """
-    hands = [Hand(hosts=hosts, me=me, seed=me, may_probe=probes, report_fields=("queue",),
-                  start=(100 + me) * SECOND)
-             for me in range(hosts)]
+    hands = [
+        Hand(
+            hosts=hosts, me=me, seed=me, may_probe=probes, report_fields=("queue",), start=(100 + me) * SECOND
+        )
+        for me in range(hosts)
+    ]
     queue: list = [(None, None)] * 150  # of what came before
     done = served = 0.0
     for hand in hands:
@@ -192,8 +195,16 @@
 
 
 def test_a_keyed_write_that_may_have_run_goes_on_at_the_shard_it_was_sent_to():
-    kind = api.RequestClass("write", worth=3, aim=400 * MS, deadline=2 * SECOND, writes=True,
-                            effect=api.Effect.KEYED, group=api.Group.SHARD, repeat_window=5 * SECOND)
+    kind = api.RequestClass(
+        "write",
+        worth=3,
+        aim=400 * MS,
+        deadline=2 * SECOND,
+        writes=True,
+        effect=api.Effect.KEYED,
+        group=api.Group.SHARD,
+        repeat_window=5 * SECOND,
+    )
     for outcome in (Outcome.RESET, Outcome.ERROR, Outcome.TIMEOUT):
         hand = Hand(classes=(kind,), nodes=[api.NodeEntry(f"n{i}", i) for i in range(5)])
         hand.request("w", shard=-1)
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -53,33 +53,49 @@
         await nodes.close()
 
 
-@pytest.mark.parametrize("answer", [
-    b"\xe2\xae\xa7 noise\r\n\r\n", b"noise without end", b"HTTP/1.1 2x0 OK\r\nContent-Length: 0\r\n\r\n",
-    b"HTTP/1.1 200 OK\r\nX: " + b"p" * 40_000, b"HTTP/1.1 200 OK\r\nX: y\r\n",
-    b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbody", b"HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\nbody",
-    b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 3\r\n\r\nbody",
-    b"HTTP/1.1 200 OK\r\nContent-Length: 4x\r\n\r\nbody", b"HTTP/1.1 200 OK\r\n\r\nbody",
-    b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
-    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nbody\r\n0\r\n\r\n",
-    b"HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\n" + b"b" * 100_000,
-    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + b"10000\r\n" + b"b" * 65536 + b"\r\n",
-    b"HTTP/1.1 200 OK\r\nContent Length: 4\r\nContent-Length: 4\r\n\r\nbody",
-    b"HTTP/1.1 100 Continue\r\n\r\n", b"HTTP/1.1 101 Switching\r\nUpgrade: x\r\nContent-Length: 0\r\n\r\n"])
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"\xe2\xae\xa7 noise\r\n\r\n",
+        b"noise without end",
+        b"HTTP/1.1 2x0 OK\r\nContent-Length: 0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nX: " + b"p" * 40_000,
+        b"HTTP/1.1 200 OK\r\nX: y\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbody",
+        b"HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\nbody",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 3\r\n\r\nbody",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 4x\r\n\r\nbody",
+        b"HTTP/1.1 200 OK\r\n\r\nbody",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nbody\r\n0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\n" + b"b" * 100_000,
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + b"10000\r\n" + b"b" * 65536 + b"\r\n",
+        b"HTTP/1.1 200 OK\r\nContent Length: 4\r\nContent-Length: 4\r\n\r\nbody",
+        b"HTTP/1.1 100 Continue\r\n\r\n",
+        b"HTTP/1.1 101 Switching\r\nUpgrade: x\r\nContent-Length: 0\r\n\r\n",
+    ],
+)
 def test_a_spoilt_answer_may_have_run_and_its_connection_is_of_no_more_use(answer):
     """None is waited for until the client's deadline, none is served, none costs the next request."""
+
     async def story():
         script = Script(answer, OK + b"good")
         async with client_of(script) as (nodes, effect):
             assert (await nodes.attempt(effect)).outcome in (Outcome.RESET, Outcome.ERROR)
             assert (await nodes.attempt(effect)).body == b"good"
             assert script.connections == 2
+
     run(story(), limit=10)
 
 
-@pytest.mark.parametrize("answer", [
-    b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n" + OK + b"body",
-    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
-    b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nSrv-Load: util=%%,\r\nX-Served-Elsewhere: many\r\n\r\nbody"])
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n" + OK + b"body",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nSrv-Load: util=%%,\r\nX-Served-Elsewhere: many\r\n\r\nbody",
+    ],
+)
 def test_a_good_answer_is_served_and_its_connection_kept(answer):
     async def story():
         script = Script(answer, OK + b"good")
@@ -89,6 +105,7 @@
             assert all(not c.head and not c.stall for c in nodes.session.connector.alive)  # nothing is kept
             assert (await nodes.attempt(effect)).body == b"good"
             assert script.connections == 1
+
     run(story())
 
 
@@ -96,6 +113,7 @@
 @pytest.mark.parametrize("later", [False, True])
 def test_bytes_behind_an_answer_are_nobodys(more, later):
     """In one segment with the answer or after it: the answer counts, the connection is not used again."""
+
     async def story():
         script = Script((OK + b"body", more) if later else OK + b"body" + more, OK + b"good")
         async with client_of(script) as (nodes, effect):
@@ -106,11 +124,13 @@
                 await until(lambda: connection._unread() or not connection.is_connected())
             assert (await nodes.attempt(effect)).body == b"good"
             assert script.connections == 2
+
     run(story())
 
 
 def test_an_answer_far_over_what_the_protocol_promises_is_served_whole_and_in_pieces():
     """Nodes in service send up to 400 KiB; refusing them lost every fourth read of a day."""
+
     async def story():
         body = bytes(range(256)) * 1600
         head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
@@ -120,6 +140,7 @@
             assert await (await nodes.attempt(effect)).flow.whole(len(body)) == body
             assert (await nodes.attempt(effect)).body == b"good"
             assert script.connections == 1
+
     run(story())
 
 
@@ -133,11 +154,13 @@
                 assert (await nodes.attempt(attempt(address_of(server)))).outcome is Outcome.OK
                 await until(lambda: len(nodes.session.connector.alive) <= 2)
             await nodes.close()
+
     run(story())
 
 
 def test_how_long_idle_connections_are_used_follows_what_becomes_of_them(monkeypatch):
     """A path that drops idle connections without a word costs a reset for each that is used again."""
+
     async def story():
         script = Script(OK + b"body", OK + b"good", OK + b"last")
         async with client_of(script) as (nodes, effect):
@@ -157,4 +180,5 @@
             for _ in range(100):
                 pool.broke(idle=10.0)
             assert pool.use_within >= 0.05
+
     run(story())
