--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -36,17 +36,22 @@
 
 
 @contextlib.asynccontextmanager
-async def program(tmp_path: Path, *nodes: Node, objects: bool = False,
-                  environ: dict[str, str] | None = None):
+async def program(tmp_path: Path, *nodes: Node, objects: bool = False, environ: dict[str, str] | None = None):
     """The program with these nodes in its list, ready to serve."""
     async with nodes_up(*nodes), listening(Discovery().handle) as discovery:
         off = held_port()
         port, object_port = free_port(), off.getsockname()[1]
         data = config_data(told(1, *(n.entry() for n in nodes)), discovery, port)
         (tmp_path / "config.json").write_text(json.dumps(data))
-        environ = os.environ | (environ or {}) | {
-                "NODE_CONFIG": str(tmp_path / "config.json"), "PYTHONPATH": str(ROOT),
-                                "NODE_DISCOVERY": data["discovery"]}
+        environ = (
+            os.environ
+            | (environ or {})
+            | {
+                "NODE_CONFIG": str(tmp_path / "config.json"),
+                "PYTHONPATH": str(ROOT),
+                "NODE_DISCOVERY": data["discovery"],
+            }
+        )
         if objects:
             operator = (ROOT / "deploy" / "objects.cue").read_text().replace("8480", str(object_port))
             (tmp_path / "objects.cue").write_text(operator)
@@ -54,8 +59,15 @@
             off.close()
             environ["STOATROUTER_OBJECTS"] = str(tmp_path / "objects.cue")
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-O", "-B", "-m", "stoatrouter", cwd=tmp_path, env=environ,
-            stderr=asyncio.subprocess.PIPE)
+            sys.executable,
+            "-O",
+            "-B",
+            "-m",
+            "stoatrouter",
+            cwd=tmp_path,
+            env=environ,
+            stderr=asyncio.subprocess.PIPE,
+        )
         try:
             async with aiohttp.ClientSession() as session:
                 base = f"http://{HOST}:{port}"
@@ -77,8 +89,9 @@
         await asyncio.sleep(0.02)
 
 
-async def read(session: aiohttp.ClientSession, base: str, name: str, path: str = PATH,
-               **more: str) -> tuple[int, bytes]:
+async def read(
+    session: aiohttp.ClientSession, base: str, name: str, path: str = PATH, **more: str
+) -> tuple[int, bytes]:
     async with session.get(base + path, headers=HEADERS | {"Req-Id": name} | more) as response:
         return response.status, await response.read()
 
@@ -93,6 +106,7 @@
             if request.headers["Req-Id"] == "held":
                 taken.set()
                 await go.wait()
+
         node.gate = hold
         async with program(tmp_path, node) as (process, session, base, _):
             assert await read(session, base, "one") == (200, b"the score")
@@ -108,24 +122,34 @@
             assert await held == (200, b"the score")
             assert await process.wait() == 0
             assert set(node.ran.values()) == {1}
+
     run(story())
 
 
 def test_a_stopping_head_ends_idle_connections_and_not_only_its_ear_for_them(tmp_path):
     """A connection that looks open but is read no more would swallow a request without any answer."""
+
     async def story():
         node, taken, go = Node("a", 0), asyncio.Event(), asyncio.Event()
 
         async def hold(_):
             taken.set()
             await go.wait()
+
         node.gate = hold
         async with program(tmp_path, node) as (process, session, base, _):
             reader, writer = await asyncio.open_connection(HOST, int(base.rpartition(":")[2]))
             writer.write(b"GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n")
             await reader.readuntil(b"ok\n")
-            held = asyncio.create_task(read(session, base, "held", PATH.replace("score-read", "stats-export"),
-                                            **{"Req-Deadline-Ms": "6000"}))
+            held = asyncio.create_task(
+                read(
+                    session,
+                    base,
+                    "held",
+                    PATH.replace("score-read", "stats-export"),
+                    **{"Req-Deadline-Ms": "6000"},
+                )
+            )
             await taken.wait()
             process.send_signal(signal.SIGTERM)
             assert await reader.read() == b""  # ended, though an answer is still owed elsewhere
@@ -134,16 +158,21 @@
             go.set()
             assert (await held)[0] == 200
             assert await process.wait() == 0
+
     run(story())
 
 
 def test_a_new_configuration_moves_discovery_and_a_bad_one_nothing(tmp_path):
     """By default SIGHUP ends a process; the environment still names the old discovery."""
+
     async def story():
         a, b, second = Node("a", 0), Node("b", 0), Discovery()
         b.pieces[PATH.split("/", 2)[2]] = b"the other"
-        async with program(tmp_path, a) as (process, session, base, _), nodes_up(b), listening(
-                second.handle) as port:
+        async with (
+            program(tmp_path, a) as (process, session, base, _),
+            nodes_up(b),
+            listening(second.handle) as port,
+        ):
             file = tmp_path / "config.json"
             good = json.loads(file.read_text())
             file.write_text('{"name": "n0", "settings": ')
@@ -161,6 +190,7 @@
             process.send_signal(signal.SIGHUP)
             process.send_signal(signal.SIGTERM)
             assert await process.wait() == 0
+
     run(story())
 
 
@@ -176,6 +206,7 @@
 
 def test_a_stopping_head_serves_the_connections_it_has_for_as_long_as_it_can_answer(tmp_path):
     """Its clients open no new ones: ending theirs at once would lose them all that is left of its time."""
+
     async def story():
         node = Node("a", 0)
         async with program(tmp_path, node) as (process, session, base, _):
@@ -189,6 +220,7 @@
                     await asyncio.sleep(0.1)
             assert asyncio.get_running_loop().time() - began > 2  # of the 3.7 s until it may be killed
             assert await process.wait() == 0
+
     run(story())
 
 
@@ -197,6 +229,7 @@
         async with program(tmp_path, Node("a", 0)) as (_, session, _, objects):
             with pytest.raises(aiohttp.ClientConnectorError):
                 await session.get(objects + "/match-footage/o")
+
     run(story())
 
 
@@ -206,16 +239,20 @@
             body = os.urandom(200_000)
             async with session.put(base + "/match-footage/derby.mp4", data=body) as response:
                 assert response.status == 200
-            async with session.get(base + "/match-footage/derby.mp4",
-                                   headers={"Range": "bytes=70000-"}) as response:
+            async with session.get(
+                base + "/match-footage/derby.mp4", headers={"Range": "bytes=70000-"}
+            ) as response:
                 assert response.status == 206 and await response.read() == body[70000:]
             process.terminate()
             assert await process.wait() == 0
+
     run(story())
 
 
-@pytest.mark.parametrize(("text", "word"), [
-    (None, "NODE_CONFIG is not set"), ("no json", "cannot read"), ("{}", "bad configuration")])
+@pytest.mark.parametrize(
+    ("text", "word"),
+    [(None, "NODE_CONFIG is not set"), ("no json", "cannot read"), ("{}", "bad configuration")],
+)
 def test_a_bad_configuration_ends_with_one_plain_line(tmp_path, text, word):
     async def story():
         environ = {k: v for k, v in os.environ.items() if k != "NODE_CONFIG"} | {"PYTHONPATH": str(ROOT)}
@@ -223,21 +260,29 @@
             (tmp_path / "config.json").write_text(text)
             environ["NODE_CONFIG"] = str(tmp_path / "config.json")
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "stoatrouter", cwd=tmp_path, env=environ, stderr=asyncio.subprocess.PIPE)
+            sys.executable, "-m", "stoatrouter", cwd=tmp_path, env=environ, stderr=asyncio.subprocess.PIPE
+        )
         _, said = await process.communicate()
         assert process.returncode == 2 and word in said.decode() and said.count(b"\n") == 1
+
     run(story())
 
 
 def test_a_start_imports_nothing_of_a_front_that_is_off():
     """A new version starts under load, on the core that the old one needs."""
+
     async def story():
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-B", "-c", "import sys, stoatrouter.__main__\n"
-            "print([name for name in sys.modules if 'objects' in name])",
-            cwd=ROOT, stdout=asyncio.subprocess.PIPE)
+            sys.executable,
+            "-B",
+            "-c",
+            "import sys, stoatrouter.__main__\nprint([name for name in sys.modules if 'objects' in name])",
+            cwd=ROOT,
+            stdout=asyncio.subprocess.PIPE,
+        )
         said, _ = await process.communicate()
         assert said == b"[]\n"
+
     run(story())
 
 
@@ -251,7 +296,12 @@
         (tmp_path / "http.cue").write_text(settings)
         (tmp_path / "http-rules.cue").write_text(rules)
         async with program(tmp_path, node, environ={"STOATROUTER_HTTP": str(tmp_path / "http.cue")}) as (
-                process, session, _, _):
+            process,
+            session,
+            _,
+            _,
+        ):
+
             async def ask(path: str) -> int:
                 async with session.get(f"http://{HOST}:{port}{path}") as response:
                     await response.read()
@@ -265,4 +315,5 @@
             assert await ask("/feed/x") == 404
             process.send_signal(signal.SIGTERM)
             assert await process.wait() == 0
+
     run(story())
--- a/tests/test_request_histories.py
+++ b/tests/test_request_histories.py
@@ -11,8 +11,11 @@
 from stoatrouter.lab.histories.requests import Kind, Terms, judge
 from tests.fleet_story import play
 
-TERMS = Terms({"look": Kind("safe"), "note": Kind("keyed", 2.0), "lend": Kind("unsafe")},
-              {"a": 0, "b": 0, "c": 1}, drain_grace=1.0)
+TERMS = Terms(
+    {"look": Kind("safe"), "note": Kind("keyed", 2.0), "lend": Kind("unsafe")},
+    {"a": 0, "b": 0, "c": 1},
+    drain_grace=1.0,
+)
 
 
 def sent(kind="look", at=0.0):
@@ -39,26 +42,30 @@
 LATER = (sent(at=2.0), attempt(first=2.0), over(at=2.1), ANSWER)
 
 
-@pytest.mark.parametrize(("lines", "found"), [
-    ([sent(), attempt(), over(), ANSWER], None),
-    ([sent(), attempt(), over(), attempt("b", 0.5), over("b", 0.6), ANSWER], None),
-    ([sent(), attempt(), over()], "never answered"),
-    ([sent(), ANSWER, line("answered", 3.1, status=503)], "2 answers"),
-    ([sent(), attempt(), line("ended")], "lost by h"),
-    ([sent(), attempt(), line("ended"), {"what": "killed", "at": 0.9, "head": "h"}], None),
-    ([sent(), line("gone", 1.0), attempt(first=1.1)], None),
-    ([sent(), line("gone", 1.0), attempt(first=1.2)], "after its client had gone"),
-    ([sent(), attempt(), attempt("b", 0.15), over(), over("b"), ANSWER], None),  # within the slack
-    ([sent(), attempt(), attempt("b", 0.12), over(), over("b"), ANSWER], "two attempts at once"),
-    ([sent("lend"), attempt(), over(ran=False), attempt("b", 0.5), over("b", 0.6), ANSWER], None),
-    ([sent("lend"), attempt(), over(), attempt("b", 0.5), over("b", 0.6), ANSWER], "may not run twice"),
-    ([sent("note"), attempt(), over(), attempt("b", 2.0), over("b", 2.1), ANSWER], None),
-    ([sent("note"), attempt(), over(), attempt("b", 2.2), over("b", 2.3), ANSWER], "outside its window"),
-    ([sent("note"), attempt(), over(), attempt("c", 1.0), over("c", 1.1), ANSWER], "in another cell"),
-    ([*LATER, word("told", 1.0)], None),
-    ([*LATER, word("told", 0.5)], "told as leaving"),
-    ([*LATER, word("told", 0.5), word("back", 1.0)], None),
-    ([attempt()], "what no client sent")])
+@pytest.mark.parametrize(
+    ("lines", "found"),
+    [
+        ([sent(), attempt(), over(), ANSWER], None),
+        ([sent(), attempt(), over(), attempt("b", 0.5), over("b", 0.6), ANSWER], None),
+        ([sent(), attempt(), over()], "never answered"),
+        ([sent(), ANSWER, line("answered", 3.1, status=503)], "2 answers"),
+        ([sent(), attempt(), line("ended")], "lost by h"),
+        ([sent(), attempt(), line("ended"), {"what": "killed", "at": 0.9, "head": "h"}], None),
+        ([sent(), line("gone", 1.0), attempt(first=1.1)], None),
+        ([sent(), line("gone", 1.0), attempt(first=1.2)], "after its client had gone"),
+        ([sent(), attempt(), attempt("b", 0.15), over(), over("b"), ANSWER], None),  # within the slack
+        ([sent(), attempt(), attempt("b", 0.12), over(), over("b"), ANSWER], "two attempts at once"),
+        ([sent("lend"), attempt(), over(ran=False), attempt("b", 0.5), over("b", 0.6), ANSWER], None),
+        ([sent("lend"), attempt(), over(), attempt("b", 0.5), over("b", 0.6), ANSWER], "may not run twice"),
+        ([sent("note"), attempt(), over(), attempt("b", 2.0), over("b", 2.1), ANSWER], None),
+        ([sent("note"), attempt(), over(), attempt("b", 2.2), over("b", 2.3), ANSWER], "outside its window"),
+        ([sent("note"), attempt(), over(), attempt("c", 1.0), over("c", 1.1), ANSWER], "in another cell"),
+        ([*LATER, word("told", 1.0)], None),
+        ([*LATER, word("told", 0.5)], "told as leaving"),
+        ([*LATER, word("told", 0.5), word("back", 1.0)], None),
+        ([attempt()], "what no client sent"),
+    ],
+)
 def test_the_judge_finds_what_is_broken_and_nothing_else(lines, found):
     said = judge(lines, TERMS)
     assert said == [] if found is None else len(said) == 1 and found in said[0]
@@ -77,12 +84,12 @@
 
 BROKEN = {
     "told as leaving": "from stoatrouter.net import discovery\n"
-                       "discovery.PHASES['DRAINING'] = discovery.PHASES['SERVING']\n",
+    "discovery.PHASES['DRAINING'] = discovery.PHASES['SERVING']\n",
     "may not run twice": "from cypressworks.rules import Rulebook\n"
-                         "Rulebook.barred_again = lambda *_: False\n",
+    "Rulebook.barred_again = lambda *_: False\n",
     "after its client had gone": "from stoatrouter.core.reducer import Reducer\n"
-                                 "Reducer._left = lambda self, name: []\n"
-                                 "from stoatrouter.net import engine\nengine.gone = lambda client: False\n",
+    "Reducer._left = lambda self, name: []\n"
+    "from stoatrouter.net import engine\nengine.gone = lambda client: False\n",
     "lost by": "from stoatrouter.head import Head\nasync def stop(self):\n    pass\nHead.stop = stop\n",
 }
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -8,8 +8,17 @@
 from cypressworks.interface import Outcome, Phase
 from tests.bench_free import CLASSES, MS, PLAN, READ, SECOND, WRITE, Hand, answer_after
 
-KEYED = api.RequestClass("keyed", 3, 400 * MS, 5 * SECOND, 0.2, api.Effect.KEYED, api.Group.SHARD,
-                         repeat_window=1 * SECOND, writes=True)
+KEYED = api.RequestClass(
+    "keyed",
+    3,
+    400 * MS,
+    5 * SECOND,
+    0.2,
+    api.Effect.KEYED,
+    api.Group.SHARD,
+    repeat_window=1 * SECOND,
+    writes=True,
+)
 UNSAFE = api.RequestClass("unsafe", 3, 400 * MS, 5 * SECOND, 0.2, api.Effect.UNSAFE, writes=True)
 TURN = api.RequestClass("turn", 3, 400 * MS, 5 * SECOND, 0.2, in_turn=True)
 
@@ -102,8 +111,13 @@
 
 
 def test_keyed_by_zone_does_not_leave_its_zone():
-    hand = Hand(classes=(api.RequestClass("k", 3, 400 * MS, 5 * SECOND, 0.2, api.Effect.KEYED, api.Group.ZONE,
-                                          repeat_window=4 * SECOND),))
+    hand = Hand(
+        classes=(
+            api.RequestClass(
+                "k", 3, 400 * MS, 5 * SECOND, 0.2, api.Effect.KEYED, api.Group.ZONE, repeat_window=4 * SECOND
+            ),
+        )
+    )
     hand.request("r", left=3 * SECOND)
     hand.end("r", Outcome.ERROR)
     hand.listed(api.NodeEntry("n1", 0, phase=Phase.GONE), api.NodeEntry("n2", 0, zone=1))
@@ -141,8 +155,12 @@
 # 4 cold nodes --------------------------------------------------------------------------------------------
 def test_a_cold_node_gets_at_most_this_hosts_part_in_every_window():
     start, hosts, units, fall, cold, cold_from = 100 * SECOND, 4, 40.0, 1 * SECOND, 10 * SECOND, 0.2
-    hand = Hand(rules={"cold_from": cold_from, "cold_time": cold, "cold_units": units, "fall_time": fall},
-                hosts=hosts, nodes=[api.NodeEntry("n1", 0, up_since=start)], start=start)
+    hand = Hand(
+        rules={"cold_from": cold_from, "cold_time": cold, "cold_units": units, "fall_time": fall},
+        hosts=hosts,
+        nodes=[api.NodeEntry("n1", 0, up_since=start)],
+        start=start,
+    )
     for i in range(800):
         hand.request(f"r{i}", left=2 * SECOND, units=1 + i % 3)
         hand.wait(10 * MS, answer_after(5 * MS, Outcome.FULL if i % 3 else Outcome.OK))
@@ -272,8 +290,11 @@
 
 
 def test_of_a_cold_nodes_part_half_is_kept_for_what_can_still_be_in_time():
-    hand = Hand(rules={"cold_from": 0.2, "cold_time": 10 * SECOND, "cold_units": 40.0, "fall_time": SECOND},
-                hosts=4, nodes=[api.NodeEntry("n0", 1), api.NodeEntry("n1", 0, up_since=100 * SECOND)])
+    hand = Hand(
+        rules={"cold_from": 0.2, "cold_time": 10 * SECOND, "cold_units": 40.0, "fall_time": SECOND},
+        hosts=4,
+        nodes=[api.NodeEntry("n0", 1), api.NodeEntry("n1", 0, up_since=100 * SECOND)],
+    )
     for i in range(20):
         hand.scheduler.nodes["n1"].reads = 300.0 * MS  # no read can make its aim
         hand.request(f"r{i}")
@@ -379,8 +400,9 @@
     hand = Hand(plans=plans, hosts=20, rules=rules)
     outcomes = [Outcome.OK, Outcome.FULL, Outcome.RESET, Outcome.OK, Outcome.TIMEOUT, Outcome.ERROR]
     for i in range(200):
-        hand.request(f"r{i}", i % 3, volume=f"v{i % 5}", plan=i % 2, left=(100 + 37 * i % 900) * MS,
-                     units=1 + i % 4)
+        hand.request(
+            f"r{i}", i % 3, volume=f"v{i % 5}", plan=i % 2, left=(100 + 37 * i % 900) * MS, units=1 + i % 4
+        )
         hand.wait(30 * MS, answer_after((5 + 31 * i % 400) * MS, outcomes[i % 6]))
         never_held_in_vain(hand)
     hand.wait(2 * SECOND)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -12,32 +12,77 @@
 
 # source => data, or a part of the refusal; from CUE's specification
 CASES = [
-    ("a: 1", {"a": 1}), ("a: 1, b: \"x\"", {"a": 1, "b": "x"}), ("a: b: c: 1\na: b: d: 2", {"a": {"b": {"c": 1, "d": 2}}}),
-    ("a: 1 // said\n// alone\nb: 2", {"a": 1, "b": 2}), ('"a b": 1', {"a b": 1}), ("a: [1, 2,\n 3,\n]", {"a": [1, 2, 3]}),
-    ("a: -1.5", {"a": -1.5}), ("a: 1_000", {"a": 1000}), ("a: 0x1F", {"a": 31}), ("a: 64Ki", {"a": 65536}),
-    ("a: 1.5K", {"a": 1500}), ("a: 1e3", {"a": 1000.0}), ("a: true, b: null", {"a": True, "b": None}),
-    (r'a: "\t\u00e9\"\\"', {"a": '\té"\\'}), ('a: #"\\d"x"#', {"a": '\\d"x'}),
-    ('a: """\n\tone\n\t  two\n\t"""', {"a": "one\n  two"}), ("a: int & 5", {"a": 5}), ("a: 5 & int & >0 & <=8", {"a": 5}),
-    ("a: number & 1.5, b: number & 2", {"a": 1.5, "b": 2}), ('a: *"x" | "y"', {"a": "x"}), ('a: *"x" | "y"\na: "y"', {"a": "y"}),
-    ("a: *1 | int, b: a", {"a": 1, "b": 1}), ("a: 5, a: int", {"a": 5}), ("_h: 1, a: _h", {"a": 1}),
-    ("#D: {x: int, y?: string}\na: #D & {x: 1}", {"a": {"x": 1}}), ("#D: {x: int, ...}\na: #D & {x: 1, z: 2}", {"a": {"x": 1, "z": 2}}),
-    ("#D: {x: *1 | int}\na: #D", {"a": {"x": 1}}), ("a: {[string]: int}\na: b: 1", {"a": {"b": 1}}),
-    ('a: {[=~"^x"]: int, ...}\na: {x1: 1, y: "s"}', {"a": {"x1": 1, "y": "s"}}), ("a: [...int] & [1, 2]", {"a": [1, 2]}),
-    ("a: {b: 1}\nc: a.b", {"c": 1, "a": {"b": 1}}), ("x: {a: int, b: a}\ny: x & {a: 5}\nx: a: 3", "both cannot hold"),
-    ("#X: {a: int, b: a}\ny: #X & {a: 5}", {"y": {"a": 5, "b": 5}}), ("a: b & 1, b: a", {"a": 1, "b": 1}),
+    ("a: 1", {"a": 1}),
+    ('a: 1, b: "x"', {"a": 1, "b": "x"}),
+    ("a: b: c: 1\na: b: d: 2", {"a": {"b": {"c": 1, "d": 2}}}),
+    ("a: 1 // said\n// alone\nb: 2", {"a": 1, "b": 2}),
+    ('"a b": 1', {"a b": 1}),
+    ("a: [1, 2,\n 3,\n]", {"a": [1, 2, 3]}),
+    ("a: -1.5", {"a": -1.5}),
+    ("a: 1_000", {"a": 1000}),
+    ("a: 0x1F", {"a": 31}),
+    ("a: 64Ki", {"a": 65536}),
+    ("a: 1.5K", {"a": 1500}),
+    ("a: 1e3", {"a": 1000.0}),
+    ("a: true, b: null", {"a": True, "b": None}),
+    (r'a: "\t\u00e9\"\\"', {"a": '\té"\\'}),
+    ('a: #"\\d"x"#', {"a": '\\d"x'}),
+    ('a: """\n\tone\n\t  two\n\t"""', {"a": "one\n  two"}),
+    ("a: int & 5", {"a": 5}),
+    ("a: 5 & int & >0 & <=8", {"a": 5}),
+    ("a: number & 1.5, b: number & 2", {"a": 1.5, "b": 2}),
+    ('a: *"x" | "y"', {"a": "x"}),
+    ('a: *"x" | "y"\na: "y"', {"a": "y"}),
+    ("a: *1 | int, b: a", {"a": 1, "b": 1}),
+    ("a: 5, a: int", {"a": 5}),
+    ("_h: 1, a: _h", {"a": 1}),
+    ("#D: {x: int, y?: string}\na: #D & {x: 1}", {"a": {"x": 1}}),
+    ("#D: {x: int, ...}\na: #D & {x: 1, z: 2}", {"a": {"x": 1, "z": 2}}),
+    ("#D: {x: *1 | int}\na: #D", {"a": {"x": 1}}),
+    ("a: {[string]: int}\na: b: 1", {"a": {"b": 1}}),
+    ('a: {[=~"^x"]: int, ...}\na: {x1: 1, y: "s"}', {"a": {"x1": 1, "y": "s"}}),
+    ("a: [...int] & [1, 2]", {"a": [1, 2]}),
+    ("a: {b: 1}\nc: a.b", {"c": 1, "a": {"b": 1}}),
+    ("x: {a: int, b: a}\ny: x & {a: 5}\nx: a: 3", "both cannot hold"),
+    ("#X: {a: int, b: a}\ny: #X & {a: 5}", {"y": {"a": 5, "b": 5}}),
+    ("a: b & 1, b: a", {"a": 1, "b": 1}),
     ("#L: {v: int, n?: #L}\na: #L & {v: 1, n: v: 2}", {"a": {"v": 1, "n": {"v": 2}}}),
-    ("a: string | {x: int}\na: x: 1", {"a": {"x": 1}}), ("a: !=3 & 4", {"a": 4}), ("a: 1 | 1", {"a": 1}),
-    ("a: uint & 3", {"a": 3}), ("package p\na: 1", {"a": 1}), ("", {}),
-    ("a: 1, a: 2", "found 2, but 1 at text:1"), ("a: int", "has no value (allowed: int)"), ("a: 5 & string", "found string"),
-    ("a: 9 & <=8", "both cannot hold"), ("a: 1.5 & int", "found int, but 1.5"), ("a: 1 & float", "found float, but 1"),
-    ("#D: {x: int}\na: #D & {x: 1, z: 2}", "a.z: there is no such field (there is: x)"), ("#D: {x!: int}\na: #D", "a.x: is missing"),
-    ('a: "x" | "y"', "more than one alternative fits"), ('a: "x" | "y"\na: "z"', 'found "x" | "y" & "z"'),
-    ("a: [1, 2] & [1]", "a list of 2 elements"), ("a: b", "there is nothing named 'b'"), ("a: a", "has no value"),
-    ("#L: {n: #L}\na: #L", "holds itself, without end"), ("a: =~\"(\" & \"x\"", "is no pattern"), ("a: b.c, b: {}", "has no field 'c'"),
-    ("a: 1 b: 2", "cannot stand here"), ("a: {", "ends too early"), ("a 1", "cannot stand here"), ("a: [1, , 2]", "comma"),
-    (r'a: "\(b)"', "interpolation is not part"), ("let x = 1", "let is not part"), ("if a {b: 1}", "a comprehension is not part"),
-    (r'a: "\q"', "unknown escape"), ("a: 012", "is no number"), ("listen = \"x\"", "this is TOML"), ("[buckets.x]", "this is TOML"),
-    ("a: " + "[" * 100, "brackets more than"), ("a: \"x\ny\"", "cannot stand here"), ('import "x/y"\na: 1', "cue.mod"),
+    ("a: string | {x: int}\na: x: 1", {"a": {"x": 1}}),
+    ("a: !=3 & 4", {"a": 4}),
+    ("a: 1 | 1", {"a": 1}),
+    ("a: uint & 3", {"a": 3}),
+    ("package p\na: 1", {"a": 1}),
+    ("", {}),
+    ("a: 1, a: 2", "found 2, but 1 at text:1"),
+    ("a: int", "has no value (allowed: int)"),
+    ("a: 5 & string", "found string"),
+    ("a: 9 & <=8", "both cannot hold"),
+    ("a: 1.5 & int", "found int, but 1.5"),
+    ("a: 1 & float", "found float, but 1"),
+    ("#D: {x: int}\na: #D & {x: 1, z: 2}", "a.z: there is no such field (there is: x)"),
+    ("#D: {x!: int}\na: #D", "a.x: is missing"),
+    ('a: "x" | "y"', "more than one alternative fits"),
+    ('a: "x" | "y"\na: "z"', 'found "x" | "y" & "z"'),
+    ("a: [1, 2] & [1]", "a list of 2 elements"),
+    ("a: b", "there is nothing named 'b'"),
+    ("a: a", "has no value"),
+    ("#L: {n: #L}\na: #L", "holds itself, without end"),
+    ('a: =~"(" & "x"', "is no pattern"),
+    ("a: b.c, b: {}", "has no field 'c'"),
+    ("a: 1 b: 2", "cannot stand here"),
+    ("a: {", "ends too early"),
+    ("a 1", "cannot stand here"),
+    ("a: [1, , 2]", "comma"),
+    (r'a: "\(b)"', "interpolation is not part"),
+    ("let x = 1", "let is not part"),
+    ("if a {b: 1}", "a comprehension is not part"),
+    (r'a: "\q"', "unknown escape"),
+    ("a: 012", "is no number"),
+    ('listen = "x"', "this is TOML"),
+    ("[buckets.x]", "this is TOML"),
+    ("a: " + "[" * 100, "brackets more than"),
+    ('a: "x\ny"', "cannot stand here"),
+    ('import "x/y"\na: 1', "cue.mod"),
 ]
 
 
@@ -53,15 +98,25 @@
 
 
 def test_all_errors_at_once_each_with_line_path_found_and_allowed():
-    bad = OPERATOR.replace('paths: ["/feed/"]', 'paths: "/feed/"').replace('hosts: ["*"]', 'hosts: ["*"], stepz: 1')
+    bad = OPERATOR.replace('paths: ["/feed/"]', 'paths: "/feed/"').replace(
+        'hosts: ["*"]', 'hosts: ["*"], stepz: 1'
+    )
     with pytest.raises(SettingsError) as refusal:
-        load_text(bad + 'scopes: app: rights: repeat_unsafe_methods: "yes"\notherwise: status: 200\n', "rules.cue", Rules, "rules.#Rules")
+        load_text(
+            bad + 'scopes: app: rights: repeat_unsafe_methods: "yes"\notherwise: status: 200\n',
+            "rules.cue",
+            Rules,
+            "rules.#Rules",
+        )
     lines = str(refusal.value).splitlines()
     assert len(lines) == 4
     assert lines[0].startswith('rules.cue:3: scopes.feed.paths: found "/feed/" (allowed: ')
-    assert lines[1].startswith("rules.cue:7: scopes.archive.stepz: there is no such field (there is: classes,")
-    assert lines[2] == ('rules.cue:10: scopes.app.rights.repeat_unsafe_methods: found "yes" '
-                        "(allowed: *false | bool)")
+    assert lines[1].startswith(
+        "rules.cue:7: scopes.archive.stepz: there is no such field (there is: classes,"
+    )
+    assert lines[2] == (
+        'rules.cue:10: scopes.app.rights.repeat_unsafe_methods: found "yes" (allowed: *false | bool)'
+    )
     assert lines[3].startswith("rules.cue:11: otherwise.status: found 200 (allowed: ")
 
 
@@ -69,15 +124,24 @@
     (tmp_path / "cue.mod").mkdir()
     (tmp_path / "cue.mod" / "module.cue").write_text('module: "stoat.example"\nlanguage: version: "v0.9.0"\n')
     (tmp_path / "shared").mkdir()
-    (tmp_path / "shared" / "a.cue").write_text('package shared\n#Area: {plans: ["basic"], steps: 500}\nvolume: _v\n')
+    (tmp_path / "shared" / "a.cue").write_text(
+        'package shared\n#Area: {plans: ["basic"], steps: 500}\nvolume: _v\n'
+    )
     (tmp_path / "shared" / "b.cue").write_text('package shared\n_v: "00000000f0a70001"\n')
     (tmp_path / "other.cue").write_text("package other\nthis is not read")
     (tmp_path / "more.cue").write_text('package rules\nscopes: feed: classes: ["score-read"]\n')
     main = tmp_path / "rules.cue"
-    main.write_text('package rules\nimport "stoat.example/shared"\n'
-                    'scopes: feed: {plans: ["basic"], steps: 500, hosts: ["*"], volumes: [shared.volume]}\n')
+    main.write_text(
+        'package rules\nimport "stoat.example/shared"\n'
+        'scopes: feed: {plans: ["basic"], steps: 500, hosts: ["*"], volumes: [shared.volume]}\n'
+    )
     made = load(main, Rules, "rules.#Rules").record.scopes["feed"]
-    assert (made.volumes, made.classes, made.steps, made.paths) == (("00000000f0a70001",), ("score-read",), 500, ("/",))
+    assert (made.volumes, made.classes, made.steps, made.paths) == (
+        ("00000000f0a70001",),
+        ("score-read",),
+        500,
+        ("/",),
+    )
     main.write_text('package rules\nimport "stoat.example/none"\nimport "elsewhere/x"\n')
     with pytest.raises(SettingsError) as refusal:
         load(main, Rules, "rules.#Rules")
@@ -85,9 +149,50 @@
 
 
 @settings(max_examples=600, deadline=None, derandomize=True, suppress_health_check=list(HealthCheck))
-@given(st.one_of(st.text(max_size=40), st.lists(st.sampled_from(
-    ["a", ":", "b", "{", "}", "[", "]", "1", '"x"', "|", "&", "*", "int", "string", ",", "\n", "...", "?", "!", "#D", "_",
-     ">", "<=8", '=~"^x"', ".", "(", ")", "-", '#"q"#', '"""\n', "package p", "import"]), max_size=25).map(" ".join)))
+@given(
+    st.one_of(
+        st.text(max_size=40),
+        st.lists(
+            st.sampled_from(
+                [
+                    "a",
+                    ":",
+                    "b",
+                    "{",
+                    "}",
+                    "[",
+                    "]",
+                    "1",
+                    '"x"',
+                    "|",
+                    "&",
+                    "*",
+                    "int",
+                    "string",
+                    ",",
+                    "\n",
+                    "...",
+                    "?",
+                    "!",
+                    "#D",
+                    "_",
+                    ">",
+                    "<=8",
+                    '=~"^x"',
+                    ".",
+                    "(",
+                    ")",
+                    "-",
+                    '#"q"#',
+                    '"""\n',
+                    "package p",
+                    "import",
+                ]
+            ),
+            max_size=25,
+        ).map(" ".join),
+    )
+)
 def test_any_text_is_data_or_a_located_refusal(source):
     try:
         data_of(source)
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -32,12 +32,20 @@
             environ = os.environ | {"NODE_CONFIG": str(tmp_path / "config.json"), "PYTHONPATH": str(ROOT)}
             environ.pop("NODE_DISCOVERY", None)
             process = await asyncio.create_subprocess_exec(
-                sys.executable, "-B", "-m", "stoatrouter", cwd=tmp_path, env=environ,
-                preexec_fn=end_with_parent, stderr=asyncio.subprocess.PIPE)
+                sys.executable,
+                "-B",
+                "-m",
+                "stoatrouter",
+                cwd=tmp_path,
+                env=environ,
+                preexec_fn=end_with_parent,
+                stderr=asyncio.subprocess.PIPE,
+            )
             await until(lambda: agent.calls)
             process.send_signal(signal.SIGTERM)
             _, said = await process.communicate()
             assert process.returncode == 0 and b"stop: all that was taken is answered" in said
+
     run(story())
 
 
@@ -52,6 +60,7 @@
                 await self.go.wait()
                 await response.write(b"x" * (LARGE - LARGE // 2))
                 return response
+
         node = Slow("a", 0)
         node.halfway, node.go = asyncio.Event(), asyncio.Event()
         async with program(tmp_path, node) as (process, session, base, _):
@@ -63,6 +72,7 @@
                 node.go.set()
                 assert len(first) + len(await response.read()) == LARGE
             assert await process.wait() == 0
+
     run(story())
 
 
@@ -74,6 +84,7 @@
         async def hold(_):
             taken.set()
             await go.wait()
+
         node.gate = hold
         environ = {"NODE_MANAGEMENT": management}
         async with program(tmp_path, node, environ=environ) as (process, session, base, _):
@@ -85,17 +96,20 @@
             go.set()
             assert (await held)[0] == 200
             assert await process.wait() == 0
+
     run(story())
 
 
 @pytest.mark.parametrize("seen", [1, 2])
 def test_a_client_of_the_object_front_that_left_gets_no_further_piece(seen):
     """One call is several requests of the core: it leaves behind unread bytes between two of them."""
+
     async def story():
         nodes = Node("a", 0), Node("b", 1)
 
         def came() -> int:
             return sum(len(node.seen) for node in nodes)
+
         async with gateway(*nodes) as client:
             assert (await client.call("PUT", "/footage/match", BODY))[0] == 200
             before, reached, go = came(), asyncio.Event(), asyncio.Event()
@@ -104,6 +118,7 @@
                 if came() >= before + seen:
                     reached.set()
                     await go.wait()
+
             for node in nodes:
                 node.gate = hold
             reader, writer = await asyncio.open_connection(HOST, client.head.objects.port)
@@ -120,4 +135,5 @@
             await until(lambda: not client.head.engine.reducer.records)
             # what was at nodes already has come; nothing more was sent
             assert came() == out < before + 5
+
     run(story())
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -61,18 +61,33 @@
 
     async def start(self, **more: str) -> Process:
         management = f"{HOST}:{free_port()}"
-        environ = os.environ | {
-            "NODE_CONFIG": str(self.folder / "config.json"), "PYTHONPATH": str(ROOT),
-            "NODE_MANAGEMENT": management, "TMPDIR": str(self.folder / "tmp"),
-            "NODE_INHERITED_FD": str(self.ear.fileno())} | more
+        environ = (
+            os.environ
+            | {
+                "NODE_CONFIG": str(self.folder / "config.json"),
+                "PYTHONPATH": str(ROOT),
+                "NODE_MANAGEMENT": management,
+                "TMPDIR": str(self.folder / "tmp"),
+                "NODE_INHERITED_FD": str(self.ear.fileno()),
+            }
+            | more
+        )
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-O", "-B", "-m", "stoatrouter", cwd=self.folder, env=environ,
-            pass_fds=[self.ear.fileno()])
+            sys.executable,
+            "-O",
+            "-B",
+            "-m",
+            "stoatrouter",
+            cwd=self.folder,
+            env=environ,
+            pass_fds=[self.ear.fileno()],
+        )
 
         async def end():
             if process.returncode is None:
                 process.kill()
             await process.wait()
+
         self.stack.push_async_callback(end)
         return Process(process, management)
 
@@ -92,6 +107,7 @@
         async def hold(request):
             if request.headers["Req-Id"] == "held":
                 await go.wait()
+
         node.gate = hold
         async with platform(tmp_path, node, other) as there, aiohttp.ClientSession() as kept:
             old = await (await there.start()).ready()
@@ -114,6 +130,7 @@
             async with aiohttp.ClientSession() as fresh:
                 assert (await read(fresh, there.base, "after"))[0] == 200
             assert set(node.ran.values()) == {1}
+
     run(story())
 
 
@@ -135,6 +152,7 @@
             async with aiohttp.ClientSession() as session:
                 assert (await read(session, there.base, "s"))[0] == 200
             assert "score-read.ok:1|c" in (await third.call("counters"))[1]
+
     run(story())
 
 
@@ -157,6 +175,7 @@
         await asked.wait()
         taking.cancel()
         await one.close()
+
     run(story())
 
 
@@ -241,11 +260,13 @@
         assert Keep(str(tmp_path)).write(Keep(str(tmp_path)).read())
         await one.close()
         assert sorted(p.name for p in tmp_path.iterdir()) == ["stoatrouter-bricks.json", NAME]
+
     run(story())
 
 
 def test_a_process_that_starts_says_so_before_it_can_ask(tmp_path):
     """The old one then holds less open: the start takes much of the core that both run on."""
+
     async def story():
         folder, came = tmp_path / ("long" * 30), asyncio.Event()
         folder.mkdir()
@@ -258,6 +279,7 @@
         await came.wait()
         early.end()
         await one.close()
+
     run(story())
 
 
@@ -272,11 +294,13 @@
             await until(lambda: head.clients.busy_bound() == head.clients.busy_pressed)
             early.end()
             assert head.serving and not head.drain.handed
+
     run(story())
 
 
 def test_the_http_front_goes_over_to_the_new_process(tmp_path):
     """Its clients keep being answered; in the moment in which nobody listens they try again."""
+
     async def story():
         node, port = Node("a", 0), free_port()
         settings = (ROOT / "deploy" / "http.cue").read_text().replace("8490", str(port))
@@ -308,4 +332,5 @@
             done.set()
             await asyncio.gather(*asking)
             assert {status for status, _ in answers} == {200} and new.process.returncode is None
+
     run(story())
