--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,7 @@
 
 lint: .ci-venv/bin/ruff
 	.ci-venv/bin/ruff check .
+	.ci-venv/bin/ruff format --check .
 
 test: lint
 	PYTHONHASHSEED=0 PYTHONDONTWRITEBYTECODE=1 .ci-venv/bin/python -m pytest -q
