Name the nodes that operators take out administrative state, in place of by hand

The name by_hand had to be explained to whoever read the code. ByHand becomes AdministrativeState, PutByHand and KeepByHand SetAdministrativeState and SaveAdministrativeState, and the functions, attributes and test file follow. The key "by_hand" in what one process hands to the next, the event name bricks.by_hand and its log text stay as they are: operators and other versions read them.

--- a/stoatrouter/core/model.py
+++ b/stoatrouter/core/model.py
@@ -80,8 +80,11 @@
 
 
 @dataclass(slots=True)
-class ByHand:
-    """Which nodes are out by hand, laid over what discovery lists. It outlives lists and processes."""
+class AdministrativeState:
+    """The nodes that operators have taken out of service, as an overlay over what discovery lists.
+
+    It survives new node lists and is carried over to the next process of this head.
+    """
 
     out: dict[str, timedelta] = field(default_factory=dict)  # since when
     back: dict[str, tuple[timedelta, timedelta]] = field(default_factory=dict)  # out since, back since
@@ -180,8 +183,8 @@
 
 
 @dataclass(slots=True, frozen=True)
-class PutByHand:
-    """An operator leaves a node out, or puts it back."""
+class SetAdministrativeState:
+    """An operator takes a node out of service, or puts it back."""
 
     at: timedelta
     node: str
@@ -197,10 +200,10 @@
 
 @dataclass(slots=True, frozen=True)
 class TakenBack:
-    """The next process is gone; nodes may be out or back by hand since."""
+    """The next process is gone; operators may have taken nodes out or put them back since."""
 
     at: timedelta
-    by_hand: ByHand
+    administrative_state: AdministrativeState
 
 
 @dataclass(slots=True, frozen=True)
@@ -209,7 +212,7 @@
 
     at: timedelta
     nodes: tuple[NodeInfo, ...]
-    by_hand: ByHand
+    administrative_state: AdministrativeState
     module: dict[str, Any]
 
 
@@ -231,7 +234,7 @@
     | ClientLeft
     | TimerDue
     | Overdue
-    | PutByHand
+    | SetAdministrativeState
     | HandedOver
     | TakenBack
     | TakenOver
@@ -286,8 +289,8 @@
 
 
 @dataclass(slots=True, frozen=True)
-class KeepByHand:
-    """Keep which nodes are out before anybody is told that they are."""
+class SaveAdministrativeState:
+    """Save the administrative state to disk before anybody is told of the change."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -295,7 +298,7 @@
     """All that the next process needs of the core."""
 
     nodes: tuple[NodeInfo, ...]
-    by_hand: ByHand
+    administrative_state: AdministrativeState
     module: dict[str, Any]
 
 
@@ -307,7 +310,7 @@
     | WatchOverdue
     | GiveAnswer
     | TurnAway
-    | KeepByHand
+    | SaveAdministrativeState
     | TellNext
 )
 
--- a/stoatrouter/core/reducer.py
+++ b/stoatrouter/core/reducer.py
@@ -41,7 +41,7 @@
         self.records: dict[str, model.Record] = {}
         self.flows: dict[str, int] = {}  # classes of requests whose answers are still being passed on
         self.nodes: dict[str, model.NodeInfo] = {}  # as listed
-        self.by_hand = model.ByHand()
+        self.administrative_state = model.AdministrativeState()
         self.tally = model.Tally()
         self.figures = model.Figures(*([0] * len(settings.classes) for _ in range(3)))
         self.now = NO_TIME
@@ -69,14 +69,14 @@
                 return self._left(event.request)
             case model.Overdue():
                 return self._overdue(event.request)
-            case model.PutByHand():
+            case model.SetAdministrativeState():
                 return self._put(event)
             case model.HandedOver():
                 module = handover.hand_over(self.scheduler, micros(self.now))
-                return [model.TellNext(tuple(self.nodes.values()), self.by_hand, module)]
+                return [model.TellNext(tuple(self.nodes.values()), self.administrative_state, module)]
             case model.TakenBack():
                 handover.take_back(self.scheduler, micros(self.now))
-                self.by_hand = event.by_hand
+                self.administrative_state = event.administrative_state
                 return self._tell(api.ListKind.CHANGES, tuple(self.nodes.values()))
             case model.TakenOver():
                 return self._taken_over(event)
@@ -96,7 +96,7 @@
 
     @property
     def avoided(self) -> int:
-        """How many listed nodes get nothing new at present: draining, out by hand, or left by choice."""
+        """How many listed nodes get nothing new now: draining, out by an operator, or left by choice."""
         return sum(self.scheduler.avoids(name) for name in self.nodes)
 
     def may_begin(self, at: timedelta, request: str, attempt: int) -> bool:
@@ -259,7 +259,7 @@
         return self._tell(event.kind, event.nodes, event.since)
 
     def _taken_over(self, event: model.TakenOver) -> list[model.Effect]:
-        self.by_hand = event.by_hand
+        self.administrative_state = event.administrative_state
         effects = self._listed(model.ListTold(event.at, api.ListKind.RESTORED, event.nodes))
         try:
             handover.take_over(self.scheduler, event.module)
@@ -275,7 +275,7 @@
     def _tell(
         self, kind: api.ListKind, nodes: tuple[model.NodeInfo, ...], since: timedelta | None = None
     ) -> list[model.Effect]:
-        seen = (self.by_hand.seen(node) for node in nodes)
+        seen = (self.administrative_state.seen(node) for node in nodes)
         return self._decide(
             api.NodeList(
                 kind,
@@ -286,13 +286,15 @@
             )
         )
 
-    def _put(self, event: model.PutByHand) -> list[model.Effect]:
-        """A node out or back, by hand; no effects where it is not known."""
+    def _put(self, event: model.SetAdministrativeState) -> list[model.Effect]:
+        """Set the administrative state of a node; no effects where the node is not known."""
         node = self.nodes.get(event.node)
-        if node is None and event.node not in self.by_hand.out:
+        if node is None and event.node not in self.administrative_state.out:
             return []
-        (self.by_hand.put_out if event.out else self.by_hand.put_back)(event.node, self.now)
-        effects: list[model.Effect] = [model.KeepByHand()]
+        (self.administrative_state.put_out if event.out else self.administrative_state.put_back)(
+            event.node, self.now
+        )
+        effects: list[model.Effect] = [model.SaveAdministrativeState()]
         return effects + (self._tell(api.ListKind.CHANGES, (node,)) if node is not None else [])
 
     # -- the decision module ------------------------------------------------------------------------------
--- a/stoatrouter/head.py
+++ b/stoatrouter/head.py
@@ -173,7 +173,7 @@
         if await self.generations.take_over():
             self.background.append(loop.create_task(self.watch.run()))
         else:
-            self.engine.reducer.by_hand = self.engine.keep.read()
+            self.engine.reducer.administrative_state = self.engine.keep.read()
             self.watch.restore()
             self.background.append(loop.create_task(self.watch.run()))
             await self.watch.first_answer()
--- a/stoatrouter/management/calls.py
+++ b/stoatrouter/management/calls.py
@@ -69,7 +69,7 @@
         return None
 
     def brick(self, name: str, out: bool) -> web.Response:
-        kept = self.engine.put_by_hand(name, out)
+        kept = self.engine.set_administrative_state(name, out)
         if kept is None:
             return say(404, "no such brick")
         return say(200, "out" if out else "back") if kept else say(500, "done, but not kept")
--- a/stoatrouter/membership/follower.py
+++ b/stoatrouter/membership/follower.py
@@ -336,7 +336,7 @@
             self.revision = max(self.revision, event.revision)
         return [self.heard(event.at)]
 
-    # -- by hand ------------------------------------------------------------------------------------------
+    # -- operators ------------------------------------------------------------------------------------------
     def accept_older(self, at: timedelta) -> list[Effect]:
         """An operator says that the registry's older copy is the list now."""
         ended = self.call
--- a/stoatrouter/net/engine.py
+++ b/stoatrouter/net/engine.py
@@ -31,7 +31,7 @@
 
     def __init__(self, reducer: Reducer, clock: Clock, nodes: NodeClient, keep: Keep) -> None:
         self.reducer, self.clock, self.nodes, self.keep = reducer, clock, nodes, keep
-        self.kept = True  # whether what is out by hand is kept
+        self.kept = True  # whether the administrative state was saved when it last changed
         self.loop = asyncio.get_running_loop()
         self.waiting: dict[str, asyncio.Future[model.Answer]] = {}
         self.callers: dict[str, asyncio.Transport | None] = {}  # of those requests
@@ -134,9 +134,9 @@
         assert isinstance(known, model.TellNext)
         return known
 
-    def put_by_hand(self, node: str, out: bool) -> bool | None:
-        """Leave a node out or put it back: whether that is kept; None where the node is not known."""
-        effects = self.reducer.reduce(model.PutByHand(self.clock.now(), node, out))
+    def set_administrative_state(self, node: str, out: bool) -> bool | None:
+        """Take a node out or put it back; returns whether that is saved, None where the node is not known."""
+        effects = self.reducer.reduce(model.SetAdministrativeState(self.clock.now(), node, out))
         if effects:
             logger.info(
                 "bricks: {node} is {state} by hand",
@@ -187,8 +187,8 @@
             case model.CancelAttempt():
                 if (task := self.attempts.get((effect.request, effect.attempt))) is not None:
                     task.cancel()
-            case model.KeepByHand():
-                self.kept = self.keep.write(self.reducer.by_hand)
+            case model.SaveAdministrativeState():
+                self.kept = self.keep.write(self.reducer.administrative_state)
             case model.Probe():
                 self.spawn(self.probe(effect))
 
--- a/stoatrouter/net/generations.py
+++ b/stoatrouter/net/generations.py
@@ -14,7 +14,7 @@
 from stoatrouter.net.discovery import Watch
 from stoatrouter.net.engine import Engine
 from stoatrouter.net.listener import Drain
-from stoatrouter.net.state import read_by_hand, read_node, write_by_hand, write_node
+from stoatrouter.net.state import read_administrative_state, read_node, write_administrative_state, write_node
 from stoatrouter.net.succession import TELL_EVERY, VERSION, Predecessor, State, Succession, tell
 
 # After each word of the other process: clients move over all at once, to a process that opens all anew.
@@ -54,7 +54,10 @@
             nodes = tuple(read_node(node) for node in state["nodes"])
             self.engine.put(
                 model.TakenOver(
-                    self.engine.clock.now(), nodes, read_by_hand(state["by_hand"]), state["module"]
+                    self.engine.clock.now(),
+                    nodes,
+                    read_administrative_state(state["by_hand"]),
+                    state["module"],
                 )
             )
             self.watch.generation = state["generation"]
@@ -128,7 +131,7 @@
                     "generation": self.watch.generation,
                     "out_of_service": self.drain.out,
                     "nodes": [write_node(node) for node in known.nodes],
-                    "by_hand": write_by_hand(known.by_hand),
+                    "by_hand": write_administrative_state(known.administrative_state),
                     "module": known.module,
                     "holds": self.holds(),
                 },
--- a/stoatrouter/net/keep.py
+++ b/stoatrouter/net/keep.py
@@ -8,39 +8,39 @@
 
 from loguru import logger
 
-from stoatrouter.core.model import ByHand
-from stoatrouter.net.state import read_by_hand, write_by_hand
+from stoatrouter.core.model import AdministrativeState
+from stoatrouter.net.state import read_administrative_state, write_administrative_state
 
 
 class Keep:
-    """The file of nodes that are out by hand; without a folder nothing is kept."""
+    """The file that holds the administrative state of the nodes; without a folder nothing is kept."""
 
     def __init__(self, folder: str | None) -> None:
         self.path = Path(folder) / "stoatrouter-bricks.json" if folder else None
 
-    def write(self, by_hand: ByHand) -> bool:
+    def write(self, administrative_state: AdministrativeState) -> bool:
         """Whether it is kept. Written aside and renamed: a process that dies here spoils nothing."""
         if self.path is None:
             return True
         aside = self.path.with_suffix(".new")
         try:
-            aside.write_text(json.dumps(write_by_hand(by_hand)))
+            aside.write_text(json.dumps(write_administrative_state(administrative_state)))
             os.replace(aside, self.path)
         except OSError as error:
             logger.error("bricks: cannot be kept: {error}", event="bricks.unkept", error=str(error))
             return False
         return True
 
-    def read(self) -> ByHand:
+    def read(self) -> AdministrativeState:
         """What was kept. Guards a start against a file that is spoilt: it is as none."""
         if self.path is None or not self.path.exists():
-            return ByHand()
+            return AdministrativeState()
         try:
-            return read_by_hand(json.loads(self.path.read_text()))
+            return read_administrative_state(json.loads(self.path.read_text()))
         except (OSError, ValueError, RecursionError) as error:
             logger.error(
                 "bricks: what was kept cannot be read, no brick is out: {error}",
                 event="bricks.unreadable",
                 error=str(error),
             )
-            return ByHand()
+            return AdministrativeState()
--- a/stoatrouter/net/state.py
+++ b/stoatrouter/net/state.py
@@ -5,23 +5,23 @@
 from typing import Any
 
 from cypressworks.interface import Phase
-from stoatrouter.core.model import ByHand, NodeInfo
+from stoatrouter.core.model import AdministrativeState, NodeInfo
 from stoatrouter.core.spans import micros, span
 
 UNREADABLE = (KeyError, TypeError, AttributeError, OverflowError, ValueError)
 
 
-def write_by_hand(by_hand: ByHand) -> dict[str, Any]:
+def write_administrative_state(administrative_state: AdministrativeState) -> dict[str, Any]:
     return {
-        "out": {node: micros(at) for node, at in by_hand.out.items()},
-        "back": {node: [micros(a), micros(b)] for node, (a, b) in by_hand.back.items()},
+        "out": {node: micros(at) for node, at in administrative_state.out.items()},
+        "back": {node: [micros(a), micros(b)] for node, (a, b) in administrative_state.back.items()},
     }
 
 
-def read_by_hand(data: Any) -> ByHand:
-    """Read what write_by_hand wrote; ValueError where it is anything else."""
+def read_administrative_state(data: Any) -> AdministrativeState:
+    """Read what write_administrative_state wrote; raises ValueError where it is anything else."""
     try:
-        return ByHand(
+        return AdministrativeState(
             {str(node): span(int(at)) for node, at in data["out"].items()},
             {str(node): (span(int(a)), span(int(b))) for node, (a, b) in data["back"].items()},
         )
--- a/tests/test_by_hand.py
+++ b/tests/test_administrative_state.py
@@ -1,4 +1,4 @@
-"""Nodes out by hand: an overlay that no list, restart of the node or new process undoes."""
+"""Nodes taken out by an operator: an overlay that no list, restart of the node or new process undoes."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
 
 
 def put(r, out: bool, at: timedelta = START, name: str = "n1"):
-    return r.reduce(model.PutByHand(at, name, out))
+    return r.reduce(model.SetAdministrativeState(at, name, out))
 
 
 def sends(r, at: timedelta, name: str) -> bool:
@@ -27,7 +27,7 @@
 @pytest.mark.parametrize("kind", [ListKind.CHANGES, ListKind.FULL, ListKind.RESTORED])
 def test_what_is_out_gets_nothing_new_whatever_is_listed(kind):
     r = reducer(node())
-    assert only(put(r, True), model.KeepByHand)
+    assert only(put(r, True), model.SaveAdministrativeState)
     r.reduce(model.ListTold(START + SECOND, kind, (node(),)))
     assert r.scheduler.nodes["n1"].phase is Phase.DRAINING
     assert not sends(r, START + 3 * SECOND, "late")
@@ -74,7 +74,7 @@
 
 
 def test_what_is_out_is_kept_for_a_new_process(tmp_path):
-    out = model.ByHand()
+    out = model.AdministrativeState()
     out.put_out("n1", START)
     out.put_out("n2", START), out.put_back("n2", START + SECOND)
     assert Keep(str(tmp_path)).write(out)
@@ -95,8 +95,8 @@
 )
 def test_a_spoilt_file_is_as_none(tmp_path, text):
     (tmp_path / "stoatrouter-bricks.json").write_text(text)
-    assert Keep(str(tmp_path)).read() == model.ByHand()
+    assert Keep(str(tmp_path)).read() == model.AdministrativeState()
 
 
 def test_a_file_that_cannot_be_written_is_told(tmp_path):
-    assert not Keep(str(tmp_path / "absent")).write(model.ByHand())
+    assert not Keep(str(tmp_path / "absent")).write(model.AdministrativeState())
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -107,7 +107,7 @@
             assert (await call(head, "POST", "/control/bricks//offline"))[0] == 404
             assert (await call(head, "GET", "/control/bricks/a/offline"))[0] == 405
             assert (await call(head, "POST", "/control/bricks/%61/offline"))[0] == 200
-            assert list(head.engine.reducer.by_hand.out) == ["a"]
+            assert list(head.engine.reducer.administrative_state.out) == ["a"]
             assert (await call(head, "POST", "/control/bricks/a/online"))[0] == 200
             async with session.get(PATH, headers=HEADERS) as response:
                 assert response.status == 200
