--- a/tests/bench_free.py
+++ b/tests/scheduler_driver.py
@@ -1,4 +1,4 @@
-"""A hand to drive one scheduler event by event; it answers nothing by itself."""
+"""Drives one scheduler event by event; it answers no attempt by itself."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 PLAN = api.Plan("plan", usual_rate=50, reserve=50, share=1)
 
 
-class Hand:
+class SchedulerDriver:
     """Feeds events to a scheduler, fires its timers in order, and keeps every action with its time."""
 
     def __init__(
@@ -87,7 +87,7 @@
         )
 
     def wait(self, span: int, reply=None) -> None:
-        """Let time pass: timers fire; reply(hand) is called at each stop, at least every 5 ms."""
+        """Let time pass: timers fire; reply(driver) is called at each stop, at least every 5 ms."""
         until = self.now + span
         while self.now < until:
             step = min(until, self.now + 5 * MS)
@@ -108,11 +108,11 @@
 
 
 def answer_after(took: int, outcome=api.Outcome.OK):
-    """A reply for Hand.wait: each attempt ends after this long."""
+    """A reply for SchedulerDriver.wait: each attempt ends after this long."""
 
-    def reply(hand: Hand) -> None:
-        for name, _, _, sent in list(hand.open_sends):
-            if hand.now - sent >= took:
-                hand.end(name, outcome)
+    def reply(driver: SchedulerDriver) -> None:
+        for name, _, _, sent in list(driver.open_sends):
+            if driver.now - sent >= took:
+                driver.end(name, outcome)
 
     return reply
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -16,7 +16,7 @@
 from stoatrouter.core import model
 from stoatrouter.core.reducer import Reducer
 from stoatrouter.core.spans import micros, span
-from tests.bench_free import CLASSES, PLAN
+from tests.scheduler_driver import CLASSES, PLAN
 
 ROOT = Path(__file__).parent.parent
 START = timedelta(days=20_000)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -23,9 +23,9 @@
 from stoatrouter.net import presence
 from stoatrouter.net.clients import State
 from stoatrouter.net.nodes import NodeClient
-from tests.bench_free import MS as MS_
-from tests.bench_free import SECOND, Hand
 from tests.peers import HOST, SETTINGS, Node, config_data, head_config, nodes_up, run, told, until
+from tests.scheduler_driver import MS as MS_
+from tests.scheduler_driver import SECOND, SchedulerDriver
 from tests.test_network import HEADERS, PATH, WRITE, attempt, started
 from tests.test_program import program, read
 
@@ -264,19 +264,21 @@
     have filled again by then, and the limit be passed by what it fills meanwhile."""
     plan = api.Plan("basic", usual_rate=4, limit=4.0, burst=8.0, tolerance=0.0)
     for on_arrival in (True, False):
-        hand = Hand(plans=[plan], rules={"taken_on_arrival": on_arrival}, nodes=[api.NodeEntry("n1", 0)])
-        hand.wait(10 * SECOND)  # the store is full
-        hand.request("late", units=7)
-        store = hand.scheduler.volumes["v1"]
-        assert store.at(hand.now).store == pytest.approx(1.0)
-        hand.wait(100 * MS_)
-        hand.end("late", Outcome.CONNECT_FAILED)
-        hand.wait(100 * MS_)
-        assert len(hand.sends("late")) == 2
+        driver = SchedulerDriver(
+            plans=[plan], rules={"taken_on_arrival": on_arrival}, nodes=[api.NodeEntry("n1", 0)]
+        )
+        driver.wait(10 * SECOND)  # the store is full
+        driver.request("late", units=7)
+        store = driver.scheduler.volumes["v1"]
+        assert store.at(driver.now).store == pytest.approx(1.0)
+        driver.wait(100 * MS_)
+        driver.end("late", Outcome.CONNECT_FAILED)
+        driver.wait(100 * MS_)
+        assert len(driver.sends("late")) == 2
         # sent anew it takes them in that moment, from a store that was full again
-        passed = (hand.now - hand.sends("late")[1][0]) / SECOND
+        passed = (driver.now - driver.sends("late")[1][0]) / SECOND
         left = 8.0 - 7 + 4.0 * passed if on_arrival else 1.0 + 4.0 * 0.2
-        assert store.at(hand.now).store == pytest.approx(left)
+        assert store.at(driver.now).store == pytest.approx(left)
 
 
 def test_a_limit_keeps_what_it_fills_while_a_connection_comes_up():
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -11,7 +11,7 @@
 from cypressworks import interface as api
 from cypressworks.logic import Scheduler
 from cypressworks.rules import NEVER
-from tests.bench_free import MS, SECOND, Hand, answer_after
+from tests.scheduler_driver import MS, SECOND, SchedulerDriver, answer_after
 
 FLEET, START, COLD, FALL, FROM, UNITS = 60, 100 * SECOND, 18 * SECOND, 3 * SECOND, 0.16, 34.0
 RULES = {"cold_from": FROM, "cold_time": COLD, "cold_units": UNITS, "fall_time": FALL}
@@ -21,19 +21,19 @@
     nodes = [api.NodeEntry(f"n{i:02}", i) for i in range(20)]
     found = set()
     for seed in range(100):
-        hand = Hand(hosts=100, nodes=nodes, seed=seed)
-        hand.scheduler.nodes["n00"].window = 0.5  # was cut, and has nothing out like the others
-        hand.request("r", 1, shard=-1)
-        found.add(hand.sends("r")[0][1].node)
+        driver = SchedulerDriver(hosts=100, nodes=nodes, seed=seed)
+        driver.scheduler.nodes["n00"].window = 0.5  # was cut, and has nothing out like the others
+        driver.request("r", 1, shard=-1)
+        found.add(driver.sends("r")[0][1].node)
     assert "n00" not in found and len(found) == 19
 
 
 def test_new_data_goes_to_warm_nodes_first():
     nodes = [api.NodeEntry(f"n{i}", i, up_since=START * (i < 3)) for i in range(4)]
-    hand = Hand(hosts=100, nodes=nodes, rules=RULES, start=START)
+    driver = SchedulerDriver(hosts=100, nodes=nodes, rules=RULES, start=START)
     for i in range(4):
-        hand.request(f"r{i}", 1, shard=-1)
-    assert {a.node for _, a in hand.sends()} == {"n3"}
+        driver.request(f"r{i}", 1, shard=-1)
+    assert {a.node for _, a in driver.sends()} == {"n3"}
 
 
 def ask_all_while_nodes_restart(seed, rules, took):
@@ -43,29 +43,33 @@
     print("seed", seed)
     for me in range(FLEET):
         nodes = [api.NodeEntry(f"n{i}", i) for i in range(FLEET)]
-        hand, size, up = Hand(hosts=FLEET, me=me, nodes=nodes, rules=rules, start=START, seed=me), {}, NEVER
+        driver, size, up = (
+            SchedulerDriver(hosts=FLEET, me=me, nodes=nodes, rules=rules, start=START, seed=me),
+            {},
+            NEVER,
+        )
         reply = answer_after(20 * MS)
         mine = chance.sample(range(FLEET), chance.randint(3, 12))
         for i in range(360):
             size[f"r{i}"] = chance.choice((1, 2, 4))
-            hand.request(f"r{i}", shard=chance.choice(mine), units=size[f"r{i}"])
-            hand.wait(30 * MS, reply)
+            driver.request(f"r{i}", shard=chance.choice(mine), units=size[f"r{i}"])
+            driver.wait(30 * MS, reply)
             if i == 160:
-                up, reply = hand.now, answer_units_after(took, size)
-                hand.listed(*(api.NodeEntry(n.node, n.shard, up_since=up) for n in nodes))
-        for at, send in hand.sends():
+                up, reply = driver.now, answer_units_after(took, size)
+                driver.listed(*(api.NodeEntry(n.node, n.shard, up_since=up) for n in nodes))
+        for at, send in driver.sends():
             if at >= up:
                 taken[int(send.node[1:])].append((at - up, size[send.request]))
     return [sorted(sent) for sent in taken.values()]
 
 
 def answer_units_after(took, size):
-    """A reply for Hand.wait: each unit of an attempt takes so long."""
+    """A reply for SchedulerDriver.wait: each unit of an attempt takes so long."""
 
-    def reply(hand):
-        for name, _, _, sent in list(hand.open_sends):
-            if hand.now - sent >= took * size[name]:
-                hand.end(name)
+    def reply(driver):
+        for name, _, _, sent in list(driver.open_sends):
+            if driver.now - sent >= took * size[name]:
+                driver.end(name)
 
     return reply
 
@@ -104,15 +108,15 @@
 
 def test_a_host_counts_all_hosts_until_it_has_been_asked_for_a_while_and_hands_on_what_it_knows():
     nodes = [api.NodeEntry(f"n{i}", i) for i in range(100)]
-    hand = Hand(hosts=100, nodes=nodes, rules=RULES)
-    hand.request("r", shard=3)
-    assert hand.scheduler.sharers() == 100
-    hand.wait(4 * SECOND)
-    few = hand.scheduler.sharers()
+    driver = SchedulerDriver(hosts=100, nodes=nodes, rules=RULES)
+    driver.request("r", shard=3)
+    assert driver.scheduler.sharers() == 100
+    driver.wait(4 * SECOND)
+    few = driver.scheduler.sharers()
     assert 1 <= few < 10
-    after = Scheduler(hand.scheduler.settings, 2)
-    after.handle(hand.now, api.NodeList(api.ListKind.RESTORED, tuple(nodes)))
-    handover.take_over(after, handover.hand_over(hand.scheduler, hand.now))
+    after = Scheduler(driver.scheduler.settings, 2)
+    after.handle(driver.now, api.NodeList(api.ListKind.RESTORED, tuple(nodes)))
+    handover.take_over(after, handover.hand_over(driver.scheduler, driver.now))
     assert after.sharers() == few
 
 
@@ -134,7 +138,7 @@
         dead = restarts and chance.random() < 0.7
         after = [api.NodeEntry(f"n{i}", i, up_since=up * (i in cold)) for i in range(count)]
         before = [api.NodeEntry(f"n{i}", i) for i in range(count)]
-        hand = Hand(
+        driver = SchedulerDriver(
             hosts=heads,
             me=me,
             nodes=after if dead else before,
@@ -144,15 +148,15 @@
         )
         own, size, told = [w * (0.3 + 3 * chance.random()) for w in weight], {}, dead
         pace, reply = int(15 * MS * (0.4 + 1.6 * chance.random())), answer_units_after(300 * MS, size)
-        while hand.now < up + 9 * SECOND:
+        while driver.now < up + 9 * SECOND:
             name = f"r{len(size)}"
             size[name] = chance.choice((1, 1, 2, 2, 4))
-            hand.request(name, shard=chance.choices(range(count), own)[0], units=size[name])
-            hand.wait(pace, reply)
-            if not told and hand.now >= up + HEARD:
+            driver.request(name, shard=chance.choices(range(count), own)[0], units=size[name])
+            driver.wait(pace, reply)
+            if not told and driver.now >= up + HEARD:
                 told = True
-                hand.listed(*after)
-        for at, send in hand.sends():
+                driver.listed(*after)
+        for at, send in driver.sends():
             if (node := int(send.node[1:])) in taken and at > up + HEARD:
                 taken[node].append((at - up, size[send.request]))
     return list(taken.values())
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -8,130 +8,130 @@
 
 from cypressworks import interface as api
 from cypressworks.interface import Attempt, Outcome, Phase
-from tests.bench_free import CLASSES, MS, PLAN, SECOND, Hand, answer_after
+from tests.scheduler_driver import CLASSES, MS, PLAN, SECOND, SchedulerDriver, answer_after
 
 
-def fill(hand: Hand) -> None:
+def fill(driver: SchedulerDriver) -> None:
     """Take the one place of the node's window."""
-    hand.scheduler.nodes["n1"].window, hand.scheduler.nodes["n1"].out = 1.0, {("other", 0): hand.now}
+    driver.scheduler.nodes["n1"].window, driver.scheduler.nodes["n1"].out = 1.0, {("other", 0): driver.now}
 
 
 def waiting(**more):
-    """A hand with one request held at a node that is full for it, and both of them."""
-    hand = Hand(**more)
-    fill(hand)
-    hand.request("r")
-    request, node = hand.scheduler.requests["r"], hand.scheduler.nodes["n1"]
-    assert not hand.scheduler.barred(request, node)
-    return hand, request, node
+    """A driver with one request held at a node that is full for it, and both of them."""
+    driver = SchedulerDriver(**more)
+    fill(driver)
+    driver.request("r")
+    request, node = driver.scheduler.requests["r"], driver.scheduler.nodes["n1"]
+    assert not driver.scheduler.barred(request, node)
+    return driver, request, node
 
 
 def test_bars_what_is_done_overdue_or_out_of_attempts():
-    hand, request, node = waiting(max_attempts=1)
+    driver, request, node = waiting(max_attempts=1)
     request.done = True
-    assert hand.scheduler.barred(request, node)
-    request.done, hand.scheduler.now = False, request.deadline
-    assert hand.scheduler.barred(request, node)
-    hand, request, node = waiting(max_attempts=1)
-    request.attempts.append(Attempt(node, hand.now, Outcome.FULL))
-    assert hand.scheduler.barred(request, node)
+    assert driver.scheduler.barred(request, node)
+    request.done, driver.scheduler.now = False, request.deadline
+    assert driver.scheduler.barred(request, node)
+    driver, request, node = waiting(max_attempts=1)
+    request.attempts.append(Attempt(node, driver.now, Outcome.FULL))
+    assert driver.scheduler.barred(request, node)
 
 
 def test_bars_a_second_attempt_while_one_is_out():
-    hand, request, node = waiting()
-    request.attempts.append(Attempt(node, hand.now))
-    assert hand.scheduler.barred(request, node)
+    driver, request, node = waiting()
+    request.attempts.append(Attempt(node, driver.now))
+    assert driver.scheduler.barred(request, node)
 
 
 def test_bars_a_keyed_repeat_on_another_shard():
     keyed = api.RequestClass("k", 3, 400 * MS, 5 * SECOND, 0.2, api.Effect.KEYED, api.Group.SHARD, 4 * SECOND)
-    hand, request, node = waiting(classes=(keyed,), nodes=[api.NodeEntry("n1", 0), api.NodeEntry("n2", 1)])
-    request.attempts.append(Attempt(node, hand.now, Outcome.RESET))
-    assert hand.scheduler.barred(request, hand.scheduler.nodes["n2"])
-    assert not hand.scheduler.barred(request, node)
+    driver, request, node = waiting(classes=(keyed,), nodes=[api.NodeEntry("n1", 0), api.NodeEntry("n2", 1)])
+    request.attempts.append(Attempt(node, driver.now, Outcome.RESET))
+    assert driver.scheduler.barred(request, driver.scheduler.nodes["n2"])
+    assert not driver.scheduler.barred(request, node)
 
 
 def test_bars_a_node_that_drains_even_for_what_is_filed_there():
-    hand, request, node = waiting()
+    driver, request, node = waiting()
     node.phase = Phase.DRAINING
-    assert hand.scheduler.barred(request, node)
+    assert driver.scheduler.barred(request, node)
 
 
 def test_files_at_a_node_that_is_on():
-    hand = Hand(nodes=[api.NodeEntry("n1", 0, phase=Phase.DRAINING), api.NodeEntry("n2", 0)])
+    driver = SchedulerDriver(nodes=[api.NodeEntry("n1", 0, phase=Phase.DRAINING), api.NodeEntry("n2", 0)])
     for i in range(4):
-        hand.request(f"r{i}")
-    assert [a.node for _, a in hand.sends()] == ["n2"] * 4
+        driver.request(f"r{i}")
+    assert [a.node for _, a in driver.sends()] == ["n2"] * 4
 
 
 def test_a_restarted_node_is_cold_again_and_remembers_what_was_sent_to_it():
     rules = {"cold_from": 0.2, "cold_time": 10 * SECOND, "cold_units": 4.0, "fall_time": SECOND}
-    hand = Hand(rules=rules)
+    driver = SchedulerDriver(rules=rules)
     for i in range(4):
-        hand.request(f"r{i}")
-    hand.wait(10 * MS, answer_after(5 * MS))
-    hand.listed(api.NodeEntry("n1", 0, up_since=hand.now))
-    hand.request("x", left=3 * SECOND)
-    hand.wait(500 * MS, answer_after(5 * MS))
-    assert not hand.sends("x")
-    hand.wait(700 * MS, answer_after(5 * MS))
-    assert hand.sends("x")
+        driver.request(f"r{i}")
+    driver.wait(10 * MS, answer_after(5 * MS))
+    driver.listed(api.NodeEntry("n1", 0, up_since=driver.now))
+    driver.request("x", left=3 * SECOND)
+    driver.wait(500 * MS, answer_after(5 * MS))
+    assert not driver.sends("x")
+    driver.wait(700 * MS, answer_after(5 * MS))
+    assert driver.sends("x")
 
 
-def order(hand: Hand, *names: str) -> list[str]:
+def order(driver: SchedulerDriver, *names: str) -> list[str]:
     """In which order the requests go once the window lets one through at a time."""
-    node = hand.scheduler.nodes["n1"]
+    node = driver.scheduler.nodes["n1"]
     node.out.clear()
-    hand.wait(2 * SECOND, answer_after(1 * MS))
-    return [a.request for _, a in hand.sends() if a.request in names]
+    driver.wait(2 * SECOND, answer_after(1 * MS))
+    return [a.request for _, a in driver.sends() if a.request in names]
 
 
-def held(plans, **more) -> Hand:
-    hand = Hand(plans=plans, share_worth=0.4, beyond_worth=0.05, max_units=1, **more)
-    fill(hand)
-    return hand
+def held(plans, **more) -> SchedulerDriver:
+    driver = SchedulerDriver(plans=plans, share_worth=0.4, beyond_worth=0.05, max_units=1, **more)
+    fill(driver)
+    return driver
 
 
 def test_units_within_the_reserve_go_before_others():
-    hand = held((api.Plan("none", 10), PLAN))
-    hand.request("beyond", volume="a", plan=0)
-    hand.request("inside", volume="b", plan=1)
-    assert order(hand, "beyond", "inside") == ["inside", "beyond"]
+    driver = held((api.Plan("none", 10), PLAN))
+    driver.request("beyond", volume="a", plan=0)
+    driver.request("inside", volume="b", plan=1)
+    assert order(driver, "beyond", "inside") == ["inside", "beyond"]
 
 
 def test_what_other_hosts_were_served_draws_on_the_reserve():
-    hand = held((api.Plan("p", 4, reserve=4), PLAN))
-    hand.scheduler.nodes["n1"].out.clear()
-    hand.request("first", volume="a", plan=0)
-    hand.end("first", units_by_others=20.0)
-    assert hand.scheduler.volumes["a"].reserve < 0
+    driver = held((api.Plan("p", 4, reserve=4), PLAN))
+    driver.scheduler.nodes["n1"].out.clear()
+    driver.request("first", volume="a", plan=0)
+    driver.end("first", units_by_others=20.0)
+    assert driver.scheduler.volumes["a"].reserve < 0
 
 
 def test_a_volume_far_beyond_its_share_goes_after_one_within_it():
-    hand = held((api.Plan("none", 10),))
+    driver = held((api.Plan("none", 10),))
     for name in ("greedy", "b", "c", "d"):
-        hand.request(name, volume=name)
-    hand.scheduler.volumes["greedy"].excess = 50.0
-    assert order(hand, "greedy", "b", "c", "d")[-1] == "greedy"
+        driver.request(name, volume=name)
+    driver.scheduler.volumes["greedy"].excess = 50.0
+    assert order(driver, "greedy", "b", "c", "d")[-1] == "greedy"
 
 
 def test_a_key_just_sent_goes_first():
-    hand = held((PLAN,))
-    hand.scheduler.nodes["n1"].keys.append("warm")
-    hand.request("other", key="x")
-    hand.request("same", key="warm")
-    hand.scheduler.requests["same"].aim = hand.scheduler.requests["other"].aim
-    node, requests = hand.scheduler.nodes["n1"], hand.scheduler.requests
-    assert hand.scheduler.worth(requests["same"], node) > hand.scheduler.worth(requests["other"], node)
+    driver = held((PLAN,))
+    driver.scheduler.nodes["n1"].keys.append("warm")
+    driver.request("other", key="x")
+    driver.request("same", key="warm")
+    driver.scheduler.requests["same"].aim = driver.scheduler.requests["other"].aim
+    node, requests = driver.scheduler.nodes["n1"], driver.scheduler.requests
+    assert driver.scheduler.worth(requests["same"], node) > driver.scheduler.worth(requests["other"], node)
 
 
 def test_the_same_events_give_the_same_actions():
     def run(seed: int) -> list:
-        hand = Hand(seed=seed)
+        driver = SchedulerDriver(seed=seed)
         for i in range(30):
-            hand.request(f"r{i}", left=1 * SECOND)
-        hand.wait(2 * SECOND, answer_after(5 * MS, Outcome.CONNECT_FAILED))
-        return hand.log
+            driver.request(f"r{i}", left=1 * SECOND)
+        driver.wait(2 * SECOND, answer_after(5 * MS, Outcome.CONNECT_FAILED))
+        return driver.log
 
     assert run(3) == run(3) and run(3) != run(4)
 
@@ -156,11 +156,11 @@
 
 
 def test_late_and_repeated_events_are_ignored():
-    hand = Hand()
-    hand.request("r")
-    assert not [a for a in hand.request("r") if not isinstance(a, api.SetTimer)]
-    hand.end("r")
-    assert hand.event(api.AttemptEnded("r", 0, "n1", Outcome.OK, 5, True)) == []
-    assert hand.event(api.ClientGone("r")) == [] and hand.event(api.ClientGone("never")) == []
-    assert hand.event(api.TimerFired(987654)) == []
-    assert hand.event(api.StreamStarted("r", 0, "n1")) == []
+    driver = SchedulerDriver()
+    driver.request("r")
+    assert not [a for a in driver.request("r") if not isinstance(a, api.SetTimer)]
+    driver.end("r")
+    assert driver.event(api.AttemptEnded("r", 0, "n1", Outcome.OK, 5, True)) == []
+    assert driver.event(api.ClientGone("r")) == [] and driver.event(api.ClientGone("never")) == []
+    assert driver.event(api.TimerFired(987654)) == []
+    assert driver.event(api.StreamStarted("r", 0, "n1")) == []
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -5,7 +5,7 @@
 from cypressworks import interface as api
 from cypressworks.interface import Outcome
 from cypressworks.rules import STEP_DELAY, TOP_STEP, TOP_WINDOW, Node
-from tests.bench_free import MS, SECOND, Hand, answer_after
+from tests.scheduler_driver import MS, SECOND, SchedulerDriver, answer_after
 
 THRESHOLD = 250 * MS
 
@@ -46,23 +46,23 @@
 
 
 def test_averages_follow_time_where_answers_are_few():
-    hand = Hand(hosts=200)
-    node = hand.scheduler.nodes["n1"]
+    driver = SchedulerDriver(hosts=200)
+    node = driver.scheduler.nodes["n1"]
     node.answers, node.reads = 900.0 * MS, 900.0 * MS
     for i in range(3):
-        hand.wait(3500 * MS)
-        hand.request(f"r{i}")
-        hand.wait(20 * MS)
-        if any(s[0] == f"r{i}" for s in hand.open_sends):
-            hand.end(f"r{i}")
+        driver.wait(3500 * MS)
+        driver.request(f"r{i}")
+        driver.wait(20 * MS)
+        if any(s[0] == f"r{i}" for s in driver.open_sends):
+            driver.end(f"r{i}")
     assert node.answers < 100 * MS and node.reads < 100 * MS
 
 
 def test_a_node_not_heard_from_is_neutral_again():
-    hand = Hand(hosts=200)
-    node = hand.scheduler.nodes["n1"]
+    driver = SchedulerDriver(hosts=200)
+    node = driver.scheduler.nodes["n1"]
     node.answers, node.window = 900.0 * MS, 20.0
-    hand.wait(5 * SECOND)
+    driver.wait(5 * SECOND)
     assert node.answers < 100 * MS and node.window == 1.0
 
 
@@ -74,66 +74,66 @@
 
 
 def test_background_is_derived_from_worth_and_aim():
-    assert Hand().scheduler.background == {"export"}
+    assert SchedulerDriver().scheduler.background == {"export"}
 
 
 def test_a_throttleable_request_waits_out_the_delay_and_a_read_does_not():
-    hand = Hand(plans=(api.Plan("plan", 50, 50),))
-    hand.request("first")
-    node = hand.scheduler.nodes["n1"]
+    driver = SchedulerDriver(plans=(api.Plan("plan", 50, 50),))
+    driver.request("first")
+    node = driver.scheduler.nodes["n1"]
     node.step = 4
-    hand.request("export", 2, volume="v2")
-    hand.request("read", 0, volume="v3")
-    assert hand.sends("read") and not hand.sends("export")
-    at = hand.now
-    hand.wait(4 * STEP_DELAY + 5 * MS)
-    assert hand.sends("export")[0][0] >= at + 4 * STEP_DELAY
+    driver.request("export", 2, volume="v2")
+    driver.request("read", 0, volume="v3")
+    assert driver.sends("read") and not driver.sends("export")
+    at = driver.now
+    driver.wait(4 * STEP_DELAY + 5 * MS)
+    assert driver.sends("export")[0][0] >= at + 4 * STEP_DELAY
 
 
 def test_errors_and_refusals_do_not_feed_the_average():
-    hand = Hand(max_attempts=1)
-    node = hand.scheduler.nodes["n1"]
-    hand.request("slow")
-    hand.wait(400 * MS)
-    hand.end("slow")
+    driver = SchedulerDriver(max_attempts=1)
+    node = driver.scheduler.nodes["n1"]
+    driver.request("slow")
+    driver.wait(400 * MS)
+    driver.end("slow")
     before = node.reads
     for i, outcome in enumerate((Outcome.ERROR, Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.RESET)):
-        hand.wait(3 * SECOND)
-        hand.request(f"r{i}")
-        hand.end(f"r{i}", outcome)
+        driver.wait(3 * SECOND)
+        driver.request(f"r{i}")
+        driver.end(f"r{i}", outcome)
     assert before > 0 and node.reads == before
 
 
 def test_window_grows_by_answers_to_the_ceiling_and_halves_on_refusal():
-    hand = Hand()
-    node = hand.scheduler.nodes["n1"]
+    driver = SchedulerDriver()
+    node = driver.scheduler.nodes["n1"]
     start = node.window
     for i in range(2000):
-        hand.request(f"r{i}")
-        hand.wait(5 * MS, answer_after(5 * MS))
+        driver.request(f"r{i}")
+        driver.wait(5 * MS, answer_after(5 * MS))
     assert start < node.window <= TOP_WINDOW
     before = node.window
-    hand.request("x")
-    hand.end("x", Outcome.FULL)
+    driver.request("x")
+    driver.end("x", Outcome.FULL)
     assert node.window == before / 2
 
 
 def test_no_more_are_out_than_the_window():
-    hand = Hand()
+    driver = SchedulerDriver()
     for i in range(50):
-        hand.request(f"r{i}")
-    assert len(hand.sends()) == int(hand.scheduler.nodes["n1"].window)
+        driver.request(f"r{i}")
+    assert len(driver.sends()) == int(driver.scheduler.nodes["n1"].window)
 
 
 def test_a_late_answer_counts_as_a_time_out_once_a_round_trip():
-    hand = Hand()
-    node = hand.scheduler.nodes["n1"]
+    driver = SchedulerDriver()
+    node = driver.scheduler.nodes["n1"]
     for i in range(2):
-        hand.request(f"r{i}")
+        driver.request(f"r{i}")
     before = node.window
-    hand.wait(200 * MS)
-    hand.end("r0")
-    hand.end("r1")
+    driver.wait(200 * MS)
+    driver.end("r0")
+    driver.end("r1")
     assert node.window == before / 2
 
 
@@ -141,25 +141,25 @@
     """A few hosts with windows of three each keep a node's queue at half the tightest aim, and none of their
     answers took a quarter of it while it built up: on the second deployment answers took 84 of 150 ms."""
     for took, shrinks in ((30 * MS, False), (45 * MS, True), (60 * MS, True)):
-        hand = Hand()
-        node = hand.scheduler.nodes["n1"]
+        driver = SchedulerDriver()
+        node = driver.scheduler.nodes["n1"]
         before = node.window
-        hand.request("r")
-        hand.wait(took)
-        hand.end("r")
+        driver.request("r")
+        driver.wait(took)
+        driver.end("r")
         assert (node.window < before) == shrinks
 
 
 def test_with_many_hosts_each_answer_counts_as_it_is():
     """There a host hears of a node every few seconds; one slow answer is the news that it is slow now."""
-    hand = Hand(hosts=200)
-    node = hand.scheduler.nodes["n1"]
+    driver = SchedulerDriver(hosts=200)
+    node = driver.scheduler.nodes["n1"]
     for took in (60 * MS, 1900 * MS):  # neither slow, nor bounded
-        hand.wait(7 * SECOND)
+        driver.wait(7 * SECOND)
         before = node.window
-        hand.request(f"r{took}")
-        hand.wait(took)
-        hand.end(f"r{took}")
+        driver.request(f"r{took}")
+        driver.wait(took)
+        driver.end(f"r{took}")
         assert (node.window < before) == (took > 62 * MS)
     assert node.reads > 800 * MS
 
@@ -167,40 +167,40 @@
 def test_one_long_read_makes_no_later_read_late():
     """Some requests are ten to thirty times the usual work. With one of them whole in the average, all that
     came after it was late as it came: next to nothing was sent, and nothing brought the average down."""
-    hand = Hand()
-    node = hand.scheduler.nodes["n1"]
+    driver = SchedulerDriver()
+    node = driver.scheduler.nodes["n1"]
     for i in range(5):
-        hand.request(f"r{i}")
-        hand.wait(30 * MS)
-        hand.end(f"r{i}")
-    hand.request("long")
-    hand.wait(1900 * MS)
-    hand.end("long")
+        driver.request(f"r{i}")
+        driver.wait(30 * MS)
+        driver.end(f"r{i}")
+    driver.request("long")
+    driver.wait(1900 * MS)
+    driver.end("long")
     assert 100 * MS < node.reads < THRESHOLD
-    hand.request("next")
-    hand.wait(10 * MS)
-    assert any(s[0] == "next" for s in hand.open_sends)
+    driver.request("next")
+    driver.wait(10 * MS)
+    assert any(s[0] == "next" for s in driver.open_sends)
 
 
 def test_what_is_late_anyway_takes_no_room_from_others():
-    hand = Hand()
-    node = hand.scheduler.nodes["n1"]
+    driver = SchedulerDriver()
+    node = driver.scheduler.nodes["n1"]
     node.reads = 300.0 * MS  # no read can make its aim
-    hand.request("r0")
-    hand.request("r1")
-    assert len(hand.sends()) == 1
-    hand.end("r0")
-    assert len(hand.sends()) == 2
+    driver.request("r0")
+    driver.request("r1")
+    assert len(driver.sends()) == 1
+    driver.end("r0")
+    assert len(driver.sends()) == 2
 
 
 def test_what_is_late_anyway_waits_while_the_node_is_pressed_and_goes_when_it_is_not():
-    hand = Hand()
-    node = hand.scheduler.nodes["n1"]
-    node.reads, node.cut_at = 300.0 * MS, hand.now + 100 * MS
-    hand.request("r0")
-    assert not hand.sends()
-    hand.wait(1200 * MS)
-    assert len(hand.sends()) == 1
+    driver = SchedulerDriver()
+    node = driver.scheduler.nodes["n1"]
+    node.reads, node.cut_at = 300.0 * MS, driver.now + 100 * MS
+    driver.request("r0")
+    assert not driver.sends()
+    driver.wait(1200 * MS)
+    assert len(driver.sends()) == 1
 
 
 def test_windup_on_a_node_that_no_throttling_relieves_lets_writers_go_until_it_recovers():
@@ -216,28 +216,28 @@
 
 
 def test_a_silent_node_gets_single_requests_and_is_used_again_at_its_first_answer():
-    hand = Hand(hosts=30)
-    hand.request("r0")
-    hand.wait(700 * MS)
-    before = len(hand.sends())
+    driver = SchedulerDriver(hosts=30)
+    driver.request("r0")
+    driver.wait(700 * MS)
+    before = len(driver.sends())
     for i in range(1, 4):
-        hand.request(f"r{i}")
-    hand.wait(20 * MS)
-    assert len(hand.sends()) - before <= 1
-    hand.wait(3 * SECOND, answer_after(5 * MS))
+        driver.request(f"r{i}")
+    driver.wait(20 * MS)
+    assert len(driver.sends()) - before <= 1
+    driver.wait(3 * SECOND, answer_after(5 * MS))
     for i in range(4, 8):
-        hand.request(f"r{i}")
-    hand.wait(300 * MS, answer_after(5 * MS))
-    assert all(hand.sends(f"r{i}") for i in range(4, 8))
+        driver.request(f"r{i}")
+    driver.wait(300 * MS, answer_after(5 * MS))
+    assert all(driver.sends(f"r{i}") for i in range(4, 8))
 
 
 def test_a_jam_drains_as_time_outs_and_refusals_lengthen_the_pace_of_many_hosts():
     sent = 0
     for me in range(20):  # a node that answers nobody in time and refuses some, as with its queue full
-        hand = Hand(hosts=200, me=me, seed=me)
+        driver = SchedulerDriver(hosts=200, me=me, seed=me)
         for i in range(100):
-            hand.request(f"r{i}", left=2 * SECOND)
-            hand.wait(
+            driver.request(f"r{i}", left=2 * SECOND)
+            driver.wait(
                 200 * MS,
                 lambda h: [
                     h.end(n, Outcome.TIMEOUT)
@@ -245,71 +245,71 @@
                     if h.now - at >= 2 * SECOND
                 ],
             )
-        sent += len([t for t, _ in hand.sends() if t > hand.now - 10 * SECOND])
+        sent += len([t for t, _ in driver.sends() if t > driver.now - 10 * SECOND])
     assert sent / 20 <= 3
 
 
 def test_after_failed_connections_tests_go_out_ever_less_often():
-    hand = Hand(max_attempts=8)
+    driver = SchedulerDriver(max_attempts=8)
     for i in range(100):
-        hand.request(f"r{i}", left=30 * SECOND)
-        hand.wait(100 * MS, answer_after(5 * MS, Outcome.CONNECT_FAILED))
-    times = [t for t, _ in hand.sends()]
-    assert sum(1 for t in times if t > hand.now - 5 * SECOND) <= 40
+        driver.request(f"r{i}", left=30 * SECOND)
+        driver.wait(100 * MS, answer_after(5 * MS, Outcome.CONNECT_FAILED))
+    times = [t for t, _ in driver.sends()]
+    assert sum(1 for t in times if t > driver.now - 5 * SECOND) <= 40
     for i in range(100, 150):
-        hand.request(f"r{i}", left=30 * SECOND)
-        hand.wait(100 * MS, answer_after(5 * MS))
-    assert len(hand.sends()) - len(times) >= 45
+        driver.request(f"r{i}", left=30 * SECOND)
+        driver.wait(100 * MS, answer_after(5 * MS))
+    assert len(driver.sends()) - len(times) >= 45
 
 
 def test_subscribes_again_after_a_failure_where_the_list_must_be_asked_for():
-    hand = Hand(list_on_request=True)
-    hand.wait(100 * MS)
-    asked = [t for t, a in hand.log if isinstance(a, api.Subscribe)]
+    driver = SchedulerDriver(list_on_request=True)
+    driver.wait(100 * MS)
+    asked = [t for t, a in driver.log if isinstance(a, api.Subscribe)]
     assert len(asked) == 1
-    hand.listed(kind=api.ListKind.UNAVAILABLE)
-    hand.wait(3 * SECOND)
-    assert len([t for t, a in hand.log if isinstance(a, api.Subscribe)]) >= 2
-    hand.listed(api.NodeEntry("n2", 1))
-    count = len(hand.log)
-    hand.wait(10 * SECOND)
-    assert not [a for _, a in hand.log[count:] if isinstance(a, api.Subscribe)]
+    driver.listed(kind=api.ListKind.UNAVAILABLE)
+    driver.wait(3 * SECOND)
+    assert len([t for t, a in driver.log if isinstance(a, api.Subscribe)]) >= 2
+    driver.listed(api.NodeEntry("n2", 1))
+    count = len(driver.log)
+    driver.wait(10 * SECOND)
+    assert not [a for _, a in driver.log[count:] if isinstance(a, api.Subscribe)]
 
 
 def test_what_later_attempts_have_overtaken_holds_no_place_and_is_no_jam():
-    hand = Hand()
-    node = hand.scheduler.nodes["n1"]
+    driver = SchedulerDriver()
+    node = driver.scheduler.nodes["n1"]
     node.window = 2.0
-    hand.request("gone", left=1 * SECOND)
+    driver.request("gone", left=1 * SECOND)
     for i in range(8):  # the node goes on answering others
-        hand.request(f"r{i}")
-        hand.wait(30 * MS)
-        hand.end(f"r{i}")
-    hand.request("a")
-    hand.request("b")
+        driver.request(f"r{i}")
+        driver.wait(30 * MS)
+        driver.end(f"r{i}")
+    driver.request("a")
+    driver.request("b")
     assert len(node.out) == 3
     window = node.window
-    hand.wait(600 * MS, lambda h: [h.end(n) for n in ("a", "b") if any(s[0] == n for s in h.open_sends)])
-    hand.end("gone", Outcome.TIMEOUT)
+    driver.wait(600 * MS, lambda h: [h.end(n) for n in ("a", "b") if any(s[0] == n for s in h.open_sends)])
+    driver.end("gone", Outcome.TIMEOUT)
     assert node.window >= window
 
 
 def test_an_attempt_out_far_longer_than_answers_take_holds_no_place():
-    hand = Hand()
-    node = hand.scheduler.nodes["n1"]
+    driver = SchedulerDriver()
+    node = driver.scheduler.nodes["n1"]
     node.window, node.answers = 1.0, 20.0 * MS
-    hand.request("gone", left=2 * SECOND)
-    hand.request("next", left=2 * SECOND)
-    assert not hand.sends("next")
-    hand.wait(350 * MS)
-    assert hand.sends("next")
+    driver.request("gone", left=2 * SECOND)
+    driver.request("next", left=2 * SECOND)
+    assert not driver.sends("next")
+    driver.wait(350 * MS)
+    assert driver.sends("next")
 
 
 def test_starts_and_floors_follow_the_host_count():
     for hosts in (2, 30, 250):
-        hand = Hand(hosts=hosts)
-        node = hand.scheduler.nodes["n1"]
+        driver = SchedulerDriver(hosts=hosts)
+        node = driver.scheduler.nodes["n1"]
         assert node.window == max(1.0, 16 / hosts)
         for i in range(12):
-            node.cut(hand.now + i, hand.now + i)
+            node.cut(driver.now + i, driver.now + i)
         assert node.window == min(1.0, 16 / hosts)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -6,7 +6,7 @@
 
 from cypressworks import interface as api
 from cypressworks.interface import Outcome, Phase
-from tests.bench_free import CLASSES, MS, PLAN, READ, SECOND, WRITE, Hand, answer_after
+from tests.scheduler_driver import CLASSES, MS, PLAN, READ, SECOND, WRITE, SchedulerDriver, answer_after
 
 KEYED = api.RequestClass(
     "keyed",
@@ -25,147 +25,147 @@
 
 # 1 one final answer, in time -----------------------------------------------------------------------------
 def test_a_request_with_no_node_gets_one_answer_by_its_deadline():
-    hand = Hand(nodes=[api.NodeEntry("n1", 7)])
-    hand.request("r", left=300 * MS)
-    hand.wait(301 * MS)
-    assert hand.finals("r") == [api.Refuse("r")]
-    hand.wait(2 * SECOND)
-    assert len(hand.finals("r")) == 1 and not hand.sends("r")
+    driver = SchedulerDriver(nodes=[api.NodeEntry("n1", 7)])
+    driver.request("r", left=300 * MS)
+    driver.wait(301 * MS)
+    assert driver.finals("r") == [api.Refuse("r")]
+    driver.wait(2 * SECOND)
+    assert len(driver.finals("r")) == 1 and not driver.sends("r")
 
 
 def test_a_request_held_behind_a_silent_node_is_answered_by_its_deadline():
-    hand = Hand()
+    driver = SchedulerDriver()
     for i in range(60):
-        hand.request(f"r{i}", left=500 * MS)
-    hand.wait(501 * MS)
-    assert all(len(hand.finals(f"r{i}")) == 1 for i in range(60))
-    sent = len(hand.sends())
-    for name, *_ in list(hand.open_sends):
-        hand.end(name, Outcome.TIMEOUT)
-    hand.wait(3 * SECOND)
-    assert len(hand.sends()) == sent, "something went out after its answer"
-    assert all(len(hand.finals(f"r{i}")) == 1 for i in range(60))
+        driver.request(f"r{i}", left=500 * MS)
+    driver.wait(501 * MS)
+    assert all(len(driver.finals(f"r{i}")) == 1 for i in range(60))
+    sent = len(driver.sends())
+    for name, *_ in list(driver.open_sends):
+        driver.end(name, Outcome.TIMEOUT)
+    driver.wait(3 * SECOND)
+    assert len(driver.sends()) == sent, "something went out after its answer"
+    assert all(len(driver.finals(f"r{i}")) == 1 for i in range(60))
 
 
 def test_a_request_in_retries_is_answered_by_its_deadline():
-    hand = Hand()
-    hand.request("r", left=400 * MS)
-    hand.wait(401 * MS, answer_after(10 * MS, Outcome.FULL))
-    assert len(hand.finals("r")) == 1
-    assert all(at < 100 * SECOND + 400 * MS for at, _ in hand.sends("r"))
+    driver = SchedulerDriver()
+    driver.request("r", left=400 * MS)
+    driver.wait(401 * MS, answer_after(10 * MS, Outcome.FULL))
+    assert len(driver.finals("r")) == 1
+    assert all(at < 100 * SECOND + 400 * MS for at, _ in driver.sends("r"))
 
 
 def test_a_served_request_gets_no_second_answer():
-    hand = Hand()
-    hand.request("r", left=400 * MS)
-    hand.end("r")
-    hand.wait(2 * SECOND)
-    assert hand.finals("r") == []
+    driver = SchedulerDriver()
+    driver.request("r", left=400 * MS)
+    driver.end("r")
+    driver.wait(2 * SECOND)
+    assert driver.finals("r") == []
 
 
 def test_nothing_goes_out_after_the_client_has_gone():
-    hand = Hand()
-    hand.request("r")
-    hand.end("r", Outcome.FULL)
-    hand.event(api.ClientGone("r"))
-    hand.event(api.ClientGone("r"))
-    hand.wait(3 * SECOND)
-    assert len(hand.sends("r")) == 1 and hand.finals("r") == []
+    driver = SchedulerDriver()
+    driver.request("r")
+    driver.end("r", Outcome.FULL)
+    driver.event(api.ClientGone("r"))
+    driver.event(api.ClientGone("r"))
+    driver.wait(3 * SECOND)
+    assert len(driver.sends("r")) == 1 and driver.finals("r") == []
 
 
 def test_a_started_stream_has_no_deadline():
-    hand = Hand()
-    hand.request("r", left=300 * MS)
-    hand.event(api.StreamStarted("r", 0, "n1"))
-    hand.wait(1 * SECOND)
-    assert hand.finals("r") == []
+    driver = SchedulerDriver()
+    driver.request("r", left=300 * MS)
+    driver.event(api.StreamStarted("r", 0, "n1"))
+    driver.wait(1 * SECOND)
+    assert driver.finals("r") == []
 
 
 # 2 no effect twice ---------------------------------------------------------------------------------------
 @pytest.mark.parametrize("outcome", [Outcome.ERROR, Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED])
 def test_unsafe_that_may_have_run_is_failed_and_never_resent(outcome):
-    hand = Hand(classes=(UNSAFE,))
-    hand.request("r")
-    hand.end("r", outcome)
-    hand.wait(3 * SECOND)
-    assert len(hand.sends("r")) == 1 and hand.finals("r") == [api.Fail("r")]
+    driver = SchedulerDriver(classes=(UNSAFE,))
+    driver.request("r")
+    driver.end("r", outcome)
+    driver.wait(3 * SECOND)
+    assert len(driver.sends("r")) == 1 and driver.finals("r") == [api.Fail("r")]
 
 
 def test_unsafe_that_never_ran_is_resent():
-    hand = Hand(classes=(UNSAFE,))
-    hand.request("r")
-    hand.end("r", Outcome.FULL)
-    hand.wait(1 * SECOND)
-    assert len(hand.sends("r")) == 2
+    driver = SchedulerDriver(classes=(UNSAFE,))
+    driver.request("r")
+    driver.end("r", Outcome.FULL)
+    driver.wait(1 * SECOND)
+    assert len(driver.sends("r")) == 2
 
 
 def test_keyed_is_resent_only_within_its_group_and_window():
-    hand = Hand(classes=(KEYED,))
-    hand.request("r", left=5 * SECOND)
-    hand.end("r", Outcome.RESET)
-    hand.listed(api.NodeEntry("n1", 0, phase=Phase.GONE))
-    hand.wait(1100 * MS)  # the shard's next node comes when the window is over
-    hand.listed(api.NodeEntry("n2", 0))
-    hand.wait(5 * SECOND)
-    assert len(hand.sends("r")) == 1 and hand.finals("r") == [api.Fail("r")]
+    driver = SchedulerDriver(classes=(KEYED,))
+    driver.request("r", left=5 * SECOND)
+    driver.end("r", Outcome.RESET)
+    driver.listed(api.NodeEntry("n1", 0, phase=Phase.GONE))
+    driver.wait(1100 * MS)  # the shard's next node comes when the window is over
+    driver.listed(api.NodeEntry("n2", 0))
+    driver.wait(5 * SECOND)
+    assert len(driver.sends("r")) == 1 and driver.finals("r") == [api.Fail("r")]
 
 
 def test_keyed_by_zone_does_not_leave_its_zone():
-    hand = Hand(
+    driver = SchedulerDriver(
         classes=(
             api.RequestClass(
                 "k", 3, 400 * MS, 5 * SECOND, 0.2, api.Effect.KEYED, api.Group.ZONE, repeat_window=4 * SECOND
             ),
         )
     )
-    hand.request("r", left=3 * SECOND)
-    hand.end("r", Outcome.ERROR)
-    hand.listed(api.NodeEntry("n1", 0, phase=Phase.GONE), api.NodeEntry("n2", 0, zone=1))
-    hand.wait(4 * SECOND)
-    assert len(hand.sends("r")) == 1
+    driver.request("r", left=3 * SECOND)
+    driver.end("r", Outcome.ERROR)
+    driver.listed(api.NodeEntry("n1", 0, phase=Phase.GONE), api.NodeEntry("n2", 0, zone=1))
+    driver.wait(4 * SECOND)
+    assert len(driver.sends("r")) == 1
 
 
 def test_no_two_attempts_are_out_at_once():
-    hand = Hand(parallel_attempts=False)
-    hand.request("r")
-    hand.wait(1900 * MS)
-    assert len(hand.sends("r")) == 1
+    driver = SchedulerDriver(parallel_attempts=False)
+    driver.request("r")
+    driver.wait(1900 * MS)
+    assert len(driver.sends("r")) == 1
 
 
 # 3 drains ------------------------------------------------------------------------------------------------
 @pytest.mark.parametrize("phase", [Phase.DRAINING, Phase.GONE])
 def test_nothing_goes_to_a_node_that_drains_or_is_gone_after_the_grace(phase):
-    hand = Hand(rules={"drain_grace": 500 * MS})
-    hand.listed(api.NodeEntry("n1", 0, phase=phase))
-    hand.wait(501 * MS)
-    hand.request("r")
-    hand.wait(1 * SECOND)
-    assert not hand.sends("r")
+    driver = SchedulerDriver(rules={"drain_grace": 500 * MS})
+    driver.listed(api.NodeEntry("n1", 0, phase=phase))
+    driver.wait(501 * MS)
+    driver.request("r")
+    driver.wait(1 * SECOND)
+    assert not driver.sends("r")
 
 
 def test_a_node_missing_from_a_full_list_is_gone():
-    hand = Hand(rules={"drain_grace": 0}, nodes=[api.NodeEntry("n1", 0), api.NodeEntry("n2", 1)])
-    hand.listed(api.NodeEntry("n2", 1), kind=api.ListKind.FULL)
-    hand.wait(1 * MS)
-    hand.request("r")
-    hand.wait(1 * SECOND)
-    assert not hand.sends("r")
+    driver = SchedulerDriver(rules={"drain_grace": 0}, nodes=[api.NodeEntry("n1", 0), api.NodeEntry("n2", 1)])
+    driver.listed(api.NodeEntry("n2", 1), kind=api.ListKind.FULL)
+    driver.wait(1 * MS)
+    driver.request("r")
+    driver.wait(1 * SECOND)
+    assert not driver.sends("r")
 
 
 # 4 cold nodes --------------------------------------------------------------------------------------------
 def test_a_cold_node_gets_at_most_this_hosts_part_in_every_window():
     start, hosts, units, fall, cold, cold_from = 100 * SECOND, 4, 40.0, 1 * SECOND, 10 * SECOND, 0.2
-    hand = Hand(
+    driver = SchedulerDriver(
         rules={"cold_from": cold_from, "cold_time": cold, "cold_units": units, "fall_time": fall},
         hosts=hosts,
         nodes=[api.NodeEntry("n1", 0, up_since=start)],
         start=start,
     )
     for i in range(800):
-        hand.request(f"r{i}", left=2 * SECOND, units=1 + i % 3)
-        hand.wait(10 * MS, answer_after(5 * MS, Outcome.FULL if i % 3 else Outcome.OK))
+        driver.request(f"r{i}", left=2 * SECOND, units=1 + i % 3)
+        driver.wait(10 * MS, answer_after(5 * MS, Outcome.FULL if i % 3 else Outcome.OK))
     size = {f"r{i}": 1 + i % 3 for i in range(800)}
-    sent = [(t, size[a.request]) for t, a in hand.sends()]
+    sent = [(t, size[a.request]) for t, a in driver.sends()]
     for t, _ in sent:
         warmed = (cold_from + (1 - cold_from) * max(0, t - start) / cold) / cold_from
         assert sum(u for at, u in sent if t - fall <= at <= t) <= units / hosts * warmed + 1e-6
@@ -178,15 +178,15 @@
     rules = {"cold_from": cold_from, "cold_time": cold, "cold_units": units, "fall_time": fall}
     entry, sent = api.NodeEntry("n1", 0, phase=Phase.DRAINING), []
     for me in range(hosts):  # each holds requests of every size when it hears of the restart, and gets more
-        hand = Hand(rules=rules, hosts=hosts, me=me, nodes=[entry], start=start)
+        driver = SchedulerDriver(rules=rules, hosts=hosts, me=me, nodes=[entry], start=start)
         size = {}
         for i in range(60):
             size[f"r{i}"] = (2, 8, 1)[(me + i) % 3]
-            hand.request(f"r{i}", left=2 * SECOND, units=size[f"r{i}"])
+            driver.request(f"r{i}", left=2 * SECOND, units=size[f"r{i}"])
             if i == 4:
-                hand.listed(api.NodeEntry("n1", 0, up_since=start))
-            hand.wait(80 * MS, answer_after(30 * MS))
-        sent += [(t, size[a.request]) for t, a in hand.sends()]
+                driver.listed(api.NodeEntry("n1", 0, up_since=start))
+            driver.wait(80 * MS, answer_after(30 * MS))
+        sent += [(t, size[a.request]) for t, a in driver.sends()]
     sent.sort()
     for t, _ in sent:
         warmed = 1 + (1 / cold_from - 1) * max(0, t - start) / cold
@@ -203,11 +203,11 @@
 def test_first_attempts_stay_within_this_hosts_part_even_over_a_restart():
     hosts, sent = 2, []
     for life in range(2):  # the second life knows nothing of the first
-        hand = Hand(plans=(LIMITED,), start=(100 + 3 * life) * SECOND)
+        driver = SchedulerDriver(plans=(LIMITED,), start=(100 + 3 * life) * SECOND)
         for i in range(300):
-            hand.request(f"r{life}.{i}", units=2, hosts=hosts)
-            hand.wait(10 * MS, answer_after(5 * MS))
-        sent += [(t, 2) for t, _ in hand.sends()]
+            driver.request(f"r{life}.{i}", units=2, hosts=hosts)
+            driver.wait(10 * MS, answer_after(5 * MS))
+        sent += [(t, 2) for t, _ in driver.sends()]
     store, last = LIMITED.burst / hosts, 100 * SECOND
     for t, units in sent:
         store = min(LIMITED.burst / hosts, store + LIMITED.limit / hosts * (t - last) / SECOND) - units
@@ -217,61 +217,61 @@
 
 
 def test_a_retry_does_not_draw_from_the_limit_again():
-    hand = Hand(plans=(LIMITED,))
-    hand.wait(100 * MS)
-    hand.request("r0", units=1, left=1 * SECOND)  # the volume is known from here on
-    hand.wait(200 * MS, answer_after(5 * MS))
-    hand.request("r", units=4)
-    before = hand.scheduler.volumes["v1"].store
-    hand.wait(400 * MS, answer_after(5 * MS, Outcome.FULL))
-    assert len(hand.sends("r")) >= 2
-    assert hand.scheduler.volumes["v1"].store > before - 4.1 and hand.scheduler.volumes["v1"].store > -8
+    driver = SchedulerDriver(plans=(LIMITED,))
+    driver.wait(100 * MS)
+    driver.request("r0", units=1, left=1 * SECOND)  # the volume is known from here on
+    driver.wait(200 * MS, answer_after(5 * MS))
+    driver.request("r", units=4)
+    before = driver.scheduler.volumes["v1"].store
+    driver.wait(400 * MS, answer_after(5 * MS, Outcome.FULL))
+    assert len(driver.sends("r")) >= 2
+    assert driver.scheduler.volumes["v1"].store > before - 4.1 and driver.scheduler.volumes["v1"].store > -8
 
 
 # 6 order -------------------------------------------------------------------------------------------------
 def test_requests_of_one_key_go_one_at_a_time_and_in_turn():
-    hand = Hand(classes=(TURN,), rules={"key_rest": 300 * MS})
+    driver = SchedulerDriver(classes=(TURN,), rules={"key_rest": 300 * MS})
     for name in ("a", "b", "c"):
-        hand.request(name, key="k")
-    hand.wait(100 * MS)
-    assert [a.request for _, a in hand.sends()] == ["a"]
-    hand.end("a")
-    hand.wait(10 * MS)
-    assert [a.request for _, a in hand.sends()] == ["a", "b"]
+        driver.request(name, key="k")
+    driver.wait(100 * MS)
+    assert [a.request for _, a in driver.sends()] == ["a"]
+    driver.end("a")
+    driver.wait(10 * MS)
+    assert [a.request for _, a in driver.sends()] == ["a", "b"]
 
 
 def test_a_key_rests_after_an_attempt_that_may_still_run():
-    hand = Hand(classes=(TURN,), rules={"key_rest": 300 * MS}, max_attempts=1)
-    hand.request("a", key="k")
-    hand.request("b", key="k")
-    hand.end("a", Outcome.RESET)
-    at = hand.now
-    hand.wait(290 * MS)
-    assert not hand.sends("b")
-    hand.wait(300 * MS)
-    assert hand.sends("b") and hand.sends("b")[0][0] >= at + 300 * MS
+    driver = SchedulerDriver(classes=(TURN,), rules={"key_rest": 300 * MS}, max_attempts=1)
+    driver.request("a", key="k")
+    driver.request("b", key="k")
+    driver.end("a", Outcome.RESET)
+    at = driver.now
+    driver.wait(290 * MS)
+    assert not driver.sends("b")
+    driver.wait(300 * MS)
+    assert driver.sends("b") and driver.sends("b")[0][0] >= at + 300 * MS
 
 
 def test_a_later_arrival_waits_out_the_rest_too():
-    hand = Hand(classes=(TURN,), rules={"key_rest": 300 * MS}, max_attempts=1)
-    hand.request("a", key="k")
-    hand.end("a", Outcome.RESET)
-    hand.wait(100 * MS)
-    hand.request("b", key="k")
-    assert not hand.sends("b")
-    hand.wait(700 * MS)
-    assert hand.sends("b")
+    driver = SchedulerDriver(classes=(TURN,), rules={"key_rest": 300 * MS}, max_attempts=1)
+    driver.request("a", key="k")
+    driver.end("a", Outcome.RESET)
+    driver.wait(100 * MS)
+    driver.request("b", key="k")
+    assert not driver.sends("b")
+    driver.wait(700 * MS)
+    assert driver.sends("b")
 
 
 # 7 budget ------------------------------------------------------------------------------------------------
 def test_further_attempts_stay_within_the_budget_over_every_window():
     rules = {"budget_time": 2 * SECOND, "budget_free": 3, "budget_share": 0.1}
-    hand = Hand(rules=rules, classes=CLASSES)
+    driver = SchedulerDriver(rules=rules, classes=CLASSES)
     for i in range(400):
-        hand.request(f"r{i}", left=1 * SECOND, volume=f"v{i % 20}")
-        hand.wait(20 * MS, answer_after(5 * MS, Outcome.FULL if i % 2 else Outcome.OK))
+        driver.request(f"r{i}", left=1 * SECOND, volume=f"v{i % 20}")
+        driver.wait(20 * MS, answer_after(5 * MS, Outcome.FULL if i % 2 else Outcome.OK))
     seen, extras = set(), []
-    for t, a in hand.sends():
+    for t, a in driver.sends():
         if a.request in seen:
             extras.append(t)
         seen.add(a.request)
@@ -283,150 +283,156 @@
 
 
 def test_no_budget_stated_leaves_retries_to_the_attempt_limit():
-    hand = Hand(classes=(READ, WRITE), plans=(PLAN,), max_attempts=3)
-    hand.request("r")
-    hand.wait(1900 * MS, answer_after(5 * MS, Outcome.FULL))
-    assert len(hand.sends("r")) == 3
+    driver = SchedulerDriver(classes=(READ, WRITE), plans=(PLAN,), max_attempts=3)
+    driver.request("r")
+    driver.wait(1900 * MS, answer_after(5 * MS, Outcome.FULL))
+    assert len(driver.sends("r")) == 3
 
 
 def test_of_a_cold_nodes_part_half_is_kept_for_what_can_still_be_in_time():
-    hand = Hand(
+    driver = SchedulerDriver(
         rules={"cold_from": 0.2, "cold_time": 10 * SECOND, "cold_units": 40.0, "fall_time": SECOND},
         hosts=4,
         nodes=[api.NodeEntry("n0", 1), api.NodeEntry("n1", 0, up_since=100 * SECOND)],
     )
     for i in range(20):
-        hand.scheduler.nodes["n1"].reads = 300.0 * MS  # no read can make its aim
-        hand.request(f"r{i}")
-        hand.wait(5 * MS, answer_after(1 * MS))
-    assert 4 <= len(hand.sends()) <= 6
-    hand.request("w", 2)
-    assert hand.sends("w")
+        driver.scheduler.nodes["n1"].reads = 300.0 * MS  # no read can make its aim
+        driver.request(f"r{i}")
+        driver.wait(5 * MS, answer_after(1 * MS))
+    assert 4 <= len(driver.sends()) <= 6
+    driver.request("w", 2)
+    assert driver.sends("w")
 
 
 def test_the_limits_part_fills_from_the_hosts_start_and_not_from_a_volumes_first_request():
-    hand = Hand(plans=(LIMITED,))
-    hand.wait(3 * SECOND)
-    hand.request("r", units=8, hosts=4)  # needs what 1.6 s fill
-    assert hand.sends("r")
+    driver = SchedulerDriver(plans=(LIMITED,))
+    driver.wait(3 * SECOND)
+    driver.request("r", units=8, hosts=4)  # needs what 1.6 s fill
+    assert driver.sends("r")
 
 
 def test_another_number_of_hosts_is_followed_on_the_safe_side():
-    hand = Hand(plans=(LIMITED,))
-    hand.wait(10 * SECOND)
-    hand.request("a", hosts=4)
-    volume = hand.scheduler.volumes["v1"]
-    hand.request("b", hosts=2)  # those who left may have spent what they had
-    assert volume.hosts == 2 and volume.store <= -LIMITED.tolerance / 2 and not hand.sends("b")
-    hand.request("c", hosts=8)
-    assert volume.hosts == 8 and volume.at(hand.now).store <= -LIMITED.tolerance / 8
+    driver = SchedulerDriver(plans=(LIMITED,))
+    driver.wait(10 * SECOND)
+    driver.request("a", hosts=4)
+    volume = driver.scheduler.volumes["v1"]
+    driver.request("b", hosts=2)  # those who left may have spent what they had
+    assert volume.hosts == 2 and volume.store <= -LIMITED.tolerance / 2 and not driver.sends("b")
+    driver.request("c", hosts=8)
+    assert volume.hosts == 8 and volume.at(driver.now).store <= -LIMITED.tolerance / 8
 
 
 def test_an_attempt_that_fails_just_before_the_deadline_leaves_no_request_without_its_answer():
-    hand = Hand()
-    hand.request("r", left=1 * SECOND)
-    hand.wait(980 * MS)  # past the time when what is held is given up
-    hand.listed(api.NodeEntry("n1", 0, phase=Phase.GONE))
-    assert api.Refuse("r") in hand.end("r", Outcome.RESET)  # at once, as no pause before another fits
-    hand = Hand()
-    hand.scheduler.nodes["n1"].out[("other", 0)] = hand.now
-    hand.request("r", left=1 * SECOND)
-    hand.wait(900 * MS)
-    hand.listed(api.NodeEntry("n1", 0, phase=Phase.GONE))
-    for name, *_ in list(hand.open_sends):
-        hand.end(name, Outcome.RESET)
-    hand.wait(100 * MS)
-    assert len(hand.finals("r")) == 1
+    driver = SchedulerDriver()
+    driver.request("r", left=1 * SECOND)
+    driver.wait(980 * MS)  # past the time when what is held is given up
+    driver.listed(api.NodeEntry("n1", 0, phase=Phase.GONE))
+    assert api.Refuse("r") in driver.end("r", Outcome.RESET)  # at once, as no pause before another fits
+    driver = SchedulerDriver()
+    driver.scheduler.nodes["n1"].out[("other", 0)] = driver.now
+    driver.request("r", left=1 * SECOND)
+    driver.wait(900 * MS)
+    driver.listed(api.NodeEntry("n1", 0, phase=Phase.GONE))
+    for name, *_ in list(driver.open_sends):
+        driver.end(name, Outcome.RESET)
+    driver.wait(100 * MS)
+    assert len(driver.finals("r")) == 1
 
 
 # what is given up on is answered at once -----------------------------------------------------------------
-def never_held_in_vain(hand: Hand) -> None:
+def never_held_in_vain(driver: SchedulerDriver) -> None:
     """No request is held that could not be sent and answered any more."""
-    s = hand.scheduler
+    s = driver.scheduler
     for r in s.requests.values():
         if not r.done and not r.out() and r.node is not None:
-            opens = max(hand.now, r.wait_until, s.barred(r, r.node))
+            opens = max(driver.now, r.wait_until, s.barred(r, r.node))
             assert opens < r.deadline, f"{r.id} is held though it can only go at {opens}"
 
 
 def test_a_request_beyond_the_limits_store_is_refused_in_the_same_call_with_when_to_come_back():
     plan = api.Plan("small", 4, limit=2.0, burst=4.0, tolerance=0.0)
-    hand = Hand(plans=(plan,), takes_advice=True, max_advice=500 * MS)
-    hand.wait(2100 * MS)
-    hand.request("first", units=3.9, left=1 * SECOND)
-    hand.request("second", units=3.9, left=1 * SECOND)  # the store fills in two seconds, the client has one
-    assert hand.sends("first") and hand.finals("second") == [api.Refuse("second", 500 * MS)]
-    hand.end("first")
-    hand.request("third", units=0.5, left=1 * SECOND)  # a quarter of a second away: held, then sent
-    assert not hand.finals("third")
-    hand.wait(400 * MS, never_held_in_vain)
-    assert hand.sends("third")
+    driver = SchedulerDriver(plans=(plan,), takes_advice=True, max_advice=500 * MS)
+    driver.wait(2100 * MS)
+    driver.request("first", units=3.9, left=1 * SECOND)
+    driver.request("second", units=3.9, left=1 * SECOND)  # the store fills in two seconds, the client has one
+    assert driver.sends("first") and driver.finals("second") == [api.Refuse("second", 500 * MS)]
+    driver.end("first")
+    driver.request("third", units=0.5, left=1 * SECOND)  # a quarter of a second away: held, then sent
+    assert not driver.finals("third")
+    driver.wait(400 * MS, never_held_in_vain)
+    assert driver.sends("third")
 
 
 def test_advice_is_given_only_where_it_is_taken():
     plan = api.Plan("small", 4, limit=2.0, burst=4.0, tolerance=0.0)
-    hand = Hand(plans=(plan,), takes_advice=False, max_advice=500 * MS)
-    hand.request("r", units=4, left=1 * SECOND)
-    assert hand.finals("r") == [api.Refuse("r", 0)]
+    driver = SchedulerDriver(plans=(plan,), takes_advice=False, max_advice=500 * MS)
+    driver.request("r", units=4, left=1 * SECOND)
+    assert driver.finals("r") == [api.Refuse("r", 0)]
 
 
 def test_a_keyed_request_whose_repeat_window_is_over_is_failed_in_the_same_call():
     keyed = api.RequestClass("k", 3, 400 * MS, 9 * SECOND, 0.2, api.Effect.KEYED, api.Group.SHARD, 1 * SECOND)
-    hand = Hand(classes=(keyed,))
-    hand.request("r", left=9 * SECOND)
-    hand.wait(1100 * MS)
-    assert api.Fail("r") in hand.end("r", Outcome.RESET)
+    driver = SchedulerDriver(classes=(keyed,))
+    driver.request("r", left=9 * SECOND)
+    driver.wait(1100 * MS)
+    assert api.Fail("r") in driver.end("r", Outcome.RESET)
 
 
 def test_what_a_cold_nodes_part_cannot_bear_in_time_is_refused_in_the_same_call():
     rules = {"cold_from": 0.2, "cold_time": 60 * SECOND, "cold_units": 4.0, "fall_time": SECOND}
-    hand = Hand(hosts=200, me=100, rules=rules, takes_advice=True, max_advice=500 * MS)
-    hand.listed(api.NodeEntry("n1", 0, up_since=hand.now))
-    hand.request("r", units=8, left=1 * SECOND)
-    assert not hand.sends("r") and len(hand.finals("r")) == 1
+    driver = SchedulerDriver(hosts=200, me=100, rules=rules, takes_advice=True, max_advice=500 * MS)
+    driver.listed(api.NodeEntry("n1", 0, up_since=driver.now))
+    driver.request("r", units=8, left=1 * SECOND)
+    assert not driver.sends("r") and len(driver.finals("r")) == 1
 
 
 def test_late_requests_at_a_paced_node_are_refused_at_once_and_told_its_pace():
-    hand = Hand(hosts=200, takes_advice=True, max_advice=500 * MS)
-    node = hand.scheduler.nodes["n1"]
-    node.window, node.last_sent, node.trip = 0.1, hand.now, 300.0 * MS  # the next turn is three seconds away
-    hand.request("r", left=2 * SECOND)
-    assert hand.finals("r") == [api.Refuse("r", 500 * MS)]
+    driver = SchedulerDriver(hosts=200, takes_advice=True, max_advice=500 * MS)
+    node = driver.scheduler.nodes["n1"]
+    node.window, node.last_sent, node.trip = (
+        0.1,
+        driver.now,
+        300.0 * MS,
+    )  # the next turn is three seconds away
+    driver.request("r", left=2 * SECOND)
+    assert driver.finals("r") == [api.Refuse("r", 500 * MS)]
 
 
 def test_nothing_is_held_past_the_moment_when_it_can_no_longer_be_sent_on_a_rough_day():
     plans = (api.Plan("small", 4, limit=6.0, burst=16.0, tolerance=1.0), PLAN)
     rules = {"budget_time": 5 * SECOND, "budget_free": 1, "budget_share": 0.1}
-    hand = Hand(plans=plans, hosts=20, rules=rules)
+    driver = SchedulerDriver(plans=plans, hosts=20, rules=rules)
     outcomes = [Outcome.OK, Outcome.FULL, Outcome.RESET, Outcome.OK, Outcome.TIMEOUT, Outcome.ERROR]
     for i in range(200):
-        hand.request(
+        driver.request(
             f"r{i}", i % 3, volume=f"v{i % 5}", plan=i % 2, left=(100 + 37 * i % 900) * MS, units=1 + i % 4
         )
-        hand.wait(30 * MS, answer_after((5 + 31 * i % 400) * MS, outcomes[i % 6]))
-        never_held_in_vain(hand)
-    hand.wait(2 * SECOND)
-    done = {a.request for _, a in hand.log if isinstance(a, api.Refuse | api.Fail)}
-    assert len(done) > 20 and all(len(hand.finals(f"r{i}")) <= 1 for i in range(200))
+        driver.wait(30 * MS, answer_after((5 + 31 * i % 400) * MS, outcomes[i % 6]))
+        never_held_in_vain(driver)
+    driver.wait(2 * SECOND)
+    done = {a.request for _, a in driver.log if isinstance(a, api.Refuse | api.Fail)}
+    assert len(done) > 20 and all(len(driver.finals(f"r{i}")) <= 1 for i in range(200))
 
 
 def test_a_draining_node_is_used_within_the_grace_while_its_shard_has_no_other_and_never_after():
     rules = {"drain_grace": 2 * SECOND}
-    hand = Hand(rules=rules, tick=2 * MS)
-    hand.wait(300 * MS)
-    hand.listed(api.NodeEntry("n1", 0, phase=Phase.DRAINING))
-    told = hand.now
-    hand.request("within", left=5 * SECOND)
-    assert hand.sends("within")
-    hand.end("within")
+    driver = SchedulerDriver(rules=rules, tick=2 * MS)
+    driver.wait(300 * MS)
+    driver.listed(api.NodeEntry("n1", 0, phase=Phase.DRAINING))
+    told = driver.now
+    driver.request("within", left=5 * SECOND)
+    assert driver.sends("within")
+    driver.end("within")
     for i in range(60):
-        hand.request(f"r{i}", left=5 * SECOND)
-        hand.wait(50 * MS, answer_after(10 * MS))
-        hand.listed(api.NodeEntry("n1", 0, phase=Phase.DRAINING))  # said again: the grace is not begun anew
-    assert hand.sends("r30") and max(t for t, _ in hand.sends()) < told + 2 * SECOND
-    hand.listed(api.NodeEntry("n2", 0))
-    hand.request("successor")
-    assert [a.node for _, a in hand.sends("successor")] == ["n2"]
-    hand = Hand(rules=rules, nodes=[api.NodeEntry("n1", 0, phase=Phase.DRAINING)])  # told before this start
-    hand.request("r")
-    assert not hand.sends("r")
+        driver.request(f"r{i}", left=5 * SECOND)
+        driver.wait(50 * MS, answer_after(10 * MS))
+        driver.listed(api.NodeEntry("n1", 0, phase=Phase.DRAINING))  # said again: the grace is not begun anew
+    assert driver.sends("r30") and max(t for t, _ in driver.sends()) < told + 2 * SECOND
+    driver.listed(api.NodeEntry("n2", 0))
+    driver.request("successor")
+    assert [a.node for _, a in driver.sends("successor")] == ["n2"]
+    driver = SchedulerDriver(
+        rules=rules, nodes=[api.NodeEntry("n1", 0, phase=Phase.DRAINING)]
+    )  # told before this start
+    driver.request("r")
+    assert not driver.sends("r")
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -20,8 +20,8 @@
 from stoatrouter.net.early import NAME, Announcement
 from stoatrouter.net.keep import Keep
 from stoatrouter.net.succession import Succession
-from tests.bench_free import CLASSES, PLAN, READ
 from tests.peers import HOST, Discovery, Node, config_data, listening, nodes_up, run, told, until
+from tests.scheduler_driver import CLASSES, PLAN, READ
 from tests.test_network import started
 from tests.test_program import PATH, ROOT, free_port, read
 
