--- a/stoatrouter/__main__.py
+++ b/stoatrouter/__main__.py
@@ -19,7 +19,7 @@
 from stoatrouter.net.early import announcement
 
 if __name__ == "__main__":
-    announcement.make(os.environ.get("TMPDIR"))
+    announcement.connect(os.environ.get("TMPDIR"))
     gc.disable()  # what they make is kept, and looking for garbage in it takes a third of their time
 
 import asyncio
@@ -71,7 +71,7 @@
     gc.set_threshold(*GARBAGE)
     head = Head(conf, objects, http, heads)
     loop.add_signal_handler(signal.SIGHUP, head.reload, os.environ)
-    if hangups.came:  # after the file was read, perhaps
+    if hangups.received:  # after the file was read, perhaps
         head.reload(os.environ)
     await head.start()
     await stop.wait()
--- a/stoatrouter/config.py
+++ b/stoatrouter/config.py
@@ -86,11 +86,11 @@
         )
         address(conf.listen), address(conf.discovery), conf.management and address(conf.management)
     except (KeyError, ValueError, TypeError, AttributeError, OverflowError) as error:
-        raise ConfigError(f"bad configuration in {path}: {told(data, error)}") from None
+        raise ConfigError(f"bad configuration in {path}: {describe_error(data, error)}") from None
     return conf
 
 
-def told(data: Any, error: Exception) -> str:
+def describe_error(data: Any, error: Exception) -> str:
     """What is wrong in words where it is known, else as the program met it."""
     from stoatrouter.faults import explain  # only where a start or a reload fails
 
@@ -135,8 +135,8 @@
 def addresses(value: Any) -> tuple[str, ...]:
     """Where other heads are, as a list or by name. What is no address is left out."""
     listed = value.values() if isinstance(value, dict) else value if isinstance(value, list) else ()
-    told = (item for item in listed if isinstance(item, str))
-    return tuple(item for item in told if item.rpartition(":")[0] and item.rpartition(":")[2].isdigit())
+    texts = (item for item in listed if isinstance(item, str))
+    return tuple(item for item in texts if item.rpartition(":")[0] and item.rpartition(":")[2].isdigit())
 
 
 def on_sockets(settings: api.Settings, connect_timeout: timedelta) -> api.Settings:
--- a/stoatrouter/core/model.py
+++ b/stoatrouter/core/model.py
@@ -217,7 +217,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class OutElsewhere:
+class AttemptsElsewhere:
     """How many attempts the process before still has out, by node."""
 
     at: timedelta
@@ -238,7 +238,7 @@
     | HandedOver
     | TakenBack
     | TakenOver
-    | OutElsewhere
+    | AttemptsElsewhere
 )
 
 
@@ -294,7 +294,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class TellNext:
+class HandoverState:
     """All that the next process needs of the core."""
 
     nodes: tuple[NodeInfo, ...]
@@ -311,7 +311,7 @@
     | GiveAnswer
     | TurnAway
     | SaveAdministrativeState
-    | TellNext
+    | HandoverState
 )
 
 
@@ -339,7 +339,7 @@
 
 
 @dataclass(slots=True)
-class Figures:
+class Counters:
     """What the operators are told of: counts since the start, by class, and what is open now."""
 
     ok: list[int]
--- a/stoatrouter/core/reducer.py
+++ b/stoatrouter/core/reducer.py
@@ -43,7 +43,7 @@
         self.nodes: dict[str, model.NodeInfo] = {}  # as listed
         self.administrative_state = model.AdministrativeState()
         self.tally = model.Tally()
-        self.figures = model.Figures(*([0] * len(settings.classes) for _ in range(3)))
+        self.counters = model.Counters(*([0] * len(settings.classes) for _ in range(3)))
         self.now = NO_TIME
 
     def reduce(self, event: model.Event) -> list[model.Effect]:
@@ -56,31 +56,31 @@
             case model.TurnedAway():
                 return self._turn_away(event.request_class, model.Refused(self.advice), "crowded")
             case model.AttemptEnded():
-                return self._ended(event)
+                return self._attempt_ended(event)
             case model.FlowEnded():
                 return self._flow_ended(event)
             case model.TimerDue():
                 return self._decide(api.TimerFired(event.token))
             case model.ListTold():
-                return self._listed(event)
+                return self._list_received(event)
             case model.ProbeEnded():
                 return self._decide(api.ProbeEnded(event.node, event.outcome, micros(event.took), event.load))
             case model.ClientLeft():
-                return self._left(event.request)
+                return self._client_left(event.request)
             case model.Overdue():
                 return self._overdue(event.request)
             case model.SetAdministrativeState():
-                return self._put(event)
+                return self._set_administrative_state(event)
             case model.HandedOver():
                 module = handover.hand_over(self.scheduler, micros(self.now))
-                return [model.TellNext(tuple(self.nodes.values()), self.administrative_state, module)]
+                return [model.HandoverState(tuple(self.nodes.values()), self.administrative_state, module)]
             case model.TakenBack():
                 handover.take_back(self.scheduler, micros(self.now))
                 self.administrative_state = event.administrative_state
-                return self._tell(api.ListKind.CHANGES, tuple(self.nodes.values()))
+                return self._pass_on_nodes(api.ListKind.CHANGES, tuple(self.nodes.values()))
             case model.TakenOver():
                 return self._taken_over(event)
-            case model.OutElsewhere():
+            case model.AttemptsElsewhere():
                 for name, node in self.scheduler.nodes.items():
                     node.elsewhere = event.counts.get(name, 0)
                 return []
@@ -118,7 +118,7 @@
             return self._turn_away(request.request_class, refused, "over_credit")
         self.records[request.id] = model.Record(request)
         self.tally.add("taken")
-        self.figures.active += 1
+        self.counters.active += 1
         effects: list[model.Effect] = [model.WatchOverdue(request.time_left + OVERDUE_AFTER, request.id)]
         return effects + self._decide(
             api.RequestArrived(
@@ -138,15 +138,15 @@
 
     def _turn_away(self, request_class: int, answer: model.Answer, why: str) -> list[model.Effect]:
         self.tally.add(why)
-        self.figures.count(request_class, answer)
+        self.counters.count(request_class, answer)
         return [model.TurnAway(answer)]
 
-    def _left(self, name: str) -> list[model.Effect]:
+    def _client_left(self, name: str) -> list[model.Effect]:
         record = self.records.get(name)
         if record is None or record.answered:
             return []
         self.tally.add("client_gone")
-        self.figures.active -= 1
+        self.counters.active -= 1
         record.answered = True
         if self.gate is not None:
             self.gate.end(name, record.may_have_run())
@@ -184,15 +184,15 @@
         return [model.GiveAnswer(name, answer)]
 
     def _count(self, request_class: int, answer: model.Answer) -> None:
-        self.figures.active -= 1
-        self.figures.count(request_class, answer)
+        self.counters.active -= 1
+        self.counters.count(request_class, answer)
 
     def _flow_ended(self, event: model.FlowEnded) -> list[model.Effect]:
         request_class = self.flows.pop(event.request, None)
         if request_class is None:
             return []
         if event.whole is None:
-            self.figures.active -= 1
+            self.counters.active -= 1
         else:
             self._count(request_class, model.Served(b"") if event.whole else model.Failed())
             self.tally.add("passed_on" if event.whole else "broken_off")
@@ -203,7 +203,7 @@
             del self.records[name]
 
     # -- attempts -----------------------------------------------------------------------------------------
-    def _ended(self, event: model.AttemptEnded) -> list[model.Effect]:
+    def _attempt_ended(self, event: model.AttemptEnded) -> list[model.Effect]:
         record = self.records.get(event.request)
         # Guards against an outcome told twice (an attempt cancelled as its answer came): the first counts.
         if record is None or event.attempt >= len(record.attempts) or not record.attempts[event.attempt].out:
@@ -244,11 +244,11 @@
         number = len(record.attempts) - 1
         # Guards against a node that left the list between a decision and its sending: it never ran.
         if node is None:
-            return self._ended(model.AttemptEnded(self.now, action.request, number, api.Outcome.MOOT))
+            return self._attempt_ended(model.AttemptEnded(self.now, action.request, number, api.Outcome.MOOT))
         return [model.SendAttempt(record.request, number, node.address, span(action.timeout))]
 
     # -- the node list ------------------------------------------------------------------------------------
-    def _listed(self, event: model.ListTold) -> list[model.Effect]:
+    def _list_received(self, event: model.ListTold) -> list[model.Effect]:
         if event.kind in (api.ListKind.FULL, api.ListKind.RESTORED):
             self.nodes = {}
         for node in event.nodes:
@@ -256,11 +256,11 @@
                 self.nodes.pop(node.id, None)
             else:
                 self.nodes[node.id] = node
-        return self._tell(event.kind, event.nodes, event.since)
+        return self._pass_on_nodes(event.kind, event.nodes, event.since)
 
     def _taken_over(self, event: model.TakenOver) -> list[model.Effect]:
         self.administrative_state = event.administrative_state
-        effects = self._listed(model.ListTold(event.at, api.ListKind.RESTORED, event.nodes))
+        effects = self._list_received(model.ListTold(event.at, api.ListKind.RESTORED, event.nodes))
         try:
             handover.take_over(self.scheduler, event.module)
         except (KeyError, TypeError, ValueError, AttributeError, IndexError) as error:
@@ -272,7 +272,7 @@
             )
         return effects
 
-    def _tell(
+    def _pass_on_nodes(
         self, kind: api.ListKind, nodes: tuple[model.NodeInfo, ...], since: timedelta | None = None
     ) -> list[model.Effect]:
         seen = (self.administrative_state.seen(node) for node in nodes)
@@ -286,7 +286,7 @@
             )
         )
 
-    def _put(self, event: model.SetAdministrativeState) -> list[model.Effect]:
+    def _set_administrative_state(self, event: model.SetAdministrativeState) -> list[model.Effect]:
         """Set the administrative state of a node; no effects where the node is not known."""
         node = self.nodes.get(event.node)
         if node is None and event.node not in self.administrative_state.out:
@@ -295,7 +295,7 @@
             event.node, self.now
         )
         effects: list[model.Effect] = [model.SaveAdministrativeState()]
-        return effects + (self._tell(api.ListKind.CHANGES, (node,)) if node is not None else [])
+        return effects + (self._pass_on_nodes(api.ListKind.CHANGES, (node,)) if node is not None else [])
 
     # -- the decision module ------------------------------------------------------------------------------
     def _decide(self, event: api.Event) -> list[model.Effect]:
--- a/stoatrouter/faults.py
+++ b/stoatrouter/faults.py
@@ -61,32 +61,32 @@
 def explain(data: Any) -> list[str]:
     """All that is found wrong, a line each; empty where nothing known is."""
     if not isinstance(data, dict):
-        return [f"the file: found {shown(data)} (allowed: fields)"]
-    wrongs = list(wrong("", data, TOP))
+        return [f"the file: found {shorten(data)} (allowed: fields)"]
+    faults = list(field_faults("", data, TOP))
     settings = data.get("settings")
     if isinstance(settings, dict):
-        wrongs += wrong("settings.", settings, SETTINGS)
+        faults += field_faults("settings.", settings, SETTINGS)
         for name, rows in (("Classes", CLASS), ("Contracts", PLAN)):
-            wrongs += listed(f"settings.{name}", settings.get(name), rows)
+            faults += item_faults(f"settings.{name}", settings.get(name), rows)
         for name, rows in (("Limits", LIMITS), ("Contract", RULES)):
             if isinstance(settings.get(name), dict):
-                wrongs += wrong(f"settings.{name}.", settings[name], rows)
-    return wrongs
+                faults += field_faults(f"settings.{name}.", settings[name], rows)
+    return faults
 
 
-def listed(place: str, items: Any, rows: tuple[tuple[str, Any, Any], ...]) -> Iterator[str]:
+def item_faults(place: str, items: Any, rows: tuple[tuple[str, Any, Any], ...]) -> Iterator[str]:
     if not isinstance(items, list):
         return
     if not items:
         yield f"{place}: found none (allowed: one or more)"
     for i, item in enumerate(items):
         if isinstance(item, dict):
-            yield from wrong(f"{place}[{i}].", item, rows)
+            yield from field_faults(f"{place}[{i}].", item, rows)
         else:
-            yield f"{place}[{i}]: found {shown(item)} (allowed: fields)"
+            yield f"{place}[{i}]: found {shorten(item)} (allowed: fields)"
 
 
-def wrong(place: str, fields: dict[str, Any], rows: tuple[tuple[str, Any, Any], ...]) -> Iterator[str]:
+def field_faults(place: str, fields: dict[str, Any], rows: tuple[tuple[str, Any, Any], ...]) -> Iterator[str]:
     for name, kind, least in rows:
         key = name.strip("[]")
         value = fields.get(key)
@@ -94,7 +94,7 @@
             if name == key:
                 yield f"{place}{key}: found nothing (allowed: {allowed(kind, least)})"
         elif not isinstance(value, kind) or isinstance(value, bool) or not within(value, least):
-            yield f"{place}{key}: found {shown(value)} (allowed: {allowed(kind, least)})"
+            yield f"{place}{key}: found {shorten(value)} (allowed: {allowed(kind, least)})"
 
 
 def within(value: Any, least: Any) -> bool:
@@ -109,6 +109,6 @@
     return WORDS[kind] + (f", {least} or more" if least is not None else "")
 
 
-def shown(value: Any) -> str:
+def shorten(value: Any) -> str:
     text = repr(value)
     return text if len(text) <= 40 else text[:37] + "..."
--- a/stoatrouter/fronts/http/front.py
+++ b/stoatrouter/fronts/http/front.py
@@ -14,7 +14,7 @@
 from stoatrouter.matching.inputs import Input, Unreadable, read_input
 from stoatrouter.matching.matcher import Matcher
 from stoatrouter.matching.table import Decision, Refusal
-from stoatrouter.net.bodies import Kept, NoRoom, Room
+from stoatrouter.net.bodies import NoRoom, Room, StoredBody
 from stoatrouter.net.engine import Engine
 from stoatrouter.net.listener import Drain
 from stoatrouter.net.nodes import HOP_BY_HOP
@@ -78,7 +78,7 @@
         try:
             return await self.put(request, wanted, body)
         finally:
-            if isinstance(body, Kept):
+            if isinstance(body, StoredBody):
                 body.close()
 
     async def put(self, request: web.BaseRequest, wanted: model.Request, body: object) -> web.StreamResponse:
--- a/stoatrouter/fronts/platform.py
+++ b/stoatrouter/fronts/platform.py
@@ -12,7 +12,7 @@
 from cypressworks import interface as api
 from stoatrouter.core import model
 from stoatrouter.fronts.exchange import BadRequest, Exchange, answer, last, retry_after
-from stoatrouter.net.bodies import Kept, NoRoom, Room
+from stoatrouter.net.bodies import NoRoom, Room, StoredBody
 from stoatrouter.net.engine import Engine
 from stoatrouter.net.listener import Drain
 
@@ -43,7 +43,7 @@
                 return last(refused) if request.body_exists else self.drain.mark(refused)
             body = await self.read(request)
             if request.method == "GET" and len(body):
-                if isinstance(body, Kept):
+                if isinstance(body, StoredBody):
                     body.close()
                 raise BadRequest("a read has no body")
         except BadRequest as error:
@@ -53,7 +53,7 @@
         try:
             final = await self.engine.serve(replace(wanted, body=body) if len(body) else wanted)
         finally:
-            if isinstance(body, Kept):
+            if isinstance(body, StoredBody):
                 body.close()
         if isinstance(final, model.Served) and final.flow is not None:
             return await self.pass_on(request, wanted.id, final.flow)
--- a/stoatrouter/head.py
+++ b/stoatrouter/head.py
@@ -23,9 +23,9 @@
 from stoatrouter.net.early import announcement
 from stoatrouter.net.engine import Engine, watch_loop
 from stoatrouter.net.generations import Generations
-from stoatrouter.net.keep import Keep
 from stoatrouter.net.listener import Drain, Listener, shutdown_deadlines
 from stoatrouter.net.nodes import NodeClient
+from stoatrouter.net.state_file import AdministrativeStateFile
 
 if TYPE_CHECKING:
     from stoatrouter.fronts.http.settings import HttpSettings
@@ -70,12 +70,15 @@
             span(min(c.aim for c in conf.settings.classes)),
         )
         self.engine = Engine(
-            Reducer(conf.settings, conf.seed, conf.max_open), Clock(), nodes, Keep(conf.folder)
+            Reducer(conf.settings, conf.seed, conf.max_open),
+            Clock(),
+            nodes,
+            AdministrativeStateFile(conf.folder),
         )
         self.watch = Watch(
             conf.discovery,
             conf.known,
-            self.engine.told,
+            self.engine.apply_node_list,
             self.engine.reducer.tally.add,
             not conf.settings.list_on_request,
             list_times(not conf.settings.list_on_request, conf.drain_grace),
@@ -108,7 +111,7 @@
         # a table of its own: however many clients come, operators are heard
         self.management_clients = ClientTable(MOST_CALLERS, MOST_CALLERS, MOST_CALLERS)
         self.generations = Generations(
-            self.engine, self.watch, self.clients, self.drain, conf.folder, self.rest, self.accept
+            self.engine, self.watch, self.clients, self.drain, conf.folder, self.stop_accepting, self.accept
         )
         self.serving = False
         calls = Management(self.engine, self.drain, self.ready, self.heads.call if self.heads else None)
@@ -173,7 +176,7 @@
         if await self.generations.take_over():
             self.background.append(loop.create_task(self.watch.run()))
         else:
-            self.engine.reducer.administrative_state = self.engine.keep.read()
+            self.engine.reducer.administrative_state = self.engine.state_file.read()
             self.watch.restore()
             self.background.append(loop.create_task(self.watch.run()))
             await self.watch.first_answer()
@@ -187,7 +190,7 @@
             loop.create_task(self.generations.follow()),
             loop.create_task(self.management_clients.keep_swept()),
             loop.create_task(watch_loop(self.engine, self.clients, LAG_EVERY, LAG_LIMIT)),
-            *(loop.create_task(service.keep_told()) for service in self.tables),
+            *(loop.create_task(service.log_periodically()) for service in self.tables),
         ]
         if self.recorder is not None:
             self.background.append(loop.create_task(self.recorder.run()))
@@ -204,11 +207,11 @@
             await self.http.start(*config.address(self.http_settings.listen))
         self.serving = True
 
-    async def rest(self) -> None:
+    async def stop_accepting(self) -> None:
         """Accept no more: another process of this head does."""
         self.serving = False
         for listener in self.listeners:
-            listener.rest()
+            listener.stop_accepting()
 
     def reload(self, environ: Mapping[str, str]) -> None:
         """Read the configuration again; all of it must be good. Discovery's address is taken over at once,
@@ -246,7 +249,7 @@
         times = shutdown_deadlines(span(max(c.deadline for c in self.conf.settings.classes)))
         self.engine.answer_by = self.engine.clock.now() + times.answer_within
         await asyncio.gather(*(li.stop(lambda: self.engine.busy, times.take_for) for li in self.listeners))
-        self.drain.rest()
+        self.drain.stop_sending_away()
         await self.generations.close()
         if self.heads is not None:
             await self.heads.close()
--- a/stoatrouter/lab/demo.py
+++ b/stoatrouter/lab/demo.py
@@ -21,7 +21,7 @@
 from stoatrouter.fronts.http.settings import load_http
 from stoatrouter.fronts.objects.settings import load as load_objects
 from stoatrouter.head import Head
-from stoatrouter.lab.standins import HOST, Listening, StandInDiscovery, StandInNode
+from stoatrouter.lab.standins import HOST, StandInDiscovery, StandInNode, StandInServers
 
 FILES = resources.files("stoatrouter.lab") / "demo_files"  # a small deployment
 
@@ -125,7 +125,7 @@
 
 async def demo(count: int, seed: int, seconds: float | None) -> None:
     """Serve until asked to stop."""
-    listening = Listening()
+    listening = StandInServers()
     nodes = [StandInNode(f"node-{i}", i, seed) for i in range(count)]
     for node in nodes:
         node.port = await listening.serve(node.handle)
--- a/stoatrouter/lab/standins.py
+++ b/stoatrouter/lab/standins.py
@@ -32,11 +32,11 @@
     size: int = 0
     served: int = 0
     port: int = 0
-    gate: asyncio.Semaphore = field(init=False)
+    free_slots: asyncio.Semaphore = field(init=False)
     times: random.Random = field(init=False)
 
     def __post_init__(self) -> None:
-        self.gate, self.times = asyncio.Semaphore(self.slots), random.Random(f"{self.seed}/{self.name}")
+        self.free_slots, self.times = asyncio.Semaphore(self.slots), random.Random(f"{self.seed}/{self.name}")
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """One exchange, as the nodes' protocol has it."""
@@ -49,7 +49,7 @@
             return web.Response(status=503, headers={"Srv-Declined": "1"})
         self.waiting += 1
         try:
-            async with self.gate:
+            async with self.free_slots:
                 await asyncio.sleep(self.times.uniform(0.004, 0.02))
                 return self.answer(request, body)
         finally:
@@ -94,7 +94,7 @@
         self.nodes, self.generation = nodes, 1
         self.changed = asyncio.Event()
 
-    def told(self) -> dict[str, object]:
+    def full_list(self) -> dict[str, object]:
         return {
             "generation": self.generation,
             "reset": True,
@@ -107,9 +107,9 @@
             try:
                 await asyncio.wait_for(self.changed.wait(), hold.total_seconds())
             except TimeoutError:
-                told = {"generation": self.generation, "reset": False, "instances": []}
-                return web.Response(body=json.dumps(told).encode())
-        return web.Response(body=json.dumps(self.told()).encode())
+                unchanged = {"generation": self.generation, "reset": False, "instances": []}
+                return web.Response(body=json.dumps(unchanged).encode())
+        return web.Response(body=json.dumps(self.full_list()).encode())
 
 
 async def read_body(request: web.BaseRequest) -> bytes:
@@ -122,7 +122,7 @@
     return bytes(body)
 
 
-class Listening:
+class StandInServers:
     """Serves stand-ins on ports that the system chooses."""
 
     def __init__(self) -> None:
@@ -130,11 +130,11 @@
 
     async def serve(self, handler: object) -> int:
         server = web.Server(handler, access_log=None)  # type: ignore[arg-type]
-        made = await asyncio.get_running_loop().create_server(server, HOST, 0)
-        self.open.append((made, server))
-        return int(made.sockets[0].getsockname()[1])
+        listener = await asyncio.get_running_loop().create_server(server, HOST, 0)
+        self.open.append((listener, server))
+        return int(listener.sockets[0].getsockname()[1])
 
     async def close(self) -> None:
-        for made, server in self.open:
-            made.close()
+        for listener, server in self.open:
+            listener.close()
             await server.shutdown(0.1)
--- a/stoatrouter/management/calls.py
+++ b/stoatrouter/management/calls.py
@@ -37,7 +37,7 @@
         if self.heads is not None:
             body = await read(request)
             if body is None:
-                response = say(413, f"more than {LARGEST} bytes")
+                response = text_response(413, f"more than {LARGEST} bytes")
             else:
                 response = await self.heads(request.method, path, body)
         response = response or self.answer(request.method, path)
@@ -47,7 +47,7 @@
     def answer(self, method: str, path: str) -> web.Response:
         calls = self.calls(path)
         if calls is None:
-            return say(404, "no such call")
+            return text_response(404, "no such call")
         if method not in calls:
             return web.Response(status=405, headers={"Allow": ", ".join(calls)}, text="not by this method\n")
         return calls[method]()
@@ -71,40 +71,42 @@
     def brick(self, name: str, out: bool) -> web.Response:
         kept = self.engine.set_administrative_state(name, out)
         if kept is None:
-            return say(404, "no such brick")
-        return say(200, "out" if out else "back") if kept else say(500, "done, but not kept")
+            return text_response(404, "no such brick")
+        if not kept:
+            return text_response(500, "done, but not kept")
+        return text_response(200, "out" if out else "back")
 
     def ready(self) -> web.Response:
-        return say(200, "ready") if self.serving() else say(503, "not ready")
+        return text_response(200, "ready") if self.serving() else text_response(503, "not ready")
 
     def counters(self) -> web.Response:
-        return say(200, "\n".join(lines(self.engine)))
+        return text_response(200, "\n".join(counter_lines(self.engine)))
 
     def out_of_service(self) -> web.Response:
         self.drain.out_of_service()
-        return say(200, "out of service")
+        return text_response(200, "out of service")
 
     def in_service(self) -> web.Response:
         self.drain.in_service()
-        return say(200, "in service")
+        return text_response(200, "in service")
 
 
-def lines(engine: Engine) -> list[str]:
+def counter_lines(engine: Engine) -> list[str]:
     """All figures; each line is there from the start."""
     core = engine.reducer
-    told = [
+    responses = [
         f"app.responses.{kind.name}.{end}:{counts[i]}|c"
         for i, kind in enumerate(core.scheduler.settings.classes)
         for end, counts in (
-            ("ok", core.figures.ok),
-            ("shed", core.figures.shed),
-            ("errors", core.figures.errors),
+            ("ok", core.counters.ok),
+            ("shed", core.counters.shed),
+            ("errors", core.counters.errors),
         )
     ]
     return [
-        *told,
+        *responses,
         f"app.tries:{engine.nodes.pool.tries}|c",
-        f"app.active:{core.figures.active}|g",
+        f"app.active:{core.counters.active}|g",
         f"app.pool_size:{len(core.nodes)}|g",
         f"app.pool_ejected:{core.avoided}|g",
     ]
@@ -120,5 +122,5 @@
     return bytes(body)
 
 
-def say(status: int, text: str) -> web.Response:
+def text_response(status: int, text: str) -> web.Response:
     return web.Response(status=status, text=text + "\n")
--- a/stoatrouter/net/bodies.py
+++ b/stoatrouter/net/bodies.py
@@ -1,4 +1,4 @@
-"""Bodies of any size: clients' are kept so that they can be sent anew, nodes' answers flow as they come."""
+"""Bodies of any size: clients' are stored so that they can be sent anew, nodes' answers flow as they come."""
 
 from __future__ import annotations
 
@@ -25,7 +25,7 @@
 
 
 class NoRoom(Exception):
-    """The bodies kept leave no room for this one."""
+    """The bodies stored leave no room for this one."""
 
 
 class TooLarge(Exception):
@@ -41,7 +41,7 @@
 
 
 class Room:
-    """Bytes that kept bodies may take together, given out in turn. Files count: they lie in memory there."""
+    """Bytes that stored bodies may take together, granted in turn. Files count: there they lie in memory."""
 
     def __init__(self, most: int, folder: str | None = None) -> None:
         self.most, self.folder, self.taken = most, folder, 0
@@ -83,7 +83,7 @@
                 given.set_result(None)
 
 
-class Kept:
+class StoredBody:
     """A large body in a file without a name, which any attempt can read from its start."""
 
     def __init__(self, room: Room) -> None:
@@ -127,7 +127,7 @@
             self.room.free(self.taken)
 
 
-Body = bytes | Kept
+Body = bytes | StoredBody
 
 
 async def read_body(request: web.BaseRequest, room: Room) -> Body:
@@ -137,42 +137,42 @@
         raise TooLarge
     if not request.can_read_body:
         return b""
-    small, kept, pace = bytearray(), None, Pace()
+    small, stored, rate = bytearray(), None, ReceiveRate()
     try:
         if stated > SMALL:
-            kept = Kept(room)
-            await kept.grow(stated)
+            stored = StoredBody(room)
+            await stored.grow(stated)
         if request.headers.get("Expect", "").lower() == "100-continue":
             await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
             request.writer.output_size = 0  # it is no part of the answer
-        while data := await pace.wait(request.content):
-            size = len(data) + (len(small) if kept is None else kept.size)
+        while data := await rate.wait(request.content):
+            size = len(data) + (len(small) if stored is None else stored.size)
             if size > LARGEST:
                 raise TooLarge
-            if kept is None and size <= SMALL:
+            if stored is None and size <= SMALL:
                 small += data
                 continue
-            if kept is None:  # it stated no length
-                kept = Kept(room)
-            if size > kept.taken:
+            if stored is None:  # it stated no length
+                stored = StoredBody(room)
+            if size > stored.taken:
                 # a step further, yet no more than there is: it would wait for room that never comes
-                await kept.grow(max(size, min(kept.taken + STEP, room.most)))
+                await stored.grow(max(size, min(stored.taken + STEP, room.most)))
             if small:
-                kept.write(bytes(small))
+                stored.write(bytes(small))
                 small.clear()
-            kept.write(data)
+            stored.write(data)
     except BaseException:
-        if kept is not None:
-            kept.close()
+        if stored is not None:
+            stored.close()
         raise
-    return bytes(small) if kept is None else kept
+    return bytes(small) if stored is None else stored
 
 
-class Pace:
+class ReceiveRate:
     """How fast a body comes, of the time in which it was waited for."""
 
     def __init__(self) -> None:
-        self.spent, self.came = 0.0, 0
+        self.spent, self.received = 0.0, 0
 
     async def wait(self, content: aiohttp.StreamReader) -> bytes:
         """What comes next. Guards connections, room and the end of a stopping head against a body that never
@@ -185,8 +185,8 @@
         except TimeoutError:
             raise TooSlow from None
         self.spent += loop.time() - began
-        self.came += len(data)
-        if data and self.spent > START.total_seconds() and self.came < self.spent * SLOWEST:
+        self.received += len(data)
+        if data and self.spent > START.total_seconds() and self.received < self.spent * SLOWEST:
             raise TooSlow
         return data
 
--- a/stoatrouter/net/clients.py
+++ b/stoatrouter/net/clients.py
@@ -19,7 +19,7 @@
 
 # A connection with no open request is ended after this time, whether it has said anything or not.
 IDLE = timedelta(seconds=2)
-JUST_COME = timedelta(milliseconds=250)
+JUST_CONNECTED = timedelta(milliseconds=250)
 SPARE = 8  # connections beyond the bound that are still heard, to be refused in words
 SWEEP_EVERY = timedelta(milliseconds=200)
 # A head: clients in service take up to 2 s for one, and those that never end theirs are owed a close in 3 s.
@@ -93,7 +93,7 @@
         silent, begun, now = oldest[State.SILENT], oldest[State.BEGUN], newest.loop.time()
         if silent is newest:
             silent = None
-        long_silent = silent is not None and now - silent.since > JUST_COME.total_seconds()
+        long_silent = silent is not None and now - silent.since > JUST_CONNECTED.total_seconds()
         stale = begun is not None and now - begun.since > STALE.total_seconds()
         return (
             oldest[State.ENDING]
@@ -154,12 +154,15 @@
         come: its first request is on its way."""
         for state in (State.ONCE, State.IDLE, *((State.SILENT, State.BEGUN) if silent else ())):
             for connection in list(self.held[state]):
-                if state is not State.SILENT or connection.waited() > JUST_COME.total_seconds():
+                if (
+                    state is not State.SILENT
+                    or connection.seconds_in_state() > JUST_CONNECTED.total_seconds()
+                ):
                     connection.end_unless_asked()
 
-    def just_come(self) -> bool:
+    def any_just_connected(self) -> bool:
         """Whether a connection is so young that its first request may be on its way."""
-        return any(c.waited() <= JUST_COME.total_seconds() for c in self.held[State.SILENT])
+        return any(c.seconds_in_state() <= JUST_CONNECTED.total_seconds() for c in self.held[State.SILENT])
 
 
 class ClientConnection(RequestHandler):
@@ -189,7 +192,7 @@
         self.clients.leave(self)
         self.force_close()
 
-    def waited(self) -> float:
+    def seconds_in_state(self) -> float:
         """For how long it has been in its present state, in seconds."""
         return self.loop.time() - self.since
 
@@ -224,9 +227,9 @@
             self.refuse is not None
             and self.clients.open >= self.clients.busy_bound()
             and self.state in (State.SILENT, State.ONCE, State.IDLE)
-            and (said := self.refuse(data))
+            and (refusal := self.refuse(data))
         ):
-            return self._refused(said)
+            return self._refused(refusal)
         open_before = self.state is State.BUSY
         super().data_received(data)
         if not self._messages:
@@ -242,12 +245,12 @@
         elif not open_before:
             self.clients.put(self, State.BUSY)
 
-    def _refused(self, said: bytes) -> None:
+    def _refused(self, refusal: bytes) -> None:
         """What came was refused as it came; this connection goes on, unless that was its last answer."""
         if self.transport is None:
             return
-        self.transport.write(said)
-        if b"Connection: close" in said:
+        self.transport.write(refusal)
+        if b"Connection: close" in refusal:
             self._last()
         else:
             self.clients.put(self, State.IDLE if self.answered else State.ONCE)
--- a/stoatrouter/net/discovery.py
+++ b/stoatrouter/net/discovery.py
@@ -20,15 +20,15 @@
 from stoatrouter.core.model import NodeInfo
 from stoatrouter.net.nodes import Broken, only_once
 
-PACE = timedelta(milliseconds=50)  # of calls that are answered at once and bring nothing
+LEAST_CALL_INTERVAL = timedelta(milliseconds=50)  # of calls that are answered at once and bring nothing
 LARGEST_LIST = 4 * 1024 * 1024
 UNNAMED_ZONES = 1 << 16  # numbers from here on are of zones that the settings do not name
-MOST_SAID = 1000  # faults of entries that are remembered as said
+MOST_LOGGED_FAULTS = 1000  # faults of entries that are remembered as logged
 NONE_HELD: Mapping[str, NodeInfo] = MappingProxyType({})
 PHASES = {"SERVING": Phase.ON, "DRAINING": Phase.DRAINING, "DELETED": Phase.GONE}
 
 # the kind, the entries, and how long before now they may have counted as told; None: nobody knows
-Told = Callable[[ListKind, tuple[NodeInfo, ...], timedelta | None], None]
+ListCallback = Callable[[ListKind, tuple[NodeInfo, ...], timedelta | None], None]
 
 
 class Watch:
@@ -38,23 +38,23 @@
         self,
         address: str,
         known: dict[str, Any],
-        told: Told,
+        on_list: ListCallback,
         count: Callable[[str], None] = lambda _: None,
         pushed: bool = True,
         times: ListTimes | None = None,
         zones: tuple[str, ...] = (),
     ) -> None:
-        self.address, self.told, self.count, self.pushed = address, told, count, pushed
+        self.address, self.on_list, self.count, self.pushed = address, on_list, count, pushed
         self.zones = zones  # by name, as the settings number them
         self.times = times or list_times(pushed, timedelta(seconds=2))
-        # in the loop's time: when the present call began, and up to when all is known
-        self.asked, self.sure = 0.0, None
+        # in the loop's time: when the present call began, and up to when the list held is current
+        self.call_began, self.current_at = 0.0, None
         self.held: dict[str, NodeInfo] = {}  # as last told, for entries that cannot be read
-        self.said: set[str] = set()
+        self.logged_faults: set[str] = set()
         self.generation: int | None = None
         self.known = known
         self.failures = 0  # calls in a row
-        self.moved, self.heard = asyncio.Event(), asyncio.Event()
+        self.address_changed, self.answered = asyncio.Event(), asyncio.Event()
 
     def restore(self) -> None:
         """Tell the list as this head last had it; it may be out of date."""
@@ -70,7 +70,7 @@
             )
             generation, nodes, faults = None, (), ()
         self.generation = generation
-        self.tell(ListKind.RESTORED, nodes, faults)
+        self.report(ListKind.RESTORED, nodes, faults)
 
     async def first_answer(self) -> None:
         """Wait for the first answer, not for long: a start must not depend on discovery. Guards a new
@@ -78,7 +78,7 @@
         given may be old."""
         try:
             async with asyncio.timeout(self.times.first.total_seconds()):
-                await self.heard.wait()
+                await self.answered.wait()
         except TimeoutError:
             logger.warning(
                 "discovery: no answer yet, serving on the list known before", event="discovery.unheard"
@@ -89,15 +89,15 @@
         for what is newer, so that nothing is missed and nothing is forgotten."""
         if address != self.address:
             self.address = address
-            self.moved.set()
+            self.address_changed.set()
 
     async def run(self) -> None:
         """Watch for as long as the program runs, wherever the list is to be had."""
         while True:
-            self.moved.clear()
+            self.address_changed.clear()
             following = asyncio.create_task(self.follow())
             try:
-                await self.moved.wait()
+                await self.address_changed.wait()
             finally:
                 # Guards a moved watch against the old agent, which may be silent from now on.
                 following.cancel()
@@ -120,8 +120,9 @@
                     news = await self.call(session)
                     self.recovered()
                     # Guards the core against an agent that does not hold calls: asking is paced then.
-                    if not news and asyncio.get_running_loop().time() - self.asked < PACE.total_seconds():
-                        await asyncio.sleep(PACE.total_seconds())
+                    took = asyncio.get_running_loop().time() - self.call_began
+                    if not news and took < LEAST_CALL_INTERVAL.total_seconds():
+                        await asyncio.sleep(LEAST_CALL_INTERVAL.total_seconds())
                 except (aiohttp.ClientError, Broken, OSError, ValueError, TimeoutError) as error:
                     self.failed(error)
                     await asyncio.sleep(self.pause().total_seconds())
@@ -142,7 +143,7 @@
         time."""
         times, query = self.times, ""
         hold = times.hold * (0.75 + random.random() / 4)  # all heads' calls do not come together
-        if self.failures or not self.heard.is_set():
+        if self.failures or not self.answered.is_set():
             hold = times.brief
         within = hold + times.late if hold > times.brief else times.answer
         if self.generation is not None:
@@ -150,7 +151,7 @@
         else:
             within = times.answer
         url = URL(f"http://{self.address}/v1/servers{query}", encoded=True)
-        self.asked = asyncio.get_running_loop().time()
+        self.call_began = asyncio.get_running_loop().time()
         # one time for all of it, as bytes may trickle: dial, wait, head and body
         async with asyncio.timeout(within.total_seconds()):
             async with session.get(url, allow_redirects=False) as response:
@@ -166,8 +167,8 @@
         except RecursionError:  # brackets without end
             raise ValueError("list nested too deeply") from None
         news = self.take(data, self.age())
-        self.sure = asyncio.get_running_loop().time()
-        self.heard.set()
+        self.current_at = asyncio.get_running_loop().time()
+        self.answered.set()
         return news
 
     def take(self, data: Any, age: timedelta | None = timedelta(0)) -> bool:
@@ -179,7 +180,7 @@
             raise ValueError("changes to a list that is not held")
         self.generation = generation
         if whole or nodes or faults:
-            self.tell(ListKind.FULL if whole else ListKind.CHANGES, nodes, faults, age)
+            self.report(ListKind.FULL if whole else ListKind.CHANGES, nodes, faults, age)
         return whole or bool(nodes)
 
     def age(self) -> timedelta | None:
@@ -188,9 +189,11 @@
         this call."""
         if not self.pushed:
             return timedelta(0)  # told by being written
-        return None if self.sure is None else timedelta(seconds=max(0.0, self.asked - self.sure))
+        if self.current_at is None:
+            return None
+        return timedelta(seconds=max(0.0, self.call_began - self.current_at))
 
-    def tell(
+    def report(
         self,
         kind: ListKind,
         nodes: tuple[NodeInfo, ...],
@@ -200,8 +203,8 @@
         """Tell what could be read, and say once what could not."""
         for fault in faults:
             self.count("entry_unreadable")
-            if fault not in self.said and len(self.said) < MOST_SAID:
-                self.said.add(fault)
+            if fault not in self.logged_faults and len(self.logged_faults) < MOST_LOGGED_FAULTS:
+                self.logged_faults.add(fault)
                 logger.warning(
                     "discovery: an entry cannot be read, the others are taken: {error}",
                     event="discovery.entry_unreadable",
@@ -214,7 +217,7 @@
             if node.phase is Phase.GONE:
                 del self.held[node.id]
         if nodes or kind is not ListKind.CHANGES:
-            self.told(kind, nodes, age)
+            self.on_list(kind, nodes, age)
 
     def failed(self, error: BaseException) -> None:
         if not self.failures:
--- a/stoatrouter/net/early.py
+++ b/stoatrouter/net/early.py
@@ -10,7 +10,7 @@
 
 
 @contextlib.contextmanager
-def place(folder: str):
+def short_path(folder: str):
     """The folder under a name that is short: a socket's path has 107 bytes at most."""
     handle = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
     try:
@@ -23,26 +23,26 @@
     """That this process is starting, while it is."""
 
     def __init__(self) -> None:
-        self.line: socket.socket | None = None
+        self.connection: socket.socket | None = None
 
-    def make(self, folder: str | None) -> None:
+    def connect(self, folder: str | None) -> None:
         """Guards the clients of the old process: a start takes a good part of the core that it needs, so it
         is to hold less open from now on."""
         if not folder:
             return
-        line = socket.socket(socket.AF_UNIX)
-        line.setblocking(False)
+        connection = socket.socket(socket.AF_UNIX)
+        connection.setblocking(False)
         try:
-            with place(folder) as short:
-                line.connect(f"{short}/{NAME}")
-            self.line = line
+            with short_path(folder) as short:
+                connection.connect(f"{short}/{NAME}")
+            self.connection = connection
         except OSError:
-            line.close()  # there is none
+            connection.close()  # there is none
 
     def end(self) -> None:
-        if self.line is not None:
-            self.line.close()
-            self.line = None
+        if self.connection is not None:
+            self.connection.close()
+            self.connection = None
 
 
 announcement = Announcement()
--- a/stoatrouter/net/engine.py
+++ b/stoatrouter/net/engine.py
@@ -17,9 +17,9 @@
 from stoatrouter.net.bodies import BrokenOff
 from stoatrouter.net.clients import ClientTable
 from stoatrouter.net.clock import Clock
-from stoatrouter.net.keep import Keep
 from stoatrouter.net.nodes import NodeClient, Reply
 from stoatrouter.net.presence import CLIENT, gone
+from stoatrouter.net.state_file import AdministrativeStateFile
 
 # A loop this late has too little of its core; in quiet times it is late by a few milliseconds.
 PRESSED_LAG, PRESSED_FOR = timedelta(milliseconds=30), timedelta(milliseconds=500)
@@ -29,9 +29,11 @@
 class Engine:
     """Holds what is under way: answers waited for and attempts out. Decides nothing."""
 
-    def __init__(self, reducer: Reducer, clock: Clock, nodes: NodeClient, keep: Keep) -> None:
-        self.reducer, self.clock, self.nodes, self.keep = reducer, clock, nodes, keep
-        self.kept = True  # whether the administrative state was saved when it last changed
+    def __init__(
+        self, reducer: Reducer, clock: Clock, nodes: NodeClient, state_file: AdministrativeStateFile
+    ) -> None:
+        self.reducer, self.clock, self.nodes, self.state_file = reducer, clock, nodes, state_file
+        self.state_saved = True  # whether the administrative state was saved when it last changed
         self.loop = asyncio.get_running_loop()
         self.waiting: dict[str, asyncio.Future[model.Answer]] = {}
         self.callers: dict[str, asyncio.Transport | None] = {}  # of those requests
@@ -115,7 +117,7 @@
         assert isinstance(effects[0], model.TurnAway)
         return effects[0].answer
 
-    def told(
+    def apply_node_list(
         self, kind: ListKind, nodes: tuple[model.NodeInfo, ...], age: timedelta | None = timedelta(0)
     ) -> None:
         """Pass on what discovery tells, and for how long it may have counted as told; None: nobody knows."""
@@ -128,10 +130,10 @@
         now = self.clock.now()
         self.put(model.ListTold(now, kind, nodes, timedelta(0) if age is None else now - age))
 
-    def hand_over(self) -> model.TellNext:
+    def hand_over(self) -> model.HandoverState:
         """All that the next process needs; from now on this one only ends what it has."""
         (known,) = self.reducer.reduce(model.HandedOver(self.clock.now()))
-        assert isinstance(known, model.TellNext)
+        assert isinstance(known, model.HandoverState)
         return known
 
     def set_administrative_state(self, node: str, out: bool) -> bool | None:
@@ -145,7 +147,7 @@
                 state="out" if out else "back",
             )
         self.run_all(effects)
-        return self.kept if effects else None
+        return self.state_saved if effects else None
 
     @property
     def busy(self) -> bool:
@@ -173,7 +175,7 @@
             case model.SendAttempt():
                 task = self.loop.create_task(self.nodes.attempt(effect, partial(self.may_begin, effect)))
                 self.attempts[(effect.request.id, effect.attempt)] = task
-                task.add_done_callback(partial(self.ended, effect))
+                task.add_done_callback(partial(self.attempt_ended, effect))
             case model.GiveAnswer():
                 waiter = self.waiting.get(effect.request)
                 if waiter is not None and not waiter.done():
@@ -188,7 +190,7 @@
                 if (task := self.attempts.get((effect.request, effect.attempt))) is not None:
                     task.cancel()
             case model.SaveAdministrativeState():
-                self.kept = self.keep.write(self.reducer.administrative_state)
+                self.state_saved = self.state_file.write(self.reducer.administrative_state)
             case model.Probe():
                 self.spawn(self.probe(effect))
 
@@ -214,7 +216,7 @@
     def overdue(self, request: str) -> None:
         self.put(model.Overdue(self.clock.now(), request))
 
-    def ended(self, effect: model.SendAttempt, task: asyncio.Task[Reply]) -> None:
+    def attempt_ended(self, effect: model.SendAttempt, task: asyncio.Task[Reply]) -> None:
         """An attempt's end, told exactly once. A callback, as a task that is cancelled before its first step
         runs none of its own code: such an attempt would stay out for ever."""
         reply = Reply(Outcome.RESET)
--- a/stoatrouter/net/generations.py
+++ b/stoatrouter/net/generations.py
@@ -15,7 +15,7 @@
 from stoatrouter.net.engine import Engine
 from stoatrouter.net.listener import Drain
 from stoatrouter.net.state import read_administrative_state, read_node, write_administrative_state, write_node
-from stoatrouter.net.succession import TELL_EVERY, VERSION, Predecessor, State, Succession, tell
+from stoatrouter.net.succession import HOLDINGS_EVERY, VERSION, Predecessor, State, Succession, send_line
 
 # After each word of the other process: clients move over all at once, to a process that opens all anew.
 UNSETTLED = timedelta(seconds=1)
@@ -33,15 +33,15 @@
         clients: ClientTable,
         drain: Drain,
         folder: str | None,
-        rest: Callable[[], Awaitable[None]],
-        resume: Callable[[], Awaitable[None]],
+        stop_accepting: Callable[[], Awaitable[None]],
+        resume_accepting: Callable[[], Awaitable[None]],
     ) -> None:
         self.engine, self.watch, self.clients, self.drain = engine, watch, clients, drain
-        self.rest, self.resume = rest, resume  # stop accepting, and accept again
+        self.stop_accepting, self.resume_accepting = stop_accepting, resume_accepting
         self.succession = Succession(folder)
         self.clients_most, self.nodes_most = clients.most, engine.nodes.pool.most
         self.predecessor: Predecessor | None = None
-        self.asking: set[asyncio.Task[None]] = set()
+        self.takeover_tasks: set[asyncio.Task[None]] = set()
 
     # -- the new process ----------------------------------------------------------------------------------
     async def take_over(self) -> bool:
@@ -63,7 +63,7 @@
             self.watch.generation = state["generation"]
             if state["out_of_service"]:
                 self.drain.out_of_service()
-            self.told(state["holds"])
+            self.apply_holdings(state["holds"])
         except (KeyError, TypeError, ValueError, AttributeError) as error:
             logger.error(
                 "upgrade: what the old process told cannot be read: {error}",
@@ -80,31 +80,31 @@
 
     async def follow(self) -> None:
         if self.predecessor is not None:
-            await self.predecessor.follow(self.told)
+            await self.predecessor.follow(self.apply_holdings)
 
-    def told(self, holds: State) -> None:
+    def apply_holdings(self, holds: State) -> None:
         """What the old process holds. Guards the limits, which the two keep together as one head."""
         self.clients.most = max(1, self.clients_most - int(holds.get("clients", 0)))
         self.clients.busy_elsewhere = int(holds.get("busy", 0))
         self.clients.press(UNSETTLED)
-        self.engine.nodes.pool.allow(max(1, self.nodes_most - int(holds.get("connections", 0))))
-        self.engine.put(model.OutElsewhere(self.engine.clock.now(), dict(holds.get("out", {}))))
+        self.engine.nodes.pool.set_limit(max(1, self.nodes_most - int(holds.get("connections", 0))))
+        self.engine.put(model.AttemptsElsewhere(self.engine.clock.now(), dict(holds.get("out", {}))))
 
     # -- the old process ----------------------------------------------------------------------------------
     async def listen(self) -> None:
-        await self.succession.listen(self.came)
+        await self.succession.listen(self.on_connection)
 
-    def came(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    def on_connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.clients.press(STARTING)  # it says so as it starts, long before it asks
-        task = asyncio.get_running_loop().create_task(self.asked(reader, writer))
-        self.asking.add(task)
-        task.add_done_callback(self.asking.discard)
+        task = asyncio.get_running_loop().create_task(self.serve_takeover(reader, writer))
+        self.takeover_tasks.add(task)
+        task.add_done_callback(self.takeover_tasks.discard)
 
-    async def asked(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def serve_takeover(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """A new process asks: it is told all, and this one ends what it has, unless the new one dies."""
         try:
             line = await reader.readline()
-            if not line or json.loads(line).get("take") != VERSION or self.drain.handed:
+            if not line or json.loads(line).get("take") != VERSION or self.drain.handed_over:
                 return
         except (OSError, ValueError, AttributeError):
             return
@@ -119,12 +119,12 @@
             event="upgrade.handing_over",
             open=self.engine.reducer.open,
         )
-        self.drain.handed = True
+        self.drain.handed_over = True
         self.clients.press(UNSETTLED)
-        await self.rest()
+        await self.stop_accepting()
         try:
             known = self.engine.hand_over()
-            await tell(
+            await send_line(
                 writer,
                 {
                     "v": VERSION,
@@ -138,8 +138,8 @@
             )
             ended = asyncio.ensure_future(reader.read())
             while not ended.done():
-                await asyncio.wait([ended], timeout=TELL_EVERY.total_seconds())
-                await tell(writer, self.holds())
+                await asyncio.wait([ended], timeout=HOLDINGS_EVERY.total_seconds())
+                await send_line(writer, self.holds())
         except OSError as error:
             logger.warning(
                 "upgrade: the new process broke off: {error}", event="upgrade.broke_off", error=repr(error)
@@ -148,9 +148,9 @@
             # Guards against a fault on the way: without this, nobody would accept clients.
             logger.exception("upgrade: handing over failed", event="upgrade.fault")
         logger.warning("upgrade: the new process is gone, this one serves on", event="upgrade.taken_back")
-        self.engine.put(model.TakenBack(self.engine.clock.now(), self.engine.keep.read()))
-        self.drain.handed = False
-        await self.resume()
+        self.engine.put(model.TakenBack(self.engine.clock.now(), self.engine.state_file.read()))
+        self.drain.handed_over = False
+        await self.resume_accepting()
         await self.listen()
 
     def holds(self) -> State:
@@ -166,6 +166,6 @@
 
     async def close(self) -> None:
         await self.succession.close()
-        for task in list(self.asking):
+        for task in list(self.takeover_tasks):
             task.cancel()
-        await asyncio.gather(*self.asking, return_exceptions=True)
+        await asyncio.gather(*self.takeover_tasks, return_exceptions=True)
--- a/stoatrouter/net/hangup.py
+++ b/stoatrouter/net/hangup.py
@@ -9,14 +9,14 @@
     """Whether SIGHUP came while the program was still starting."""
 
     def __init__(self) -> None:
-        self.came = False
+        self.received = False
 
     def hold(self) -> None:
         """Guards a starting head: by default SIGHUP would end it, while imports alone take half a second."""
         signal.signal(signal.SIGHUP, self._note)
 
     def _note(self, *_: object) -> None:
-        self.came = True
+        self.received = True
 
 
 hangups = Hangups()
--- a/stoatrouter/net/listener.py
+++ b/stoatrouter/net/listener.py
@@ -56,13 +56,13 @@
     def __init__(self, clients: ClientTable) -> None:
         self.clients = clients
         self.asked_to_end = self.stopping = self.out = False
-        self.handed = False  # a new process of this head takes what is new
+        self.handed_over = False  # a new process of this head takes what is new
         self.sending_away: asyncio.Task[None] | None = None
 
     @property
     def open(self) -> bool:
         """Whether this head wants clients."""
-        return not self.out and (self.handed or not self.asked_to_end)
+        return not self.out and (self.handed_over or not self.asked_to_end)
 
     def health(self) -> web.Response:
         """What /healthz says, at either front."""
@@ -71,7 +71,7 @@
     @property
     def closing(self) -> bool:
         """Whether answers are the last ones of their connections, as clients are sent away."""
-        return self.stopping or self.out or self.handed
+        return self.stopping or self.out or self.handed_over
 
     def mark(self, response: Response) -> Response:
         """A connection ends with its answer while clients are sent away."""
@@ -94,9 +94,9 @@
         if self.out:
             logger.info("drain: back in service", event="drain.back")
             self.out = False
-        self.rest()
+        self.stop_sending_away()
 
-    def rest(self) -> None:
+    def stop_sending_away(self) -> None:
         if self.sending_away is not None:
             self.sending_away.cancel()
             self.sending_away = None
@@ -116,11 +116,11 @@
 class ListeningSocket(socket.socket):
     """A listening socket with a backlog of its own, whatever asyncio sets."""
 
-    keeps = False
+    keeps_backlog = False
 
     def listen(self, backlog: int = BACKLOG) -> None:
         # Guards connections on their way: a backlog that shrinks, if for a moment, leaves them unanswered.
-        if not self.keeps:
+        if not self.keeps_backlog:
             super().listen(BACKLOG)
 
 
@@ -145,17 +145,17 @@
         if inherited is None:
             family = socket.AF_INET6 if ":" in host else socket.AF_INET
             with contextlib.closing(socket.create_server((host, port), family=family)) as made:
-                ear = ListeningSocket(fileno=made.detach())
+                listening_socket = ListeningSocket(fileno=made.detach())
         else:
-            ear = ListeningSocket(fileno=os.dup(inherited))  # closing ours leaves theirs
-        ear.keeps = inherited is not None
-        ear.setblocking(False)
+            listening_socket = ListeningSocket(fileno=os.dup(inherited))  # closing ours leaves theirs
+        listening_socket.keeps_backlog = inherited is not None
+        listening_socket.setblocking(False)
         # Guards the descriptors: asyncio accepts as many at once as it believes the backlog to be.
         self.sockets = await asyncio.get_running_loop().create_server(
-            self.server, sock=ear, backlog=ACCEPT_AT_ONCE
+            self.server, sock=listening_socket, backlog=ACCEPT_AT_ONCE
         )
 
-    def rest(self) -> None:
+    def stop_accepting(self) -> None:
         """Accept no more. What waits at an inherited socket is for the process that accepts there."""
         if self.sockets is not None:
             self.sockets.close()
@@ -173,11 +173,11 @@
         await self.wait(take_for)
         self.drain.stopping = True
         clients.end_idle()
-        if not self.drain.handed:
+        if not self.drain.handed_over:
             await asyncio.sleep(RESENT_FOR.total_seconds())
-        self.rest()
+        self.stop_accepting()
         clients.end_idle()
-        while busy() or clients.open or clients.just_come():
+        while busy() or clients.open or clients.any_just_connected():
             await asyncio.sleep(0.01)
             clients.end_idle()
         logger.info("stop: all that was taken is answered", event="stop.answered")
@@ -187,10 +187,10 @@
         """Serve what comes. A head that has handed over ends sooner, once all its clients have gone."""
         loop = asyncio.get_running_loop()
         until = loop.time() + take_for.total_seconds()
-        while loop.time() < until and not (self.drain.handed and not len(self.drain.clients)):
+        while loop.time() < until and not (self.drain.handed_over and not len(self.drain.clients)):
             await asyncio.sleep(min(0.02, until - loop.time()))
 
     async def close(self) -> None:
         """Listen no more and end every connection."""
-        self.rest()
+        self.stop_accepting()
         await self.server.shutdown(1.0)
--- a/stoatrouter/net/nodes.py
+++ b/stoatrouter/net/nodes.py
@@ -17,7 +17,7 @@
 
 from cypressworks.interface import Outcome
 from stoatrouter.core import model
-from stoatrouter.net.bodies import SMALL, Flow, Kept
+from stoatrouter.net.bodies import SMALL, Flow, StoredBody
 from stoatrouter.net.pool import NodeConnection, NodePool, NotBegun
 
 PROBE_TIMEOUT = timedelta(milliseconds=400)
@@ -161,9 +161,9 @@
             headers = CIMultiDict((*headers.items(), *r.fields))
         if r.idempotency_key is not None:
             headers["Idempotency-Key"] = r.idempotency_key
-        if isinstance(r.body, Kept):
+        if isinstance(r.body, StoredBody):
             headers["Content-Length"] = str(r.body.size)
-        data = r.body.pieces() if isinstance(r.body, Kept) else r.body or None
+        data = r.body.pieces() if isinstance(r.body, StoredBody) else r.body or None
         url = URL(f"http://{effect.address}{r.target}", encoded=True)  # encoded: bytes pass unchanged
         response = None
         try:
@@ -242,7 +242,7 @@
             return judge(200, response.headers, body)
         body += data
     if response.connection is not None and isinstance(response.connection.protocol, NodeConnection):
-        response.connection.protocol.let_flow()
+        response.connection.protocol.start_streaming()
     return replace(judge(200, response.headers, b""), flow=Flow(response, body, stated))
 
 
--- a/stoatrouter/net/pool.py
+++ b/stoatrouter/net/pool.py
@@ -21,11 +21,11 @@
 LARGEST_HEAD = 16 * 1024
 RECEIVE = 64 * 1024  # at once: what asyncio takes by itself would cost each of many large answers more
 # For how long idle connections are used follows what becomes of those that are used.
-USE_WITHIN_LEAST, SHORTER, LONGER = 0.05, 0.8, 1.05
+LEAST_REUSE_WITHIN, SHORTEN, LENGTHEN = 0.05, 0.8, 1.05
 HEAD_END = b"\r\n\r\n"
 
 
-class Spoilt(aiohttp.ClientPayloadError):
+class MalformedAnswer(aiohttp.ClientPayloadError):
     """What a node sent is no answer; its request may have run."""
 
 
@@ -39,13 +39,15 @@
     def __init__(self, loop: asyncio.AbstractEventLoop, pool: NodePool, rest_within: timedelta) -> None:
         super().__init__(loop)
         self.pool, self.rest_within = pool, rest_within
-        self.asked = self.chunked = False  # asked: an answer is due
-        self.to_end = False  # its end is the connection's
-        self.flowing = False  # its client has the first of it, and waits for the rest however slowly it comes
-        self.head, self.left = b"", 0  # of the present answer: what has come of its head, what its body lacks
+        self.awaiting_answer = self.chunked = False
+        self.ends_with_connection = False  # no length is stated: the body ends as the connection does
+        # its client has the first of it, and waits for the rest however slowly it comes
+        self.streaming = False
+        # of the present answer: what has come of its head, and how many bytes its body lacks
+        self.head, self.body_left = b"", 0
         self.in_body = False
         self.bodiless = False  # whatever length it states: the answer to HEAD
-        self.stall: asyncio.TimerHandle | None = None
+        self.stall_timer: asyncio.TimerHandle | None = None
         self.idle_since, self.idle_for = None, 0.0  # idle_for: before the present request
 
     # -- what aiohttp calls -------------------------------------------------------------------------------
@@ -57,18 +59,25 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         self.pool.alive.discard(self)
         by_peer = self.transport is not None  # an end of our own has dropped it already
-        if by_peer and self.asked and not self.head and not self.in_body:
-            self.pool.broke(self.idle_for)
-        if self.asked and self.to_end and exc is not None and self._payload is not None:
+        if by_peer and self.awaiting_answer and not self.head and not self.in_body:
+            self.pool.record_break(self.idle_for)
+        if (
+            self.awaiting_answer
+            and self.ends_with_connection
+            and exc is not None
+            and self._payload is not None
+        ):
             # Guards against a break that aiohttp takes for the end of an answer without a length.
-            self._payload.set_exception(Spoilt("it broke off"))
+            self._payload.set_exception(MalformedAnswer("it broke off"))
             self._parser = None
-        self._whole()
+        self._exchange_done()
         super().connection_lost(exc)
 
     def set_response_params(self, **params: Any) -> None:
         """A request is about to be written."""
-        self.asked, self.in_body, self.head, self.to_end, self.flowing = True, False, b"", False, False
+        self.awaiting_answer = True
+        self.in_body = self.ends_with_connection = self.streaming = False
+        self.head = b""
         self.idle_for = 0.0 if self.idle_since is None else self._loop.time() - self.idle_since
         self.bodiless = bool(params.get("skip_payload"))
         super().set_response_params(**params)
@@ -76,29 +85,31 @@
     def is_connected(self) -> bool:
         """Asked before each reuse. Guards against what came behind the last answer, or an end, that the loop
         has not yet come to read: it would be taken for the next request's answer."""
-        return super().is_connected() and (self.asked or not self._stale() and not self._unread())
+        return super().is_connected() and (
+            self.awaiting_answer or not self._idle_too_long() and not self._unread()
+        )
 
-    def _stale(self) -> bool:
+    def _idle_too_long(self) -> bool:
         idle = 0.0 if self.idle_since is None else self._loop.time() - self.idle_since
-        return self.should_close or idle > self.pool.use_within
+        return self.should_close or idle > self.pool.reuse_within
 
     def data_received(self, data: bytes) -> None:
         if not data:
             super().data_received(data)  # aiohttp goes on with what it has
-        elif not self.asked:
+        elif not self.awaiting_answer:
             # Guards the next request on this connection: bytes behind an answer belong to nobody.
             self._end()
         elif not self.in_body:
             self._take_head(data)
-        elif self.chunked or self.to_end:
+        elif self.chunked or self.ends_with_connection:
             self._take_chunked(data)
         else:
             self._take_body(data)
 
-    def let_flow(self) -> None:
+    def start_streaming(self) -> None:
         """What has come is being passed on: from now on whoever does that watches for a standstill."""
-        self.flowing = True
-        self._calm()
+        self.streaming = True
+        self._cancel_stall_timer()
 
     # -- one answer ---------------------------------------------------------------------------------------
     def _take_head(self, data: bytes) -> None:
@@ -107,37 +118,37 @@
             head, rest = self.head[: end + len(HEAD_END)], self.head[end + len(HEAD_END) :]
             status = head[9:12]
             if status == b"101":
-                return self._spoilt("another protocol, which nobody asked for")
+                return self._fail_exchange("another protocol, which nobody asked for")
             if not status.isdigit() or status[:1] != b"1":
                 return self._begin(head, rest)
             self.head = rest  # an interim answer: the one that counts is still to come
-        self._watch()
+        self._start_stall_timer()
         # Guards memory against a head that never ends, and time against what is no head at all.
         if len(self.head) > LARGEST_HEAD or self.head[:7] != b"HTTP/1."[: len(self.head)]:
-            self._spoilt("no head")
+            self._fail_exchange("no head")
 
     def _begin(self, head: bytes, rest: bytes) -> None:
         try:
             # RFC 9112, 6.3: no body follows these, whatever length they state
             length = 0 if self.bodiless or head[9:12] in (b"204", b"304") else body_length(head)
         except ValueError as error:
-            return self._spoilt(str(error))
+            return self._fail_exchange(str(error))
         # Guards memory: it may pin the large block that it was read into, as long as the connection lives.
         self.head = b""
-        self.in_body, self.chunked, self.to_end = True, length == CHUNKED, length == TO_END
-        self.left = max(0, length)
-        if self.chunked or self.to_end:
+        self.in_body, self.chunked, self.ends_with_connection = True, length == CHUNKED, length == UNTIL_CLOSE
+        self.body_left = max(0, length)
+        if self.chunked or self.ends_with_connection:
             self._take_chunked(head + rest)
         else:
             self._take_body(rest, head)
 
     def _take_body(self, data: bytes, head: bytes = b"") -> None:
-        mine, more = data[: self.left], data[self.left :]
-        self.left -= len(mine)
-        if self.left:
-            self._watch(anew=bool(mine))
+        mine, more = data[: self.body_left], data[self.body_left :]
+        self.body_left -= len(mine)
+        if self.body_left:
+            self._start_stall_timer(anew=bool(mine))
         else:
-            self._whole()
+            self._exchange_done()
         super().data_received(head + mine)
         if more:
             self._end()
@@ -145,29 +156,31 @@
     def _take_chunked(self, data: bytes) -> None:
         super().data_received(data)
         if self._payload is not None and self._payload.is_eof():
-            self._whole()
+            self._exchange_done()
         else:
-            self._watch(anew=True)
+            self._start_stall_timer(anew=True)
 
-    def _watch(self, anew: bool = False) -> None:
+    def _start_stall_timer(self, anew: bool = False) -> None:
         """Guards the client's time against an answer that has begun and does not go on; a head has this long
         for all of it."""
         if anew:
-            self._calm()
-        if self.stall is None and self.asked and not self.flowing:
-            self.stall = self._loop.call_later(self.rest_within.total_seconds(), self._spoilt, "it stalled")
+            self._cancel_stall_timer()
+        if self.stall_timer is None and self.awaiting_answer and not self.streaming:
+            self.stall_timer = self._loop.call_later(
+                self.rest_within.total_seconds(), self._fail_exchange, "it stalled"
+            )
 
-    def _whole(self) -> None:
+    def _exchange_done(self) -> None:
         """Nothing is due any more."""
-        if self.asked and self.in_body:
-            self.pool.worked(self.idle_for)
-        self.asked, self.idle_since = False, self._loop.time()
-        self._calm()
+        if self.awaiting_answer and self.in_body:
+            self.pool.record_success(self.idle_for)
+        self.awaiting_answer, self.idle_since = False, self._loop.time()
+        self._cancel_stall_timer()
 
-    def _calm(self) -> None:
-        if self.stall is not None:
-            self.stall.cancel()
-            self.stall = None
+    def _cancel_stall_timer(self) -> None:
+        if self.stall_timer is not None:
+            self.stall_timer.cancel()
+            self.stall_timer = None
 
     # -- ends ---------------------------------------------------------------------------------------------
     def _end(self) -> None:
@@ -176,8 +189,8 @@
         if self.transport is not None:
             self.transport.abort()
 
-    def _spoilt(self, why: str) -> None:
-        error = Spoilt(why)
+    def _fail_exchange(self, why: str) -> None:
+        error = MalformedAnswer(why)
         if self._payload is not None and not self._payload.is_eof():
             self._payload.set_exception(error)
         self.set_exception(error)
@@ -198,7 +211,7 @@
     def __init__(self, most: int, keep: timedelta, rest_within: timedelta) -> None:
         super().__init__(limit=most, keepalive_timeout=keep.total_seconds(), use_dns_cache=False)
         self.most, self.keep = most, keep.total_seconds()
-        self.use_within = self.keep  # how long a connection may have been idle to be used again
+        self.reuse_within = self.keep  # how long a connection may have been idle to be used again
         self.alive: set[NodeConnection] = set()
         self.tries = 0  # attempts written whole, since the start
         # aiohttp has no public way to say which connections a connector makes
@@ -209,20 +222,20 @@
             rest_within=rest_within,
         )
 
-    def allow(self, most: int) -> None:
+    def set_limit(self, most: int) -> None:
         """Another bound, as the process before this one still holds connections."""
         self.most = self._limit = most
 
-    def broke(self, idle: float) -> None:
+    def record_break(self, idle: float) -> None:
         """A connection broke under a request before any answer. Guards against a path that drops what is idle
         without a word, far earlier than nodes say they do: what has been idle as long is not used again."""
-        if idle > USE_WITHIN_LEAST:
-            self.use_within = max(USE_WITHIN_LEAST, min(self.use_within, idle) * SHORTER)
+        if idle > LEAST_REUSE_WITHIN:
+            self.reuse_within = max(LEAST_REUSE_WITHIN, min(self.reuse_within, idle) * SHORTEN)
 
-    def worked(self, idle: float) -> None:
+    def record_success(self, idle: float) -> None:
         """One that had been idle nearly as long as any may served: try a little longer again."""
-        if idle > self.use_within / 2:
-            self.use_within = min(self.keep, self.use_within * LONGER)
+        if idle > self.reuse_within / 2:
+            self.reuse_within = min(self.keep, self.reuse_within * LENGTHEN)
 
     async def connect(self, req: Any, traces: Any, timeout: Any) -> Any:
         # Guards the descriptors: aiohttp's limit counts connections in use only.
@@ -248,7 +261,7 @@
             connection.close()
 
 
-CHUNKED, TO_END = -1, -2
+CHUNKED, UNTIL_CLOSE = -1, -2
 
 
 def body_length(head: bytes) -> int:
@@ -269,7 +282,7 @@
     if codings == [b"chunked"] and not lengths:
         return CHUNKED
     if not codings and not lengths and closes:
-        return TO_END
+        return UNTIL_CLOSE
     if codings or len(lengths) != 1 or not lengths[0].isdigit() or len(lengths[0]) > 9:
         raise ValueError("no length that can be read")
     if int(lengths[0]) > LARGEST:
--- a/stoatrouter/net/keep.py
+++ b/stoatrouter/net/state_file.py
@@ -12,20 +12,20 @@
 from stoatrouter.net.state import read_administrative_state, write_administrative_state
 
 
-class Keep:
+class AdministrativeStateFile:
     """The file that holds the administrative state of the nodes; without a folder nothing is kept."""
 
     def __init__(self, folder: str | None) -> None:
         self.path = Path(folder) / "stoatrouter-bricks.json" if folder else None
 
     def write(self, administrative_state: AdministrativeState) -> bool:
-        """Whether it is kept. Written aside and renamed: a process that dies here spoils nothing."""
+        """Returns whether it is saved. The file is replaced whole: a process that dies here spoils none."""
         if self.path is None:
             return True
-        aside = self.path.with_suffix(".new")
+        temporary = self.path.with_suffix(".new")
         try:
-            aside.write_text(json.dumps(write_administrative_state(administrative_state)))
-            os.replace(aside, self.path)
+            temporary.write_text(json.dumps(write_administrative_state(administrative_state)))
+            os.replace(temporary, self.path)
         except OSError as error:
             logger.error("bricks: cannot be kept: {error}", event="bricks.unkept", error=str(error))
             return False
--- a/stoatrouter/net/succession.py
+++ b/stoatrouter/net/succession.py
@@ -18,12 +18,12 @@
 
 from loguru import logger
 
-from stoatrouter.net.early import NAME, place
+from stoatrouter.net.early import NAME, short_path
 
 VERSION = 1
 # A new process is due to serve within 6 s: an old one that says nothing is left alone after this time.
 ANSWER_WITHIN = timedelta(seconds=2)
-TELL_EVERY = timedelta(milliseconds=25)
+HOLDINGS_EVERY = timedelta(milliseconds=25)
 LARGEST_LINE = 16 * 1024 * 1024
 
 State = dict[str, Any]
@@ -35,11 +35,11 @@
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, state: State) -> None:
         self.reader, self.writer, self.state = reader, writer, state
 
-    async def follow(self, told: Callable[[State], None]) -> None:
+    async def follow(self, on_holdings: Callable[[State], None]) -> None:
         """Pass on what the old process still holds, and at its end that it holds nothing."""
         try:
             while line := await self.reader.readline():
-                told(json.loads(line))
+                on_holdings(json.loads(line))
         except (OSError, ValueError) as error:
             logger.warning(
                 "upgrade: the old process cannot be followed: {error}",
@@ -48,7 +48,7 @@
             )
         finally:
             self.writer.close()
-            told({})
+            on_holdings({})
         logger.info("upgrade: the old process is gone", event="upgrade.old_gone")
 
 
@@ -65,7 +65,7 @@
             return None
         try:
             async with asyncio.timeout(ANSWER_WITHIN.total_seconds()):
-                with place(self.folder) as short:
+                with short_path(self.folder) as short:
                     reader, writer = await asyncio.open_unix_connection(f"{short}/{NAME}", limit=LARGEST_LINE)
                 writer.write(json.dumps({"take": VERSION}).encode() + b"\n")
                 state = json.loads(await reader.readline())
@@ -79,18 +79,25 @@
             )
             return None
 
-    async def listen(self, asked: Callable[[asyncio.StreamReader, asyncio.StreamWriter], Any]) -> None:
+    async def listen(
+        self, on_connection: Callable[[asyncio.StreamReader, asyncio.StreamWriter], Any]
+    ) -> None:
         """Be found by the next process from now on, in place of whoever was."""
         if self.folder is None:
             return
         await self.close()
         try:
-            with place(self.folder) as short, contextlib.closing(socket.socket(socket.AF_UNIX)) as ear:
-                aside = Path(short) / (NAME + ".new")
-                aside.unlink(missing_ok=True)
-                ear.bind(str(aside))
-                self.server = await asyncio.start_unix_server(asked, sock=ear.dup(), limit=LARGEST_LINE)
-                os.replace(aside, Path(short) / NAME)  # never without one that answers
+            with (
+                short_path(self.folder) as short,
+                contextlib.closing(socket.socket(socket.AF_UNIX)) as listening_socket,
+            ):
+                temporary = Path(short) / (NAME + ".new")
+                temporary.unlink(missing_ok=True)
+                listening_socket.bind(str(temporary))
+                self.server = await asyncio.start_unix_server(
+                    on_connection, sock=listening_socket.dup(), limit=LARGEST_LINE
+                )
+                os.replace(temporary, Path(short) / NAME)  # never without one that answers
         except OSError as error:
             logger.error(
                 "upgrade: a new process will not find this one: {error}",
@@ -104,6 +111,6 @@
             self.server = None
 
 
-async def tell(writer: asyncio.StreamWriter, what: State) -> None:
-    writer.write(json.dumps(what).encode() + b"\n")
+async def send_line(writer: asyncio.StreamWriter, state: State) -> None:
+    writer.write(json.dumps(state).encode() + b"\n")
     await writer.drain()
--- a/stoatrouter/net/tables.py
+++ b/stoatrouter/net/tables.py
@@ -23,8 +23,8 @@
 # While a table is made in another thread, the loop gets the interpreter back after so long (5 ms by default).
 SWITCH = timedelta(microseconds=500)
 Done = TypeVar("Done")
-MOST_SAID = 20  # lines about one table
-SAY_EVERY = timedelta(seconds=10)
+MOST_LOGGED = 20  # lines about one table
+LOG_EVERY = timedelta(seconds=10)
 
 
 async def in_thread(work: Callable[[], Done]) -> Done:
@@ -41,17 +41,17 @@
         try:
             done = work()
         except BaseException as error:  # noqa: BLE001 - it is raised where it is waited for
-            told = partial(give, result.set_exception, error)
+            deliver = partial(give, result.set_exception, error)
         else:
-            told = partial(give, result.set_result, done)
+            deliver = partial(give, result.set_result, done)
         with contextlib.suppress(RuntimeError):  # the loop has ended
-            loop.call_soon_threadsafe(told)
+            loop.call_soon_threadsafe(deliver)
 
     threading.Thread(target=run, daemon=True, name="rules").start()
     return await result
 
 
-def quietly(work: Callable[[], Done]) -> Done:
+def without_long_pauses(work: Callable[[], Done]) -> Done:
     """Do work that makes much, so that requests go on beside it."""
     before = sys.getswitchinterval()
     sys.setswitchinterval(SWITCH.total_seconds())
@@ -75,13 +75,13 @@
     def __init__(self, tables: Tables, shadow: Tables | None, windows: dict[int, timedelta]) -> None:
         self.tables, self.shadow = tables, shadow
         made, other = self.load()
-        self.matcher = Matcher(self.told(*made), windows)
+        self.matcher = Matcher(self.log_in_force(*made), windows)
         self.matcher.put_in_shadow(other)
         self.reloading: asyncio.Task[None] | None = None
-        self.again = False
+        self.reload_again = False
         self.managed = False  # the table comes from the heads' history, not from this head's files
 
-    def told(self, table: Table, sources: Sources) -> Table:
+    def log_in_force(self, table: Table, sources: Sources) -> Table:
         """Say which table this is, and what in it is idle."""
         logger.info(
             "rules: table {epoch} with {rules} rules in {scopes} scopes is in force",
@@ -90,7 +90,7 @@
             rules=table.size,
             scopes=len(table.compartments),
         )
-        for flaw in table.warnings[:MOST_SAID]:
+        for flaw in table.warnings[:MOST_LOGGED]:
             logger.warning("rules: {warning}", event="rules.idle", warning=str(sources.wrong(flaw)))
         return table
 
@@ -103,14 +103,14 @@
             )
             return
         if self.reloading is not None and not self.reloading.done():
-            self.again = True
+            self.reload_again = True
             return
         self.reloading = asyncio.get_running_loop().create_task(self.load_again())
 
     async def load_again(self) -> None:
-        self.again = True
-        while self.again:
-            self.again = False
+        self.reload_again = True
+        while self.reload_again:
+            self.reload_again = False
             try:
                 made = await in_thread(self.load)
             except SettingsError as error:
@@ -120,19 +120,19 @@
                     event="rules.refused",
                     epoch=self.matcher.table.epoch,
                 )
-                for wrong in error.wrongs[:MOST_SAID]:
+                for wrong in error.wrongs[:MOST_LOGGED]:
                     logger.error("rules: {wrong}", event="rules.wrong", wrong=str(wrong))
                 continue
             except Exception:
                 logger.exception("rules: loading failed in an unforeseen way", event="rules.fault")
                 continue
             (table, sources), shadow = made
-            self.matcher.replace(self.told(table, sources))
+            self.matcher.replace(self.log_in_force(table, sources))
             self.matcher.put_in_shadow(shadow)
 
     def load(self) -> tuple[tuple[Table, Sources], Table | None]:
         """Make the tables; once the head serves, in a thread of its own, so that requests go on."""
-        return quietly(
+        return without_long_pauses(
             lambda: (self.tables.load(), self.shadow.load()[0] if self.shadow is not None else None)
         )
 
@@ -140,23 +140,23 @@
         """A table of other files, made beside the requests and put nowhere yet; raises SettingsError."""
         now = self.tables
         tables = Tables(path, now.words, now.environment, now.buckets, cache=now.cache)
-        table, sources = await in_thread(lambda: quietly(tables.load))
+        table, sources = await in_thread(lambda: without_long_pauses(tables.load))
         return tables, table, sources
 
     def put(self, made: Made) -> None:
         """Put a table in force that was made before."""
         self.tables, table, sources = made
-        self.matcher.replace(self.told(table, sources))
+        self.matcher.replace(self.log_in_force(table, sources))
 
-    async def keep_told(self) -> None:
+    async def log_periodically(self) -> None:
         """Say now and then where the table in shadow decides otherwise, and what was forgotten."""
-        said, forgotten = 0, 0
+        logged, forgotten = 0, 0
         while True:
-            await asyncio.sleep(SAY_EVERY.total_seconds())
+            await asyncio.sleep(LOG_EVERY.total_seconds())
             matcher = self.matcher
             different = matcher.differences.total()
-            if matcher.shadow is not None and different != said:
-                for (in_force, other), count in matcher.differences.most_common(MOST_SAID):
+            if matcher.shadow is not None and different != logged:
+                for (in_force, other), count in matcher.differences.most_common(MOST_LOGGED):
                     logger.info(
                         "rules: shadow differs {count} of {asked} times: {in_force} in force, {other} there",
                         event="rules.shadow",
@@ -165,7 +165,7 @@
                         in_force=in_force,
                         other=other,
                     )
-            said = different
+            logged = different
             if matcher.placements.forgotten != forgotten:
                 forgotten = matcher.placements.forgotten
                 logger.warning(
--- a/tests/test_administrative_state.py
+++ b/tests/test_administrative_state.py
@@ -10,7 +10,7 @@
 from cypressworks.interface import ListKind, Phase
 from stoatrouter.core import model
 from stoatrouter.core.spans import micros
-from stoatrouter.net.keep import Keep
+from stoatrouter.net.state_file import AdministrativeStateFile
 from tests.test_core import MS, START, node, only, reducer, request
 
 SECOND = 1000 * MS
@@ -77,8 +77,8 @@
     out = model.AdministrativeState()
     out.put_out("n1", START)
     out.put_out("n2", START), out.put_back("n2", START + SECOND)
-    assert Keep(str(tmp_path)).write(out)
-    assert Keep(str(tmp_path)).read() == out
+    assert AdministrativeStateFile(str(tmp_path)).write(out)
+    assert AdministrativeStateFile(str(tmp_path)).read() == out
     assert [p.name for p in tmp_path.iterdir()] == ["stoatrouter-bricks.json"]
 
 
@@ -95,8 +95,8 @@
 )
 def test_a_spoilt_file_is_as_none(tmp_path, text):
     (tmp_path / "stoatrouter-bricks.json").write_text(text)
-    assert Keep(str(tmp_path)).read() == model.AdministrativeState()
+    assert AdministrativeStateFile(str(tmp_path)).read() == model.AdministrativeState()
 
 
 def test_a_file_that_cannot_be_written_is_told(tmp_path):
-    assert not Keep(str(tmp_path / "absent")).write(model.AdministrativeState())
+    assert not AdministrativeStateFile(str(tmp_path / "absent")).write(model.AdministrativeState())
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -124,7 +124,7 @@
             head.room.folder = str(tmp_path / "absent")
             sent = f"{PUT}Content-Length: {len(BODY)}\r\n\r\n".encode() + BODY
             assert (await exchange(head, sent)).startswith(b"HTTP/1.1 503") and not head.room.taken
-            assert sum(head.engine.reducer.figures.shed) == 1
+            assert sum(head.engine.reducer.counters.shed) == 1
 
     run(story())
 
@@ -202,7 +202,9 @@
     port = server.sockets[0].getsockname()[1]
     async with server, started(node) as (head, session):
         node.port = port
-        head.engine.told(ListKind.FULL, (read_node(node.entry()),))  # there, and not where others are served
+        head.engine.apply_node_list(
+            ListKind.FULL, (read_node(node.entry()),)
+        )  # there, and not where others are served
         yield head, session
 
 
@@ -228,11 +230,11 @@
             async with session.get(PATH, headers=HEADERS) as response:
                 assert response.status == 200
                 first = await response.content.readexactly(90_000)
-                assert head.engine.reducer.figures.active == 1
+                assert head.engine.reducer.counters.active == 1
                 node.go.release(), node.go.release()
                 assert first + await response.read() == BODY
             await until(lambda: not head.engine.reducer.open)
-            figures = head.engine.reducer.figures
+            figures = head.engine.reducer.counters
             assert (figures.ok[0], figures.errors[0], figures.active) == (1, 0, 0)
 
     run(story())
@@ -252,7 +254,7 @@
                     got += await response.read()
                 assert BODY.startswith(got)
             await until(lambda: not head.engine.reducer.open)
-            assert head.engine.reducer.figures.errors[0] == 1 and node.tries["all"] == 1
+            assert head.engine.reducer.counters.errors[0] == 1 and node.tries["all"] == 1
 
     run(story())
 
@@ -280,7 +282,7 @@
             await response.content.readexactly(90_000)
             response.close()
             await until(lambda: not head.engine.reducer.open and not head.engine.nodes.pool.alive)
-            assert head.engine.reducer.figures.active == 0
+            assert head.engine.reducer.counters.active == 0
 
     run(story())
 
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -213,7 +213,7 @@
                 writer.write(sent)
                 said = await reader.readuntil(b"\r\n\r\n")
                 assert said.startswith(b"HTTP/1.1 503 ") and b"Retry-After: 0.500\r\n" in said
-                assert sum(head.engine.reducer.figures.shed) == shed
+                assert sum(head.engine.reducer.counters.shed) == shed
                 assert (b"Date" in said) is not plain
             if plain:  # and once there is room, it is heard
                 head.clients.busy_most = 8
@@ -264,9 +264,9 @@
         async with started(Node("a", 0)) as (head, _):
             table = head.clients
             assert table.busy_bound() == table.busy_most > table.busy_pressed
-            head.generations.told({"busy": 7})
+            head.generations.apply_holdings({"busy": 7})
             assert table.busy_bound() == table.busy_pressed - 7
-            head.generations.told({})
+            head.generations.apply_holdings({})
             table.pressed_until = 0.0
             assert table.busy_bound() == table.busy_most
             table.press(timedelta(seconds=60))
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -170,10 +170,10 @@
 def test_a_request_counts_once_and_none_stays_active(events, counts):
     r = reducer(node())
     r.reduce(model.Arrived(START, request()))
-    assert r.figures.active == 1
+    assert r.counters.active == 1
     for event in events:
         r.reduce(event)
-    f = r.figures
+    f = r.counters
     assert (sum(f.ok), sum(f.shed), sum(f.errors), f.active) == (*counts, 0)
 
 
@@ -182,7 +182,7 @@
     for arrived in request(), request(), request("s"):
         r.reduce(model.Arrived(START, arrived))
     r.reduce(model.TurnedAway(START, 0))
-    f = r.figures
+    f = r.counters
     assert (sum(f.ok), sum(f.shed), sum(f.errors), f.active) == (0, 2, 1, 1)
 
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -228,7 +228,7 @@
         async with started(a) as (head, _):
             reader, writer = await raw(head)
             await until(lambda: head.clients.held[State.SILENT])
-            assert head.clients.just_come()
+            assert head.clients.any_just_connected()
             head.clients.end_idle()
             writer.write(text(HEADERS))
             assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 200")
@@ -237,7 +237,7 @@
             await until(lambda: head.clients.held[State.SILENT])
             (connection,) = head.clients.held[State.SILENT]
             connection.since -= 3600  # it has had its time
-            assert not head.clients.just_come()
+            assert not head.clients.any_just_connected()
             head.clients.end_idle()
             assert await reader.read() == b""
             writer.close()
--- a/tests/test_list_and_descriptors.py
+++ b/tests/test_list_and_descriptors.py
@@ -73,7 +73,7 @@
                 told(1),
                 pushed=pushed,
                 times=AT_ONCE,
-                told=lambda kind, nodes, age: heard.append((nodes[0].phase, age)),
+                on_list=lambda kind, nodes, age: heard.append((nodes[0].phase, age)),
             )
             task = asyncio.create_task(watch.run())
             await until(lambda: len(heard) == 2 and len(agent.calls) == 4)
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -265,7 +265,7 @@
     stays = {} if "instanceId" in spoilt else {"b": Phase.ON}  # what it stood for cannot be told
     assert heard[1] == heard[3] == {"a": Phase.DRAINING} | stays
     assert heard[2] == {"a": Phase.DRAINING} and watch.generation == 4
-    assert counted == ["entry_unreadable"] * 6 and len(watch.said) == 2
+    assert counted == ["entry_unreadable"] * 6 and len(watch.logged_faults) == 2
 
 
 def test_an_agent_that_holds_no_call_is_asked_at_a_pace():
@@ -279,7 +279,7 @@
             task.cancel()
             await asyncio.gather(task, return_exceptions=True)
         times = [at for at, _ in peer.calls]
-        assert times[2] - times[0] >= 2 * discovery.PACE.total_seconds()
+        assert times[2] - times[0] >= 2 * discovery.LEAST_CALL_INTERVAL.total_seconds()
         assert not watch.failures
 
     run(story())
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -102,7 +102,9 @@
         async with client_of(script) as (nodes, effect):
             reply = await nodes.attempt(effect)
             assert (reply.body, reply.load, reply.units_by_others) == (b"body", None, 0.0)
-            assert all(not c.head and not c.stall for c in nodes.session.connector.alive)  # nothing is kept
+            assert all(
+                not c.head and not c.stall_timer for c in nodes.session.connector.alive
+            )  # nothing is kept
             assert (await nodes.attempt(effect)).body == b"good"
             assert script.connections == 1
 
@@ -168,17 +170,17 @@
             monkeypatch.setattr(asyncio.get_running_loop(), "time", lambda: now)
             assert (await nodes.attempt(effect)).body == b"body"
             now = 1.0
-            pool.broke(idle=0.5)  # another one
-            assert pool.use_within < 0.5
+            pool.record_break(idle=0.5)  # another one
+            assert pool.reuse_within < 0.5
             assert (await nodes.attempt(effect)).body == b"good" and script.connections == 2
-            now = 1.0 + pool.use_within * 0.9
+            now = 1.0 + pool.reuse_within * 0.9
             assert (await nodes.attempt(effect)).body == b"last" and script.connections == 2
-            assert 0.4 < pool.use_within < 0.5
+            assert 0.4 < pool.reuse_within < 0.5
             for _ in range(100):
-                pool.worked(idle=pool.use_within)
-            assert pool.use_within == pool.keep
+                pool.record_success(idle=pool.reuse_within)
+            assert pool.reuse_within == pool.keep
             for _ in range(100):
-                pool.broke(idle=10.0)
-            assert pool.use_within >= 0.05
+                pool.record_break(idle=10.0)
+            assert pool.reuse_within >= 0.05
 
     run(story())
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -199,7 +199,7 @@
     try:
         held.hold()
         signal.raise_signal(signal.SIGHUP)
-        assert held.came
+        assert held.received
     finally:
         signal.signal(signal.SIGHUP, before)
 
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -18,7 +18,7 @@
 from cypressworks import interface as api
 from cypressworks.rules import SECOND
 from stoatrouter.net.early import NAME, Announcement
-from stoatrouter.net.keep import Keep
+from stoatrouter.net.state_file import AdministrativeStateFile
 from stoatrouter.net.succession import Succession
 from tests.peers import HOST, Discovery, Node, config_data, listening, nodes_up, run, told, until
 from tests.scheduler_driver import CLASSES, PLAN, READ
@@ -257,7 +257,7 @@
     async def story():
         one = Succession(str(tmp_path))
         await one.listen(lambda *_: None)
-        assert Keep(str(tmp_path)).write(Keep(str(tmp_path)).read())
+        assert AdministrativeStateFile(str(tmp_path)).write(AdministrativeStateFile(str(tmp_path)).read())
         await one.close()
         assert sorted(p.name for p in tmp_path.iterdir()) == ["stoatrouter-bricks.json", NAME]
 
@@ -271,11 +271,11 @@
         folder, came = tmp_path / ("long" * 30), asyncio.Event()
         folder.mkdir()
         early, one = Announcement(), Succession(str(folder))
-        early.make(str(folder))
-        assert early.line is None  # there is none to say it to
-        early.make(None)
+        early.connect(str(folder))
+        assert early.connection is None  # there is none to say it to
+        early.connect(None)
         await one.listen(lambda *_: came.set())
-        early.make(str(folder))
+        early.connect(str(folder))
         await came.wait()
         early.end()
         await one.close()
@@ -290,10 +290,10 @@
             await head.generations.listen()
             assert head.clients.busy_bound() == head.clients.busy_most
             early = Announcement()
-            early.make(str(tmp_path))
+            early.connect(str(tmp_path))
             await until(lambda: head.clients.busy_bound() == head.clients.busy_pressed)
             early.end()
-            assert head.serving and not head.drain.handed
+            assert head.serving and not head.drain.handed_over
 
     run(story())
 
