--- a/stoatrouter/config.py
+++ b/stoatrouter/config.py
@@ -1,4 +1,4 @@
-"""What a head is told at its start: the platform's JSON and an operator's own file."""
+"""The configuration of one head: the platform's JSON file and the environment."""
 
 from __future__ import annotations
 
@@ -28,7 +28,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Config:
-    """All that a head is told."""
+    """The configuration of one head, parsed and checked."""
 
     name: str
     listen: str
@@ -55,17 +55,27 @@
 
 
 def load(environ: Mapping[str, str]) -> Config:
-    """Read the file that NODE_CONFIG names; the other variables of the environment go before it."""
+    """Read the file that NODE_CONFIG names; the environment's other variables take precedence over it.
+
+    Raises ConfigError.
+    """
     return read(environ, {key: environ.get(variable) for key, variable in VARIABLES.items()})
 
 
 def reload(environ: Mapping[str, str]) -> Config:
-    """Read the file anew. It goes before the environment, which is as old as the process."""
+    """Read the file again; it takes precedence over the environment, which is as old as the process.
+
+    Raises ConfigError.
+    """
     return read(environ, {})
 
 
 def read(environ: Mapping[str, str], first: Mapping[str, str | None]) -> Config:
-    """Read and check the whole file; these values go before its own, the environment's after them."""
+    """Read and check the whole file.
+
+    Values of `first` take precedence over those of the file; the environment fills in what neither has.
+    Raises ConfigError.
+    """
     path = environ.get("NODE_CONFIG")
     if not path:
         raise ConfigError("NODE_CONFIG is not set")
@@ -91,14 +101,17 @@
 
 
 def describe_error(data: Any, error: Exception) -> str:
-    """What is wrong in words where it is known, else as the program met it."""
+    """Describe what is wrong with a configuration: the known faults, else the exception."""
     from stoatrouter.faults import explain  # only where a start or a reload fails
 
     return "; ".join(explain(data)[:5]) or f"{type(error).__name__}: {error}"
 
 
 def descriptor(text: str | None) -> int | None:
-    """A descriptor's number; None where none is named."""
+    """Parse the number of an inherited descriptor; None where the text is empty.
+
+    Raises ValueError where it is no number or below 3.
+    """
     if not text:
         return None
     number = int(text)
@@ -108,7 +121,10 @@
 
 
 def parse(data: dict[str, Any]) -> Config:
-    """Build the configuration; fails with the field that is wrong."""
+    """Build the configuration from the file's data.
+
+    Raises KeyError, TypeError, ValueError or AttributeError where a field is missing or wrong.
+    """
     raw, limits = data["settings"], data.get("limits") or {}
     connect_timeout = span(raw["Limits"].get("ConnectTimeout") or 250_000)
     return Config(
@@ -133,14 +149,17 @@
 
 
 def addresses(value: Any) -> tuple[str, ...]:
-    """Where other heads are, as a list or by name. What is no address is left out."""
+    """The addresses of other heads, from a list or from an object with their names.
+
+    Items that are no `host:port` are skipped.
+    """
     listed = value.values() if isinstance(value, dict) else value if isinstance(value, list) else ()
     texts = (item for item in listed if isinstance(item, str))
     return tuple(item for item in texts if item.rpartition(":")[0] and item.rpartition(":")[2].isdigit())
 
 
 def on_sockets(settings: api.Settings, connect_timeout: timedelta) -> api.Settings:
-    """The settings as they bind on real sockets."""
+    """Adjust the platform's settings to real sockets, where connecting takes time."""
     # Guards the rule on drains: a send decided within the grace may first have to connect.
     grace = max(0, settings.rules.drain_grace - micros(connect_timeout))
     # Guards the rule on limits: the platform's store stands full until a request comes, while ours fills from
@@ -152,7 +171,7 @@
 
 
 def address(text: str) -> tuple[str, int]:
-    """Split host:port."""
+    """Split `host:port`, with an IPv6 host in brackets; raises ConfigError."""
     host, _, port = text.rpartition(":")
     if not host or not port.isdigit():
         raise ConfigError(f"not an address: {text!r}")
--- a/stoatrouter/core/descriptors.py
+++ b/stoatrouter/core/descriptors.py
@@ -1,7 +1,7 @@
-"""Who may hold how many of a head's descriptors: one stated budget, so that nobody's take from another's.
+"""The budget of file descriptors: how many clients, nodes and operators may each hold.
 
-Clients that only rest may take all of their part while discovery is down; discovery is still reached the
-moment it returns, nodes are dialled and operators heard, as none of these depends on what clients left over.
+Idle clients may take their whole share while discovery is down; discovery, nodes and operators can still be
+reached, as their shares do not depend on what clients leave.
 """
 
 from __future__ import annotations
@@ -27,12 +27,16 @@
 
     @property
     def all(self) -> int:
+        """How many descriptors the budget gives out in all."""
         return self.clients + self.nodes + self.fixed
 
 
 def share_out(sockets: int) -> Descriptors:
-    """Deal out what a head may hold. Down to 240 the parts of clients and nodes shrink and not the others';
-    below, all shrink together, at the cost of what is accepted in one moment."""
+    """Divide `sockets` descriptors.
+
+    Down to 240 only the shares of clients and nodes shrink. Below that all shares shrink, at the cost of how
+    many connections can be accepted at once.
+    """
     fixed = min(Descriptors(0, 0).fixed, int(sockets * LARGEST_FIXED))
     left, whole = sockets - fixed, CLIENTS + NODES
     return Descriptors(
--- a/stoatrouter/core/invariants.py
+++ b/stoatrouter/core/invariants.py
@@ -1,4 +1,4 @@
-"""What must hold: asserted in debug builds, counted and logged under -O."""
+"""Invariants: asserted in debug builds, counted and logged under -O."""
 
 from __future__ import annotations
 
@@ -11,7 +11,10 @@
 
 
 def invariant(holds: bool, what: str, **details: object) -> bool:
-    """Check that something holds; returns whether it does, so that callers can fall back."""
+    """Check that something holds; returns whether it does, so that callers can fall back.
+
+    Raises AssertionError in debug builds.
+    """
     if holds:
         return True
     if __debug__:
--- a/stoatrouter/core/list_times.py
+++ b/stoatrouter/core/list_times.py
@@ -1,9 +1,10 @@
-"""How long each step of following the node list may take, so that a change is known in time.
+"""Timeouts of following the node list, chosen so that a change takes effect in time.
 
-A watch may fall silent in the moment in which it was asked. What it misses counts as told 6 s after discovery
-had it and could be reached; where lists are pushed, what the agent got at its return counts at once, so there
-only the grace of the drain rule is left. Pure figures: the network code keeps to them, the tests hold them
-against those bounds."""
+A watch may fall silent in the moment in which it was sent. A change it misses is binding 6 s after discovery
+had it and could be reached. Where lists are pushed to an agent, a change is binding as soon as the agent has
+it, which leaves only the grace period of the drain rule. The network code keeps to these figures; the tests
+check them against those bounds.
+"""
 
 from __future__ import annotations
 
@@ -16,7 +17,7 @@
 
 @dataclass(slots=True, frozen=True)
 class ListTimes:
-    """One budget, made of its parts."""
+    """The timeouts of one deployment."""
 
     hold: timedelta  # for how long discovery is asked to hold a watch; drawn from three quarters of it up
     late: timedelta  # past that the watch has fallen silent
@@ -29,19 +30,25 @@
 
     @property
     def silence(self) -> timedelta:
-        """From a change that a watch misses to its answer, where the first new connection never comes up."""
+        """The longest time from a change that a watch misses to its arrival.
+
+        It includes a first new connection that never comes up.
+        """
         return self.hold + self.late + self.pause + self.dial + 2 * self.pause + self.answer
 
     @property
     def outage(self) -> timedelta:
-        """From the moment in which discovery is back, one call at it just begun or a pause, to its answer."""
+        """The longest time from discovery's return to its answer, with a call or a pause just begun."""
         return max(self.answer, self.longest_pause) + self.pause + self.answer
 
 
 def list_times(pushed: bool, drain_grace: timedelta) -> ListTimes:
-    """The budget of a deployment. An agent on this machine answers at no cost, so it is asked often: half of
-    the grace is left. Discovery that serves all heads in turn, and refuses after 2 s, is asked as seldom as
-    the term allows."""
+    """The timeouts of a deployment.
+
+    With `pushed` an agent on this machine answers at no cost, so it is asked often, which leaves half of the
+    drain grace. Otherwise one discovery service serves all heads in turn and refuses calls after 2 s, so it
+    is asked as seldom as the 6 s allow.
+    """
     if pushed:
         hold = min(500 * MS, max(100 * MS, drain_grace / 4))
         late = max(100 * MS, hold / 2)
--- a/stoatrouter/core/model.py
+++ b/stoatrouter/core/model.py
@@ -1,4 +1,4 @@
-"""Requests, answers, events and effects of the core. Times are since the Unix epoch."""
+"""Requests, answers, events and effects of the core. All times are since the Unix epoch."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Request:
-    """What a front asks of the core. The core reads the upper fields; the lower ones are for the node."""
+    """A front's request to the core, which reads the fields down to `repeat`; the node reads the rest."""
 
     id: str
     request_class: int
@@ -43,7 +43,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Served:
-    """A node's answer, unchanged; shard tells where it was served."""
+    """A node's answer, unchanged; `shard` is the shard that served it."""
 
     body: bytes
     shard: int = -1
@@ -53,14 +53,14 @@
 
 @dataclass(slots=True, frozen=True)
 class Refused:
-    """Turned away: trying again is harmless, and best after retry_in; None: nobody knows when."""
+    """The request was not executed and may be repeated after `retry_in`; None: no time is known."""
 
     retry_in: timedelta | None
 
 
 @dataclass(slots=True, frozen=True)
 class Failed:
-    """Failed, with no promise about what happened."""
+    """The request failed; it may or may not have been executed."""
 
 
 Answer = Served | Refused | Failed
@@ -68,7 +68,7 @@
 
 @dataclass(slots=True, frozen=True)
 class NodeInfo:
-    """One line of the node list."""
+    """One entry of the node list."""
 
     id: str
     address: str
@@ -81,24 +81,23 @@
 
 @dataclass(slots=True)
 class AdministrativeState:
-    """The nodes that operators have taken out of service, as an overlay over what discovery lists.
-
-    It survives new node lists and is carried over to the next process of this head.
-    """
+    """Nodes that operators took out of service, over all node lists and processes of this head."""
 
     out: dict[str, timedelta] = field(default_factory=dict)  # since when
     back: dict[str, tuple[timedelta, timedelta]] = field(default_factory=dict)  # out since, back since
 
     def put_out(self, node: str, now: timedelta) -> None:
+        """Mark a node as out since now; if it was put back meanwhile, since it first was out."""
         since, _ = self.back.pop(node, (now, now))
         self.out.setdefault(node, min(since, now))
 
     def put_back(self, node: str, now: timedelta) -> None:
+        """Mark a node as back since now; without effect on a node that is not out."""
         if (since := self.out.pop(node, None)) is not None:
             self.back[node] = (since, now)
 
     def seen(self, node: NodeInfo) -> NodeInfo:
-        """A listed node as the module is to see it."""
+        """A listed node as the decision module is to see it, with its phase or start time overridden."""
         if node.id in self.out:
             return node if node.phase is api.Phase.GONE else replace(node, phase=api.Phase.DRAINING)
         since, back = self.back.get(node.id, (node.started, node.started))
@@ -111,13 +110,15 @@
 # -- events: what has happened, and when --------------------------------------------------------------------
 @dataclass(slots=True, frozen=True)
 class Arrived:
+    """A front has received a request."""
+
     at: timedelta
     request: Request
 
 
 @dataclass(slots=True, frozen=True)
 class TurnedAway:
-    """A request for which there was no room, refused before it was taken up."""
+    """A front refused a request for lack of capacity, before it entered the core."""
 
     at: timedelta
     request_class: int
@@ -125,6 +126,8 @@
 
 @dataclass(slots=True, frozen=True)
 class AttemptEnded:
+    """An attempt at a node has ended, with its outcome and what the node reported."""
+
     at: timedelta
     request: str
     attempt: int
@@ -138,7 +141,7 @@
 
 @dataclass(slots=True, frozen=True)
 class FlowEnded:
-    """An answer that was passed on as it came has ended: whole, broken off, or its client has left (None)."""
+    """A streamed answer has ended: complete (True), cut off (False), or its client has left (None)."""
 
     at: timedelta
     request: str
@@ -147,6 +150,8 @@
 
 @dataclass(slots=True, frozen=True)
 class ProbeEnded:
+    """A probe of a node's load has ended; `took` is how long it lasted."""
+
     at: timedelta
     node: str
     outcome: api.Outcome
@@ -156,6 +161,8 @@
 
 @dataclass(slots=True, frozen=True)
 class ListTold:
+    """Discovery has reported the whole node list, or changes to it."""
+
     at: timedelta
     kind: api.ListKind
     nodes: tuple[NodeInfo, ...] = ()
@@ -164,19 +171,23 @@
 
 @dataclass(slots=True, frozen=True)
 class ClientLeft:
+    """The client of a request has closed its connection before the answer."""
+
     at: timedelta
     request: str
 
 
 @dataclass(slots=True, frozen=True)
 class TimerDue:
+    """A timer that was set by SetTimer has expired."""
+
     at: timedelta
     token: int
 
 
 @dataclass(slots=True, frozen=True)
 class Overdue:
-    """The last moment for a final answer; it comes for every request and should find it answered."""
+    """The deadline of a request has passed; it is reported for every request, answered or not."""
 
     at: timedelta
     request: str
@@ -193,14 +204,14 @@
 
 @dataclass(slots=True, frozen=True)
 class HandedOver:
-    """The next process takes over: it is told all, and this one only ends what it has."""
+    """The next process takes over: it is sent all state, and this one only finishes its requests."""
 
     at: timedelta
 
 
 @dataclass(slots=True, frozen=True)
 class TakenBack:
-    """The next process is gone; operators may have taken nodes out or put them back since."""
+    """The next process has died; operators may have changed the administrative state since."""
 
     at: timedelta
     administrative_state: AdministrativeState
@@ -208,7 +219,7 @@
 
 @dataclass(slots=True, frozen=True)
 class TakenOver:
-    """The process before has told all that it knew."""
+    """The previous process has sent its state."""
 
     at: timedelta
     nodes: tuple[NodeInfo, ...]
@@ -218,7 +229,7 @@
 
 @dataclass(slots=True, frozen=True)
 class AttemptsElsewhere:
-    """How many attempts the process before still has out, by node."""
+    """How many attempts the previous process still has open, by node."""
 
     at: timedelta
     counts: dict[str, int]
@@ -245,6 +256,8 @@
 # -- effects: what is to be done ----------------------------------------------------------------------------
 @dataclass(slots=True, frozen=True)
 class SendAttempt:
+    """Send a request to a node, as one attempt."""
+
     request: Request
     attempt: int
     address: str
@@ -253,49 +266,59 @@
 
 @dataclass(slots=True, frozen=True)
 class CancelAttempt:
+    """Cancel an attempt; its end is still reported by AttemptEnded."""
+
     request: str
     attempt: int
 
 
 @dataclass(slots=True, frozen=True)
 class Probe:
+    """Ask a node for its load."""
+
     node: str
     address: str
 
 
 @dataclass(slots=True, frozen=True)
 class SetTimer:
+    """Report TimerDue with this token after this time."""
+
     after: timedelta
     token: int
 
 
 @dataclass(slots=True, frozen=True)
 class WatchOverdue:
+    """Report Overdue for this request after this time."""
+
     after: timedelta
     request: str
 
 
 @dataclass(slots=True, frozen=True)
 class GiveAnswer:
+    """Give a request its final answer."""
+
     request: str
     answer: Answer
 
 
 @dataclass(slots=True, frozen=True)
 class TurnAway:
-    """The answer to an arrival that was not taken up; another request may be open under its id."""
+    """The answer to a request that was not admitted; another request may be open under its id."""
 
     answer: Answer
 
 
 @dataclass(slots=True, frozen=True)
 class SaveAdministrativeState:
-    """Save the administrative state to disk before anybody is told of the change."""
+    """Save the administrative state to disk; it comes before any other effect of the change."""
 
 
 @dataclass(slots=True, frozen=True)
 class HandoverState:
-    """All that the next process needs of the core."""
+    """The state of the core that the next process needs."""
 
     nodes: tuple[NodeInfo, ...]
     administrative_state: AdministrativeState
@@ -318,6 +341,8 @@
 # -- what the reducer keeps ---------------------------------------------------------------------------------
 @dataclass(slots=True)
 class Attempt:
+    """One attempt at a node, as the reducer keeps it."""
+
     node: str
     shard: int
     sent: timedelta
@@ -327,20 +352,24 @@
 
 @dataclass(slots=True)
 class Record:
+    """A request that is not yet answered or has an attempt open."""
+
     request: Request
     answered: bool = False
     attempts: list[Attempt] = field(default_factory=list)
 
     def may_have_run(self) -> bool:
+        """Whether any node may have executed the request."""
         return any(not attempt.never_ran for attempt in self.attempts)
 
     def over(self) -> bool:
+        """Whether the request is answered and no attempt is open."""
         return self.answered and not any(a.out for a in self.attempts)
 
 
 @dataclass(slots=True)
 class Counters:
-    """What the operators are told of: counts since the start, by class, and what is open now."""
+    """Counters and gauges for operators: answers by class since the start, and open requests."""
 
     ok: list[int]
     shed: list[int]
@@ -348,20 +377,22 @@
     active: int = 0
 
     def count(self, request_class: int, answer: Answer) -> None:
-        """One request, one class, one of three ends."""
+        """Count a final answer under its class and kind."""
         ends = {Served: self.ok, Refused: self.shed, Failed: self.errors}[type(answer)]
         ends[request_class] += 1
 
 
 @dataclass(slots=True)
 class Tally:
-    """Counts for the log."""
+    """Counts that are written to the log from time to time."""
 
     counts: dict[str, int] = field(default_factory=dict)
 
     def add(self, name: str) -> None:
+        """Count one occurrence under a name."""
         self.counts[name] = self.counts.get(name, 0) + 1
 
     def take(self) -> dict[str, Any]:
+        """Return the counts since the last call, and start again from none."""
         taken, self.counts = self.counts, {}
         return taken
--- a/stoatrouter/core/reducer.py
+++ b/stoatrouter/core/reducer.py
@@ -1,7 +1,7 @@
-"""The one reducer: every state change of a head is reduce(event) -> effects.
+"""The reducer: every state change of a head is reduce(event) -> effects.
 
-It drives the decision module and adds what a module in a simulator did not have to know: where nodes
-listen, which answers are still owed, and that each request gets exactly one.
+It drives the decision module and adds what that module leaves out: the addresses of nodes, which requests
+are not yet answered, and that each request gets exactly one answer.
 """
 
 from __future__ import annotations
@@ -22,15 +22,17 @@
 
 
 class Gate(Protocol):
-    """Whether requests are paid for: asked when one is taken, told its one final answer."""
+    """Credit control: admits requests, and settles each at its final answer."""
 
-    def take(self, request: model.Request, now: timedelta) -> model.Refused | None: ...
+    def take(self, request: model.Request, now: timedelta) -> model.Refused | None:
+        """Reserve what a request costs; returns the refusal where its customer cannot pay."""
 
-    def end(self, request: str, may_have_run: bool) -> None: ...
+    def end(self, request: str, may_have_run: bool) -> None:
+        """Settle a request's reservation at its final answer; `may_have_run`: a node may have executed it."""
 
 
 class Reducer:
-    """State of one head; all of it changes in reduce and nowhere else."""
+    """The state of one head; it changes in reduce and nowhere else."""
 
     def __init__(self, settings: api.Settings, seed: int, max_open: int = 1 << 30) -> None:
         self.gate: Gate | None = None  # asked before the module whether a request can be paid for
@@ -47,7 +49,7 @@
         self.now = NO_TIME
 
     def reduce(self, event: model.Event) -> list[model.Effect]:
-        """Take one event and return what is to be done, in order."""
+        """Take one event and return the effects to run, in order."""
         # Guards against events stamped before one already taken: the module's time never goes back.
         self.now = max(self.now, event.at)
         match event:
@@ -87,11 +89,11 @@
 
     @property
     def open(self) -> int:
-        """How many requests are owed an answer or have an attempt out."""
+        """How many requests are not yet answered, have an attempt open or are being streamed."""
         return len(self.records) + len(self.flows)
 
     def nodes_out(self) -> list[str]:
-        """The node of each attempt that is out."""
+        """The node of each open attempt."""
         return [a.node for record in self.records.values() for a in record.attempts if a.out]
 
     @property
@@ -100,7 +102,7 @@
         return sum(self.scheduler.avoids(name) for name in self.nodes)
 
     def may_begin(self, at: timedelta, request: str, attempt: int) -> bool:
-        """Asked with a connection in hand, before the first byte: whether what was decided still holds."""
+        """Whether an attempt may still be sent, asked once it has a connection and before its first byte."""
         record = self.records.get(request)
         if record is None or record.answered or not record.attempts[attempt].out:
             return False
--- a/stoatrouter/core/spans.py
+++ b/stoatrouter/core/spans.py
@@ -1,4 +1,4 @@
-"""The one place where spans and times become the decision module's whole microseconds, and back."""
+"""Conversion between timedelta and the decision module's whole microseconds."""
 
 from __future__ import annotations
 
@@ -9,10 +9,10 @@
 
 
 def micros(span: timedelta) -> int:
-    """A span, or a time since the Unix epoch, as the decision module counts it."""
+    """A span, or a time since the Unix epoch, in whole microseconds, rounded down."""
     return span // MICROSECOND
 
 
 def span(count: int) -> timedelta:
-    """A count of microseconds of the decision module as a span."""
+    """A number of microseconds as a timedelta."""
     return timedelta(microseconds=count)
--- a/stoatrouter/faults.py
+++ b/stoatrouter/faults.py
@@ -1,6 +1,6 @@
-"""What is wrong with a head's configuration, in words: place, what was found, what would be right.
+"""Descriptions of faults in a head's configuration: field, value found, values allowed.
 
-Asked only where the configuration could not be used: it explains, and refuses nothing by itself.
+Used only after a configuration could not be loaded: it explains, and rejects nothing by itself.
 """
 
 from __future__ import annotations
@@ -59,7 +59,7 @@
 
 
 def explain(data: Any) -> list[str]:
-    """All that is found wrong, a line each; empty where nothing known is."""
+    """All faults found, one line each; empty where none of the known kinds is found."""
     if not isinstance(data, dict):
         return [f"the file: found {shorten(data)} (allowed: fields)"]
     faults = list(field_faults("", data, TOP))
@@ -75,6 +75,7 @@
 
 
 def item_faults(place: str, items: Any, rows: tuple[tuple[str, Any, Any], ...]) -> Iterator[str]:
+    """The faults of a list and of each of its items; `place` is the list's path in the file."""
     if not isinstance(items, list):
         return
     if not items:
@@ -87,6 +88,7 @@
 
 
 def field_faults(place: str, fields: dict[str, Any], rows: tuple[tuple[str, Any, Any], ...]) -> Iterator[str]:
+    """The faults of one group of fields, checked against its rows; `place` is the prefix of their paths."""
     for name, kind, least in rows:
         key = name.strip("[]")
         value = fields.get(key)
@@ -98,17 +100,20 @@
 
 
 def within(value: Any, least: Any) -> bool:
+    """Whether a value is at least `least`, or one of the values where `least` is a tuple; None allows any."""
     if least is None:
         return True
     return value in least if isinstance(least, tuple) else value >= least
 
 
 def allowed(kind: Any, least: Any) -> str:
+    """The allowed type and values of a field, as they are shown to operators."""
     if isinstance(least, tuple):
         return ", ".join(least)
     return WORDS[kind] + (f", {least} or more" if least is not None else "")
 
 
 def shorten(value: Any) -> str:
+    """A value as it is shown to operators, cut to 40 characters."""
     text = repr(value)
     return text if len(text) <= 40 else text[:37] + "..."
--- a/stoatrouter/fronts/exchange.py
+++ b/stoatrouter/fronts/exchange.py
@@ -1,4 +1,4 @@
-"""One exchange with a client, as fronts over HTTP have it: its body read, its one answer given."""
+"""What fronts over HTTP share: reading a body, streaming an answer, final answers on the wire."""
 
 from __future__ import annotations
 
@@ -21,13 +21,13 @@
 
 
 class Exchange:
-    """What fronts share that make one request of the core of one of HTTP."""
+    """Base of the fronts that make one request of the core out of one HTTP request."""
 
     def __init__(self, engine: Engine, drain: Drain, room: Room) -> None:
         self.engine, self.drain, self.room = engine, drain, room
 
     async def read(self, request: web.BaseRequest) -> Body:
-        """The body, all of it; or what is wrong with it."""
+        """Read the whole body; raises BadRequest where it is too large, too slow or malformed, or NoRoom."""
         try:
             body = await read_body(request, self.room)
         except TooLarge:
@@ -41,7 +41,7 @@
     async def pass_on(
         self, request: web.BaseRequest, name: str, flow: Flow, response: web.StreamResponse | None = None
     ) -> web.StreamResponse:
-        """Pass an answer on as it comes. A broken one ends its connection, so that the client can tell."""
+        """Stream an answer to the client; a truncated one ends the connection, so that clients can tell."""
         response = self.drain.mark(response or web.StreamResponse())
         if flow.length is not None:
             response.content_length = flow.length
@@ -67,13 +67,13 @@
 
 
 def last(response: web.Response) -> web.Response:
-    """The last answer of a connection: what is left of its request is not read."""
+    """Mark an answer as the last of its connection: the rest of the request's body is not read."""
     response.force_close()
     return response
 
 
 def answer(final: model.Answer) -> web.Response:
-    """A final answer on this wire."""
+    """A final answer of the core as an HTTP response."""
     match final:
         case model.Served():
             return web.Response(body=final.body)
@@ -84,7 +84,7 @@
 
 
 def retry_after(span: timedelta | None) -> dict[str, str]:
-    """The advice when to come back, in decimal seconds; none where nobody knows."""
+    """The Retry-After field in decimal seconds; no field where no time is known."""
     if span is None:
         return {}
     return {"Retry-After": f"{span.total_seconds():.3f}"}
--- a/stoatrouter/fronts/http/__init__.py
+++ b/stoatrouter/fronts/http/__init__.py
@@ -1,1 +1,1 @@
-"""The HTTP front: any request, matched by a rule table, as one request of the core."""
+"""The HTTP front: any HTTP request, matched by a rule table, becomes one request of the core."""
--- a/stoatrouter/fronts/http/front.py
+++ b/stoatrouter/fronts/http/front.py
@@ -1,4 +1,4 @@
-"""Any HTTP request: read, matched, and put to the core once; the node's answer goes back as it is."""
+"""The HTTP front: a request is parsed, matched by the rules and put to the core once."""
 
 from __future__ import annotations
 
@@ -38,7 +38,7 @@
 
 
 class HttpFront(Exchange):
-    """Serves any HTTP client, by the rules."""
+    """Serves any HTTP client by the rules in force."""
 
     def __init__(
         self,
@@ -54,7 +54,7 @@
         self.settings, self.matcher, self.recorder, self.forwarded = settings, matcher, recorder, forwarded
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        """One request, and its one final answer."""
+        """Serve one HTTP request with one final answer."""
         if request.raw_path == "/healthz":
             return self.drain.mark(self.drain.health())
         try:
@@ -82,7 +82,7 @@
                 body.close()
 
     async def put(self, request: web.BaseRequest, wanted: model.Request, body: object) -> web.StreamResponse:
-        """Put a request to the core and give its answer."""
+        """Put a request to the core and return its answer as an HTTP response."""
         final = await self.engine.serve(replace(wanted, body=body))
         if not isinstance(final, model.Served):
             return self.drain.mark(answer(final))
@@ -93,14 +93,14 @@
         return self.drain.mark(whole(request, head, final.body))
 
     def refused(self, request: web.BaseRequest, refusal: Refusal) -> web.StreamResponse:
-        """What a rule refuses is answered at once; where trying again may help, with the advice when."""
+        """The answer to a request that a rule refuses, with Retry-After for 429 and 503."""
         self.engine.reducer.tally.add("refused_by_rule")
         headers = retry_after(self.engine.reducer.advice) if refusal.status in (429, 503) else None
         response = web.Response(status=refusal.status, text=f"{refusal.reason}\n", headers=headers)
         return last(response) if request.body_exists else self.drain.mark(response)
 
     def translate(self, request: web.BaseRequest, decided: Decision) -> model.Request:
-        """The request of the core that a decision makes."""
+        """Make a request of the core out of a decision."""
         chosen = self.settings.classes[decided.request_class]
         key = stated_key(request)
         if key is None and chosen.effect is api.Effect.KEYED:
@@ -125,7 +125,7 @@
         )
 
     def fields(self, request: web.BaseRequest) -> tuple[tuple[str, str], ...]:
-        """The header fields that a node sees."""
+        """The header fields that are sent to the node."""
         named = {name.strip().lower() for name in request.headers.get("Connection", "").split(",")}
         left = OWN | named
         kept = [(name, value) for name, value in request.headers.items() if name.lower() not in left]
@@ -138,7 +138,7 @@
 
 
 def read_request(request: web.BaseRequest) -> Input:
-    """A request as rules see it; raises Unreadable or BadRequest."""
+    """Parse a request into the input of rules; raises Unreadable or BadRequest."""
     if request.method == "CONNECT" or "Upgrade" in request.headers:
         raise BadRequest("tunnels and upgrades are not served", 501)
     if request.headers.get("Expect", "100-continue").lower() != "100-continue":
@@ -151,7 +151,7 @@
 
 
 def stated_key(request: web.BaseRequest) -> str | None:
-    """The client's idempotency key."""
+    """The client's idempotency key, or None; raises BadRequest where it is malformed."""
     key = request.headers.get(KEY)
     if key is None:
         return None
@@ -162,7 +162,7 @@
 
 
 def origin_form(target: str) -> str:
-    """The target as a node is asked for it: without a scheme and host."""
+    """The request target in origin form (RFC 9112, 3.2.1), without scheme and host."""
     if target.startswith("/"):
         return target
     rest = target.partition("://")[2]
@@ -173,12 +173,12 @@
 
 
 def without_length(head: model.Head) -> CIMultiDict[str]:
-    """Fields for an answer whose framing is this connection's own."""
+    """The header fields of a node's answer without Content-Length, as this connection frames it anew."""
     return CIMultiDict((name, value) for name, value in head.fields if name.lower() != "content-length")
 
 
 def whole(request: web.BaseRequest, head: model.Head, body: bytes) -> web.Response:
-    """An answer that is here whole. To HEAD, the length that the node stated stays."""
+    """A complete answer as a response; the answer to HEAD keeps the length that the node stated."""
     fields = without_length(head)
     if request.method == "HEAD":
         stated = next((value for name, value in head.fields if name.lower() == "content-length"), None)
--- a/stoatrouter/fronts/http/settings.py
+++ b/stoatrouter/fronts/http/settings.py
@@ -1,4 +1,4 @@
-"""The operator's file of the HTTP front (deploy/http.cue shows its form)."""
+"""The operator's file of the HTTP front; deploy/http.cue is an example."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 
 
 class Record(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """A sample of request heads, for `rules explain` and `rules diff`."""
+    """Settings of the sample of request heads that `rules explain` and `rules diff` read."""
 
     file: str
     one_in: int
@@ -24,7 +24,7 @@
 
 
 class HttpFile(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """What the file says."""
+    """The contents of the file."""
 
     listen: str
     rules: str
@@ -34,7 +34,7 @@
 
 
 class HttpSettings(msgspec.Struct, frozen=True):
-    """What the file says, with its paths found."""
+    """The contents of the file with its paths resolved."""
 
     listen: str
     rules: Path
@@ -45,7 +45,7 @@
 
 
 def load_http(path: Path) -> HttpSettings:
-    """Read the operator's file; raises ConfigError with all that is wrong with it."""
+    """Read the operator's file; raises ConfigError with all faults."""
     try:
         made = load(path, HttpFile, "http.#Http").record
     except SettingsError as error:
@@ -63,11 +63,12 @@
 
 
 def vocabulary(conf: Config) -> Vocabulary:
-    """What rules may speak of at this head."""
+    """The words that rules may use under this configuration."""
     return words_of(conf.settings, conf.shards)
 
 
 def words_of(settings: api.Settings, shards: int) -> Vocabulary:
+    """The vocabulary that the platform's settings give; `shards` 0: the number of shards is not known."""
     classes = tuple(
         KnownClass(c.name, c.effect is api.Effect.SAFE, span(c.deadline)) for c in settings.classes
     )
@@ -75,7 +76,7 @@
 
 
 def windows(settings: api.Settings) -> dict[int, timedelta]:
-    """For how long repeats of keyed classes are known, by the number of the class."""
+    """The repeat windows of keyed classes, by the number of the class."""
     return {
         i: span(c.repeat_window)
         for i, c in enumerate(settings.classes)
--- a/stoatrouter/fronts/objects/errors.py
+++ b/stoatrouter/fronts/objects/errors.py
@@ -1,4 +1,4 @@
-"""What an object operation can end with other than success, in the terms of the S3 protocol."""
+"""Errors of object operations, in the terms of the S3 protocol."""
 
 from __future__ import annotations
 
@@ -35,7 +35,7 @@
 
 
 class ObjectError(Exception):
-    """An operation's final answer, where it is not success."""
+    """The final answer of an operation that did not succeed."""
 
     def __init__(
         self,
@@ -49,11 +49,12 @@
 
     @property
     def status(self) -> int:
+        """The HTTP status of the error's code."""
         return STATUS[self.code]
 
 
 def error_response(error: ObjectError, resource: str, request_id: str, body: bool = True) -> web.Response:
-    """An error as the protocol words it; the answer to a HEAD has no body."""
+    """An error as an S3 response; the answer to HEAD has no body."""
     headers = dict(error.headers)
     if error.retry_in is not None:
         # whole seconds, as clients of this protocol read them
--- a/stoatrouter/fronts/objects/extents.py
+++ b/stoatrouter/fronts/objects/extents.py
@@ -1,8 +1,8 @@
-"""How a body lies on nodes: pieces of at most 64 KiB, and pages of references where there are many.
+"""How a body is stored on nodes: pieces of at most 64 KiB, and pages of references to them.
 
-A reference names a piece, the shard that took it, and how many bytes of the body lie below it. References
-of a long body are themselves written as pages, pages of pages above them, until few enough are left to be
-told in a manifest or an ETag. Nothing of this is kept in a head.
+A reference names a piece, the shard that took it, and how many bytes of the body lie below it. References of
+a long body are themselves written as pages, with pages of pages above them, until few enough are left for a
+manifest or an ETag. A head keeps none of this.
 """
 
 from __future__ import annotations
@@ -22,12 +22,12 @@
 
 
 class BadPiece(Exception):
-    """What a node gave is not what was written there."""
+    """A node returned something else than was written."""
 
 
 @dataclass(slots=True, frozen=True)
 class Ref:
-    """Where some bytes of a body lie; depth 0: the piece holds them itself, else a page of references."""
+    """A reference to a part of a body; with depth 0 the piece holds the bytes, else references."""
 
     piece: str
     shard: int
@@ -35,21 +35,26 @@
     depth: int = 0
 
     def pack(self) -> bytes:
+        """The reference as REF.size bytes."""
         return REF.pack(bytes.fromhex(self.piece), self.shard, self.size, self.depth)
 
     @classmethod
     def unpack(cls, data: bytes) -> Ref:
+        """Read what pack wrote; raises struct.error where the length is wrong."""
         piece, shard, size, depth = REF.unpack(data)
         return cls(piece.hex(), shard, size, depth)
 
 
 def frame(piece: str, payload: bytes) -> bytes:
-    """A piece as it is written: its payload behind a digest, so that a wrong answer is known as one."""
+    """A piece as it is written: its payload behind a keyed digest."""
     return MAGIC + digest(piece, payload) + payload
 
 
 def unframe(piece: str, data: bytes) -> bytes | None:
-    """The payload of a piece; None where it was never written (nodes then answer with an empty body)."""
+    """The payload of a piece; None where it was never written, as nodes then send an empty body.
+
+    Raises BadPiece where the digest does not match.
+    """
     if not data:
         return None
     payload = data[HEADER:]
@@ -60,21 +65,24 @@
 
 
 def digest(piece: str, payload: bytes) -> bytes:
+    """The keyed digest of a payload, by which a piece under another name is rejected."""
     return hashlib.blake2b(payload, digest_size=DIGEST, key=piece.encode()).digest()
 
 
 def pack_page(refs: Sequence[Ref]) -> bytes:
+    """The payload of a page: its references, one after the other."""
     return b"".join(ref.pack() for ref in refs)
 
 
 def unpack_page(payload: bytes) -> list[Ref]:
+    """The references of a page; raises BadPiece where the payload is cut off."""
     if len(payload) % REF.size:
         raise BadPiece("a page of references is not whole")
     return [Ref.unpack(payload[i : i + REF.size]) for i in range(0, len(payload), REF.size)]
 
 
 def overlapping(refs: Sequence[Ref], start: int, stop: int) -> list[tuple[Ref, int, int]]:
-    """The references that hold bytes start to stop of a body, each with its own part of them."""
+    """The references that hold the bytes start to stop, each with its own part of that range."""
     found, offset = [], 0
     for ref in refs:
         low, high = max(start, offset), min(stop, offset + ref.size)
--- a/stoatrouter/fronts/objects/front.py
+++ b/stoatrouter/fronts/objects/front.py
@@ -1,4 +1,4 @@
-"""The object API: calls of the S3 shape, made of requests of the core."""
+"""The object API: calls of the S3 protocol, served by requests of the core."""
 
 from __future__ import annotations
 
@@ -59,7 +59,7 @@
 
 
 class ObjectFront:
-    """Serves the object API; keeps nothing between calls."""
+    """Serves the object API; it keeps no state between calls."""
 
     def __init__(
         self,
@@ -76,7 +76,7 @@
 
     # -- routing ------------------------------------------------------------------------------------------
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        """One call, and its one final answer."""
+        """Serve one call with one final answer."""
         if request.raw_path == "/healthz":
             return self.drain.mark(self.drain.health())
         name = secrets.token_hex(8)
@@ -371,6 +371,7 @@
 
 
 def load_checked(kind: type, payload: bytes):  # noqa: ANN201 - the kind that was asked for
+    """Load a manifest or an upload's state; raises ObjectError (InternalError) where it is malformed."""
     try:
         return kind.load(payload)
     except BadPiece as error:
@@ -378,7 +379,7 @@
 
 
 def read_metadata(headers: Mapping[str, str]) -> tuple[str, dict[str, str]]:
-    """The content type and the client's own metadata."""
+    """The content type and the client's metadata; raises ObjectError where that is too large."""
     metadata = {k.lower().removeprefix(META): v for k, v in headers.items() if k.lower().startswith(META)}
     if sum(len(k) + len(v.encode()) for k, v in metadata.items()) > MOST_METADATA:
         raise ObjectError("InvalidArgument", f"metadata has at most {MOST_METADATA} bytes")
@@ -386,7 +387,7 @@
 
 
 def check_md5(headers: Mapping[str, str], md5: bytes) -> None:
-    """Guards against a body that was changed on its way."""
+    """Check a body against Content-MD5; raises ObjectError."""
     if (stated := headers.get("Content-MD5")) is None:
         return
     try:
@@ -398,6 +399,7 @@
 
 
 async def read_all(chunks: AsyncIterator[bytes], most: int) -> bytes:
+    """Read a body into memory; raises ObjectError (MalformedXML) beyond `most` bytes."""
     data = bytearray()
     async for chunk in chunks:
         data += chunk
@@ -407,7 +409,7 @@
 
 
 def read_parts(data: bytes) -> list[tuple[int, str]]:
-    """The parts that a CompleteMultipartUpload names."""
+    """The parts named by CompleteMultipartUpload as number and ETag; raises ObjectError."""
     # Guards the parser: entities that grow without end need a declaration, which no client sends.
     if b"<!" in data or b"\0" in data:
         raise ObjectError("MalformedXML", "declarations are not allowed")
@@ -421,6 +423,7 @@
 
 
 def read_part(part: ET.Element) -> tuple[int, str]:
+    """The number and ETag of one part; raises KeyError or ValueError where they are missing or malformed."""
     fields = {local(child): (child.text or "").strip() for child in part}
     return int(fields["PartNumber"]), fields["ETag"].strip('"')
 
@@ -431,6 +434,7 @@
 
 
 def xml_response(root: str, **fields: str) -> web.Response:
+    """An answer of the S3 protocol: one element with these fields as its children."""
     inner = "".join(f"<{name}>{escape(value)}</{name}>" for name, value in fields.items())
     return web.Response(
         content_type="application/xml", body=f'{XML}<{root} xmlns="{NAMESPACE}">{inner}</{root}>'.encode()
--- a/stoatrouter/fronts/objects/manifest.py
+++ b/stoatrouter/fronts/objects/manifest.py
@@ -1,4 +1,4 @@
-"""What is written of an object and of an upload, each in one piece whose place follows from its name."""
+"""The records of objects and uploads, each in one piece whose place follows from its name."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Manifest:
-    """An object: what it is called, how large it is, and where it lies."""
+    """The record of an object: its name, size, metadata and references."""
 
     bucket: str
     key: str
@@ -25,6 +25,7 @@
     metadata: dict[str, str] = field(default_factory=dict)
 
     def dump(self) -> bytes:
+        """The manifest as JSON, as it is written to its piece."""
         refs = base64.b64encode(pack_page(self.refs)).decode()
         return json.dumps(
             {
@@ -42,6 +43,7 @@
 
     @classmethod
     def load(cls, data: bytes) -> Manifest:
+        """Read what dump wrote; raises BadPiece where it is anything else."""
         try:
             d = json.loads(data)
             refs = tuple(unpack_page(base64.b64decode(d["refs"])))
@@ -58,7 +60,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Upload:
-    """An upload's state: open, aborted, or complete with the ETag that was given."""
+    """The record of an upload: open, aborted, or complete with the ETag that was returned."""
 
     state: str
     content_type: str
@@ -66,6 +68,7 @@
     etag: str = ""
 
     def dump(self) -> bytes:
+        """The state as JSON, as it is written to its piece."""
         return json.dumps(
             {"state": self.state, "type": self.content_type, "metadata": self.metadata, "etag": self.etag},
             separators=(",", ":"),
@@ -73,6 +76,7 @@
 
     @classmethod
     def load(cls, data: bytes) -> Upload:
+        """Read what dump wrote; raises BadPiece where it is anything else."""
         try:
             d = json.loads(data)
             return cls(d["state"], d["type"], d["metadata"], d["etag"])
--- a/stoatrouter/fronts/objects/ranges.py
+++ b/stoatrouter/fronts/objects/ranges.py
@@ -1,4 +1,4 @@
-"""Ranges and preconditions of a read, as RFC 9110 words them."""
+"""Ranges and preconditions of reads (RFC 9110, 13 and 14)."""
 
 from __future__ import annotations
 
@@ -12,10 +12,10 @@
 
 
 def wanted_range(headers: Mapping[str, str], etag: str, modified: int, size: int) -> tuple[int, int] | None:
-    """The bytes start to stop that are asked for; None: all of them.
+    """The bytes start to stop that a request asks for; None: all of them.
 
-    A range that is not understood, or more than one, is ignored, as the RFC allows; one that lies beyond the
-    body is an error.
+    A malformed range, or more than one, is ignored, as the RFC allows. Raises ObjectError where a range lies
+    beyond the body.
     """
     match = ONE_RANGE.fullmatch(headers.get("Range", "").replace(" ", ""))
     if match is None or match.groups() == ("", "") or not if_range_holds(headers, etag, modified):
@@ -35,7 +35,7 @@
 
 
 def if_range_holds(headers: Mapping[str, str], etag: str, modified: int) -> bool:
-    """Guards a resumed read: where the object has changed, its rest must not be joined to the old start."""
+    """Whether If-Range allows a range: a changed object must not be joined to its old start."""
     condition = headers.get("If-Range")
     if condition is None:
         return True
@@ -45,7 +45,7 @@
 
 
 def check_preconditions(headers: Mapping[str, str], etag: str, modified: int) -> bool:
-    """Whether a read goes on; False: not modified. Raises where a precondition failed."""
+    """Whether a read goes on; False: not modified. Raises ObjectError where a precondition failed."""
     if (wanted := headers.get("If-Match")) is not None:
         if not matches(wanted, etag):
             raise ObjectError("PreconditionFailed", "If-Match does not hold")
@@ -58,11 +58,12 @@
 
 
 def matches(tags: str, etag: str) -> bool:
+    """Whether an entity tag is in a list of tags, compared weakly (RFC 9110, 8.8.3.2); `*` matches any."""
     return any(tag.strip().removeprefix("W/") in ("*", f'"{etag}"', etag) for tag in tags.split(","))
 
 
 def read_date(text: str | None) -> int | None:
-    """A date of HTTP in Unix seconds; None where there is none."""
+    """An HTTP date in Unix seconds; None where it is absent or malformed."""
     try:
         return int(parsedate_to_datetime(text).timestamp()) if text else None
     except (ValueError, TypeError, OverflowError):
@@ -70,4 +71,5 @@
 
 
 def http_date(seconds: int) -> str:
+    """A time in Unix seconds as an HTTP date."""
     return formatdate(seconds, usegmt=True)
--- a/stoatrouter/fronts/objects/rules.py
+++ b/stoatrouter/fronts/objects/rules.py
@@ -1,7 +1,7 @@
-"""What rules say of a call of the object front: its class, its plan, and where its new pieces go.
+"""What rules say of a call to the object front: its class, its plan, and the shard of new pieces.
 
-Where an object's manifest lies never depends on rules: an object is found under any table. The key that a
-rule gives says where new pieces go, which their references remember.
+The place of an object's manifest never depends on rules, so an object is found under any table. The key that
+a rule yields says where new pieces go, which their references record.
 """
 
 from __future__ import annotations
@@ -24,7 +24,7 @@
 
 
 class Chooser:
-    """Asks the table in force for each call."""
+    """Applies the table in force to each call."""
 
     def __init__(self, matcher: Matcher, settings: api.Settings, clock: Clock, advice: timedelta) -> None:
         self.matcher, self.settings, self.clock, self.advice = matcher, settings, clock, advice
@@ -32,7 +32,7 @@
     def __call__(
         self, request: web.BaseRequest, conf: ObjectSettings, bucket: Bucket, key: str, operation: str
     ) -> tuple[ObjectSettings, Bucket, Pieces]:
-        """The settings, the bucket and the placing of pieces for one call; raises ObjectError."""
+        """The settings, bucket and piece placement of one call; raises ObjectError."""
         try:
             size = request.content_length
             given = read_input(
@@ -57,6 +57,7 @@
     def chosen(
         self, decided: Decision, conf: ObjectSettings, bucket: Bucket
     ) -> tuple[ObjectSettings, Bucket, Pieces]:
+        """Apply a decision to the settings and the bucket; raises ObjectError where no plan is given."""
         if self.settings.classes[decided.request_class].writes:
             conf = replace(conf, write_class=decided.request_class)
         else:
@@ -69,7 +70,7 @@
 
 
 def refusal(status: int, reason: str, advice: timedelta) -> ObjectError:
-    """A rule's refusal in the words of this protocol."""
+    """A rule's refusal as an error of the S3 protocol."""
     if status in (429, 503):
         return ObjectError("SlowDown", reason, advice)
     return ObjectError("AccessDenied" if status in (401, 403) else "InvalidRequest", reason)
--- a/stoatrouter/fronts/objects/settings.py
+++ b/stoatrouter/fronts/objects/settings.py
@@ -1,4 +1,4 @@
-"""The operator's file of the object front (deploy/objects.cue shows its form)."""
+"""The operator's file of the object front; deploy/objects.cue is an example."""
 
 from __future__ import annotations
 
@@ -31,7 +31,7 @@
 
 @dataclass(slots=True, frozen=True)
 class ObjectSettings:
-    """All that the object front is told."""
+    """The settings of the object front."""
 
     listen: str
     secret: bytes
@@ -46,7 +46,7 @@
 
 
 class BucketFile(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """What the file says of a bucket."""
+    """The settings of one bucket in the file."""
 
     volume: str
     hosts: int
@@ -54,7 +54,7 @@
 
 
 class ObjectsFile(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """What the file says."""
+    """The contents of the file."""
 
     listen: str
     secret_file: str
@@ -67,7 +67,7 @@
 
 
 def load(path: Path, settings: api.Settings, shards: int) -> ObjectSettings:
-    """Read the operator's file; ConfigError says what is wrong with it."""
+    """Read the operator's file; raises ConfigError."""
     try:
         loaded = read_file(path, ObjectsFile, "objects.#Objects")
         data = msgspec.to_builtins(loaded.record)
@@ -80,6 +80,7 @@
 
 
 def parse(data: dict[str, Any], secret: bytes, settings: api.Settings, shards: int) -> ObjectSettings:
+    """Check the file's fields against the platform's settings; raises ValueError or KeyError."""
     # Guards the ETags' authentication: a short secret can be guessed, and placement forged.
     if len(secret) < LEAST_SECRET:
         raise ValueError(f"the secret needs at least {LEAST_SECRET} bytes")
@@ -117,11 +118,12 @@
 
 
 def rules_file(data: dict[str, Any]) -> Path | None:
+    """The path of the rule file, relative to the settings' folder; None where none is named."""
     return Path(data["folder"]) / data["rules"] if data.get("rules") else None
 
 
 def known(numbers: dict[str, int], name: str, what: str) -> int:
-    """The number of a class or plan."""
+    """The number of a class or plan; raises ValueError where there is none of that name."""
     if name not in numbers:
         raise ValueError(f"there is no {what} {name!r}; there is: {', '.join(numbers)}")
     return numbers[name]
--- a/stoatrouter/fronts/objects/store.py
+++ b/stoatrouter/fronts/objects/store.py
@@ -1,7 +1,7 @@
 """Bodies as requests of the core: written piece by piece, read range by range.
 
-Each piece is one request of the core, under its volume's plan. The core's word on it is final: what it
-refuses is not asked again here, but told to the client at once with the advice when to come back.
+Each piece is one request of the core under its volume's plan. A refusal of the core is not retried here; the
+client gets it at once with the time to come back.
 """
 
 from __future__ import annotations
@@ -41,7 +41,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Pieces:
-    """What rules say of a call's pieces, beside their classes and plan."""
+    """What rules say of a call's pieces, besides their classes and plan."""
 
     shard: int = -1  # where new ones go; -1: to any node
     deadline: timedelta | None = None  # of each; None: its class's
@@ -51,7 +51,7 @@
 
 
 class Store:
-    """The pieces of one volume."""
+    """Reads and writes the pieces of one volume."""
 
     def __init__(
         self,
@@ -65,7 +65,7 @@
 
     # -- single pieces ------------------------------------------------------------------------------------
     async def read_piece(self, piece: str, shard: int, size: int = PAYLOAD) -> bytes | None:
-        """The payload of a piece; None where it was never written."""
+        """The payload of a piece; None where it was never written. Raises ObjectError."""
         served = await self._ask(self._request(self.conf.read_class, piece, shard, size + PIECE - PAYLOAD))
         try:
             return unframe(piece, served.body)
@@ -73,7 +73,11 @@
             raise ObjectError("InternalError", f"a node gave a wrong piece: {error}") from None
 
     async def write_piece(self, payload: bytes, piece: str | None = None, shard: int = -1) -> Ref:
-        """Write a piece: a new one to whatever node or where rules say, a named one to its own shard."""
+        """Write a piece; returns its reference.
+
+        A new piece goes to any node, or where rules say; a named one goes to its own shard. Raises
+        ObjectError.
+        """
         if piece is None:
             piece, shard = secrets.token_hex(8), self.pieces.shard
         body = frame(piece, payload)
@@ -119,7 +123,7 @@
 
     # -- bodies -------------------------------------------------------------------------------------------
     async def write_body(self, chunks: AsyncIterator[bytes]) -> tuple[tuple[Ref, ...], bytes, int]:
-        """Write a body as it comes in; returns its references, MD5 and size."""
+        """Write a body as it arrives; returns its references, MD5 and size in bytes."""
         md5, size = hashlib.md5(usedforsecurity=False), 0
 
         async def payloads() -> AsyncIterator[bytes]:
@@ -139,7 +143,7 @@
         return tuple(refs), md5.digest(), size
 
     async def fold(self, refs: tuple[Ref, ...], most: int) -> tuple[Ref, ...]:
-        """Write pages of references until at most this many are left."""
+        """Write pages of references until at most `most` references are left."""
         while len(refs) > most:
             pages = []
             for i in range(0, len(refs), PAGE_REFS):
@@ -194,7 +198,7 @@
 
 
 class Window(Generic[Done]):
-    """A few pieces of work under way together, whose results come in order. Leaving it ends what is left."""
+    """A few tasks at a time, with their results in order; leaving the window cancels the rest."""
 
     def __init__(self, most: int) -> None:
         self.most = most
@@ -211,11 +215,12 @@
         self.tasks.clear()
 
     async def add(self, work: Coroutine[Any, Any, Done]) -> Done | None:
-        """Start one more; where that fills the window, wait for the oldest and return its result."""
+        """Start one more task; where that fills the window, wait for the oldest and return its result."""
         self.tasks.append(asyncio.get_running_loop().create_task(work))
         return await self._oldest() if len(self.tasks) >= self.most else None
 
     async def rest(self) -> AsyncIterator[Done]:
+        """The results of what is still under way, in order."""
         while self.tasks:
             yield await self._oldest()
 
@@ -226,7 +231,7 @@
 
 
 async def in_payloads(chunks: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
-    """Cut a body that comes in as it likes into full payloads, and a last one."""
+    """Cut a body into payloads of PAYLOAD bytes, and a last one."""
     held = bytearray()
     async for chunk in chunks:
         held += chunk
--- a/stoatrouter/fronts/platform.py
+++ b/stoatrouter/fronts/platform.py
@@ -33,6 +33,7 @@
         self.plans = {p.name: i for i, p in enumerate(settings.plans)}
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Serve one HTTP request: /healthz, or one request of the core and its one final answer."""
         if request.raw_path == "/healthz":
             return self.drain.mark(self.drain.health())
         try:
@@ -60,8 +61,10 @@
         return self.drain.mark(answer(final))
 
     def refuse(self, data: bytes) -> bytes | None:
-        """The refusal of a plain request, all of it in this data; None for any other. Guards a crowded head's
-        time: as answers of their own, refusals in a surge cost it more than it has."""
+        """The refusal of a plain request that lies whole in `data`; None for any other request.
+
+        Creating a response object for each refusal would cost a crowded head more time than it has.
+        """
         head, end, body = data.partition(b"\r\n\r\n")
         line = PLAIN.match(head)
         kind = self.classes.get(line[1].decode()) if line is not None and end else None
@@ -77,7 +80,7 @@
         return f"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n{fields}\r\n".encode()
 
     def translate(self, request: web.BaseRequest) -> model.Request:
-        """Read a request of the core out of the client's, or say what is wrong with it."""
+        """Make a request of the core out of the client's; raises BadRequest."""
         headers, target = request.headers, request.raw_path
         parts = target.partition("?")[0].split("/")
         if len(parts) != 4 or parts[0] or not HEX16.fullmatch(parts[2]) or not HEX16.fullmatch(parts[3]):
@@ -116,6 +119,7 @@
         )
 
     def time_left(self, text: str, kind: int) -> timedelta:
+        """The time that the client allows, at most the class's deadline; raises BadRequest."""
         if not text.isascii() or not text.isdigit():
             raise BadRequest("bad or missing Req-Deadline-Ms")
         # bounded by the class: a larger figure would only keep the request in memory
@@ -124,7 +128,7 @@
 
 
 def read_extras(text: str) -> tuple[float, int, int]:
-    """Read units, shard and hosts."""
+    """Parse X-IO to units, shard (-1: any) and hosts; raises BadRequest."""
     fields = dict(pair.strip().partition("=")[::2] for pair in text.split(","))
     try:
         units, shard, hosts = float(fields["units"]), int(fields["shard"]), int(fields["hosts"])
--- a/stoatrouter/fronts/wiring.py
+++ b/stoatrouter/fronts/wiring.py
@@ -1,4 +1,4 @@
-"""The parts that fronts with rules need, put together from their files. Loaded where such a front is on."""
+"""Creates the parts of fronts with rule tables. It is imported only where such a front is on."""
 
 from __future__ import annotations
 
@@ -18,13 +18,13 @@
 
 
 def http_tables(conf: Config, http: HttpSettings) -> TableService:
-    """The tables of the HTTP front; raises ConfigError."""
+    """The table service of the HTTP front; raises ConfigError."""
     shadow = tables(conf, http.shadow) if http.shadow is not None else None
     return service(conf, tables(conf, http.rules), shadow)
 
 
 def object_tables(conf: Config, objects: ObjectSettings) -> TableService:
-    """The table of the object front; raises ConfigError."""
+    """The table service of the object front; raises ConfigError."""
     assert objects.rules is not None
     plans = [plan.name for plan in conf.settings.plans]
     buckets = {
@@ -37,10 +37,12 @@
 def tables(
     conf: Config, path: Path, environment: Environment = HTTP, buckets: dict[str, Bucket] | None = None
 ) -> Tables:
+    """What loads the tables of a rule file, with the words of this configuration."""
     return Tables(path, vocabulary(conf), environment, buckets)
 
 
 def service(conf: Config, made: Tables, shadow: Tables | None) -> TableService:
+    """The service that puts tables in force and in shadow; raises ConfigError where the rules are wrong."""
     try:
         return TableService(made, shadow, windows(conf.settings))
     except SettingsError as error:
@@ -48,7 +50,7 @@
 
 
 def recorder(http: HttpSettings) -> Recorder | None:
-    """What records a sample of requests, where that is wanted."""
+    """The recorder of request samples; None where none is configured."""
     if http.record is None or http.record_file is None:
         return None
     return Recorder(http.record_file, http.record.most_bytes, Sampler(http.record.one_in, http.record.mask))
--- a/stoatrouter/head.py
+++ b/stoatrouter/head.py
@@ -1,4 +1,4 @@
-"""The wiring of one head: its parts, put together. What starts it is __main__; the demo starts it too."""
+"""One head: its parts created and connected. It is started by __main__ and by the demo."""
 
 from __future__ import annotations
 
@@ -44,13 +44,15 @@
 
 
 def busy_pressed(sockets: int) -> int:
-    """How many may be open while time is short: two fifths of what clients may hold, yet what a head serves
-    at once in quiet times."""
+    """How many connections may have a request open while the event loop lags.
+
+    It is two fifths of the usual bound, but no less than a head has open in quiet times.
+    """
     return max(1, min(int(sockets * BUSY_SHARE), max(PRESSED_LEAST, int(sockets * PRESSED_SHARE))))
 
 
 class Head:
-    """The parts of one head, put together."""
+    """The parts of one head."""
 
     def __init__(
         self,
@@ -120,6 +122,7 @@
 
     # -- what is off on the platform: a head without it imports none of it -----------------------------------
     def open_objects(self, objects: ObjectSettings) -> None:
+        """Set up the object front, with its rule table where one is named; raises ConfigError."""
         from stoatrouter.fronts.objects.front import ObjectFront
 
         choose = None
@@ -138,6 +141,7 @@
         self.objects = Listener(self.object_front.handle, self.drain)
 
     def open_http(self, http: HttpSettings) -> None:
+        """Set up the HTTP front, its rule tables and its recorder; raises ConfigError."""
         from stoatrouter.fronts.http.front import HttpFront
         from stoatrouter.fronts.wiring import http_tables, recorder
 
@@ -156,20 +160,22 @@
         self.http = Listener(self.http_front.handle, self.drain)
 
     def open_heads(self, settings: HeadsSettings, started_with: int) -> None:
+        """Set up the part that talks to other heads."""
         from stoatrouter.peering.heads import Heads
 
         self.heads = Heads(settings, self, started_with)
 
     def ready(self) -> bool:
+        """Whether this head accepts clients and, where heads talk to each other, takes part among them."""
         return self.serving and (self.heads is None or self.heads.ready)
 
     @property
     def listeners(self) -> list[Listener]:
-        """Where clients come."""
+        """The listeners that clients connect to."""
         return [listener for listener in (self.platform, self.objects, self.http) if listener is not None]
 
     async def start(self) -> None:
-        """Restore the list, follow discovery, and listen once it has answered or does not."""
+        """Restore the node list, follow discovery, and listen once discovery has answered or timed out."""
         if self.conf.management is not None:
             await self.management.start(*config.address(self.conf.management))
         loop = asyncio.get_running_loop()
@@ -199,7 +205,7 @@
         )
 
     async def accept(self) -> None:
-        """Accept clients at both fronts."""
+        """Accept clients at all fronts."""
         await self.platform.start(*config.address(self.conf.listen), inherited=self.conf.inherited)
         if self.objects is not None and self.object_settings is not None:
             await self.objects.start(*config.address(self.object_settings.listen))
@@ -208,14 +214,17 @@
         self.serving = True
 
     async def stop_accepting(self) -> None:
-        """Accept no more: another process of this head does."""
+        """Stop accepting clients, as another process of this head does so from now on."""
         self.serving = False
         for listener in self.listeners:
             listener.stop_accepting()
 
     def reload(self, environ: Mapping[str, str]) -> None:
-        """Read the configuration again; all of it must be good. Discovery's address is taken over at once,
-        rule tables once they are read."""
+        """Read the configuration again and apply what can change while serving.
+
+        A configuration with any fault is rejected and logged. Discovery's address is applied at once, rule
+        tables once they are compiled; other changes wait for the next start.
+        """
         for service in self.tables:
             service.reload()
         try:
@@ -243,7 +252,7 @@
         self.watch.move(conf.discovery)
 
     async def stop(self) -> None:
-        """Serve for as long as answers are sure, finish what was taken, then end everything."""
+        """Serve for as long as answers are certain to arrive, finish open requests, and close everything."""
         logger.info("stop: asked to, {open} requests open", event="stop.asked", open=self.engine.reducer.open)
         self.serving = False
         times = shutdown_deadlines(span(max(c.deadline for c in self.conf.settings.classes)))
--- a/stoatrouter/lab/standins.py
+++ b/stoatrouter/lab/standins.py
@@ -1,4 +1,4 @@
-"""Stand-ins on loopback: storage nodes that keep what they are given, and discovery that tells of them."""
+"""Stand-ins on loopback for tests and the demo: storage nodes in memory, and discovery."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
 
 @dataclass(slots=True)
 class StandInNode:
-    """A storage node: slots and a queue, times drawn from a seed, and what it was given in memory."""
+    """A storage node in memory, with slots, a queue, and service times drawn from a seed."""
 
     name: str
     shard: int
@@ -39,7 +39,7 @@
         self.free_slots, self.times = asyncio.Semaphore(self.slots), random.Random(f"{self.seed}/{self.name}")
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        """One exchange, as the nodes' protocol has it."""
+        """Serve one request of the nodes' protocol, or a load probe."""
         if request.raw_path == "/load":
             return web.Response(text=self.load())
         if "Req-Id" not in request.headers:
@@ -56,6 +56,7 @@
             self.waiting -= 1
 
     def answer(self, request: web.BaseRequest, body: bytes) -> web.Response:
+        """Store or return a body; where nothing is stored, 404, or an empty body for pieces of objects."""
         path = request.raw_path.partition("?")[0]
         piece = PIECE.fullmatch(path)
         place = piece[1] if piece is not None else path
@@ -71,10 +72,11 @@
         return web.Response(body=found or b"", headers=headers)
 
     def load(self) -> str:
+        """The load report, as nodes send it in Srv-Load."""
         return f"util={min(1.0, self.waiting / self.slots):.2f},inflight={self.waiting}"
 
     def entry(self) -> dict[str, object]:
-        """Its line in discovery's list."""
+        """The node's entry in discovery's list."""
         return {
             "instanceId": self.name,
             "hostPort": f"{HOST}:{self.port}",
@@ -88,13 +90,14 @@
 
 
 class StandInDiscovery:
-    """Discovery: the whole list, and watches that wait until it changes."""
+    """Discovery: the whole list, and watches that are held until it changes."""
 
     def __init__(self, nodes: list[StandInNode]) -> None:
         self.nodes, self.generation = nodes, 1
         self.changed = asyncio.Event()
 
     def full_list(self) -> dict[str, object]:
+        """The whole list as discovery's message."""
         return {
             "generation": self.generation,
             "reset": True,
@@ -102,6 +105,7 @@
         }
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer a call with the whole list; a watch is held until the list changes or its time is over."""
         if "from" in request.query and request.query["from"] == str(self.generation):
             hold = min(HELD, timedelta(milliseconds=int(request.query.get("hold_ms", "0"))))
             try:
@@ -113,7 +117,7 @@
 
 
 async def read_body(request: web.BaseRequest) -> bytes:
-    """A body within the bound; what is larger breaks the connection."""
+    """Read a body of at most LARGEST bytes; a larger one breaks the connection."""
     body = bytearray()
     async for piece in request.content.iter_any():
         body += piece
@@ -123,18 +127,20 @@
 
 
 class StandInServers:
-    """Serves stand-ins on ports that the system chooses."""
+    """Runs stand-ins on free ports of loopback."""
 
     def __init__(self) -> None:
         self.open: list[tuple[asyncio.Server, web.Server]] = []
 
     async def serve(self, handler: object) -> int:
+        """Serve a handler on a free port of loopback; returns the port."""
         server = web.Server(handler, access_log=None)  # type: ignore[arg-type]
         listener = await asyncio.get_running_loop().create_server(server, HOST, 0)
         self.open.append((listener, server))
         return int(listener.sockets[0].getsockname()[1])
 
     async def close(self) -> None:
+        """Close all listening sockets and connections."""
         for listener, server in self.open:
             listener.close()
             await server.shutdown(0.1)
--- a/stoatrouter/management/__init__.py
+++ b/stoatrouter/management/__init__.py
@@ -1,1 +1,1 @@
-"""The second address, for operators alone: thin calls, no decisions."""
+"""The operators' address: calls that inspect a head and change its state."""
--- a/stoatrouter/management/calls.py
+++ b/stoatrouter/management/calls.py
@@ -1,4 +1,4 @@
-"""The operators' calls: each is looked up, put to the part that it concerns, and answered."""
+"""The operators' calls: each is routed to the part that it concerns, and answered."""
 
 from __future__ import annotations
 
@@ -23,7 +23,7 @@
 
 
 class Management:
-    """Answers the operators' calls."""
+    """Serves the operators' calls."""
 
     def __init__(
         self, engine: Engine, drain: Drain, serving: Callable[[], bool], heads: HeadsCall | None = None
@@ -31,7 +31,7 @@
         self.engine, self.drain, self.serving, self.heads = engine, drain, serving, heads
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        """One call; its connection ends with the answer."""
+        """Serve one call; the connection ends with the answer."""
         path = request.raw_path.partition("?")[0]
         response = None
         if self.heads is not None:
@@ -45,6 +45,7 @@
         return response
 
     def answer(self, method: str, path: str) -> web.Response:
+        """Answer a call by its method and path; 404 and 405 for calls that do not exist."""
         calls = self.calls(path)
         if calls is None:
             return text_response(404, "no such call")
@@ -53,7 +54,7 @@
         return calls[method]()
 
     def calls(self, path: str) -> dict[str, Callable[[], web.Response]] | None:
-        """What may be called at a path, by method."""
+        """The handlers at a path, by method; None for an unknown path."""
         match path:
             case _ if path == READY:
                 return {"GET": self.ready}
@@ -69,6 +70,7 @@
         return None
 
     def brick(self, name: str, out: bool) -> web.Response:
+        """Take a node out of service or put it back; 404 for an unknown node, 500 if it cannot be saved."""
         kept = self.engine.set_administrative_state(name, out)
         if kept is None:
             return text_response(404, "no such brick")
@@ -77,22 +79,26 @@
         return text_response(200, "out" if out else "back")
 
     def ready(self) -> web.Response:
+        """200 where this head serves, else 503."""
         return text_response(200, "ready") if self.serving() else text_response(503, "not ready")
 
     def counters(self) -> web.Response:
+        """All counters and gauges, a line each."""
         return text_response(200, "\n".join(counter_lines(self.engine)))
 
     def out_of_service(self) -> web.Response:
+        """Send the clients away; calling it again changes nothing."""
         self.drain.out_of_service()
         return text_response(200, "out of service")
 
     def in_service(self) -> web.Response:
+        """Serve clients again after out_of_service."""
         self.drain.in_service()
         return text_response(200, "in service")
 
 
 def counter_lines(engine: Engine) -> list[str]:
-    """All figures; each line is there from the start."""
+    """All counters and gauges as `name:value|type`; each is present from the start."""
     core = engine.reducer
     responses = [
         f"app.responses.{kind.name}.{end}:{counts[i]}|c"
@@ -113,7 +119,7 @@
 
 
 async def read(request: web.BaseRequest) -> bytes | None:
-    """A call's body; None where it is too large."""
+    """Read a call's body; None where it has more than LARGEST bytes."""
     body = bytearray()
     async for piece in request.content.iter_any():
         body += piece
@@ -123,4 +129,5 @@
 
 
 def text_response(status: int, text: str) -> web.Response:
+    """A plain-text answer of one line."""
     return web.Response(status=status, text=text + "\n")
--- a/stoatrouter/matching/conjuncts.py
+++ b/stoatrouter/matching/conjuncts.py
@@ -1,6 +1,7 @@
-"""What the literal parts of a condition demand: the feed of the index, of coverage and of contradictions.
+"""The literal demands of a condition, for the index, for coverage and for contradictions.
 
-A demand is `dimension in values`, with the dimensions below. All else of a condition stays as it is written.
+A demand is `dimension in values`, with the dimensions below. Other parts of a condition are kept as they are
+written.
 """
 
 from __future__ import annotations
@@ -29,13 +30,13 @@
 
 @dataclass(slots=True, frozen=True)
 class Demand:
-    """A request must have one of these values in a dimension; for PREFIX its path starts with one of them."""
+    """A request must have one of these values in a dimension; for PREFIX its path starts with one."""
 
     dimension: Dimension
     values: frozenset[str]
 
     def implies(self, other: Demand) -> bool:
-        """Whether whatever meets this one meets the other."""
+        """Whether every request that meets this demand meets the other."""
         if self.dimension == other.dimension and self.dimension != PREFIX:
             return self.values <= other.values
         if other.dimension == PREFIX and self.dimension in (PREFIX, PATH):
@@ -43,7 +44,7 @@
         return False
 
     def excludes(self, other: Demand) -> bool:
-        """Whether nothing can meet both."""
+        """Whether no request can meet both demands."""
         if PREFIX in (self.dimension, other.dimension):
             if not {self.dimension, other.dimension} <= {PREFIX, PATH}:
                 return False
@@ -56,14 +57,14 @@
 
 @dataclass(slots=True, frozen=True)
 class Condition:
-    """A condition in its parts: demands, and the conjuncts that are none."""
+    """A condition in its parts: demands, and the other conjuncts."""
 
     demands: tuple[Demand, ...]
     others: frozenset[s.Node]
     never: bool = False  # it is the literal false
 
     def contradiction(self) -> tuple[Demand, Demand] | None:
-        """Two demands that nothing can meet together."""
+        """Two demands that no request can meet together, or None."""
         for i, a in enumerate(self.demands):
             for b in self.demands[:i]:
                 if a.excludes(b):
@@ -71,13 +72,16 @@
         return None
 
     def covers(self, other: Condition) -> bool:
-        """Whether this holds wherever the other does; no where a proof would need more than parts."""
+        """Whether this condition certainly holds wherever the other does.
+
+        False where a proof would need more than the parts.
+        """
         return all(any(d.implies(mine) for d in other.demands) for mine in self.demands) and all(
             term in other.others or other.shows(term) for term in self.others
         )
 
     def shows(self, term: s.Node) -> bool:
-        """Whether a guard holds since a demand could not be met without it."""
+        """Whether a guard holds because a demand could not be met without it."""
         found = presence(term)
         if found is None:
             return False
@@ -88,7 +92,7 @@
 
 
 def condition(node: s.Node) -> Condition:
-    """Take a condition apart."""
+    """Split a condition into demands and other conjuncts."""
     demands, others, never = [], set(), False
     for term in conjuncts(node):
         if isinstance(term, s.Literal):
@@ -108,7 +112,7 @@
 
 
 def demanded(node: s.Node) -> Demand | None:
-    """The demand that a conjunct is, or None."""
+    """The demand that a conjunct states, or None."""
     match node:
         case s.Call(function="==", arguments=(left, right)):
             for subject, value in ((left, right), (right, left)):
@@ -130,7 +134,7 @@
 
 
 def subject_of(node: s.Node, value: str) -> Dimension | None:
-    """The dimension that an expression reads, where it then equals `value`."""
+    """The dimension that an expression reads where it then equals `value`, or None."""
     path = s.path_of(node)
     if path in WHOLE:
         return WHOLE[path], ""
@@ -151,6 +155,7 @@
 
 
 def element(operand: s.Node, index: s.Node) -> Dimension | None:
+    """The dimension that an index into a map or into the path's segments reads, or None."""
     path = s.path_of(operand)
     if path in MAPS and (name := literal_text(index)) is not None:
         return MAPS[path], folded(operand, name)
@@ -160,11 +165,12 @@
 
 
 def folded(operand: s.Node, name: str) -> str:
+    """A name as its map has it: header fields are in lower case."""
     return name.lower() if s.path_of(operand) == "request.headers" else name
 
 
 def presence(node: s.Node) -> tuple[Dimension, int] | None:
-    """The dimension that a guard says to be there, and for segments up to which one."""
+    """The dimension that a guard requires to be present, with the highest segment for paths; or None."""
     match node:
         case s.Call(function="in", arguments=(key, mapping)) if s.path_of(mapping) in MAPS:
             name = literal_text(key)
@@ -179,4 +185,5 @@
 
 
 def literal_text(node: s.Node) -> str | None:
+    """The text of a string literal, or None."""
     return node.value if isinstance(node, s.Literal) and isinstance(node.value, str) else None
--- a/stoatrouter/matching/coverage.py
+++ b/stoatrouter/matching/coverage.py
@@ -1,8 +1,8 @@
-"""Rules that can never match: covered by an earlier one, or in contradiction with themselves.
+"""Rules that can never match, as an earlier rule covers them.
 
-Pairs are not all compared: an earlier rule is kept under one of its demands, and a later one looks only where
-its own demands point. What is reported is certain; what is not may still be covered in a way that needs
-more than parts of conditions to see.
+Not all pairs are compared: an earlier rule is kept under one of its demands, and a later one looks only
+where its own demands point. What is reported is certain; other rules may be covered in a way that needs more
+than parts of conditions to prove.
 """
 
 from __future__ import annotations
@@ -17,7 +17,7 @@
 
 
 class Coverage:
-    """Takes rules in their order and tells by which earlier one each is covered."""
+    """Takes rules in order and finds for each an earlier rule that covers it."""
 
     def __init__(self, conditions: Sequence[Condition]) -> None:
         self.conditions = conditions
@@ -29,7 +29,7 @@
         )
 
     def covered(self) -> Iterator[tuple[int, int]]:
-        """Pairs of a rule and the earlier one that covers it."""
+        """Pairs of a rule and the earlier one that covers it, by position."""
         for i, mine in enumerate(self.conditions):
             if mine.never or mine.contradiction() is not None:
                 continue  # reported for that
@@ -39,13 +39,17 @@
             self.anchor(i, mine)
 
     def candidates(self, mine: Condition) -> Iterator[int]:
+        """The earlier rules that may cover this one, MOST_COMPARED at most for each key."""
         yield from self.always[:MOST_COMPARED]
         for demand in mine.demands:
             for key in self.pointed(demand):
                 yield from self.anchored.get(key, ())[:MOST_COMPARED]
 
     def pointed(self, demand: Demand) -> Iterator[Key]:
-        """The keys of demands that this one may imply. Of several values one will do: all must be implied."""
+        """The keys of demands that this one may imply.
+
+        One of several values is enough, as all of them must be implied.
+        """
         value = min(demand.values)
         yield demand.dimension, value
         if demand.dimension in (PREFIX, PATH):
@@ -54,7 +58,7 @@
                     yield PREFIX, value[:length]
 
     def anchor(self, i: int, mine: Condition) -> None:
-        """Keep a rule under its demand that fewest share, below each of its values."""
+        """Keep a rule under the demand that the fewest rules share, once for each of its values."""
         demands = [d for d in mine.demands if d.values]
         if not demands:
             self.always.append(i)
@@ -65,6 +69,7 @@
 
 
 def own_keys(condition: Condition) -> Iterator[Key]:
+    """The keys of all demands of a condition."""
     for demand in condition.demands:
         for value in demand.values:
             yield demand.dimension, value
--- a/stoatrouter/matching/explain.py
+++ b/stoatrouter/matching/explain.py
@@ -1,5 +1,7 @@
-"""Why a request is decided as it is: the rules that were looked at, the conjunct that failed in each, what
-was yielded and what it may cost. The same reading and the same table as in service."""
+"""Why a request is decided as it is: the rules that were tried, the conjunct that failed, the result.
+
+It uses the same parsing and the same table as in service.
+"""
 
 from __future__ import annotations
 
@@ -22,7 +24,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Looked:
-    """A rule that was looked at. `failed` is the first conjunct that does not hold; None where all do."""
+    """A rule that was tried; `failed` is its first conjunct that does not hold, None where all do."""
 
     rule: str
     failed: str | None
@@ -41,7 +43,7 @@
 
 
 def explain(table: Table, given: Input, environment: Environment) -> Explanation:
-    """Decide a request, and say how."""
+    """Decide a request and record how."""
     home, matched = table.match(given)
     decided = table.decided(home, matched, given)
     if home is None:
@@ -54,6 +56,7 @@
 def looks(
     home: Compartment, matched: Compiled | None, given: Input, environment: Environment
 ) -> Iterable[Looked]:
+    """The rules of a scope that were tried for a request, in order, up to the one that matched."""
     for i in home.tree.find(given):
         rule = home.rules[i]
         failed = None if rule is matched else first_failed(parse(rule.rule.when), given, environment)
@@ -63,7 +66,10 @@
 
 
 def first_failed(when: s.Node, given: Input, environment: Environment) -> str | None:
-    """The first conjunct that does not hold. Each is tried behind those before it, which may guard it."""
+    """The first conjunct that does not hold.
+
+    Each is tried behind those before it, which may guard it.
+    """
     terms = conjuncts(when)
     for count in range(1, len(terms) + 1):
         node = terms[0] if count == 1 else s.Logic(when.at, when.depth + 1, "&&", tuple(terms[:count]))
@@ -87,7 +93,7 @@
 def differences(
     old: Table, new: Table, requests: Iterable[tuple[int, Input | Exception]]
 ) -> tuple[list[Difference], Counter[str]]:
-    """What changes from one table to another, by rule, for recorded requests; and how many there were."""
+    """The differences between two tables on recorded requests, by rule, and counts of requests."""
     found: dict[tuple[str, str], Difference] = {}
     counts: Counter[str] = Counter()
     for number, given in requests:
@@ -108,7 +114,7 @@
 
 
 def told(decided: Decision | Refusal, table: Table) -> dict[str, Any]:
-    """What was decided, in plain words and data."""
+    """A decision as data for output."""
     if isinstance(decided, Refusal):
         return {
             "refused": decided.status,
--- a/stoatrouter/matching/files.py
+++ b/stoatrouter/matching/files.py
@@ -1,4 +1,4 @@
-"""Rule files: read, checked and made into a table. The I/O of this package; decisions are elsewhere."""
+"""Rule files: read, checked and made into a table. This is the I/O of the package."""
 
 from __future__ import annotations
 
@@ -25,18 +25,19 @@
 
     @property
     def files(self) -> tuple[Path, ...]:
+        """All files that were read."""
         return (*self.operator.files, *(file for team in self.teams.values() for file in team.files))
 
     @property
     def epoch(self) -> str:
-        """A short name for what the files held: the same content has the same one."""
+        """A short digest of the files' contents; equal contents have the same one."""
         digests = {
             f.name: d for loaded in (self.operator, *self.teams.values()) for f, d in loaded.digests.items()
         }
         return hashlib.sha256(repr(sorted(digests.items())).encode()).hexdigest()[:12]
 
     def place(self, path: str) -> Place:
-        """Where a path of the table stands: rules of a scope with a file of its own are there."""
+        """The file and line of a path of the table."""
         parts = path.split(".", 2)
         if (
             len(parts) == 3
@@ -54,7 +55,7 @@
 
 
 class Files:
-    """Reads rule files; what a team's file held is kept, so that a reload reads what has changed."""
+    """Reads rule files; a team's file is read again only where it has changed."""
 
     def __init__(self) -> None:
         self.teams: dict[Path, Loaded[Team]] = {}
@@ -81,6 +82,7 @@
         return Sources(operator, teams)
 
     def team(self, path: Path) -> Loaded[Team]:
+        """A team's file; it is read again only if it has changed. Raises SettingsError."""
         known = self.teams.get(path)
         if known is None or not known.unchanged():
             known = self.teams[path] = load(path, Team, TEAM)
@@ -89,7 +91,7 @@
 
 @dataclass(slots=True)
 class Tables:
-    """Makes tables of one rule file, again and again: what has not changed is taken from the one before."""
+    """Makes the tables of one rule file; what has not changed is taken from the previous one."""
 
     path: Path
     words: Vocabulary
@@ -99,7 +101,7 @@
     cache: Cache = field(default_factory=Cache)
 
     def load(self) -> tuple[Table, Sources]:
-        """The table that the files make now; raises SettingsError with all that is wrong."""
+        """The table of the files as they are now; raises SettingsError with all faults."""
         sources = self.files.read(self.path)
         rules: dict[str, Sequence[Rule]] = {name: team.record.rules for name, team in sources.teams.items()}
         try:
--- a/stoatrouter/matching/index.py
+++ b/stoatrouter/matching/index.py
@@ -1,8 +1,8 @@
-"""Which rules of a list a request may match, without trying all: a decision tree over literal demands.
+"""An index of rules: a decision tree over literal demands, so that not all rules are tried.
 
-Each node asks for one dimension. A rule stands below the values that it demands there, or in the rest if it
-demands none. What is found are positions in the list, in its order; the first of them that matches wins,
-exactly as if all were tried.
+Each node looks at one dimension. A rule stands below the values that it demands there, or in the rest if it
+demands none. The result is positions in the list, in order; the first rule that matches wins, exactly as if
+all were tried.
 """
 
 from __future__ import annotations
@@ -20,7 +20,7 @@
 
 
 def reader(dimension: Dimension) -> Read:
-    """What a request has in a dimension; None where it has nothing."""
+    """A function that reads a dimension of a request; it returns None where the request has no value."""
     kind, name = dimension
     if kind == "segment":
         at = int(name)
@@ -34,46 +34,55 @@
 
 @dataclass(slots=True, frozen=True)
 class Leaf:
-    """A few rules, tried in turn."""
+    """A few rules that are tried in turn."""
 
     positions: tuple[int, ...]
 
     def find(self, given: Any) -> Sequence[int]:
+        """The positions of the rules to try."""
         return self.positions
 
     def worst(self, costs: Sequence[int]) -> int:
+        """The steps of trying all of these rules; `costs` are the steps of each rule of the list."""
         return sum(costs[i] for i in self.positions)
 
 
 @dataclass(slots=True, frozen=True)
 class ByValue:
-    """A dimension with one value in each request."""
+    """A node that looks up the one value of a dimension."""
 
     read: Read
     children: dict[str, Tree]
     rest: Tree
 
     def find(self, given: Any) -> Sequence[int]:
+        """The positions of the rules to try, in the order of the list."""
         child = self.children.get(self.read(given))  # type: ignore[arg-type]
         return self.rest.find(given) if child is None else merged(child.find(given), self.rest.find(given))
 
     def worst(self, costs: Sequence[int]) -> int:
+        """The most steps that a request may take below this node."""
         return 1 + self.rest.worst(costs) + max((c.worst(costs) for c in self.children.values()), default=0)
 
 
 @dataclass(slots=True, frozen=True)
 class ByPrefix:
-    """The path's beginnings. Demands of a whole path stand below its beginning of `length` as well."""
+    """A node that looks up the first `length` characters of the path.
+
+    Demands of a whole path stand below its prefix as well.
+    """
 
     length: int
     children: dict[str, Tree]
     rest: Tree
 
     def find(self, given: Any) -> Sequence[int]:
+        """The positions of the rules to try, in the order of the list."""
         child = self.children.get(given.path[: self.length])
         return self.rest.find(given) if child is None else merged(child.find(given), self.rest.find(given))
 
     def worst(self, costs: Sequence[int]) -> int:
+        """The most steps that a request may take below this node."""
         return 1 + self.rest.worst(costs) + max((c.worst(costs) for c in self.children.values()), default=0)
 
 
@@ -81,7 +90,7 @@
 
 
 def merged(a: Sequence[int], b: Sequence[int]) -> Sequence[int]:
-    """Both, in the order of the list."""
+    """Both lists of positions as one, in ascending order."""
     if not a or not b:
         return a or b
     return sorted((*a, *b))
@@ -95,6 +104,7 @@
 def grown(
     conditions: Sequence[Condition], positions: tuple[int, ...], asked: frozenset[object], depth: int
 ) -> Tree:
+    """The subtree over these positions; `asked` are the dimensions that the nodes above look at."""
     if len(positions) <= LEAF or depth >= DEEPEST:
         return Leaf(positions)
     best = choose(conditions, positions, asked)
@@ -117,7 +127,7 @@
 
 
 def keys(condition: Condition, asked: Dimension | int) -> frozenset[str] | None:
-    """Below which values a rule stands; None where it demands nothing that could be looked up so."""
+    """The values below which a rule stands; None where it demands nothing in this dimension."""
     for demand in condition.demands:
         if isinstance(asked, int):
             if demand.dimension in (PREFIX, PATH) and all(len(v) >= asked for v in demand.values):
@@ -130,7 +140,7 @@
 def choose(
     conditions: Sequence[Condition], positions: Sequence[int], asked: frozenset[object]
 ) -> Dimension | int | None:
-    """The dimension that leaves fewest rules to a request, in the worst case; None where none helps.
+    """The dimension that leaves the fewest rules in the worst case; None where none helps.
 
     What is left is the largest group and the rest. Lengths of prefixes are tried as they occur.
     """
--- a/stoatrouter/matching/inputs.py
+++ b/stoatrouter/matching/inputs.py
@@ -1,7 +1,7 @@
-"""How a request is read for rules: the one reading that service, `explain` and recorded requests share.
+"""How a request is parsed for rules, in service, by `explain` and for recorded requests alike.
 
-It is documented in docs/rules.md, "How a request is read". What cannot be read in one way alone, or is larger
-than the bounds that costs are computed from, is refused here, before any rule is looked at.
+It is documented in docs/rules.md, "How a request is read". A request that can be read in more than one way,
+or exceeds the bounds that costs are computed from, is rejected here before any rule is tried.
 """
 
 from __future__ import annotations
@@ -58,7 +58,7 @@
 
 
 class Unreadable(Exception):
-    """A request that rules are not asked about; `status` is a 4xx."""
+    """A request that is rejected before rules are tried; `status` is a 4xx."""
 
     def __init__(self, status: int, reason: str) -> None:
         super().__init__(reason)
@@ -66,7 +66,7 @@
 
 
 class Input:
-    """A request as expressions see it. What few rules ask for is worked out when it is first asked for."""
+    """A request as expressions see it; rarely used values are computed on first use."""
 
     __slots__ = (
         "method",
@@ -110,10 +110,10 @@
     size: int = -1,
     request_class: str = "",
 ) -> Input:
-    """Read a request; raises Unreadable.
+    """Parse a request; raises Unreadable.
 
-    `fields` are the header lines as they came, `peer` the client's address, `size` the stated length of the
-    body in bytes or -1.
+    `fields` are the header lines as they came, `peer` is the client's address, `size` the stated length of
+    the body in bytes or -1.
     """
     given = Input()
     if not METHOD.fullmatch(method):
@@ -144,8 +144,11 @@
 
 
 def read_fields(lines: Iterable[tuple[bytes, bytes]]) -> Fields:
-    """Header fields by lower-case name. Lines of one name are joined by ', ' in their order (RFC 9110, 5.3),
-    those of Cookie by '; ' (RFC 6265). Bytes that are not UTF-8 become U+FFFD."""
+    """Header fields by lower-case name; raises Unreadable.
+
+    Lines of one name are joined by ', ' in their order (RFC 9110, 5.3), those of Cookie by '; ' (RFC 6265).
+    Bytes that are not UTF-8 become U+FFFD.
+    """
     values: dict[str, str] = {}
     lists: dict[str, tuple[str, ...]] = {}
     for raw_name, raw_value in lines:
@@ -167,7 +170,7 @@
 
 @lru_cache(maxsize=1024)
 def read_host(text: str) -> str:
-    """The host without its port, in lower case and without a last dot."""
+    """The host without its port, in lower case and without a trailing dot; raises Unreadable."""
     found = HOST.fullmatch(text)
     if found is None or len(found[1]) > MOST_HOST:
         raise Unreadable(400, "the host cannot be read")
@@ -175,8 +178,11 @@
 
 
 def normal_path(path: str) -> str:
-    """The path in the normal form of RFC 3986, 6.2.2: escapes of unreserved characters are undone, hex digits
-    in upper case. An escaped slash stays one, and empty segments stay."""
+    """The path in the normal form of RFC 3986, 6.2.2; raises Unreadable.
+
+    Escapes of unreserved characters are undone, and hex digits are in upper case. Escaped slashes and empty
+    segments stay.
+    """
 
     def normal(found: re.Match[str]) -> str:
         if found[1] is None:
@@ -192,7 +198,7 @@
 
 
 def read_segments(path: str) -> list[str]:
-    """What stands between the slashes of a normal path, unescaped; the first slash starts the first one."""
+    """The unescaped segments of a normal path; raises Unreadable."""
     parts = path[1:].split("/") if path != "/" else []
     if len(parts) > MOST_SEGMENTS:
         raise Unreadable(414, "the path has too many segments")
@@ -200,6 +206,7 @@
 
 
 def segment(part: str) -> str:
+    """One segment of a path, unescaped; raises Unreadable."""
     value = unescaped(part, 400, "the path") if "%" in part else part
     # Guards keys and logs: nothing that ends a string or a line elsewhere gets through.
     if CONTROL.search(value):
@@ -210,7 +217,7 @@
 
 
 def unescaped(text: str, status: int, what: str) -> str:
-    """Percent escapes undone; they must be UTF-8."""
+    """Undo percent escapes, which must be UTF-8; raises Unreadable."""
     if any(found[1] is None for found in ESCAPED.finditer(text)):
         raise Unreadable(status, f"a % in {what} is followed by no two hex digits")
     try:
@@ -220,22 +227,26 @@
 
 
 def read_query(raw: str) -> Fields:
-    """Names and values as forms write them: '+' is a space. The first value of a name counts; `values` gives
-    all of them."""
+    """Names and values of a query in form encoding, where '+' is a space.
+
+    The first value of a name counts; `values` gives all of them.
+    """
     return pairs((part.partition("=")[::2] for part in raw.split("&") if part), query_text)
 
 
 def query_text(text: str) -> str:
+    """A name or value of a query, unescaped; raises Unreadable."""
     text = text.replace("+", " ")
     return unescaped(text, 400, "the query") if "%" in text else text
 
 
 def read_cookies(raw: str) -> Fields:
-    """Names and values of Cookie (RFC 6265, 5.4); what has no '=' is left out."""
+    """Names and values of Cookie (RFC 6265, 5.4); parts without '=' are skipped."""
     return pairs((part.partition("=")[::2] for part in raw.split(";") if "=" in part), str.strip)
 
 
 def pairs(items: Iterable[Any], read: Any) -> Fields:
+    """Names with their first values, and all values of names that occur more than once."""
     values: dict[str, str] = {}
     lists: dict[str, tuple[str, ...]] = {}
     for raw_name, raw_value in items:
@@ -249,6 +260,6 @@
 
 @lru_cache(maxsize=4096)
 def address(peer: str) -> Any:
-    """The address that a connection comes from; an IPv4 one in IPv6's clothes is read as IPv4."""
+    """The address of a connection's peer; an IPv4-mapped IPv6 address is read as IPv4."""
     found = ipaddress.ip_address(peer.partition("%")[0])
     return found.ipv4_mapped or found if isinstance(found, ipaddress.IPv6Address) else found
--- a/stoatrouter/matching/matcher.py
+++ b/stoatrouter/matching/matcher.py
@@ -1,6 +1,6 @@
-"""The tables of one head: the one in force, one in shadow, and what they decided. No I/O, no clock.
+"""The tables of one head, in force and in shadow, and counts of their decisions. No I/O, no clock.
 
-A request is decided once, by the table in force at that moment, and keeps what was decided to its end.
+A request is decided once, by the table in force at that moment, and keeps that decision to its end.
 """
 
 from __future__ import annotations
@@ -30,16 +30,16 @@
     shadowed: int = 0  # requests that both tables were asked about
 
     def replace(self, table: Table) -> None:
-        """Put a table in force, whole. Placements stay: they are of requests, not of tables."""
+        """Put a table in force. Placements stay, as they belong to requests and not to tables."""
         self.table = table
 
     def put_in_shadow(self, table: Table | None) -> None:
-        """Ask another table beside the one in force, or none; counts start anew."""
+        """Run another table beside the one in force, or none; counts start again."""
         self.shadow, self.shadowed = table, 0
         self.differences.clear()
 
     def decide(self, given: Input, now: timedelta, idempotency_key: str | None = None) -> Decision | Refusal:
-        """What becomes of a request."""
+        """Decide a request."""
         home, rule = self.table.match(given)
         decided = self.table.decided(home, rule, given)
         if self.shadow is not None:
@@ -52,7 +52,7 @@
     def placed(
         self, given: Input, decided: Decision | Refusal, key: str, now: timedelta
     ) -> Decision | Refusal:
-        """A keyed request is placed as its first try was, also where the table has changed since."""
+        """Place a keyed request as its first try was, even where the table has changed since."""
         place = (given.host, given.path, key)
         fingerprint = stable_hash(f"{given.method} {given.raw_query}")
         try:
@@ -66,7 +66,7 @@
         return decided
 
     def compare(self, given: Input, decided: Decision | Refusal, other: Decision | Refusal) -> None:
-        """Count where the table in shadow decides otherwise, by rule."""
+        """Count a request that the shadow table decides differently, by the rules that decided."""
         self.shadowed += 1
         if alike(decided, other):
             return
@@ -78,11 +78,12 @@
 
 
 def named(decided: Decision | Refusal) -> str:
+    """The scope and rule of a decision, as differences are counted."""
     return f"{decided.scope or '-'}/{decided.rule or '-'}"
 
 
 def alike(a: Decision | Refusal, b: Decision | Refusal) -> bool:
-    """Whether two tables decide alike; the names of rules do not matter."""
+    """Whether two decisions are the same apart from the names of their rules."""
     if isinstance(a, Refusal) or isinstance(b, Refusal):
         return (
             isinstance(a, Refusal) and isinstance(b, Refusal) and (a.status, a.reason) == (b.status, b.reason)
@@ -91,4 +92,5 @@
 
 
 def placing(d: Decision) -> tuple[object, ...]:
+    """All that a decision says of the request, without the names of scope and rule."""
     return (d.request_class, d.volume, d.plan, d.key, d.shard, d.units, d.hosts, d.repeat, d.deadline)
--- a/stoatrouter/matching/outcomes.py
+++ b/stoatrouter/matching/outcomes.py
@@ -1,4 +1,4 @@
-"""Which texts an expression can yield, and under which methods: how reach and effects are checked at load."""
+"""The texts that an expression can yield, to check at load what a rule can reach and repeat."""
 
 from __future__ import annotations
 
@@ -13,14 +13,14 @@
 
 @dataclass(slots=True, frozen=True)
 class Outcome:
-    """A text that may be yielded; `safe` where the method is then known to be a safe one."""
+    """A text that may be yielded; `safe` where only safe methods lead to it."""
 
     text: str
     safe: bool
 
 
 def outcomes(node: s.Node, safe: bool) -> frozenset[Outcome] | None:
-    """All texts that an expression can yield; None where they cannot be told from its text."""
+    """All texts that an expression can yield; None where they cannot be derived from its source."""
     match node:
         case s.Literal():
             text = literal_text(node)
@@ -41,6 +41,7 @@
 
 
 def united(*parts: frozenset[Outcome] | None) -> frozenset[Outcome] | None:
+    """The union of several sets of outcomes; None where one of them cannot be told."""
     if any(part is None for part in parts):
         return None
     return frozenset().union(*(part for part in parts if part is not None))
@@ -52,7 +53,7 @@
 
 
 def proves_safe_if_not(asked: s.Node) -> bool:
-    """Whether a condition that does not hold leaves safe methods only, like method != "GET"."""
+    """Whether a condition that does not hold leaves only safe methods, like method != "GET"."""
     match asked:
         case s.Call(function="!", arguments=(inner,)):
             return proves_safe(condition(inner))
--- a/stoatrouter/matching/placements.py
+++ b/stoatrouter/matching/placements.py
@@ -1,9 +1,9 @@
-"""Where keyed requests were placed: a repeat gets what its first try got, whichever table is in force.
+"""Where keyed requests were placed: a repeat is placed as its first try was, under any table.
 
-Nodes drop a repeat only where the first came to: with another volume, key or shard it would run again. So
-for the repeat window of its class, what was decided for an idempotency key stays. What holds: within a
-process and its bound, a repeat that comes in time is placed as the first was. A head that starts from
-nothing, or that had to forget (it counts that), places by its table.
+Nodes drop a repeat only where the first try came to: with another volume, key or shard it would run again.
+So the decision for an idempotency key is kept for the repeat window of its class. Within one process and its
+bound, a repeat that comes in time is placed as the first try was. A head that starts from nothing, or that
+had to forget (which is counted), places by its table.
 """
 
 from __future__ import annotations
@@ -19,7 +19,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Placement:
-    """What was decided for a key, of which request, and until when it holds."""
+    """The decision for a key, the request it was made for, and until when it is valid."""
 
     decision: Decision
     fingerprint: int  # of method and query: a key names one request
@@ -27,12 +27,15 @@
 
 
 class Conflict(Exception):
-    """A key came with another request than before."""
+    """An idempotency key came with another request than before."""
 
 
 class Placements:
-    """Placements by host, path and key, the oldest first. Not by scope: a new table may give the path to
-    another one, and not by key alone: one client's key must not stand in another's way."""
+    """Placements by host, path and key, the oldest first.
+
+    Not by scope, as a new table may give the path to another one, and not by key alone, as clients' keys
+    must not collide.
+    """
 
     def __init__(self, most: int = MOST) -> None:
         self.most = most
@@ -40,7 +43,7 @@
         self.forgotten = 0  # before their time was over
 
     def find(self, place: tuple[str, str, str], fingerprint: int, now: timedelta) -> Decision | None:
-        """What was decided for this key; None where nothing is held. Raises Conflict."""
+        """The decision kept for this key, or None; raises Conflict."""
         held = self.held.get(place)
         if held is None or held.until <= now:
             return None
@@ -57,13 +60,13 @@
         now: timedelta,
         window: timedelta,
     ) -> None:
-        """Hold a decision for its window from now on; a repeat renews it, as nodes count from the latest."""
+        """Keep a decision for its window from now on; a repeat renews it, as nodes count from the latest."""
         self.held.pop(place, None)
         self.held[place] = Placement(decision, fingerprint, now + window)
         self.sweep(now)
 
     def sweep(self, now: timedelta) -> None:
-        """Forget what is over, and the oldest beyond the bound."""
+        """Forget expired placements, and the oldest beyond the bound."""
         while self.held:
             place, oldest = next(iter(self.held.items()))
             if oldest.until > now:
--- a/stoatrouter/matching/records.py
+++ b/stoatrouter/matching/records.py
@@ -1,4 +1,4 @@
-"""What rule files say, as typed records. The schema that files are unified with is rules_schema.cue."""
+"""The contents of rule files as typed records. The schema is settings/schemas/rules.cue."""
 
 from __future__ import annotations
 
@@ -6,20 +6,20 @@
 
 
 class Computed(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """A value worked out for each request, by an expression."""
+    """A value that is computed for each request by an expression."""
 
     expr: str
 
 
 class Refusal(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """What a rule that refuses says."""
+    """The answer of a rule that refuses."""
 
     status: int
     reason: str
 
 
 class Rule(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """One rule: when it matches, and what the request becomes. What is not given is the scope's default."""
+    """One rule: its condition, and what the request becomes. Fields left out default to the scope's."""
 
     name: str
     when: str
@@ -36,13 +36,13 @@
 
 
 class Rights(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """What an operator may give to a team beyond its own area."""
+    """Rights that an operator may give to a team beyond its own area."""
 
     repeat_unsafe_methods: bool = False  # a PUT or POST may become a class that is safe to repeat
 
 
 class Scope(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """A team's area: what its rules may speak of. It is the operator's, not the team's."""
+    """A team's area: what its rules may use. It is set by the operator, not by the team."""
 
     hosts: tuple[str, ...]
     paths: tuple[str, ...]
@@ -57,7 +57,7 @@
 
 
 class Otherwise(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """What becomes of a request that no rule matches."""
+    """The answer to a request that no rule matches."""
 
     status: int
     reason: str
--- a/stoatrouter/matching/samples.py
+++ b/stoatrouter/matching/samples.py
@@ -1,4 +1,4 @@
-"""Recorded request heads: which are taken, what of them is written, and how they are read again. No I/O."""
+"""Recorded request heads: which are taken, what of them is written, how they are read. No I/O."""
 
 from __future__ import annotations
 
@@ -13,14 +13,14 @@
 
 
 class Sampler:
-    """Takes one head in `one_in`, the first of each so many, and masks what is named."""
+    """Takes the first of every `one_in` request heads and masks the named header fields."""
 
     def __init__(self, one_in: int, mask: Iterable[str]) -> None:
         self.one_in, self.mask = one_in, frozenset(name.lower().encode() for name in mask)
         self.seen = 0
 
     def take(self, given: Input, target: str, fields: Iterable[tuple[bytes, bytes]]) -> str | None:
-        """The record of a request, or None where it is not one of the sample."""
+        """The record of a request, or None where it is not in the sample."""
         self.seen += 1
         if (self.seen - 1) % self.one_in:
             return None
@@ -43,7 +43,7 @@
 
 
 def read_sample(line: str) -> Input:
-    """A recorded request, as service read it. Raises ValueError, or Unreadable as service would."""
+    """Parse a record as service would the request; raises ValueError or Unreadable."""
     try:
         said: dict[str, Any] = json.loads(line)
         fields = [
@@ -57,7 +57,7 @@
 
 
 def read_samples(lines: Iterable[str]) -> Iterator[tuple[int, Input | Exception]]:
-    """All of a log, by line from 1; what cannot be read is given as the error that it is."""
+    """All records of a log with their line numbers from 1; an unreadable one is given as its error."""
     for number, line in enumerate(lines, 1):
         if not line.strip():
             continue
--- a/stoatrouter/matching/scopes.py
+++ b/stoatrouter/matching/scopes.py
@@ -1,7 +1,7 @@
-"""Whose a request is: areas of teams by host and path prefix, and what rules of a team may reach.
+"""Scopes: areas of teams by host and path prefix, and what a team's rules may reach.
 
-A request belongs to one scope at most: among those that claim its host, the one with the longest path prefix.
-So no team's rules see another's requests, and the order of scopes does not matter.
+A request belongs to one scope at most: among those that claim its host, the one with the longest path
+prefix. So no team's rules see another's requests, and the order of scopes does not matter.
 """
 
 from __future__ import annotations
@@ -29,8 +29,10 @@
         self.suffixes = tuple(sorted((h for h in self.by_host if h.startswith("*.")), key=len, reverse=True))
 
     def owner(self, host: str, path: str) -> str | None:
-        """The scope's name; None where nobody claims the request. A host by its name goes before `*.domain`,
-        the longer domain before the shorter, and both before `*`."""
+        """The name of the scope; None where no scope claims the request.
+
+        A host by its name precedes `*.domain`, a longer domain precedes a shorter one, and both precede `*`.
+        """
         for claimed in self.claimed(host):
             paths = self.by_host[claimed]
             for length in self.lengths[claimed]:
@@ -39,6 +41,7 @@
         return None
 
     def claimed(self, host: str) -> Iterable[str]:
+        """The claims that a host falls under, in order of precedence."""
         if host in self.by_host:
             yield host
         for suffix in self.suffixes:
@@ -62,7 +65,7 @@
 
 
 def outside(scope: Scope, wanted: Condition) -> str | None:
-    """What of a condition lies outside of its scope, so that it never matches; None where nothing does."""
+    """What of a condition lies outside its scope, so that it never matches; None where nothing does."""
     for demand in wanted.demands:
         if demand.dimension == ("host", ""):
             for host in demand.values:
@@ -80,4 +83,5 @@
 
 
 def covers_host(claim: str, host: str) -> bool:
+    """Whether a claim of a scope covers a host; `*.domain` covers all hosts below it."""
     return claim in (ANY_HOST, host) or (claim.startswith("*.") and host.endswith(claim[1:]))
--- a/stoatrouter/matching/table.py
+++ b/stoatrouter/matching/table.py
@@ -1,4 +1,4 @@
-"""A rule table: loaded whole or refused whole, with all that is wrong; then asked for every request."""
+"""Rule tables: loaded whole or rejected whole with all faults, then used for every request."""
 
 from __future__ import annotations
 
@@ -37,7 +37,7 @@
 
 @dataclass(slots=True, frozen=True)
 class KnownClass:
-    """What a table has to know of a class."""
+    """What a table needs to know of a request class."""
 
     name: str
     repeatable: bool  # may be repeated freely
@@ -46,7 +46,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Vocabulary:
-    """What rules may speak of: the classes and plans of the settings, in their order, and their figures."""
+    """The words that rules may use: classes and plans of the settings in their order, and bounds."""
 
     classes: tuple[KnownClass, ...]
     plans: tuple[str, ...]
@@ -54,12 +54,13 @@
     max_units: float
 
     def class_number(self, name: str) -> int | None:
+        """The number of a class; None where there is no such class."""
         return next((i for i, known in enumerate(self.classes) if known.name == name), None)
 
 
 @dataclass(slots=True, frozen=True, order=True)
 class Flaw:
-    """One thing that is wrong with a table, or idle in it. `path` is the field's, as the file has it."""
+    """A fault of a table, or a warning; `path` is the field's path in the file."""
 
     path: str
     what: str
@@ -73,14 +74,14 @@
 
 @dataclass(slots=True, frozen=True)
 class Bucket:
-    """What the object front says of a bucket: its volume, and its plan where that is not the table's."""
+    """A bucket of the object front: its volume, and its plan unless the table yields that."""
 
     volume: str
     plan: str | None
 
 
 class TableError(Exception):
-    """A table was refused; all its flaws."""
+    """A table was rejected; `flaws` are all its faults."""
 
     def __init__(self, flaws: Sequence[Flaw]) -> None:
         self.flaws = tuple(sorted(set(flaws)))
@@ -106,7 +107,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Refusal:
-    """A request that is turned away by a rule, or since none matches."""
+    """A request that a rule refuses, or that no rule matches."""
 
     status: int
     reason: str
@@ -120,18 +121,19 @@
 
 @dataclass(slots=True, frozen=True)
 class Value:
-    """A constant, or what works one out."""
+    """A constant, or a compiled expression."""
 
     constant: Any = None
     run: Run | None = None
 
     def of(self, given: Input) -> Any:
+        """The value for a request; raises EvaluationError where an expression fails."""
         return self.constant if self.run is None else self.run(given)
 
 
 @dataclass(slots=True)
 class Compiled:
-    """One rule, ready."""
+    """One compiled rule."""
 
     name: str
     when: Run
@@ -144,7 +146,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Compartment:
-    """A scope with its rules."""
+    """A scope with its compiled rules."""
 
     name: str
     scope: Scope
@@ -154,7 +156,7 @@
 
 
 class Table:
-    """Rules of all scopes; it never changes once it is made."""
+    """The rules of all scopes; immutable."""
 
     def __init__(
         self,
@@ -173,6 +175,7 @@
 
     @property
     def size(self) -> int:
+        """How many rules the table has."""
         return sum(len(c.rules) for c in self.compartments.values())
 
     def match(self, given: Input) -> tuple[Compartment | None, Compiled | None]:
@@ -188,11 +191,11 @@
         return home, None
 
     def decide(self, given: Input) -> Decision | Refusal:
-        """What becomes of a request."""
+        """Decide a request."""
         return self.decided(*self.match(given), given)
 
     def decided(self, home: Compartment | None, rule: Compiled | None, given: Input) -> Decision | Refusal:
-        """What a match comes to."""
+        """The decision that follows from a match."""
         if home is None or rule is None:
             return Refusal(self.otherwise.status, self.otherwise.reason, home.name if home else None)
         if rule.rule.refuse is not None:
@@ -207,7 +210,7 @@
         return decided
 
     def yielded(self, home: Compartment, rule: Compiled, given: Input) -> Decision:
-        """The values of a rule that matched."""
+        """The values that a matched rule yields."""
         values, words = rule.values, self.words
         kind = words.class_number(values["class"].of(given))
         plan = words.plans.index(values["plan"].of(given)) if "plan" in values else -1
@@ -243,18 +246,18 @@
 
 
 def as_hex(value: int | str) -> str:
-    """A volume or a key as it is written: 16 hex digits."""
+    """A volume or key as 16 hex digits."""
     return hex16(value) if isinstance(value, int) else value
 
 
 def by_size(size: int, most: float) -> float:
-    """Units by the stated size: PIECE bytes or more are the largest request."""
+    """Units by the stated size in bytes: PIECE bytes or more count as the largest request."""
     return min(most, float(max(1, -(-int(most) * max(size, 0) // PIECE))))
 
 
 # -- loading ------------------------------------------------------------------------------------------------
 class Loader:
-    """One load of one table; collects what is wrong. Expressions of a table before are taken from it."""
+    """One load of one table; it collects faults, and takes unchanged expressions from the cache."""
 
     def __init__(
         self,
@@ -271,10 +274,14 @@
         self.said: list[Said] = []  # of the scope at hand
 
     def wrong(self, path: str, what: str, remedy: str = "") -> None:
+        """Record a flaw at a path of the file."""
         self.flaws.append(Flaw(path, what, remedy))
 
     def load(self, rules: Rules, teams: Mapping[str, Sequence[Rule]], epoch: str) -> Table:
-        """Make the table; raises TableError. `teams` has the rules of scopes whose file is named."""
+        """Make the table; raises TableError.
+
+        `teams` has the rules of scopes that name a file of their own.
+        """
         self.cache.begin(self.environment, self.words)
         if len(rules.scopes) > MOST_SCOPES:
             self.wrong("scopes", f"{len(rules.scopes)} scopes", f"{MOST_SCOPES} at most")
@@ -307,6 +314,7 @@
         )
 
     def compartment(self, name: str, scope: Scope, rules: Sequence[Rule]) -> Compartment | None:
+        """Check and compile one scope; None where a rule cannot be compiled. Flaws are recorded."""
         kept = self.cache.compartment(name, scope, rules)
         if kept is not None:
             self.warnings += kept[1]
@@ -350,7 +358,7 @@
         return made
 
     def scope_words(self, path: str, scope: Scope) -> None:
-        """What a scope names must exist."""
+        """Check that the classes and plans of a scope exist and its paths are prefixes."""
         for kind in scope.classes:
             if self.words.class_number(kind) is None:
                 self.wrong(
@@ -368,7 +376,7 @@
                 self.wrong(f"{path}.paths", f"{claimed!r} is no path prefix", "it starts with /")
 
     def idle(self, places: list[str], compiled: list[Compiled]) -> None:
-        """Say which rules can never match."""
+        """Record warnings for rules that can never match."""
         for place, rule in zip(places, compiled, strict=True):
             clash = rule.condition.contradiction()
             if rule.condition.never:
@@ -391,6 +399,7 @@
 
     # -- one rule -----------------------------------------------------------------------------------------
     def rule(self, place: str, scope: Scope, rule: Rule) -> Compiled | None:
+        """Check and compile one rule; None where it is wrong. Flaws are recorded."""
         before = len(self.flaws)
         when = self.expression(f"{place}.when", rule.when, t.BOOL, scope.steps)
         parts = condition(when[0].root.node) if when is not None else Condition((), frozenset())
@@ -419,6 +428,7 @@
     def expression(
         self, path: str, source: str, want: t.Type | None, steps: int
     ) -> tuple[Checked, Run] | None:
+        """Check and compile an expression of at most `steps` steps; None where it is wrong."""
         try:
             return self.cache.get(source, want, self.environment, steps)
         except ExpressionError as error:
@@ -463,7 +473,10 @@
         )
 
     def one_plan(self, place: str, volumes: frozenset[str], plans: frozenset[str]) -> None:
-        """Guards limits: they are kept by volume and plan; with two plans a volume would have two."""
+        """Record a flaw where a volume gets two plans.
+
+        Limits are kept by volume and plan, so a volume with two plans would have two limits.
+        """
         for volume in sorted(volumes):
             for plan in sorted(plans):
                 first, where = self.plans.setdefault(volume, (plan, place))
@@ -477,7 +490,7 @@
                     return
 
     def only(self, place: str, scope: Scope, name: str) -> str | None:
-        """What a rule leaves out, where its scope has one alone."""
+        """The default of a field that a rule leaves out: the only one that its scope allows, else None."""
         allowed = {"class": scope.classes, "plan": scope.plans, "volume": scope.volumes}.get(name)
         if allowed is None:
             return None
@@ -489,7 +502,7 @@
     def named(
         self, path: str, allowed: Sequence[str], given: str | Computed, what: str, safe: bool = False
     ) -> tuple[Value, int, frozenset[Any]] | None:
-        """A value that must be one of those that the scope has, whatever the request."""
+        """A value that must be one of those that the scope allows, for every request."""
         if isinstance(given, str):
             if given not in allowed:
                 self.wrong(path, f"{what} {given!r} is not of this scope", "it has: " + ", ".join(allowed))
@@ -515,6 +528,7 @@
         return Value(run=made[1]), made[0].cost, possible
 
     def class_value(self, path: str, scope: Scope, given: str | Computed, parts: Condition) -> Any:
+        """The value of `class`, with its steps; None where it is wrong."""
         made = self.named(path, scope.classes, given, "class", proves_safe(parts))
         if made is None:
             return None
@@ -532,14 +546,17 @@
         return made[:2]
 
     def repeatable(self, name: str) -> bool:
+        """Whether requests of a class may be repeated freely."""
         number = self.words.class_number(name)
         return number is not None and self.words.classes[number].repeatable
 
     def plan_value(self, path: str, scope: Scope, given: str | Computed, parts: Condition) -> Any:
+        """The value of `plan`, with its steps and the plans it can yield; None where it is wrong."""
         made = self.named(path, scope.plans, given, "plan")
         return made
 
     def volume_value(self, path: str, scope: Scope, given: str | Computed, parts: Condition) -> Any:
+        """The value of `volume`, with its steps and, where known, the volumes; None where it is wrong."""
         if ANY not in scope.volumes:
             return self.named(path, scope.volumes, given, "volume")
         hexed = self.hexed(path, given)
@@ -548,10 +565,11 @@
         return hexed
 
     def key_value(self, path: str, scope: Scope, given: str | Computed, parts: Condition) -> Any:
+        """The value of `key`, with its steps; None where it is wrong."""
         return self.hexed(path, given)
 
     def hexed(self, path: str, given: str | Computed) -> tuple[Value, int] | None:
-        """16 hex digits: a literal, or an int that becomes them."""
+        """A value of 16 hex digits: a literal, or an int that becomes them."""
         if isinstance(given, str):
             if len(given) != 16 or not set(given) <= HEX:
                 self.wrong(path, f"{given!r} is not 16 hex digits in lower case")
@@ -571,10 +589,12 @@
         return Value(run=made[1]), made[0].cost
 
     def shard_value(self, path: str, scope: Scope, given: int | Computed, parts: Condition) -> Any:
+        """The value of `shard`, with its steps; None where it is wrong."""
         most = self.words.shards - 1 if self.words.shards else (1 << 31) - 1
         return self.number(path, given, t.INT, -1, most, "shard", "write hash(...) % " + str(most + 1))
 
     def units_value(self, path: str, scope: Scope, given: float | Computed, parts: Condition) -> Any:
+        """The value of `units`, with its steps; None where it is wrong."""
         return self.number(
             path,
             given,
@@ -586,7 +606,7 @@
         )
 
     def number(self, path: str, given: Any, want: t.Type, low: int, high: int, what: str, remedy: str) -> Any:
-        """A number whose bounds show that it fits."""
+        """A number whose bounds prove that it is in range."""
         if not isinstance(given, Computed):
             if not low <= given <= high:
                 self.wrong(path, f"{given:g} is out of the {what}'s range", f"from {low} to {high}")
@@ -606,12 +626,14 @@
         return Value(run=made[1]), made[0].cost
 
     def repeat_value(self, path: str, scope: Scope, given: bool | Computed, parts: Condition) -> Any:
+        """The value of `repeat`, with its steps; None where it is wrong."""
         if isinstance(given, bool):
             return Value(given), 0
         made = self.expression(f"{path}.expr", given.expr, t.BOOL, YIELD_STEPS)
         return made and (Value(run=made[1]), made[0].cost)
 
     def deadline_value(self, path: str, scope: Scope, given: str | Computed, parts: Condition) -> Any:
+        """The value of `deadline`, with its steps; None where it is wrong."""
         if isinstance(given, str):
             try:
                 span = duration_of_text(given)
@@ -632,7 +654,7 @@
 
 
 def said(demand: Any) -> str:
-    """A demand for a person."""
+    """A demand in words, for warnings."""
     kind, name = demand.dimension
     what = {"prefix": "a path that starts with", "segment": f"segment {name} to be"}.get(
         kind, f"{kind} {name!r} to be" if name else f"the {kind} to be"
@@ -641,7 +663,7 @@
 
 
 class Cache:
-    """What one load leaves for the next: scopes that have not changed, and expressions by their text."""
+    """What one load leaves for the next: unchanged scopes, and expressions by their source."""
 
     def __init__(self) -> None:
         self.known: dict[tuple[str, t.Type | None, int], tuple[Checked, Run]] = {}
@@ -651,7 +673,7 @@
         self.scopes: dict[str, tuple[Scope, tuple[Rule, ...], Compartment, list[Flaw], list[Said]]] = {}
 
     def begin(self, environment: Environment, words: Vocabulary) -> None:
-        """Nothing that was made for other inputs or other words is of use."""
+        """Clear the cache where the environment or the vocabulary differs."""
         if (environment, words) != (self.environment, self.words):
             self.known.clear()
             self.scopes.clear()
@@ -660,18 +682,20 @@
     def compartment(
         self, name: str, scope: Scope, rules: Sequence[Rule]
     ) -> tuple[Compartment, list[Flaw], list[Said]] | None:
-        """A scope that is as it was when it was found good, with its warnings."""
+        """A scope that is unchanged since it was found good, with its warnings; or None."""
         kept = self.scopes.get(name)
         if kept is None or kept[0] != scope or kept[1] != tuple(rules):
             return None
         return kept[2], kept[3], kept[4]
 
     def keep(self, made: Compartment, rules: Sequence[Rule], warnings: list[Flaw], said: list[Said]) -> None:
+        """Keep a scope that was found good for the next load."""
         self.scopes[made.name] = made.scope, tuple(rules), made, warnings, said
 
     def get(
         self, source: str, want: t.Type | None, environment: Environment, steps: int
     ) -> tuple[Checked, Run]:
+        """A checked and compiled expression, from the cache where it is known; raises ExpressionError."""
         key = (source, want, steps)
         self.used.add(key)
         if (found := self.known.get(key)) is None:
@@ -680,7 +704,7 @@
         return found
 
     def sweep(self, scopes: Iterable[str]) -> None:
-        """Forget the expressions that this load did not need, and the scopes that are gone."""
+        """Forget expressions that this load did not use, and scopes that are gone."""
         self.known = {key: self.known[key] for key in self.used if key in self.known}
         self.used = set()
         self.scopes = {name: self.scopes[name] for name in scopes if name in self.scopes}
--- a/stoatrouter/membership/datagram.py
+++ b/stoatrouter/membership/datagram.py
@@ -30,13 +30,15 @@
 
 
 class Kind(IntEnum):
+    """The kind of a message, in the low half of its first byte."""
+
     PING = 0
     PING_FOR = 1
     ACK = 2
 
 
 class Malformed(Exception):
-    """Not a message of this fleet; the text is the reason it is counted under."""
+    """Not a message of this fleet; the text is the reason under which it is counted."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -51,17 +53,18 @@
     news: tuple[News, ...] = ()
 
     def room(self) -> int:
-        """Bytes left for news."""
+        """How many bytes are left for news."""
         return LARGEST - MAC - FIXED.size - 6 - 2 - len(self.sender.encode()) - len(self.about.encode())
 
 
 def seal(data: bytes, secret: bytes, fleet: str) -> bytes:
-    """The MAC over these bytes. The fleet's name is hashed in: a key used twice joins no two fleets."""
+    """The MAC over `data`. The fleet's name is hashed in, so that a key used twice joins no two fleets."""
     person = hashlib.blake2b(fleet.encode(), digest_size=16).digest()
     return hashlib.blake2b(data, key=secret[:64], person=person, digest_size=MAC).digest()
 
 
 def encode(message: Datagram, secret: bytes, fleet: str) -> bytes:
+    """The bytes of a message with its MAC; `news` must fit into Datagram.room()."""
     data = FIXED.pack(VERSION | message.kind, message.number & 0xFFFFFFFF)
     data += message.incarnation.to_bytes(6, "big") + text(message.sender) + text(message.about)
     for news in message.news:
@@ -72,13 +75,14 @@
 
 
 def text(value: str) -> bytes:
+    """A string with its length in one byte before it."""
     data = value.encode()
     assert len(data) <= LONGEST_NAME
     return bytes((len(data),)) + data
 
 
 def decode(data: bytes, secret: bytes, fleet: str) -> Datagram:
-    """Read a datagram; raises Malformed. The MAC is looked at before anything inside is believed."""
+    """Read a datagram; raises Malformed. The MAC is checked before anything inside is used."""
     if len(data) > LARGEST:
         raise Malformed("too_long")
     if len(data) < FIXED.size + 6 + 2 + MAC:
@@ -103,10 +107,13 @@
 
 @dataclass(slots=True)
 class Reader:
+    """Reads the fields of a datagram one after the other; raises IndexError where the data ends early."""
+
     data: bytes
     at: int
 
     def take(self, count: int) -> bytes:
+        """The next `count` bytes."""
         piece = self.data[self.at : self.at + count]
         if len(piece) < count:
             raise IndexError
@@ -114,12 +121,15 @@
         return piece
 
     def byte(self) -> int:
+        """The next byte as a number."""
         return self.take(1)[0]
 
     def number(self) -> int:
+        """The next 6 bytes as a big-endian number."""
         return int.from_bytes(self.take(6), "big")
 
     def text(self) -> str:
+        """The next string; raises ValueError where it is too long or not UTF-8."""
         count = self.byte()
         if count > LONGEST_NAME:
             raise ValueError
--- a/stoatrouter/membership/detector.py
+++ b/stoatrouter/membership/detector.py
@@ -29,8 +29,11 @@
 
 @dataclass(slots=True, frozen=True)
 class Timing:
-    """Spans of the detector. With these all see a killed head as failed after 4 s at 3 heads, 8 s at 20
-    and 12 s at 100 (docs/measurements/heads.md)."""
+    """Timings of the detector.
+
+    With these, all heads see a killed one as failed after 4 s at 3 heads, 8 s at 20 and 12 s at 100
+    (docs/measurements/heads.md).
+    """
 
     period: timedelta = timedelta(milliseconds=500)
     ack_within: timedelta = timedelta(milliseconds=150)  # of the direct probe; then others are asked
@@ -43,11 +46,15 @@
 # -- events -----------------------------------------------------------------------------------------------
 @dataclass(slots=True, frozen=True)
 class Tick:
+    """Time has passed; it is sent several times in each period."""
+
     at: timedelta
 
 
 @dataclass(slots=True, frozen=True)
 class Heard:
+    """A datagram has come from another head."""
+
     at: timedelta
     address: str  # where it came from
     message: Datagram
@@ -55,6 +62,8 @@
 
 @dataclass(slots=True, frozen=True)
 class Leaving:
+    """This head stops and tells the others so."""
+
     at: timedelta
 
 
@@ -64,13 +73,15 @@
 # -- effects ----------------------------------------------------------------------------------------------
 @dataclass(slots=True, frozen=True)
 class SendTo:
+    """Send a datagram to an address."""
+
     address: str
     message: Datagram
 
 
 @dataclass(slots=True, frozen=True)
 class Changed:
-    """A head stands otherwise than before, as seen from here."""
+    """The status of a head has changed, as seen from here."""
 
     name: str
     status: Status
@@ -79,7 +90,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Dropped:
-    """A message that was not believed, and why."""
+    """A message was ignored, and why."""
 
     why: str
 
@@ -89,7 +100,7 @@
 
 @dataclass(slots=True)
 class Probe:
-    """The probe of this period."""
+    """The probe of the present period."""
 
     number: int
     name: str
@@ -100,7 +111,7 @@
 
 @dataclass(slots=True)
 class Relayed:
-    """A probe in another head's place."""
+    """A probe that is made for another head."""
 
     number: int  # the asker's
     asker: str  # its address
@@ -108,8 +119,10 @@
 
 @dataclass(slots=True)
 class Detector:
-    """One head's detector. `peers` are addresses at which heads may be; names are learnt from what they
-    say."""
+    """One head's failure detector.
+
+    `peers` are addresses at which heads may be; their names are learnt from their messages.
+    """
 
     name: str
     incarnation: int
@@ -136,9 +149,11 @@
 
     @property
     def myself(self) -> News:
+        """The news of this head itself."""
         return News(self.name, self.incarnation, Status.LEFT if self.gone else Status.ALIVE)
 
     def reduce(self, event: Event) -> list[Effect]:
+        """Take one event; returns the effects, in order."""
         match event:
             case Tick():
                 return self._tick(event.at)
@@ -148,10 +163,11 @@
                 return self._leave()
 
     def span(self, base: timedelta) -> timedelta:
-        """A span of this head: longer while it doubts itself."""
+        """A timing of this head, lengthened while its local health is low."""
         return base * (1 + self.doubt)
 
     def spread(self) -> float:
+        """The factor by which spans grow with the fleet: log2 of its size."""
         return math.log2(self.roster.count() + 1)
 
     # -- time ---------------------------------------------------------------------------------------------
--- a/stoatrouter/membership/follower.py
+++ b/stoatrouter/membership/follower.py
@@ -1,9 +1,9 @@
-"""Follows a list in a key-value registry: reads it whole, watches it from that revision on, and resumes after
-any break without missing a change, telling one twice, or undoing a newer word by an older one.
+"""Follows a list in a key-value registry without missing, repeating or reordering changes.
 
-A state machine: `step(event) -> effects`. It knows nothing of protocols (dialects make events of them),
-sockets or clocks. Each call that it asks for has a number; what comes of a call that is over is dropped. What
-it has told it holds, so that after a resynchronisation only the difference is told, in one step.
+It reads the whole list, watches it from that revision on, and resumes after any break. It is a state
+machine, `step(event) -> effects`, that knows nothing of protocols (dialects make events of them), sockets or
+clocks. Each call that it asks for has a number; events of a finished call are dropped. It holds what it has
+reported, so that after a resynchronisation only the difference is reported, in one step.
 """
 
 from __future__ import annotations
@@ -20,7 +20,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Entry:
-    """A key's value, and the revision that set it."""
+    """The value of a key, and the revision that set it."""
 
     revision: int
     value: bytes
@@ -28,7 +28,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Change:
-    """A key set, or removed (no value), at a revision."""
+    """A key that was set, or removed (None), at a revision."""
 
     key: str
     revision: int
@@ -38,12 +38,14 @@
 # -- events: what has happened, and when. `call` is the number of the call that it came of ------------------
 @dataclass(slots=True, frozen=True)
 class Started:
+    """The program has started: the first call is due."""
+
     at: timedelta
 
 
 @dataclass(slots=True, frozen=True)
 class Read:
-    """The whole list, as it was at one revision."""
+    """The whole list at one revision."""
 
     at: timedelta
     call: int
@@ -53,7 +55,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Changed:
-    """Changes of one revision or more, in order. Not `whole`: more of the last revision is still to come."""
+    """Changes of one or more revisions, in order; not `whole`: the last revision is not complete yet."""
 
     at: timedelta
     call: int
@@ -64,7 +66,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Progress:
-    """All up to this revision has been sent."""
+    """All changes up to this revision have been sent."""
 
     at: timedelta
     call: int
@@ -73,7 +75,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Compacted:
-    """The revision that was asked for is no longer there."""
+    """The registry no longer has the revision that was asked for."""
 
     at: timedelta
     call: int
@@ -90,7 +92,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Refused:
-    """The credentials are not taken."""
+    """The registry rejected the credentials."""
 
     at: timedelta
     call: int
@@ -98,7 +100,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Tick:
-    """Some time has come that was asked for, or any other."""
+    """Time has passed; it is due at the time of WakeAt, and does no harm at any other."""
 
     at: timedelta
 
@@ -117,7 +119,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Watch:
-    """Ask an endpoint for all after a revision, from now on."""
+    """Watch an endpoint for all changes after a revision."""
 
     call: int
     endpoint: int
@@ -126,14 +128,14 @@
 
 @dataclass(slots=True, frozen=True)
 class End:
-    """End a call: nothing of it is wanted any more."""
+    """End a call; its events are no longer wanted."""
 
     call: int
 
 
 @dataclass(slots=True, frozen=True)
 class Tell:
-    """What has changed, in one step. `resynchronised`: it is the difference to a list that was read anew."""
+    """Report changes in one step. `resynchronised`: they are the difference to a list read again."""
 
     revision: int
     changes: tuple[Change, ...]
@@ -154,8 +156,11 @@
 
 @dataclass(slots=True, frozen=True)
 class OlderCopy:
-    """Every endpoint tells of an older revision than the one held: the registry was restored, or is another
-    one. The list held stays until an operator says otherwise."""
+    """Every endpoint offers an older revision than the one held.
+
+    The registry was restored, or is another one. The list held stays until an operator accepts the older
+    copy.
+    """
 
     held: int
     offered: int
@@ -165,7 +170,7 @@
 
 
 class Phase(Enum):
-    """What the follower is about."""
+    """The state of the follower."""
 
     IDLE = "idle"
     READING = "reading"
@@ -175,7 +180,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Limits:
-    """Its settings."""
+    """The settings of the follower."""
 
     endpoints: int = 1
     silence: timedelta = timedelta(seconds=5)  # without a word, progress included: the stream is left
@@ -184,7 +189,7 @@
 
 
 class Follower:
-    """One list followed. All of its state changes in `step`."""
+    """Follows one list; all of its state changes in `step`."""
 
     def __init__(
         self, limits: Limits, seed: int, held: Mapping[str, Entry] | None = None, revision: int | None = None
@@ -202,7 +207,7 @@
         self.resync = False  # a read is needed before a watch
 
     def step(self, event: Event) -> list[Effect]:
-        """Take one event; what is to be done, in order."""
+        """Take one event; returns the effects to run, in order."""
         call = getattr(event, "call", None)
         # Guards against what a call still says that was given up: it may be older than what is held by now.
         if call is not None and call != self.call:
@@ -228,7 +233,7 @@
 
     # -- calls --------------------------------------------------------------------------------------------
     def begin(self, at: timedelta) -> list[Effect]:
-        """Read or watch, at the endpoint at hand."""
+        """Start a read or a watch at the present endpoint."""
         self.call += 1
         self.fragments.clear()  # of a revision that did not come whole: it comes again
         if self.revision is None or self.resync:
@@ -238,7 +243,7 @@
         return [Watch(self.call, self.endpoint, self.revision), WakeAt(self.due)]
 
     def broken(self, at: timedelta) -> list[Effect]:
-        """A call is over: the next endpoint, after a wait that grows."""
+        """A call is over: continue at the next endpoint, after a wait that grows."""
         ended = self.call
         self.call += 1
         self.fragments.clear()
@@ -249,6 +254,7 @@
         return [End(ended), WakeAt(self.due)]
 
     def tick(self, at: timedelta) -> list[Effect]:
+        """Act on a time that is over: a pause before the next call, or a stream that fell silent."""
         if self.due is None or at < self.due:
             return []
         if self.phase is Phase.WAITING:
@@ -257,14 +263,14 @@
         return self.broken(at)
 
     def heard(self, at: timedelta) -> WakeAt:
-        """The stream is alive."""
+        """Record that the stream is alive; returns when it is silent for too long."""
         self.failures = 0
         self.due = at + self.limits.silence
         return WakeAt(self.due)
 
     # -- what is told -------------------------------------------------------------------------------------
     def read(self, event: Read) -> list[Effect]:
-        """The whole list: only the difference to what was told is news."""
+        """Take the whole list; only the difference to what was reported is news."""
         if self.phase is not Phase.READING:
             return []
         # Guards what is known against a member that lags, or a registry restored from an old copy.
@@ -278,6 +284,7 @@
         return [*tell, *self.begin(event.at)]
 
     def difference(self, event: Read) -> list[Change]:
+        """The changes from what was reported to a list that was read, by revision and key."""
         changes = []
         for key, entry in event.entries.items():
             before = self.told.get(key)
@@ -287,7 +294,7 @@
         return sorted(changes, key=lambda change: (change.revision, change.key))
 
     def lagging(self, event: Read) -> list[Effect]:
-        """A member that lags is left for another; where all are older, an operator is needed."""
+        """Leave an endpoint with an older revision; report OlderCopy where all are older."""
         assert self.revision is not None
         self.older[self.endpoint] = event.revision
         said: list[Effect] = []
@@ -297,6 +304,7 @@
         return [*said, *self.broken(event.at)]
 
     def changed(self, event: Changed) -> list[Effect]:
+        """Report the changes of a stream once the last part of their revision has come."""
         if self.phase is not Phase.WATCHING:
             return []
         assert self.revision is not None
@@ -313,7 +321,7 @@
         return [*tell, self.heard(event.at)]
 
     def news(self, changes: list[Change]) -> tuple[Change, ...]:
-        """Those that are newer than all that has been told; they are told from now on."""
+        """The changes that are newer than all that was reported; they count as reported from now on."""
         assert self.revision is not None
         fresh = []
         for change in sorted(changes, key=lambda change: change.revision):
@@ -328,7 +336,7 @@
         return tuple(fresh)
 
     def progress(self, event: Progress) -> list[Effect]:
-        """All up to there has come; a part of a revision that is held does not count yet."""
+        """Advance the revision; an incomplete revision that is held does not count yet."""
         if self.phase is not Phase.WATCHING:
             return []
         assert self.revision is not None
@@ -338,7 +346,7 @@
 
     # -- operators ------------------------------------------------------------------------------------------
     def accept_older(self, at: timedelta) -> list[Effect]:
-        """An operator says that the registry's older copy is the list now."""
+        """Accept the registry's older copy as the list, by an operator's decision."""
         ended = self.call
         self.revision, self.resync = None, True
         self.told = {key: replace(entry, revision=0) for key, entry in self.told.items()}
--- a/stoatrouter/net/bodies.py
+++ b/stoatrouter/net/bodies.py
@@ -1,4 +1,4 @@
-"""Bodies of any size: clients' are stored so that they can be sent anew, nodes' answers flow as they come."""
+"""Bodies of any size: clients' bodies are stored for repeats, nodes' answers are streamed."""
 
 from __future__ import annotations
 
@@ -25,15 +25,15 @@
 
 
 class NoRoom(Exception):
-    """The bodies stored leave no room for this one."""
+    """Stored bodies leave no room for this one, or the disk is full."""
 
 
 class TooLarge(Exception):
-    """A body over the bound."""
+    """A body exceeds its bound."""
 
 
 class TooSlow(Exception):
-    """A body that does not come."""
+    """A body arrives too slowly or stands still."""
 
 
 class BrokenOff(Exception):
@@ -41,14 +41,20 @@
 
 
 class Room:
-    """Bytes that stored bodies may take together, granted in turn. Files count: there they lie in memory."""
+    """The bytes that stored bodies may take together, granted in order of arrival.
+
+    Files count in full, as $TMPDIR may lie in memory.
+    """
 
     def __init__(self, most: int, folder: str | None = None) -> None:
         self.most, self.folder, self.taken = most, folder, 0
         self.waiting: deque[tuple[int, asyncio.Future[None]]] = deque()
 
     async def take(self, size: int) -> None:
-        """Take room, or wait for it in turn: small ones do not starve a large one."""
+        """Take `size` bytes, waiting in turn so that small bodies do not starve a large one.
+
+        Raises TooLarge where they can never fit, NoRoom after ROOM_WITHIN.
+        """
         if size > self.most:
             raise TooLarge
         if not self.waiting and self.taken + size <= self.most:
@@ -70,10 +76,12 @@
             raise
 
     def free(self, size: int) -> None:
+        """Give `size` bytes back and serve who waits."""
         self.taken -= size
         self.pass_on()
 
     def pass_on(self) -> None:
+        """Grant room to those that wait, in turn, as far as it goes."""
         while self.waiting and self.taken + self.waiting[0][0] <= self.most:
             size, given = self.waiting.popleft()
             self.taken += size
@@ -84,7 +92,7 @@
 
 
 class StoredBody:
-    """A large body in a file without a name, which any attempt can read from its start."""
+    """A large body in an unnamed file; any attempt can read it from its start."""
 
     def __init__(self, room: Room) -> None:
         self.room, self.size, self.taken = room, 0, 0
@@ -94,12 +102,13 @@
             raise NoRoom from error
 
     async def grow(self, size: int) -> None:
-        """Make room for this many bytes in all."""
+        """Take room for `size` bytes in all; raises as Room.take does."""
         if size > self.taken:
             await self.room.take(size - self.taken)
             self.taken = size
 
     def write(self, data: bytes) -> None:
+        """Append to the file; raises NoRoom where the disk has no space."""
         view = memoryview(data)
         try:
             while view:
@@ -109,6 +118,7 @@
         self.size += len(data)
 
     async def pieces(self) -> AsyncIterator[bytes]:
+        """The body in pieces of at most PIECE bytes; raises OSError once it is closed."""
         at = 0
         while at < self.size:
             if self.file.closed:
@@ -122,6 +132,7 @@
         return self.size
 
     def close(self) -> None:
+        """Delete the file and give its room back; calling it again changes nothing."""
         if not self.file.closed:
             self.file.close()
             self.room.free(self.taken)
@@ -131,7 +142,10 @@
 
 
 async def read_body(request: web.BaseRequest, room: Room) -> Body:
-    """Read a body whole; a large one into a file. Its caller closes that."""
+    """Read a whole body; one over SMALL bytes goes into a file that the caller must close.
+
+    Raises TooLarge, TooSlow or NoRoom.
+    """
     stated = request.content_length or 0
     if stated > LARGEST:
         raise TooLarge
@@ -169,14 +183,17 @@
 
 
 class ReceiveRate:
-    """How fast a body comes, of the time in which it was waited for."""
+    """The mean rate at which a body arrives, counting only the time spent waiting for it."""
 
     def __init__(self) -> None:
         self.spent, self.received = 0.0, 0
 
     async def wait(self, content: aiohttp.StreamReader) -> bytes:
-        """What comes next. Guards connections, room and the end of a stopping head against a body that never
-        comes or only drips."""
+        """The next bytes, empty at the end.
+
+        Raises TooSlow where a body stands still for STALL or is slower than SLOWEST bytes a second, so that
+        it cannot hold connections, room or a stopping head.
+        """
         loop = asyncio.get_running_loop()
         began = loop.time()
         try:
@@ -192,14 +209,17 @@
 
 
 class Flow:
-    """A node's answer that is passed on as it comes."""
+    """A node's answer that is streamed to the client."""
 
     def __init__(self, response: aiohttp.ClientResponse, first: bytes, length: int | None) -> None:
         self.response, self.first, self.length = response, first, length
         self.taken = False  # by whoever passes it on
 
     async def pieces(self) -> AsyncIterator[bytes]:
-        """All of it. BrokenOff once all that came of a spoilt one has been passed on."""
+        """The whole answer in pieces.
+
+        Raises BrokenOff for a truncated or oversized answer, after all that came of it.
+        """
         size, data = len(self.first), self.first
         while data:
             for at in range(0, len(data), PIECE):
@@ -212,6 +232,7 @@
             raise BrokenOff("an answer of another length than it said")
 
     async def next(self) -> bytes:
+        """The next bytes, empty at the end; raises BrokenOff where the node broke off or stands still."""
         content = self.response.content
         try:
             async with asyncio.timeout(SILENT.total_seconds()):
@@ -223,7 +244,7 @@
             raise BrokenOff(repr(error)) from error
 
     async def whole(self, most: int) -> bytes:
-        """All of it at once, for a front that needs it so."""
+        """The whole answer at once; raises BrokenOff where it is truncated or exceeds `most` bytes."""
         data = bytearray()
         with contextlib.closing(self):
             async for piece in self.pieces():
@@ -233,6 +254,6 @@
         return bytes(data)
 
     def close(self) -> None:
-        """Done with it; a connection with some of it still to come is of no more use."""
+        """Release the answer; a connection with some of it unread is closed."""
         self.taken = True
         self.response.close()
--- a/stoatrouter/net/clients.py
+++ b/stoatrouter/net/clients.py
@@ -1,4 +1,4 @@
-"""Clients' connections: how many are held, for how long, and how they end."""
+"""Connections of clients: how many are held, for how long, and how they end."""
 
 from __future__ import annotations
 
@@ -37,7 +37,7 @@
 
 
 class State(Enum):
-    """Of a client's connection."""
+    """The state of a client's connection."""
 
     ENDING = 0  # has its last answer
     SILENT = 1  # nothing has come that is a request
@@ -48,7 +48,7 @@
 
 
 class ClientTable:
-    """All connections of clients, by state and in the order in which they came to it."""
+    """All connections of clients, by state, and within it in the order in which they entered it."""
 
     def __init__(self, most: int, idle_most: int, busy_most: int, busy_pressed: int | None = None) -> None:
         self.most, self.idle_most = most, idle_most
@@ -64,6 +64,7 @@
         return sum(len(held) for held in self.held.values())
 
     def put(self, connection: ClientConnection, state: State) -> None:
+        """Move a connection to a state, as the latest of it."""
         self.leave(connection)
         connection.state, connection.since = state, connection.loop.time()
         self.held[state][connection] = connection.since
@@ -75,11 +76,14 @@
             next(iter(once)).end()
 
     def leave(self, connection: ClientConnection) -> None:
+        """Remove a connection from the table."""
         self.held[connection.state].pop(connection, None)
 
     def enter(self, connection: ClientConnection) -> None:
-        """Guards the descriptors against connections that are of no use at present: the one that has been so
-        for longest ends for each that comes. What is open stays."""
+        """Add a new connection.
+
+        Above the bound the least useful connection is closed in its place; those with a request open stay.
+        """
         self.put(connection, State.SILENT)
         if len(self) > self.most and (least := self.least_used(connection)) is not None:
             return least.end()
@@ -87,8 +91,11 @@
             connection.end()  # all others have a request open
 
     def least_used(self, newest: ClientConnection) -> ClientConnection | None:
-        """Which connection to end for a new one. One that has just come is spared before those between
-        requests: its first request is on its way, and most likely has not been read yet."""
+        """Which connection to close for a new one; None where all others have a request open.
+
+        A connection that was just opened is spared before those between requests: its first request is on
+        its way, and most likely has not been read yet.
+        """
         oldest = {state: next(iter(held), None) for state, held in self.held.items()}
         silent, begun, now = oldest[State.SILENT], oldest[State.BEGUN], newest.loop.time()
         if silent is newest:
@@ -111,21 +118,20 @@
         return len(self.held[State.BUSY])
 
     def crowded(self) -> bool:
-        """Whether what comes on further connections is to be turned away."""
+        """Whether requests on further connections are to be refused."""
         return self.open > self.busy_bound()
 
     def busy_bound(self) -> int:
-        """How many may have a request open now."""
+        """How many connections may have a request open now."""
         pressed = asyncio.get_running_loop().time() < self.pressed_until
         return max(0, (self.busy_pressed if pressed else self.busy_most) - self.busy_elsewhere)
 
     def press(self, span: timedelta) -> None:
-        """This head lacks time, for so long at least."""
+        """Apply the lower bound for at least this time, as the event loop lags."""
         self.pressed_until = max(self.pressed_until, asyncio.get_running_loop().time() + span.total_seconds())
 
     def sweep(self) -> None:
-        """End what has been idle or silent for too long, heads without end, and what does not take its
-        answer."""
+        """Close connections that were idle or silent for too long, send endless heads, or read no answer."""
         for connection in list(self.held[State.BEGUN]):
             if connection.loop.time() - connection.begun > HEAD_WITHIN.total_seconds():
                 connection.end()
@@ -145,13 +151,17 @@
                     connection.end_unless_asked()
 
     async def keep_swept(self) -> None:
+        """Sweep every SWEEP_EVERY, until cancelled."""
         while True:
             await asyncio.sleep(SWEEP_EVERY.total_seconds())
             self.sweep()
 
     def end_idle(self, silent: bool = True) -> None:
-        """End all that is between requests; where wanted, also what has not begun one, but for what has just
-        come: its first request is on its way."""
+        """Close all connections between requests.
+
+        With `silent` also those that have not begun a request, except those that were just opened, whose
+        first request is on its way.
+        """
         for state in (State.ONCE, State.IDLE, *((State.SILENT, State.BEGUN) if silent else ())):
             for connection in list(self.held[state]):
                 if (
@@ -161,12 +171,12 @@
                     connection.end_unless_asked()
 
     def any_just_connected(self) -> bool:
-        """Whether a connection is so young that its first request may be on its way."""
+        """Whether any connection is so new that its first request may still be on its way."""
         return any(c.seconds_in_state() <= JUST_CONNECTED.total_seconds() for c in self.held[State.SILENT])
 
 
 class ClientConnection(RequestHandler):
-    """aiohttp's server connection, with bounds on what a bad client can do to it."""
+    """aiohttp's server connection, with bounds on what a misbehaving client can do to it."""
 
     __slots__ = ("clients", "loop", "state", "since", "begun", "unread", "unread_since", "answered", "refuse")
 
@@ -187,25 +197,31 @@
         self.unread, self.unread_since, self.answered = 0, 0.0, False
 
     def end(self) -> None:
-        """Close now. force_close, as close() leaves the socket open and reads it no more: what came there
-        would be swallowed without any answer."""
+        """Close at once.
+
+        force_close is used, as close() would leave the socket open and swallow what arrives there.
+        """
         self.clients.leave(self)
         self.force_close()
 
     def seconds_in_state(self) -> float:
-        """For how long it has been in its present state, in seconds."""
+        """For how many seconds the connection has been in its present state."""
         return self.loop.time() - self.since
 
     def end_unless_asked(self) -> None:
-        """Close now, unless a request has come that the loop has not yet read. Guards that request: a close
-        over unread bytes resets the connection; read, it is answered like any other."""
+        """Close at once, unless bytes have arrived that the loop has not yet read.
+
+        Closing over unread bytes would reset the connection and lose that request.
+        """
         sock = self.transport.get_extra_info("socket") if self.transport is not None else None
         if sock is None or not unread(sock):
             self.end()
 
     def unread_for(self) -> float:
-        """For how long the client has taken nothing of an answer that waits for it. Guards connections and
-        memory: answers lie here until they are read."""
+        """For how many seconds the client has read nothing of a waiting answer.
+
+        It bounds connections and memory, as answers are held until they are read.
+        """
         left = self.transport.get_write_buffer_size() if self.writing_paused and self.transport else 0
         if not left or left != self.unread:
             self.unread, self.unread_since = left, self.loop.time()
@@ -213,14 +229,17 @@
 
     # -- the protocol's callbacks -------------------------------------------------------------------------
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Enter the connection in the table; that may end another one."""
         super().connection_made(transport)
         self.clients.enter(self)
 
     def connection_lost(self, exc: BaseException | None) -> None:
+        """Remove the connection from the table."""
         self.clients.leave(self)
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
+        """Parse what came and follow the connection's state; a crowded head refuses plain requests here."""
         if self.state is State.ENDING:
             return  # read only so that the answer arrives
         if (
@@ -270,7 +289,10 @@
         exc: BaseException | None = None,
         message: str | None = None,
     ) -> web.StreamResponse:
-        """The answer to what cannot be read, or to a fault of our own."""
+        """The answer to an unreadable request, or to an unforeseen fault of this program.
+
+        Raises ConnectionError where an answer has already begun.
+        """
         if exc is not None and not isinstance(exc, HttpProcessingError):
             logger.opt(exception=exc).error("request failed in an unforeseen way", event="request.fault")
         if request.writer.output_size > 0:
@@ -282,7 +304,7 @@
     async def finish_response(
         self, request: web.BaseRequest, resp: web.StreamResponse, start_time: float | None
     ) -> tuple[web.StreamResponse, bool]:
-        """Write the answer; if it is the last one, let it arrive before the connection ends."""
+        """Write the answer; the last answer of a connection is delivered before it closes."""
         resp, reset = await super().finish_response(request, resp, start_time)
         transport = self.transport
         if reset or self._force_close or transport is None:
@@ -329,11 +351,12 @@
 
 
 class Server(web.Server):
-    """aiohttp's server, with these connections."""
+    """aiohttp's server with ClientConnection as its protocol."""
 
     def __init__(self, handler: Any, clients: ClientTable, refuse: Refuse | None, **more: Any) -> None:
         super().__init__(handler, **more)
         self.clients, self.refuse = clients, refuse
 
     def __call__(self) -> RequestHandler:
+        """The protocol of a new connection."""
         return ClientConnection(self, self.clients, self.refuse, self._loop, **self._kwargs)
--- a/stoatrouter/net/clock.py
+++ b/stoatrouter/net/clock.py
@@ -1,4 +1,4 @@
-"""The head's time: since the Unix epoch, and never going back."""
+"""The head's clock: time since the Unix epoch that never goes back."""
 
 from __future__ import annotations
 
@@ -7,10 +7,14 @@
 
 
 class Clock:
-    """Anchored once at the start: node starts come as Unix times, but the system's clock may be set."""
+    """A monotonic clock, set once from the system's time.
+
+    Node starts are given as Unix times, but the system's clock may be set while the head runs.
+    """
 
     def __init__(self) -> None:
         self._anchor = timedelta(seconds=time.time()) - timedelta(seconds=time.monotonic())
 
     def now(self) -> timedelta:
+        """The time since the Unix epoch."""
         return self._anchor + timedelta(seconds=time.monotonic())
--- a/stoatrouter/net/discovery.py
+++ b/stoatrouter/net/discovery.py
@@ -1,4 +1,4 @@
-"""The watch of the node list. Errors, silence or nonsense never end it."""
+"""The watch of discovery's node list; errors, silence or malformed messages never end it."""
 
 from __future__ import annotations
 
@@ -32,7 +32,7 @@
 
 
 class Watch:
-    """Follows the list and tells what changed."""
+    """Follows the node list and reports what changed."""
 
     def __init__(
         self,
@@ -57,7 +57,7 @@
         self.address_changed, self.answered = asyncio.Event(), asyncio.Event()
 
     def restore(self) -> None:
-        """Tell the list as this head last had it; it may be out of date."""
+        """Report the list that this head last had, which may be out of date."""
         try:
             generation, _, nodes, faults = (
                 read_list(self.known, zones=self.zones) if self.known else (None, True, (), ())
@@ -73,9 +73,11 @@
         self.report(ListKind.RESTORED, nodes, faults)
 
     async def first_answer(self) -> None:
-        """Wait for the first answer, not for long: a start must not depend on discovery. Guards a new
-        process's first requests: what its agent has counts as told from its first moment, and the list it was
-        given may be old."""
+        """Wait for the first answer, within a bound: a start must not depend on discovery.
+
+        What the agent of a new process has is binding from its first moment, and the list it was given may
+        be old.
+        """
         try:
             async with asyncio.timeout(self.times.first.total_seconds()):
                 await self.answered.wait()
@@ -85,14 +87,16 @@
             )
 
     def move(self, address: str) -> None:
-        """Watch at another address from now on. The list and its generation stay: the next call asks there
-        for what is newer, so that nothing is missed and nothing is forgotten."""
+        """Watch at another address from now on.
+
+        The list and its generation stay: the next call asks there for newer changes, so that none is missed.
+        """
         if address != self.address:
             self.address = address
             self.address_changed.set()
 
     async def run(self) -> None:
-        """Watch for as long as the program runs, wherever the list is to be had."""
+        """Watch until cancelled, at whatever address is current."""
         while True:
             self.address_changed.clear()
             following = asyncio.create_task(self.follow())
@@ -104,7 +108,7 @@
                 await asyncio.gather(following, return_exceptions=True)
 
     async def follow(self) -> None:
-        """Watch at one address."""
+        """Watch at one address until cancelled."""
         # one connection of its own: nothing of the pool to nodes can hold it up
         connector = aiohttp.TCPConnector(limit=2, keepalive_timeout=2 * self.times.hold.total_seconds())
         timeout = aiohttp.ClientTimeout(total=None, sock_connect=self.times.dial.total_seconds())
@@ -133,14 +137,16 @@
                     await asyncio.sleep(self.pause().total_seconds())
 
     def pause(self) -> timedelta:
-        """How long to wait after a failure. Drawn, as all heads lose discovery in the same moment."""
+        """How long to wait after a failure, with jitter, as all heads lose discovery at the same moment."""
         doubled = self.times.pause * 2 ** min(10, max(0, self.failures - 1))
         return min(self.times.longest_pause, doubled) * (0.5 + random.random() / 2)
 
     async def call(self, session: aiohttp.ClientSession) -> bool:
-        """One call: the whole list where none is held, else what is newer than it. Whether it told any. After
-        a failure it is not held: an answer is then due at once, and silence is found out in a fraction of the
-        time."""
+        """Make one call, for the whole list or for changes; returns whether it brought any.
+
+        After a failure the call is not held: an answer is then due at once, and a silent peer is found out
+        in a fraction of the time. Raises ValueError for a malformed answer, and the client's errors.
+        """
         times, query = self.times, ""
         hold = times.hold * (0.75 + random.random() / 4)  # all heads' calls do not come together
         if self.failures or not self.answered.is_set():
@@ -172,7 +178,10 @@
         return news
 
     def take(self, data: Any, age: timedelta | None = timedelta(0)) -> bool:
-        """Take one message, if it makes sense as what follows the list that is held."""
+        """Apply one message; returns whether it brought changes.
+
+        Raises ValueError where it does not follow on the list that is held.
+        """
         generation, whole, nodes, faults = read_list(data, self.held, self.zones)
         if not whole and (self.generation is None or generation < self.generation):
             # Guards against changes to another list than the one held, as from an agent that counts anew.
@@ -184,9 +193,11 @@
         return whole or bool(nodes)
 
     def age(self) -> timedelta | None:
-        """For how long what is told now may have counted as told. Where lists are pushed that is so once the
-        agent has it, asked or not: since the last answer, but for the time in which it could have answered
-        this call."""
+        """For how long the message just read may already have been binding; None: not known.
+
+        Where lists are pushed a message is binding once the agent has it, so that is the time since the last
+        answer, less the time in which the agent could have answered this call.
+        """
         if not self.pushed:
             return timedelta(0)  # told by being written
         if self.current_at is None:
@@ -200,7 +211,7 @@
         faults: tuple[str, ...],
         age: timedelta | None = timedelta(0),
     ) -> None:
-        """Tell what could be read, and say once what could not."""
+        """Report the entries that could be read, and log each unreadable one once."""
         for fault in faults:
             self.count("entry_unreadable")
             if fault not in self.logged_faults and len(self.logged_faults) < MOST_LOGGED_FAULTS:
@@ -220,6 +231,7 @@
             self.on_list(kind, nodes, age)
 
     def failed(self, error: BaseException) -> None:
+        """Count a failed call; the first one in a row is logged."""
         if not self.failures:
             logger.warning(
                 "discovery: not reached, the list held stays in use: {error}",
@@ -229,6 +241,7 @@
         self.failures += 1
 
     def recovered(self) -> None:
+        """End a row of failures; it is logged where there was one."""
         if self.failures:
             logger.info(
                 "discovery: reached again, generation {generation}",
@@ -243,8 +256,10 @@
     held: Mapping[str, NodeInfo] = NONE_HELD,
     zones: tuple[str, ...] = (),
 ) -> tuple[int, bool, tuple[NodeInfo, ...], tuple[str, ...]]:
-    """Read a message of discovery: its entries, and what is wrong with those that cannot be read. ValueError
-    where the message as a whole is not what the protocol promises."""
+    """Parse a message: generation, whether it is whole, its nodes, and faults of unreadable entries.
+
+    Raises ValueError where the message as a whole breaks the protocol.
+    """
     try:
         generation, whole, entries = int(data["generation"]), bool(data["reset"]), data["instances"]
         if not isinstance(entries, list):
@@ -267,13 +282,19 @@
 
 
 def zone_number(name: Any, zones: tuple[str, ...]) -> int:
-    """A zone's number as the settings have it. Guards repeats that only one zone drops: a zone that the
-    settings do not name is one of its own, with the same number in every process."""
+    """A zone's number as the settings have it.
+
+    A zone that the settings do not name gets a number of its own, the same in every process, as some repeats
+    are dropped only within one zone.
+    """
     return zones.index(name) if name in zones else UNNAMED_ZONES + zlib.crc32(str(name).encode())
 
 
 def read_node(entry: dict[str, Any], zones: tuple[str, ...] = ()) -> NodeInfo:
-    """Read one entry. The address may be absent from an entry that says the node is gone."""
+    """Parse one entry; only an entry of a node that is gone may lack its address.
+
+    Raises KeyError, TypeError or ValueError.
+    """
     phase = PHASES[entry["lifecycle"]]
     address = str(entry.get("hostPort") or "")
     if not address and phase is not Phase.GONE:
--- a/stoatrouter/net/early.py
+++ b/stoatrouter/net/early.py
@@ -1,4 +1,4 @@
-"""What a process says to the one before it as soon as it starts. Imports little, as it must be early."""
+"""The announcement of a starting process to the one before it. It imports little, to be early."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 
 @contextlib.contextmanager
 def short_path(folder: str):
-    """The folder under a name that is short: a socket's path has 107 bytes at most."""
+    """A short path of a folder, as the path of a Unix-domain socket has 107 bytes at most."""
     handle = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
     try:
         yield f"/proc/self/fd/{handle}"
@@ -20,14 +20,17 @@
 
 
 class Announcement:
-    """That this process is starting, while it is."""
+    """Tells the previous process that this one is starting."""
 
     def __init__(self) -> None:
         self.connection: socket.socket | None = None
 
     def connect(self, folder: str | None) -> None:
-        """Guards the clients of the old process: a start takes a good part of the core that it needs, so it
-        is to hold less open from now on."""
+        """Connect to the previous process, if there is one.
+
+        A start takes a good part of the processor, so the previous process holds fewer requests open from
+        now on.
+        """
         if not folder:
             return
         connection = socket.socket(socket.AF_UNIX)
@@ -40,6 +43,7 @@
             connection.close()  # there is none
 
     def end(self) -> None:
+        """Close the connection: this process now accepts clients, or is about to end."""
         if self.connection is not None:
             self.connection.close()
             self.connection = None
--- a/stoatrouter/net/engine.py
+++ b/stoatrouter/net/engine.py
@@ -1,4 +1,4 @@
-"""The engine: puts events to the reducer, one at a time, and runs the effects it asks for."""
+"""The engine: puts events to the reducer, one at a time, and runs the effects it returns."""
 
 from __future__ import annotations
 
@@ -27,7 +27,7 @@
 
 
 class Engine:
-    """Holds what is under way: answers waited for and attempts out. Decides nothing."""
+    """Holds open requests and attempts, and runs effects. It makes no decisions."""
 
     def __init__(
         self, reducer: Reducer, clock: Clock, nodes: NodeClient, state_file: AdministrativeStateFile
@@ -46,7 +46,7 @@
 
     # -- for fronts ---------------------------------------------------------------------------------------
     async def serve(self, request: model.Request) -> model.Answer:
-        """The final answer to a request; cancelling the caller tells the core that its client has gone."""
+        """The final answer to a request; cancelling the caller reports that its client has left."""
         if self.prepare is not None:
             request = await self.prepared(request)
         now = self.clock.now()
@@ -73,7 +73,10 @@
             self.callers.pop(request.id, None)
 
     async def prepared(self, request: model.Request) -> model.Request:
-        """Wait a moment for what a request needs before it is taken up, where it is on its way."""
+        """Wait for what a request needs before it is admitted, such as credit.
+
+        Returns the request with the time that is left of its deadline.
+        """
         assert self.prepare is not None
         began = self.clock.now()
         self.preparing += 1
@@ -86,7 +89,7 @@
         return replace(request, time_left=left)
 
     async def serve_whole(self, request: model.Request) -> model.Answer:
-        """The same for a front that needs an answer whole."""
+        """As serve, for a front that needs the whole body of an answer, at most LARGEST_PIECE bytes."""
         answer = await self.serve(request)
         if not isinstance(answer, model.Served) or answer.flow is None:
             return answer
@@ -102,17 +105,17 @@
             self.flow_ended(request.id, whole)
 
     def flow_ended(self, request: str, whole: bool | None) -> None:
-        """An answer was passed on; None: its client has left."""
+        """Report the end of a streamed answer: complete, cut off, or None where its client has left."""
         self.put(model.FlowEnded(self.clock.now(), request, whole))
 
     def drop(self, request: str, answer: model.Answer) -> None:
-        """An answer that nobody takes any more."""
+        """Release an answer whose client has left."""
         if isinstance(answer, model.Served) and answer.flow is not None:
             answer.flow.close()
             self.flow_ended(request, None)
 
     def turn_away(self, request_class: int) -> model.Answer:
-        """The answer to a request for which there is no room."""
+        """The answer to a request that is refused for lack of capacity."""
         effects = self.reducer.reduce(model.TurnedAway(self.clock.now(), request_class))
         assert isinstance(effects[0], model.TurnAway)
         return effects[0].answer
@@ -120,7 +123,10 @@
     def apply_node_list(
         self, kind: ListKind, nodes: tuple[model.NodeInfo, ...], age: timedelta | None = timedelta(0)
     ) -> None:
-        """Pass on what discovery tells, and for how long it may have counted as told; None: nobody knows."""
+        """Report a node list or changes to it; `age` is for how long they may have been binding.
+
+        None: not known.
+        """
         logger.info(
             "discovery: {kind} with {entries} entries",
             event="discovery.told",
@@ -131,13 +137,13 @@
         self.put(model.ListTold(now, kind, nodes, timedelta(0) if age is None else now - age))
 
     def hand_over(self) -> model.HandoverState:
-        """All that the next process needs; from now on this one only ends what it has."""
+        """The state for the next process; from now on this process only finishes its requests."""
         (known,) = self.reducer.reduce(model.HandedOver(self.clock.now()))
         assert isinstance(known, model.HandoverState)
         return known
 
     def set_administrative_state(self, node: str, out: bool) -> bool | None:
-        """Take a node out or put it back; returns whether that is saved, None where the node is not known."""
+        """Take a node out or put it back; returns whether that is saved, None for an unknown node."""
         effects = self.reducer.reduce(model.SetAdministrativeState(self.clock.now(), node, out))
         if effects:
             logger.info(
@@ -151,11 +157,11 @@
 
     @property
     def busy(self) -> bool:
-        """Whether an answer is still owed."""
+        """Whether any request is not yet answered."""
         return bool(self.waiting or self.preparing)
 
     async def close(self) -> None:
-        """End what is still out once nothing is owed any more."""
+        """Cancel all tasks and close the connections to nodes, once every request is answered."""
         ending = [*self.tasks, *self.attempts.values()]
         for task in ending:
             task.cancel()
@@ -164,13 +170,16 @@
 
     # -- events in, effects out ---------------------------------------------------------------------------
     def put(self, event: model.Event) -> None:
+        """Put one event to the reducer and run the effects."""
         self.run_all(self.reducer.reduce(event))
 
     def run_all(self, effects: list[model.Effect]) -> None:
+        """Run effects in order."""
         for effect in effects:
             self.run(effect)
 
     def run(self, effect: model.Effect) -> None:
+        """Run one effect."""
         match effect:
             case model.SendAttempt():
                 task = self.loop.create_task(self.nodes.attempt(effect, partial(self.may_begin, effect)))
@@ -195,7 +204,7 @@
                 self.spawn(self.probe(effect))
 
     def may_begin(self, effect: model.SendAttempt) -> bool:
-        """Asked with a connection in hand, before the first byte of an attempt: whether it is to be made."""
+        """Whether an attempt may still be sent, asked once it has a connection and before its first byte."""
         client = self.callers.get(effect.request.id)
         if gone(client):
             # Guards nodes against work for nobody: what tells of the client's end is still on its way here.
@@ -205,20 +214,26 @@
         return self.reducer.may_begin(self.clock.now(), effect.request.id, effect.attempt)
 
     def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        """Run a coroutine in a task that is held until its end and cancelled by close."""
         task = self.loop.create_task(work)
         self.tasks.add(task)  # the loop itself holds tasks only weakly
         task.add_done_callback(self.tasks.discard)
         return task
 
     def timer(self, token: int) -> None:
+        """Report a timer of the reducer."""
         self.put(model.TimerDue(self.clock.now(), token))
 
     def overdue(self, request: str) -> None:
+        """Report a request's last moment."""
         self.put(model.Overdue(self.clock.now(), request))
 
     def attempt_ended(self, effect: model.SendAttempt, task: asyncio.Task[Reply]) -> None:
-        """An attempt's end, told exactly once. A callback, as a task that is cancelled before its first step
-        runs none of its own code: such an attempt would stay out for ever."""
+        """Report the end of an attempt, exactly once.
+
+        This is a callback: a task that is cancelled before its first step runs none of its own code, and its
+        attempt would stay open for ever.
+        """
         reply = Reply(Outcome.RESET)
         if task.cancelled():
             reply = Reply(Outcome.CANCELLED)
@@ -247,6 +262,7 @@
             self.flow_ended(effect.request.id, None)
 
     async def probe(self, effect: model.Probe) -> None:
+        """Probe a node and report its load."""
         began = self.clock.now()
         reply = await self.nodes.probe(effect)
         now = self.clock.now()
@@ -256,7 +272,7 @@
 async def watch_loop(
     engine: Engine, clients: ClientTable, every: timedelta, lag_limit: timedelta, tally_every: int = 100
 ) -> None:
-    """Watches the loop's lag, and logs now and then what has been done."""
+    """Measure the event loop's lag, and log the tally from time to time."""
     loop, rounds, worst = asyncio.get_running_loop(), 0, 0.0
     while True:
         due = loop.time() + every.total_seconds()
--- a/stoatrouter/net/generations.py
+++ b/stoatrouter/net/generations.py
@@ -1,4 +1,4 @@
-"""One head in two processes: what each does as the new one takes over and the old one ends."""
+"""The handover between two processes of one head, from either side."""
 
 from __future__ import annotations
 
@@ -24,7 +24,7 @@
 
 
 class Generations:
-    """This process between the one before it and the one after."""
+    """This process between the previous and the next one."""
 
     def __init__(
         self,
@@ -45,7 +45,7 @@
 
     # -- the new process ----------------------------------------------------------------------------------
     async def take_over(self) -> bool:
-        """Take over from the old process; False where there is none, or nothing it says can be read."""
+        """Take over from the previous process; False where there is none or its state is unreadable."""
         self.predecessor = await self.succession.take_over()
         if self.predecessor is None:
             return False
@@ -79,11 +79,12 @@
         return True
 
     async def follow(self) -> None:
+        """Follow what the previous process still holds, to its end; returns at once where there is none."""
         if self.predecessor is not None:
             await self.predecessor.follow(self.apply_holdings)
 
     def apply_holdings(self, holds: State) -> None:
-        """What the old process holds. Guards the limits, which the two keep together as one head."""
+        """Reduce this process's limits by what the previous one still holds, as both count as one head."""
         self.clients.most = max(1, self.clients_most - int(holds.get("clients", 0)))
         self.clients.busy_elsewhere = int(holds.get("busy", 0))
         self.clients.press(UNSETTLED)
@@ -92,16 +93,18 @@
 
     # -- the old process ----------------------------------------------------------------------------------
     async def listen(self) -> None:
+        """Let the next process find this one."""
         await self.succession.listen(self.on_connection)
 
     def on_connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Leave a starting process some of this host's time, and wait for its question."""
         self.clients.press(STARTING)  # it says so as it starts, long before it asks
         task = asyncio.get_running_loop().create_task(self.serve_takeover(reader, writer))
         self.takeover_tasks.add(task)
         task.add_done_callback(self.takeover_tasks.discard)
 
     async def serve_takeover(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """A new process asks: it is told all, and this one ends what it has, unless the new one dies."""
+        """Serve one takeover request: send the state, and serve on where the new process dies."""
         try:
             line = await reader.readline()
             if not line or json.loads(line).get("take") != VERSION or self.drain.handed_over:
@@ -114,6 +117,7 @@
             writer.close()
 
     async def hand_over(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Stop accepting and send the new process all state; serve on where it dies before this one ends."""
         logger.info(
             "upgrade: handing over, {open} requests open",
             event="upgrade.handing_over",
@@ -154,6 +158,7 @@
         await self.listen()
 
     def holds(self) -> State:
+        """What this process still holds, as the new one needs it to keep the limits of both."""
         out: dict[str, int] = {}
         for node in self.engine.reducer.nodes_out():
             out[node] = out.get(node, 0) + 1
@@ -165,6 +170,7 @@
         }
 
     async def close(self) -> None:
+        """Stop listening for new processes and cancel what is under way with them."""
         await self.succession.close()
         for task in list(self.takeover_tasks):
             task.cancel()
--- a/stoatrouter/net/hangup.py
+++ b/stoatrouter/net/hangup.py
@@ -1,4 +1,4 @@
-"""SIGHUP before there is a loop to take it. Imports next to nothing, as it must be in force first."""
+"""SIGHUP handling before there is an event loop. It imports little, to be in force first."""
 
 from __future__ import annotations
 
@@ -12,7 +12,10 @@
         self.received = False
 
     def hold(self) -> None:
-        """Guards a starting head: by default SIGHUP would end it, while imports alone take half a second."""
+        """Install the handler.
+
+        By default SIGHUP would end the process, and imports alone take half a second.
+        """
         signal.signal(signal.SIGHUP, self._note)
 
     def _note(self, *_: object) -> None:
--- a/stoatrouter/net/listener.py
+++ b/stoatrouter/net/listener.py
@@ -1,4 +1,4 @@
-"""Listening for clients, and the end of a head that was asked to stop."""
+"""Listening for clients, and the shutdown of a head."""
 
 from __future__ import annotations
 
@@ -37,21 +37,24 @@
 
 @dataclass(slots=True, frozen=True)
 class ShutdownDeadlines:
-    """How long a stopping head takes requests as ever, and by when it has answered them."""
+    """How long a stopping head accepts requests, and by when it has answered them."""
 
     take_for: timedelta
     answer_within: timedelta
 
 
 def shutdown_deadlines(longest_deadline: timedelta) -> ShutdownDeadlines:
-    """Clients keep to the connections they have and can reach this head in no other way until it is back, so
-    it serves for as long as it can be sure to answer."""
+    """The deadlines of a shutdown.
+
+    Clients keep their connections and cannot reach this head otherwise until it is back, so it serves for as
+    long as it is certain to answer.
+    """
     within = min(longest_deadline, LONGEST_COUNTED) + KILLED_AFTER - ANSWERED_BEFORE
     return ShutdownDeadlines(min(LONGEST_TAKE, within - LAST_TAKEN_BEFORE), within)
 
 
 class Drain:
-    """Whether this head sends its clients away, and what its answers say of their connections."""
+    """Whether this head sends its clients away, and how its answers mark their connections."""
 
     def __init__(self, clients: ClientTable) -> None:
         self.clients = clients
@@ -61,26 +64,26 @@
 
     @property
     def open(self) -> bool:
-        """Whether this head wants clients."""
+        """Whether this head accepts new clients."""
         return not self.out and (self.handed_over or not self.asked_to_end)
 
     def health(self) -> web.Response:
-        """What /healthz says, at either front."""
+        """The answer to /healthz at every front."""
         return web.Response(text="ok\n") if self.open else web.Response(status=503, text="draining\n")
 
     @property
     def closing(self) -> bool:
-        """Whether answers are the last ones of their connections, as clients are sent away."""
+        """Whether each answer is the last of its connection, as clients are sent away."""
         return self.stopping or self.out or self.handed_over
 
     def mark(self, response: Response) -> Response:
-        """A connection ends with its answer while clients are sent away."""
+        """Let the connection end with this answer while clients are sent away."""
         if self.closing:
             response.force_close()
         return response
 
     def out_of_service(self) -> None:
-        """Send clients away; called again, nothing changes."""
+        """Send clients away; calling it again changes nothing."""
         if not self.out:
             logger.info(
                 "drain: out of service, {connections} connections",
@@ -91,34 +94,41 @@
             self.sending_away = asyncio.get_running_loop().create_task(self.send_away())
 
     def in_service(self) -> None:
+        """Serve clients again; without effect where the head is not out of service."""
         if self.out:
             logger.info("drain: back in service", event="drain.back")
             self.out = False
         self.stop_sending_away()
 
     def stop_sending_away(self) -> None:
+        """Cancel the ending of idle connections."""
         if self.sending_away is not None:
             self.sending_away.cancel()
             self.sending_away = None
 
     async def send_away(self) -> None:
-        """End what is idle, again and again. Guards requests against crossing such an end: it waits until no
-        new connections come, and by then those in use have ended with their answers."""
+        """Close idle connections, again and again.
+
+        It begins once no new connections come; by then connections in use have ended with their answers, so
+        that no request crosses the closing.
+        """
         await asyncio.sleep(NEW_ONES_STOP.total_seconds())
         while True:
             self.clients.end_idle(silent=False)  # what has just come is still heard; the sweep ends it later
             await asyncio.sleep(AWAY_EVERY.total_seconds())
 
     def crowded(self) -> bool:
+        """Whether requests are to be refused, as too many are open."""
         return self.clients.crowded()
 
 
 class ListeningSocket(socket.socket):
-    """A listening socket with a backlog of its own, whatever asyncio sets."""
+    """A listening socket with a fixed backlog, whatever asyncio asks for."""
 
     keeps_backlog = False
 
     def listen(self, backlog: int = BACKLOG) -> None:
+        """Listen with BACKLOG; an inherited socket keeps the backlog that it has."""
         # Guards connections on their way: a backlog that shrinks, if for a moment, leaves them unanswered.
         if not self.keeps_backlog:
             super().listen(BACKLOG)
@@ -141,7 +151,7 @@
         self.sockets: asyncio.Server | None = None
 
     async def start(self, host: str, port: int, inherited: int | None = None) -> None:
-        """Listen at an address, or on a socket that is held for this head and all its processes."""
+        """Listen at an address, or on an inherited socket that all processes of this head share."""
         if inherited is None:
             family = socket.AF_INET6 if ":" in host else socket.AF_INET
             with contextlib.closing(socket.create_server((host, port), family=family)) as made:
@@ -156,18 +166,19 @@
         )
 
     def stop_accepting(self) -> None:
-        """Accept no more. What waits at an inherited socket is for the process that accepts there."""
+        """Stop accepting; connections waiting at an inherited socket are left to the next process."""
         if self.sockets is not None:
             self.sockets.close()
             self.sockets = None
 
     @property
     def port(self) -> int:
+        """The port that it listens at."""
         assert self.sockets is not None
         return int(self.sockets.sockets[0].getsockname()[1])
 
     async def stop(self, busy: Callable[[], bool], take_for: timedelta) -> None:
-        """Serve for a little longer, finish all that was taken, then end the connections."""
+        """Serve for `take_for`, finish all open requests, then close the connections."""
         clients = self.drain.clients
         self.drain.asked_to_end, clients.keep_idle = True, True
         await self.wait(take_for)
@@ -184,13 +195,13 @@
         await self.close()
 
     async def wait(self, take_for: timedelta) -> None:
-        """Serve what comes. A head that has handed over ends sooner, once all its clients have gone."""
+        """Serve for `take_for`; a head that has handed over returns as soon as all its clients have gone."""
         loop = asyncio.get_running_loop()
         until = loop.time() + take_for.total_seconds()
         while loop.time() < until and not (self.drain.handed_over and not len(self.drain.clients)):
             await asyncio.sleep(min(0.02, until - loop.time()))
 
     async def close(self) -> None:
-        """Listen no more and end every connection."""
+        """Stop listening and close every connection."""
         self.stop_accepting()
         await self.server.shutdown(1.0)
