--- a/stoatrouter/net/nodes.py
+++ b/stoatrouter/net/nodes.py
@@ -1,4 +1,4 @@
-"""The node client: one attempt, one exchange, one outcome."""
+"""The client of storage nodes: one attempt is one HTTP exchange with one outcome."""
 
 from __future__ import annotations
 
@@ -49,7 +49,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Reply:
-    """What came of an attempt or a probe."""
+    """The outcome of an attempt or a probe, with what the node reported."""
 
     outcome: Outcome
     body: bytes = b""
@@ -60,7 +60,7 @@
 
 
 class Broken(Exception):
-    """An exchange broke; written tells whether the request's last byte had gone out."""
+    """An exchange broke; `written` tells whether the last byte of the request was sent."""
 
     def __init__(self, written: bool, cause: BaseException) -> None:
         super().__init__(f"{type(cause).__name__}: {cause}")
@@ -70,18 +70,21 @@
 class TrackedRequest(aiohttp.ClientRequest):
     """A client request that knows whether its last byte was handed to the system.
 
-    A node can start a request only once that byte has come; what breaks before never ran.
+    A node can start a request only once that byte has arrived; a request that breaks before was never
+    executed.
     """
 
     written = False
     may_begin: Callable[[], bool] | None = None  # asked with a connection in hand, before the first byte
 
     def mark_written(self, written: bool, conn: aiohttp.connector.Connection) -> None:
+        """Note whether the last byte was handed to the system; such an attempt counts as a try."""
         self.written = written
         if written and "Req-Id" in self.headers and isinstance(conn.protocol, NodeConnection):
             conn.protocol.pool.tries += 1  # probes are none
 
     async def send(self, conn: aiohttp.connector.Connection) -> aiohttp.ClientResponse:
+        """Send the request; drain() waits until the system has taken the last byte."""
         transport = conn.transport
         if transport is not None:
             transport.set_write_buffer_limits(high=0)  # drain() then waits for the last byte
@@ -97,6 +100,7 @@
         conn: aiohttp.connector.Connection,
         content_length: int | None = None,
     ) -> None:
+        """Write the body, and note whether the system has taken all of it."""
         transport = conn.transport
         broken = transport is None or transport.is_closing()  # then nothing goes out; the call below says so
         await super().write_bytes(writer, conn, content_length)
@@ -109,8 +113,11 @@
 
 
 async def only_once(request: aiohttp.ClientRequest, handler: ClientHandlerType) -> aiohttp.ClientResponse:
-    """Guards against the client's own resending of GET and PUT over a dropped connection, which would be
-    one more attempt that no decision knows of: its retry is set off by the errors that are turned here."""
+    """Prevent aiohttp from resending GET and PUT over a dropped connection.
+
+    That would be one more attempt that no decision knows of. Raises Broken in place of the errors that set
+    it off.
+    """
     try:
         return await handler(request)
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
@@ -120,7 +127,7 @@
 
 
 class NodeClient:
-    """Connections to all nodes, in one bounded pool."""
+    """The client of all nodes, with one bounded pool of connections."""
 
     def __init__(
         self,
@@ -143,10 +150,11 @@
         )
 
     async def close(self) -> None:
+        """Close all connections to nodes."""
         await self.session.close()
 
     async def attempt(self, effect: model.SendAttempt, may_begin: Callable[[], bool] | None = None) -> Reply:
-        """Make one attempt; whatever happens to it becomes an outcome."""
+        """Make one attempt; every error becomes an outcome."""
 
         async def ask_first(
             request: aiohttp.ClientRequest, handler: ClientHandlerType
@@ -198,7 +206,7 @@
                 response.close()  # what came whole has given its connection back already
 
     async def probe(self, effect: model.Probe) -> Reply:
-        """Ask a node for its load."""
+        """Ask a node for its load; every error becomes an outcome."""
         try:
             async with asyncio.timeout(PROBE_TIMEOUT.total_seconds()):
                 async with self.session.get(
@@ -216,7 +224,7 @@
 
 
 async def take(response: aiohttp.ClientResponse, passes: bool = False) -> Reply:
-    """An answer: whole if it is small; else what came first, to be passed on with the rest."""
+    """Read an answer: whole if it is small, else its first part, to be streamed with the rest."""
     if passes and response.status < 500:
         reply = await take_whole(response)
         return replace(reply, head=model.Head(response.status, end_to_end(response.headers)))
@@ -226,15 +234,17 @@
 
 
 def end_to_end(headers: CIMultiDictProxy[str]) -> tuple[tuple[str, str], ...]:
-    """The fields of an answer that are for the client: not those of this connection (RFC 9110, 7.6.1), nor of
-    the nodes' protocol."""
+    """The header fields of an answer that are meant for the client.
+
+    Fields of this connection (RFC 9110, 7.6.1) and of the nodes' protocol are left out.
+    """
     named = {name.strip().lower() for name in headers.get("Connection", "").split(",")}
     left = HOP_BY_HOP | named
     return tuple((name, value) for name, value in headers.items() if name.lower() not in left)
 
 
 async def take_whole(response: aiohttp.ClientResponse) -> Reply:
-    """An answer that is good, whatever its status."""
+    """Read a successful answer; a large one is returned as a Flow."""
     stated, body = response.content_length, b""
     while len(body) <= SMALL and (stated is None or stated <= SMALL or not body):
         data = await response.content.readany()
@@ -247,7 +257,7 @@
 
 
 async def read_small(response: aiohttp.ClientResponse) -> bytes:
-    """A body that is no answer to a client, within a bound."""
+    """Read a body that is not passed on; raises ValueError beyond SMALL bytes."""
     body = b""
     while data := await response.content.readany():
         body += data
@@ -258,7 +268,7 @@
 
 
 def judge(status: int, headers: CIMultiDictProxy[str], body: bytes) -> Reply:
-    """What an answer of a node means."""
+    """Classify an answer of a node."""
     units, load = read_number(headers.get("X-Served-Elsewhere")) or 0.0, read_load(headers.get("Srv-Load"))
     if status == 200:
         return Reply(Outcome.OK, body, units, load)
@@ -269,8 +279,10 @@
 
 
 def read_number(text: str | None) -> float | None:
-    """A figure that a node tells; None where it is absent or cannot be read. Guards the module: what is no
-    number would poison a volume's stores, and an unreadable load is not no load."""
+    """Parse a figure that a node reports; None where it is absent, malformed or out of range.
+
+    NaN or infinity would corrupt a volume's limits, and an unreadable load is not a load of 0.
+    """
     if text is None or not NUMBER.fullmatch(text.strip()):
         return None
     number = float(text)
@@ -278,7 +290,7 @@
 
 
 def read_load(text: str | None) -> dict[str, float] | None:
-    """Read a load report, as inflight=7,queue=2,util=0.61; None where there is none."""
+    """Parse a load report such as `inflight=7,queue=2,util=0.61`; None where it has no figures."""
     pairs = (pair.partition("=") for pair in (text or "").split(","))
     figures = {name.strip(): read_number(value) for name, _, value in pairs if name.strip()}
     return {name: figure for name, figure in figures.items() if figure is not None} or None
--- a/stoatrouter/net/pool.py
+++ b/stoatrouter/net/pool.py
@@ -1,8 +1,8 @@
-"""Connections to nodes: only a whole, well-formed answer comes through, and nothing that follows one.
+"""Connections to nodes: only a whole, well-formed answer passes, and nothing after it.
 
-aiohttp's client does the rest. Three things it does were shown by probes to be in the way: noise in one
-segment with a good answer makes its parser drop that answer too; an answer that comes while a connection is
-idle is kept and given to the next request on it; a message with no length is read until the connection ends.
+Three behaviours of aiohttp's client stand against that, as probes have shown: noise in one segment with a
+good answer makes its parser drop that answer too; an answer that arrives on an idle connection is kept and
+given to the next request; and a message without a length is read until the connection ends.
 """
 
 from __future__ import annotations
@@ -26,15 +26,15 @@
 
 
 class MalformedAnswer(aiohttp.ClientPayloadError):
-    """What a node sent is no answer; its request may have run."""
+    """A node sent a malformed answer; its request may have been executed."""
 
 
 class NotBegun(Exception):
-    """With a connection in hand, what had been decided held no longer; not a byte was written."""
+    """The decision to send no longer held once there was a connection; no byte was written."""
 
 
 class NodeConnection(ResponseHandler):
-    """One connection; at most one exchange at a time."""
+    """A connection to a node, with at most one exchange at a time."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, pool: NodePool, rest_within: timedelta) -> None:
         super().__init__(loop)
@@ -52,11 +52,13 @@
 
     # -- what aiohttp calls -------------------------------------------------------------------------------
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Count the connection among those that are alive."""
         super().connection_made(transport)
         transport.max_size = RECEIVE  # type: ignore[attr-defined]
         self.pool.alive.add(self)
 
     def connection_lost(self, exc: BaseException | None) -> None:
+        """End the exchange; a body without a stated length is whole only after a clean end."""
         self.pool.alive.discard(self)
         by_peer = self.transport is not None  # an end of our own has dropped it already
         if by_peer and self.awaiting_answer and not self.head and not self.in_body:
@@ -74,7 +76,7 @@
         super().connection_lost(exc)
 
     def set_response_params(self, **params: Any) -> None:
-        """A request is about to be written."""
+        """Begin an exchange: a request is about to be written."""
         self.awaiting_answer = True
         self.in_body = self.ends_with_connection = self.streaming = False
         self.head = b""
@@ -83,8 +85,11 @@
         super().set_response_params(**params)
 
     def is_connected(self) -> bool:
-        """Asked before each reuse. Guards against what came behind the last answer, or an end, that the loop
-        has not yet come to read: it would be taken for the next request's answer."""
+        """Whether the connection can be reused.
+
+        It cannot where unread bytes or an end have arrived since the last answer: they would be taken for
+        the next one.
+        """
         return super().is_connected() and (
             self.awaiting_answer or not self._idle_too_long() and not self._unread()
         )
@@ -94,6 +99,7 @@
         return self.should_close or idle > self.pool.reuse_within
 
     def data_received(self, data: bytes) -> None:
+        """Pass on one whole, well-formed answer, and end the connection on anything else."""
         if not data:
             super().data_received(data)  # aiohttp goes on with what it has
         elif not self.awaiting_answer:
@@ -107,7 +113,7 @@
             self._take_body(data)
 
     def start_streaming(self) -> None:
-        """What has come is being passed on: from now on whoever does that watches for a standstill."""
+        """Stop the stall timer, as whoever streams the answer watches for a standstill."""
         self.streaming = True
         self._cancel_stall_timer()
 
@@ -206,7 +212,7 @@
 
 
 class NodePool(aiohttp.TCPConnector):
-    """Connections to all nodes, those that are idle counted among the bound."""
+    """Connections to all nodes; idle ones count against the bound as well."""
 
     def __init__(self, most: int, keep: timedelta, rest_within: timedelta) -> None:
         super().__init__(limit=most, keepalive_timeout=keep.total_seconds(), use_dns_cache=False)
@@ -223,21 +229,28 @@
         )
 
     def set_limit(self, most: int) -> None:
-        """Another bound, as the process before this one still holds connections."""
+        """Set the bound, as the previous process still holds connections."""
         self.most = self._limit = most
 
     def record_break(self, idle: float) -> None:
-        """A connection broke under a request before any answer. Guards against a path that drops what is idle
-        without a word, far earlier than nodes say they do: what has been idle as long is not used again."""
+        """Record that a connection which had been idle for `idle` seconds broke before any answer.
+
+        Some paths drop idle connections silently, far earlier than nodes do: connections idle for that long
+        are not reused.
+        """
         if idle > LEAST_REUSE_WITHIN:
             self.reuse_within = max(LEAST_REUSE_WITHIN, min(self.reuse_within, idle) * SHORTEN)
 
     def record_success(self, idle: float) -> None:
-        """One that had been idle nearly as long as any may served: try a little longer again."""
+        """Record that a connection which had been idle for `idle` seconds served a request.
+
+        Where that is near the bound, longer idle times are tried again.
+        """
         if idle > self.reuse_within / 2:
             self.reuse_within = min(self.keep, self.reuse_within * LENGTHEN)
 
     async def connect(self, req: Any, traces: Any, timeout: Any) -> Any:
+        """A connection for a request; raises NotBegun where the decision to send it no longer holds."""
         # Guards the descriptors: aiohttp's limit counts connections in use only.
         if len(self.alive) >= self.most:
             self._end_oldest_idle()
@@ -265,9 +278,11 @@
 
 
 def body_length(head: bytes) -> int:
-    """The length that a head states, or how its end is told. Guards against an answer whose end cannot be
-    told: two lengths, none on a connection that stays, one that is no number or over the bound, or a length
-    with chunks."""
+    """The length of a body by its head: bytes, CHUNKED or UNTIL_CLOSE.
+
+    Raises ValueError where the end is ambiguous: two lengths, none on a persistent connection, a length that
+    is malformed or over the bound, or one together with chunks.
+    """
     lengths, codings, closes = [], [], head[:8] == b"HTTP/1.0"
     for line in head[: -len(HEAD_END)].split(b"\r\n")[1:]:
         name, colon, value = line.partition(b":")
--- a/stoatrouter/net/presence.py
+++ b/stoatrouter/net/presence.py
@@ -1,6 +1,6 @@
-"""Whether a request's client is still there, asked of the system in the moment in which it matters.
+"""Whether a request's client is still connected, asked of the system at the moment it matters.
 
-A connection whose reading is paused, or whose loop is late, has not been told yet that its client has left.
+A connection whose reading is paused, or whose loop lags, has not yet been told that its client has left.
 """
 
 from __future__ import annotations
@@ -16,8 +16,10 @@
 
 
 def gone(client: asyncio.Transport | None) -> bool:
-    """Whether it has closed or reset its connection, also behind bytes that nobody has read. A request of no
-    connection has nobody to leave."""
+    """Whether the client has closed or reset its connection, even behind unread bytes.
+
+    False for a request without a connection.
+    """
     if client is None:
         return False
     sock = client.get_extra_info("socket")
@@ -29,7 +31,7 @@
 
 
 def unread(sock: socket.socket) -> bool:
-    """Whether bytes have come that nobody has read, from a peer that is still there."""
+    """Whether bytes have arrived that were not read, from a peer that is still connected."""
     if sock.fileno() < 0:
         return False
     poll = select.poll()
--- a/stoatrouter/net/recorder.py
+++ b/stoatrouter/net/recorder.py
@@ -1,4 +1,4 @@
-"""Writes a sample of request heads to a file: in batches, and never more than the bound in two files."""
+"""Writes a sample of request heads to a file, in batches and within a bound of two files."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
 
 
 class Recorder:
-    """Records of one head. The file is `file`; when half of the bound is in it, it becomes `file.1`."""
+    """The recorder of one head. It writes to `file`, which becomes `file.1` at half of the bound."""
 
     def __init__(self, file: Path, most_bytes: int, sampler: Sampler) -> None:
         self.file, self.most, self.sampler = file, most_bytes // 2, sampler
@@ -27,6 +27,7 @@
         self.failing = False
 
     def take(self, given: Input, target: str, fields: Iterable[tuple[bytes, bytes]]) -> None:
+        """Record a request if it is one of the sample; beyond MOST_WAITING it is only counted."""
         line = self.sampler.take(given, target, fields)
         if line is None:
             return
@@ -36,6 +37,7 @@
         self.waiting.append(line)
 
     async def run(self) -> None:
+        """Write the records every WRITE_EVERY, and once more when cancelled."""
         try:
             while True:
                 await asyncio.sleep(WRITE_EVERY.total_seconds())
@@ -44,7 +46,7 @@
             self.write()
 
     def write(self) -> None:
-        """Append what waits. Guards serving against a disk that is full: it is said once, and heads go on."""
+        """Append the waiting records; the first of several failures is logged, and the head serves on."""
         lines, self.waiting = self.waiting, []
         if not lines:
             return
--- a/stoatrouter/net/state.py
+++ b/stoatrouter/net/state.py
@@ -1,4 +1,4 @@
-"""What processes of one head tell each other, and keep, as JSON."""
+"""The JSON form of state that processes of one head hand over or save."""
 
 from __future__ import annotations
 
@@ -12,6 +12,7 @@
 
 
 def write_administrative_state(administrative_state: AdministrativeState) -> dict[str, Any]:
+    """The administrative state as plain data; times in microseconds since the Unix epoch."""
     return {
         "out": {node: micros(at) for node, at in administrative_state.out.items()},
         "back": {node: [micros(a), micros(b)] for node, (a, b) in administrative_state.back.items()},
@@ -30,11 +31,12 @@
 
 
 def write_node(node: NodeInfo) -> list[Any]:
+    """A node as a list of plain data, which read_node reads."""
     return [node.id, node.address, node.shard, node.phase.name, node.zone, node.weight, micros(node.started)]
 
 
 def read_node(data: Any) -> NodeInfo:
-    """Read what write_node wrote; ValueError where it is anything else."""
+    """Read what write_node wrote; raises ValueError where it is anything else."""
     try:
         name, address, shard, phase, zone, weight, started = data
         return NodeInfo(
--- a/stoatrouter/net/state_file.py
+++ b/stoatrouter/net/state_file.py
@@ -1,4 +1,4 @@
-"""What a head keeps in $TMPDIR, which an upgrade's new process finds there."""
+"""The file in $TMPDIR that keeps the administrative state over restarts and upgrades."""
 
 from __future__ import annotations
 
@@ -13,13 +13,16 @@
 
 
 class AdministrativeStateFile:
-    """The file that holds the administrative state of the nodes; without a folder nothing is kept."""
+    """The file of the administrative state; without a folder nothing is saved."""
 
     def __init__(self, folder: str | None) -> None:
         self.path = Path(folder) / "stoatrouter-bricks.json" if folder else None
 
     def write(self, administrative_state: AdministrativeState) -> bool:
-        """Returns whether it is saved. The file is replaced whole: a process that dies here spoils none."""
+        """Save the state; returns whether that worked.
+
+        The file is replaced in one step, so that a process that dies here leaves the old one.
+        """
         if self.path is None:
             return True
         temporary = self.path.with_suffix(".new")
@@ -32,7 +35,7 @@
         return True
 
     def read(self) -> AdministrativeState:
-        """What was kept. Guards a start against a file that is spoilt: it is as none."""
+        """The saved state; an empty one where there is no file or it is unreadable."""
         if self.path is None or not self.path.exists():
             return AdministrativeState()
         try:
--- a/stoatrouter/net/succession.py
+++ b/stoatrouter/net/succession.py
@@ -1,7 +1,7 @@
-"""A new version under load: the new process and the old one meet over a Unix-domain socket in $TMPDIR.
+"""The protocol between two processes of one head, over a Unix-domain socket in $TMPDIR.
 
-The new one connects and asks; the old one stops accepting and tells all it knows in one line, then, line by
-line, what it still holds. The connection's end tells either that the other is gone.
+The new process connects and asks. The old one stops accepting and sends its state in one line, then, line by
+line, what it still holds. The end of the connection tells each that the other is gone.
 """
 
 from __future__ import annotations
@@ -30,13 +30,13 @@
 
 
 class Predecessor:
-    """The new process's side: the old process, for as long as it lives."""
+    """The previous process, as the new one sees it."""
 
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, state: State) -> None:
         self.reader, self.writer, self.state = reader, writer, state
 
     async def follow(self, on_holdings: Callable[[State], None]) -> None:
-        """Pass on what the old process still holds, and at its end that it holds nothing."""
+        """Report what the previous process still holds, and at its end that it holds nothing."""
         try:
             while line := await self.reader.readline():
                 on_holdings(json.loads(line))
@@ -53,14 +53,14 @@
 
 
 class Succession:
-    """Where the next process finds this one."""
+    """The socket at which the next process finds this one."""
 
     def __init__(self, folder: str | None) -> None:
         self.folder = folder
         self.server: asyncio.Server | None = None
 
     async def take_over(self) -> Predecessor | None:
-        """Ask the old process, if there is one, to hand over."""
+        """Ask the previous process to hand over; None where there is none or it does not answer."""
         if self.folder is None or not (Path(self.folder) / NAME).exists():
             return None
         try:
@@ -82,7 +82,7 @@
     async def listen(
         self, on_connection: Callable[[asyncio.StreamReader, asyncio.StreamWriter], Any]
     ) -> None:
-        """Be found by the next process from now on, in place of whoever was."""
+        """Listen for the next process, replacing the socket of the previous one."""
         if self.folder is None:
             return
         await self.close()
@@ -106,11 +106,13 @@
             )
 
     async def close(self) -> None:
+        """Stop listening for the next process."""
         if self.server is not None:
             self.server.close()
             self.server = None
 
 
 async def send_line(writer: asyncio.StreamWriter, state: State) -> None:
+    """Send a state as one line of JSON; raises OSError where the other process is gone."""
     writer.write(json.dumps(state).encode() + b"\n")
     await writer.drain()
--- a/stoatrouter/net/tables.py
+++ b/stoatrouter/net/tables.py
@@ -1,4 +1,4 @@
-"""Rule tables of a running head: loaded at its start, and again beside its requests on SIGHUP."""
+"""Rule tables of a running head: loaded at its start, and again on SIGHUP while it serves."""
 
 from __future__ import annotations
 
@@ -28,8 +28,10 @@
 
 
 async def in_thread(work: Callable[[], Done]) -> Done:
-    """The result of work in a thread of its own. Guards the end of a stopping head: an executor's threads
-    would be waited for, however long they still take."""
+    """The result of work in a daemon thread of its own.
+
+    An executor's threads would be waited for at the end of the process, however long they take.
+    """
     loop = asyncio.get_running_loop()
     result: asyncio.Future[Done] = loop.create_future()
 
@@ -52,7 +54,10 @@
 
 
 def without_long_pauses(work: Callable[[], Done]) -> Done:
-    """Do work that makes much, so that requests go on beside it."""
+    """Run work that creates many objects with short switches between threads and no garbage collection.
+
+    A collection would stop requests for up to a second. What is created is kept for good, so it is frozen.
+    """
     before = sys.getswitchinterval()
     sys.setswitchinterval(SWITCH.total_seconds())
     # Guards requests against standing still: looking for garbage in what is made takes a third of the time,
@@ -70,7 +75,7 @@
 
 
 class TableService:
-    """Puts tables in force, one at a time."""
+    """Loads tables and puts them in force, one at a time."""
 
     def __init__(self, tables: Tables, shadow: Tables | None, windows: dict[int, timedelta]) -> None:
         self.tables, self.shadow = tables, shadow
@@ -82,7 +87,7 @@
         self.managed = False  # the table comes from the heads' history, not from this head's files
 
     def log_in_force(self, table: Table, sources: Sources) -> Table:
-        """Say which table this is, and what in it is idle."""
+        """Log which table is in force, and its warnings; returns the table."""
         logger.info(
             "rules: table {epoch} with {rules} rules in {scopes} scopes is in force",
             event="rules.in_force",
@@ -95,7 +100,7 @@
         return table
 
     def reload(self) -> None:
-        """Read the files again, beside the requests. Asked again meanwhile, it does so once more after."""
+        """Load the files again while requests go on; a call during a reload causes one more."""
         if self.managed:
             logger.warning(
                 "rules: the files are not read, the table comes from the heads' history",
@@ -108,6 +113,7 @@
         self.reloading = asyncio.get_running_loop().create_task(self.load_again())
 
     async def load_again(self) -> None:
+        """Load the files in a thread and put the table in force; a refused one leaves the old in force."""
         self.reload_again = True
         while self.reload_again:
             self.reload_again = False
@@ -131,25 +137,25 @@
             self.matcher.put_in_shadow(shadow)
 
     def load(self) -> tuple[tuple[Table, Sources], Table | None]:
-        """Make the tables; once the head serves, in a thread of its own, so that requests go on."""
+        """Load the tables from their files; raises SettingsError."""
         return without_long_pauses(
             lambda: (self.tables.load(), self.shadow.load()[0] if self.shadow is not None else None)
         )
 
     async def compile(self, path: Path) -> Made:
-        """A table of other files, made beside the requests and put nowhere yet; raises SettingsError."""
+        """Compile a table of other files without putting it in force; raises SettingsError."""
         now = self.tables
         tables = Tables(path, now.words, now.environment, now.buckets, cache=now.cache)
         table, sources = await in_thread(lambda: without_long_pauses(tables.load))
         return tables, table, sources
 
     def put(self, made: Made) -> None:
-        """Put a table in force that was made before."""
+        """Put a compiled table in force."""
         self.tables, table, sources = made
         self.matcher.replace(self.log_in_force(table, sources))
 
     async def log_periodically(self) -> None:
-        """Say now and then where the table in shadow decides otherwise, and what was forgotten."""
+        """Log from time to time where the shadow table differs, and placements that were forgotten."""
         logged, forgotten = 0, 0
         while True:
             await asyncio.sleep(LOG_EVERY.total_seconds())
@@ -175,6 +181,7 @@
                 )
 
     async def close(self) -> None:
+        """Cancel a reload that is under way."""
         if self.reloading is not None:
             self.reloading.cancel()
             await asyncio.gather(self.reloading, return_exceptions=True)
