Split the tests of the object front: its client, uploads and rules apart

The client and the head of these tests are in tests/object_client.py, multipart uploads in tests/test_object_uploads.py, rule tables in tests/test_object_rules.py. Tests keep their names and bodies byte for byte.

Checked: the definitions of the files before and after are equal as text; the 1,574 collected ids are equal without their file names; make lint; these tests and tests/test_shutdown.py.

--- a/tests/test_objects.py
+++ b/tests/test_objects.py
@@ -3,16 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import hashlib
-import re
 from collections import Counter
 from datetime import timedelta
 
 import aiohttp
 import pytest
 
-from stoatrouter.config import ConfigError
 from stoatrouter.core import model
 from stoatrouter.fronts.objects import front, ranges
 from stoatrouter.fronts.objects.errors import ObjectError
@@ -20,88 +17,8 @@
 from stoatrouter.fronts.objects.settings import parse
 from stoatrouter.fronts.objects.tokens import Part, Tokens
 from stoatrouter.head import Head
-from tests.peers import HOST, Node, head_config, nodes_up, piece, run, told, until
-
-SECRET = b"a secret of at least thirty-two bytes"
-OPERATOR = {
-    "listen": f"{HOST}:0",
-    "read_class": "stats-export",
-    "write_class": "event-write",
-    "window": 3,
-    "buckets": {
-        "footage": {"volume": "00000000f0a70001", "plan": "premium", "hosts": 1},
-        "exports": {"volume": "00000000f0a70002", "plan": "basic", "hosts": 1},
-    },
-}
-BODY = bytes(i * 7 % 251 for i in range(3 * PAYLOAD + 1234))
-
-
-class Client:
-    """A client of the object API that counts the final answer of each call."""
-
-    def __init__(self, session: aiohttp.ClientSession, port: int, head: Head) -> None:
-        self.session, self.base, self.head = session, f"http://{HOST}:{port}", head
-        self.answers: Counter[str] = Counter()
-
-    async def call(self, method: str, path: str, body: bytes | None = None, **headers: str):
-        name = f"{len(self.answers)} {method} {path}"
-        self.answers[name] = 0
-        url = aiohttp.client.URL(self.base + path, encoded=True)
-        async with self.session.request(method, url, data=body, headers=headers) as response:
-            data = await response.read()
-            self.answers[name] += 1
-            return response.status, response.headers, data
-
-    async def initiate(self, path: str) -> str:
-        _, _, data = await self.call("POST", f"{path}?uploads", **{"Content-Type": "video/mp4"})
-        return re.search("<UploadId>(.*)</UploadId>", data.decode())[1]
-
-    async def part(self, path: str, upload: str, number: int, body: bytes) -> str:
-        """Upload a part; told to slow down, come back as any client does: with a new call."""
-        while True:
-            status, headers, data = await self.call(
-                "PUT", f"{path}?partNumber={number}&uploadId={upload}", body
-            )
-            if status == 200:
-                return headers["ETag"]
-            assert (status, error_code(data)) == (503, "SlowDown")
-            await asyncio.sleep(0.05)
-
-    async def complete(self, path: str, upload: str, etags: list[tuple[int, str]]):
-        listed = "".join(f"<Part><PartNumber>{n}</PartNumber><ETag>{e}</ETag></Part>" for n, e in etags)
-        return await self.call(
-            "POST",
-            f"{path}?uploadId={upload}",
-            f"<CompleteMultipartUpload>{listed}</CompleteMultipartUpload>".encode(),
-        )
-
-
-@contextlib.asynccontextmanager
-async def gateway(*nodes: Node, operator: dict | None = None):
-    """A head with the object front before these nodes, and a client of it."""
-    async with nodes_up(*nodes):
-        conf = head_config(*nodes)
-        head = Head(conf, parse({**OPERATOR, **(operator or {})}, SECRET, conf.settings, conf.shards))
-        await head.start()
-        async with aiohttp.ClientSession() as session:
-            try:
-                yield Client(session, head.objects.port, head)
-            finally:
-                await head.stop()
-
-
-def two() -> tuple[Node, Node]:
-    return Node("a", 0), Node("b", 1)
-
-
-def settled(client: Client) -> None:
-    """Each call had exactly one final answer, and nothing of it is left in the head."""
-    assert set(client.answers.values()) == {1}
-    assert not client.head.engine.waiting and not client.head.engine.attempts
-
-
-def error_code(data: bytes) -> str:
-    return re.search("<Code>(.*)</Code>", data.decode())[1]
+from tests.object_client import BODY, OPERATOR, SECRET, Client, error_code, gateway, settled, two
+from tests.peers import HOST, Node, head_config, piece, run
 
 
 # -- whole objects and ranges ----------------------------------------------------------------------------
@@ -258,38 +175,6 @@
     run(story())
 
 
-# -- multipart uploads -----------------------------------------------------------------------------------
-def test_parts_land_while_a_node_drains():
-    async def story():
-        a, b, c = Node("a", 0), Node("b", 1), Node("c", 1)
-        async with gateway(a, b) as client, nodes_up(c):
-            upload = await client.initiate("/footage/m")
-            parts = {n: bytes([n]) * (PAYLOAD + n) for n in range(1, 9)}
-            etags = [(1, await client.part("/footage/m", upload, 1, parts[1]))]
-            # b drains and turns away what is new, c takes over its shard; the head is told a little later
-            ran, c.pieces = b.ran.copy(), b.pieces
-            b.script.extend(["decline"] * 1000)
-            before = len(b.seen)
-            others = asyncio.create_task(
-                asyncio.wait_for(
-                    asyncio.gather(*(client.part("/footage/m", upload, n, parts[n]) for n in range(2, 9))), 20
-                )
-            )
-            await until(lambda: len(b.seen) > before)
-            client.head.watch.take(told(2, b.entry(lifecycle="DRAINING"), c.entry(), reset=False))
-            etags += list(zip(range(2, 9), await others, strict=True))
-            status, _, data = await client.complete("/footage/m", upload, etags)
-            assert status == 200, data
-            status, headers, data = await client.call("GET", "/footage/m")
-            assert (status, data) == (200, b"".join(parts.values()))
-            assert headers["Content-Type"] == "video/mp4" and headers["ETag"].endswith('-8"')
-            settled(client)
-            assert b.ran == ran and c.seen  # nothing ran on b once it drained
-            assert max((a.ran + b.ran + c.ran).values()) == 1
-
-    run(story())
-
-
 def test_a_client_that_waits_to_be_asked_for_its_body_is_asked():
     async def story():
         async with gateway(*two()) as client:
@@ -321,54 +206,6 @@
     run(story())
 
 
-def test_another_head_completes_what_one_began():
-    async def story():
-        nodes = two()
-        async with gateway(*nodes) as client:
-            upload = await client.initiate("/footage/m")
-            etag = await client.part("/footage/m", upload, 1, BODY)
-        async with gateway(*nodes) as client:  # a head that has just started and knows nothing
-            status, _, first = await client.complete("/footage/m", upload, [(1, etag)])
-            assert status == 200
-            status, _, again = await client.complete("/footage/m", upload, [(1, etag)])
-            assert (status, again) == (200, first)
-            assert (await client.call("GET", "/footage/m"))[2] == BODY
-            status, _, data = await client.call("PUT", f"/footage/m?partNumber=2&uploadId={upload}", b"x")
-            assert (status, error_code(data)) == (404, "NoSuchUpload")
-
-    run(story())
-
-
-def test_uploads_end_as_the_protocol_says():
-    async def story():
-        async with gateway(*two()) as client:
-            path, other = "/footage/m", "/footage/n"
-            upload, second = await client.initiate(path), await client.initiate(path)
-            one, two_ = [await client.part(path, upload, n, b"%d" % n) for n in (1, 2)]
-            foreign = await client.part(path, second, 1, b"1")
-
-            async def code(call):
-                status, _, data = await call
-                return status, error_code(data)
-
-            assert await code(client.complete(path, upload, [(2, two_), (1, one)])) == (
-                400,
-                "InvalidPartOrder",
-            )
-            assert await code(client.complete(path, upload, [(1, foreign)])) == (400, "InvalidPart")
-            assert await code(client.complete(path, upload, [(3, one)])) == (400, "InvalidPart")
-            assert await code(client.complete(path, upload, [(1, "AAAA")])) == (400, "InvalidPart")
-            assert await code(client.complete(path, upload, [])) == (400, "MalformedXML")
-            assert await code(client.complete(path, "made-up", [(1, one)])) == (404, "NoSuchUpload")
-            assert await code(client.complete(other, upload, [(1, one)])) == (404, "NoSuchUpload")
-            assert (await client.call("DELETE", f"{path}?uploadId={upload}"))[0] == 204
-            assert await code(client.complete(path, upload, [(1, one)])) == (404, "NoSuchUpload")
-            assert await code(client.call("GET", path)) == (404, "NoSuchKey")
-            settled(client)
-
-    run(story())
-
-
 # -- refusals, limits, what is not served ----------------------------------------------------------------
 def test_a_basic_volume_stays_within_its_limit_and_is_told_when_to_come_back():
     async def story():
@@ -490,60 +327,3 @@
     changed = ("B" if etag[0] == "A" else "A") + etag[1:]
     assert tokens.read_part(upload, changed) is None and tokens.read_part(upload, "") is None
     assert tokens.is_upload("bucket", "key", upload) and not tokens.is_upload("bucke", "tkey", upload)
-
-
-# -- rules ------------------------------------------------------------------------------------------------
-def object_rules(folder, rules):
-    (folder / "rules.cue").write_text(
-        'scopes: archive: {hosts: ["*"], paths: ["/footage/", "/exports/"], plans: ["basic", "premium"], '
-        'classes: ["score-read", "stats-export", "event-write"], volumes: ["*"], rules: [' + rules + "]}"
-    )
-    return {"rules": "rules.cue", "folder": folder}
-
-
-READ = '{name: "live", when: #"request.method in ["GET", "HEAD"] && object.key.startsWith("live/")"#, class: "score-read"}'
-WRITE = (
-    '{name: "match", when: #"object.operation == "write" && object.bucket == "footage""#, class: "event-write", '
-    'key: expr: "hash(object.key)", deadline: "2s"}'
-)
-BANNED = '{name: "none", when: #"request.method == "PUT" && object.key.startsWith("old/")"#, refuse: {status: 403, reason: "old"}}'
-
-
-def test_rules_give_calls_their_class_and_place_and_a_reload_loses_no_object(tmp_path):
-    async def story():
-        nodes = two()
-        operator = object_rules(tmp_path, ", ".join((BANNED, READ, WRITE)))
-        async with gateway(*nodes, operator=operator) as client:
-            assert (await client.call("PUT", "/footage/live/a", BODY))[0] == 200
-            new = [n for n in nodes if sum(size > 60_000 for _, _, _, size in n.seen) == 3]
-            assert len(new) == 1  # all full pieces lie where the rule's key says
-            for node in nodes:
-                node.seen.clear()
-            assert (await client.call("GET", "/footage/live/a"))[2] == BODY
-            assert {t.split("/")[1] for n in nodes for _, t, _, _ in n.seen} == {"score-read"}
-            assert error_code((await client.call("PUT", "/footage/old/x", b"1"))[2]) == "AccessDenied"
-            object_rules(tmp_path, READ)
-            client.head.tables[0].reload()
-            await client.head.tables[0].reloading
-            assert (await client.call("GET", "/footage/live/a"))[2] == BODY  # its place never was the table's
-            assert (await client.call("PUT", "/footage/old/x", b"1"))[0] == 200
-            settled(client)
-
-    run(story())
-
-
-@pytest.mark.parametrize(
-    ("rules", "what"),
-    [
-        (WRITE[:-1] + ', plan: "basic"}', "a volume has one plan"),  # the bucket's file says premium
-        (WRITE[:-1] + ", units: 3}", "an object's pieces have their own units"),
-        (WRITE[:-1] + ', volume: "00000000f0a70001"}', "an object's pieces have their own volume"),
-    ],
-)
-def test_rules_that_an_object_front_cannot_have_are_refused(tmp_path, rules, what):
-    async def story():
-        async with gateway(operator=object_rules(tmp_path, rules)):
-            pass
-
-    with pytest.raises(ConfigError, match=what):
-        run(story())
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -15,9 +15,9 @@
 from stoatrouter.net import presence
 from tests.agent import Agent, agent_up
 from tests.heads.processes import end_with_parent
+from tests.object_client import BODY, gateway
 from tests.peers import HOST, Node, config_data, nodes_up, run, told, until
 from tests.test_network import HEADERS, PATH
-from tests.test_objects import BODY, gateway
 from tests.test_program import ROOT, free_port, program, read
 
 LARGE = 3 * 1024 * 1024
