Split the tests of the network code: the watch of discovery apart

The watch is tested in tests/test_discovery.py; requests and the head, which eight other files used from there, are in tests/platform_client.py. Tests keep their names and bodies byte for byte.

--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -17,8 +17,8 @@
 from stoatrouter.net.bodies import NoRoom, Room, TooLarge
 from stoatrouter.net.discovery import read_node
 from tests.peers import HOST, Node, run, until
+from tests.platform_client import HEADERS, PATH, started
 from tests.test_clients import GOOD, PUT, exchange
-from tests.test_network import HEADERS, PATH, started
 
 BODY = bytes(range(256)) * 1200  # 300 KiB
 KEY = PATH.split("/", 2)[2]
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -13,7 +13,7 @@
 from stoatrouter.head import busy_pressed
 from stoatrouter.net import bodies, clients
 from tests.peers import HOST, Node, run, until
-from tests.test_network import HEADERS, PATH, WRITE, started
+from tests.platform_client import HEADERS, PATH, WRITE, started
 
 HEAD = "\r\n".join(f"{name}: {value}" for name, value in HEADERS.items()) + "\r\n"
 GOOD = f"GET {PATH} HTTP/1.1\r\nHost: h\r\n{HEAD}\r\n".encode()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -24,9 +24,9 @@
 from stoatrouter.net.clients import State
 from stoatrouter.net.nodes import NodeClient
 from tests.peers import HOST, SETTINGS, Node, config_data, head_config, nodes_up, run, told, until
+from tests.platform_client import HEADERS, PATH, WRITE, attempt, started
 from tests.scheduler_driver import MS as MS_
 from tests.scheduler_driver import SECOND, SchedulerDriver
-from tests.test_network import HEADERS, PATH, WRITE, attempt, started
 from tests.test_program import program, read
 
 
--- a/tests/test_list_and_descriptors.py
+++ b/tests/test_list_and_descriptors.py
@@ -37,7 +37,7 @@
     told,
     until,
 )
-from tests.test_network import HEADERS, PATH
+from tests.platform_client import HEADERS, PATH
 from tests.test_program import ROOT, ready
 
 AT_ONCE = replace(
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -10,7 +10,7 @@
 from stoatrouter.management.calls import MOST_CALLERS
 from stoatrouter.net import listener
 from tests.peers import HOST, Node, run, until
-from tests.test_network import HEADERS, PATH, WRITE, started
+from tests.platform_client import HEADERS, PATH, WRITE, started
 
 READY = "/control/ready"
 
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -12,7 +12,7 @@
 from cypressworks.interface import Outcome
 from stoatrouter.net.nodes import NodeClient
 from tests.peers import HOST, run, until
-from tests.test_network import attempt
+from tests.platform_client import attempt
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
 REST = timedelta(milliseconds=100)
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -17,7 +17,7 @@
 from tests.heads.processes import end_with_parent
 from tests.object_client import BODY, gateway
 from tests.peers import HOST, Node, config_data, nodes_up, run, told, until
-from tests.test_network import HEADERS, PATH
+from tests.platform_client import HEADERS, PATH
 from tests.test_program import ROOT, free_port, program, read
 
 LARGE = 3 * 1024 * 1024
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -21,8 +21,8 @@
 from stoatrouter.net.state_file import AdministrativeStateFile
 from stoatrouter.net.succession import Succession
 from tests.peers import HOST, Discovery, Node, config_data, listening, nodes_up, run, told, until
+from tests.platform_client import started
 from tests.scheduler_driver import CLASSES, PLAN, READ
-from tests.test_network import started
 from tests.test_program import PATH, ROOT, free_port, read
 
 LIMITED = api.Plan("limited", usual_rate=5, reserve=1, share=1, limit=20, burst=40, tolerance=4)
