Split the tests of matching: reading of requests and the matcher apart

How requests are read is tested in tests/test_request_reading.py, repeats and shadow tables in tests/test_matcher.py; the tables that they make are in tests/matching_tables.py. Tests keep their names and bodies byte for byte.

Checked: the definitions of the files before and after are equal as text; the 1,574 collected ids are equal without their file names; make lint; these tests.

--- a/tests/test_matching.py
+++ b/tests/test_matching.py
@@ -1,12 +1,11 @@
-"""Rule tables: how requests are read, which rule wins, what is refused at load, and repeats across reloads."""
+"""Rule tables: which rule wins, what is refused at load, and the files they are read from."""
 
 from __future__ import annotations
 
-from datetime import timedelta
 from pathlib import Path
 
 import pytest
-from hypothesis import HealthCheck, given, settings
+from hypothesis import given
 from hypothesis import strategies as st
 
 from stoatrouter.expressions import parse
@@ -15,120 +14,11 @@
 from stoatrouter.matching.conjuncts import condition
 from stoatrouter.matching.coverage import Coverage
 from stoatrouter.matching.files import Tables
-from stoatrouter.matching.inputs import HTTP, Unreadable, read_input
-from stoatrouter.matching.matcher import Matcher
-from stoatrouter.matching.placements import Placements
-from stoatrouter.matching.records import Otherwise, Rule, Rules, Scope
-from stoatrouter.matching.table import Decision, Loader, Refusal, TableError
+from stoatrouter.matching.records import Scope
+from stoatrouter.matching.table import TableError
 from stoatrouter.settings import SettingsError
-from tests.rules import APP, FEED, OPERATOR, READS, WORDS, write_rules
-
-DETERMINED = settings(
-    max_examples=300, deadline=None, derandomize=True, suppress_health_check=list(HealthCheck)
-)
-EVERYTHING = Scope(
-    ("*",),
-    ("/",),
-    ("score-read", "event-write", "stats-export"),
-    ("basic", "premium"),
-    (FEED, APP),
-    1_000_000,
-)
-
-
-def ask(target="/feed/a", method="GET", fields=(), peer="10.0.0.1", **more):
-    return read_input(method, target, ((b"Host", b"scores.example"), *fields), peer, **more)
-
-
-def table(*rules, scope=EVERYTHING):
-    made = Rules({"all": scope}, Otherwise(404, "no rule matches"))
-    return Loader(WORDS).load(made, {"all": rules}, "epoch")
-
-
-def rule(name, when, **more):
-    given = {"request_class": "event-write", "plan": "basic", "volume": FEED, **more}
-    return Rule(name, when, **given)
-
-
-# -- how a request is read ----------------------------------------------------------------------------------
-READING = [
-    # target, fields, what is asked, what it is
-    ("/a%2Fb/c", (), "segments", ["a/b", "c"]),
-    ("/a%2fb/c", (), "path", "/a%2Fb/c"),
-    ("/%73cores", (), "path", "/scores"),
-    ("//a//", (), "segments", ["", "a", "", ""]),
-    ("/", (), "segments", []),
-    ("/a;b=c", (), "segments", ["a;b=c"]),
-    ("/caf%C3%A9", (), "segments", ["café"]),
-    ("/a?x=1&x=2&y", (), "query", {"x": "1", "y": ""}),
-    ("/a?x=a+b%20c%2B", (), "query", {"x": "a b c+"}),
-    ("/a?&&x=1&", (), "query", {"x": "1"}),
-    ("/a?=v", (), "query", {"": "v"}),
-    ("http://Other.Example:80/x", (), "host", "other.example"),
-    ("http://other.example?x=1", (), "path", "/"),
-    ("/a", ((b"X-EMPTY", b""),), "headers", {"host": "scores.example", "x-empty": ""}),
-    ("/a", ((b"x-a", b"1"), (b"X-A", b"2")), "headers", {"host": "scores.example", "x-a": "1, 2"}),
-    ("/a", ((b"x-a", b"\xff\xfe1"),), "headers", {"host": "scores.example", "x-a": "\ufffd\ufffd1"}),
-    ("/a", ((b"x-a", "é".encode()),), "headers", {"host": "scores.example", "x-a": "é"}),
-    ("/a", ((b"x-a", b"v" * 8192),), "headers", {"host": "scores.example", "x-a": "v" * 8192}),
-    ("/a", ((b"Cookie", b"a=1; b=2"), (b"Cookie", b"a=3; c")), "cookies", {"a": "1", "b": "2"}),
-]
-UNREADABLE = [
-    ("/a/../b", (), 400),
-    ("/a/./b", (), 400),
-    ("/a/%2e%2E/b", (), 400),
-    ("/a%00b", (), 400),
-    ("/a%0d%0a", (), 400),
-    ("/a%zz", (), 400),
-    ("/a%", (), 400),
-    ("/%ff", (), 400),
-    ("/a?x=%ff", (), 400),
-    ("/a?x=%q1", (), 400),
-    ("/" + "a" * 2048, (), 414),
-    ("/" + "a" * 256, (), 414),
-    ("/a" * 33, (), 414),
-    ("/a?" + "x" * 4097, (), 414),
-    ("/a?" + "x&" * 64, (), 414),
-    ("/a", ((b"x-a", b"v" * 8193),), 431),
-    ("/a b", (), 400),
-    ("*", (), 400),
-    ("/a", tuple((b"x-%d" % i, b"") for i in range(64)), 431),
-    ("/a", ((b"Host", b"other"),), 400),
-    ("/a", tuple((b"x-a", b"v" * 200) for _ in range(50)), 431),
-    ("/a", ((b"Cookie", b"a=1;" * 65),), 431),
-    ("http://a b/x", (), 400),
-    ("http://h@x/y", (), 400),
-    ("ftp://x/y", (), 400),
-    ("/é", (), 400),
-]
-
-
-@pytest.mark.parametrize(("target", "fields", "name", "value"), READING)
-def test_reading(target, fields, name, value):
-    assert getattr(ask(target, fields=fields), name) == value
-
-
-@pytest.mark.parametrize(("target", "fields", "status"), UNREADABLE)
-def test_what_has_two_readings_or_is_too_large_is_refused_before_rules(target, fields, status):
-    with pytest.raises(Unreadable) as refusal:
-        ask(target, fields=fields)
-    assert refusal.value.status == status and str(refusal.value)
-
-
-@DETERMINED
-@given(st.binary(max_size=60), st.lists(st.tuples(st.binary(max_size=8), st.binary(max_size=20)), max_size=4))
-def test_any_bytes_are_read_or_refused(target, fields):
-    try:
-        given = read_input("GET", "/" + target.decode("latin-1"), tuple(fields), "10.0.0.1")
-    except Unreadable as error:
-        assert 400 <= error.status < 500
-        return
-    # whatever an expression may ask for is there, and within the bounds that costs come from
-    for variable in HTTP.variables.values():
-        value = getattr(given, variable.attribute)
-        if isinstance(value, str | list | dict):
-            assert len(value) <= variable.bound.length
-
+from tests.matching_tables import DETERMINED, ask, computed, rule, table
+from tests.rules import FEED, OPERATOR, READS, WORDS, write_rules
 
 # -- which rule wins ----------------------------------------------------------------------------------------
 CONJUNCTS = [
@@ -256,12 +146,6 @@
     assert what in str(refusal.value) and "scopes.all.rules[0]" in str(refusal.value)
 
 
-def computed(expr):
-    from stoatrouter.matching.records import Computed
-
-    return Computed(expr)
-
-
 @pytest.mark.parametrize(
     ("expr", "fine"),
     [
@@ -340,63 +224,6 @@
     assert again.decide(ask()) == first.decide(ask())
 
 
-# -- repeats and shadows ------------------------------------------------------------------------------------
-T0 = timedelta(seconds=1000)
-
-
-def placed(matcher, at, key="k", **more):
-    return matcher.decide(ask(method="PUT", **more), T0 + timedelta(seconds=at), key)
-
-
-def test_a_repeat_after_a_reload_keeps_its_place():
-    old = table(rule("old", "true", key=computed("hash(request.path)"), shard=0))
-    new = table(rule("new", "true", key=computed('hash("other" + request.path)'), shard=1, volume=APP))
-    matcher = Matcher(old, {1: timedelta(seconds=5)})
-    first = placed(matcher, 0)
-    matcher.replace(new)
-    assert placed(matcher, 4) == first  # the repeat goes where nodes know it
-    assert placed(matcher, 8.9) == first  # and renews the window, as the nodes do
-    assert placed(matcher, 14).shard == 1  # a new request, by the new table
-    assert placed(matcher, 0, key="other").volume == APP
-
-
-def test_a_repeat_is_placed_even_where_the_new_table_refuses_it():
-    from stoatrouter.matching.records import Refusal as Says
-
-    matcher = Matcher(table(rule("old", "true")), {1: timedelta(seconds=5)})
-    first = placed(matcher, 0)
-    matcher.replace(table(Rule("none", "true", refuse=Says(403, "closed"))))
-    assert placed(matcher, 1) == first and placed(matcher, 1, key="k2") == Refusal(
-        403, "closed", "all", "none"
-    )
-
-
-def test_a_key_of_another_request_is_refused():
-    matcher = Matcher(table(rule("r", "true")), {1: timedelta(seconds=5)})
-    placed(matcher, 0)
-    assert placed(matcher, 1, target="/feed/a?x=1").status == 422
-    assert isinstance(placed(matcher, 1, target="/feed/b"), Decision)  # another path has keys of its own
-
-
-def test_placements_are_bounded_and_what_is_forgotten_is_counted():
-    kept, decision = Placements(most=10), table(rule("r", "true")).decide(ask())
-    for i in range(25):
-        kept.keep(("h", "/", str(i)), decision, 0, T0, timedelta(seconds=5))
-    assert len(kept.held) == 10 and kept.forgotten == 15
-    assert kept.find(("h", "/", "24"), 0, T0) == decision and kept.find(("h", "/", "3"), 0, T0) is None
-    kept.keep(("h", "/", "x"), decision, 0, T0 + timedelta(seconds=6), timedelta(seconds=5))
-    assert len(kept.held) == 1 and kept.forgotten == 15  # those whose time is over are not counted
-
-
-def test_a_shadow_decides_nothing_and_its_differences_are_counted_by_rule():
-    reads = rule("reads", 'request.method == "GET"', request_class="score-read")
-    matcher = Matcher(table(reads, rule("rest", "true")))
-    matcher.put_in_shadow(table(rule("all", "true")))
-    assert matcher.decide(ask(), T0).request_class == 0
-    assert matcher.decide(ask(method="PUT"), T0).request_class == 1
-    assert matcher.differences == {("all/reads", "all/all"): 1} and matcher.shadowed == 2
-
-
 def test_hostile_sources_in_a_table_are_flaws_with_a_place():
     with pytest.raises(TableError) as refusal:
         table(
