Split the rule table: vocabulary, decisions, flaws, cache, values and loader

It keeps the compiled table; the words that rules may use are in vocabulary.py, what a table decides in decisions.py, faults in flaws.py, what one load leaves for the next in cache.py, checks of yielded values in values.py (ValueChecker, the base of Loader), the rest of loading in loader.py. Imports point down: loader, values, cache, table, then the three records. No behaviour changes; functions moved unchanged.

--- a/stoatrouter/cli/rules.py
+++ b/stoatrouter/cli/rules.py
@@ -22,10 +22,11 @@
     wrong_data,
 )
 from stoatrouter.matching.conjuncts import PATH, PREFIX, Condition
+from stoatrouter.matching.decisions import Refusal
 from stoatrouter.matching.explain import Explanation, differences, explain, told
 from stoatrouter.matching.inputs import Input, Unreadable, read_input
 from stoatrouter.matching.samples import read_sample, read_samples
-from stoatrouter.matching.table import Compartment, Refusal, Table
+from stoatrouter.matching.table import Compartment, Table
 from stoatrouter.settings import SettingsError
 
 
--- a/stoatrouter/cli/words.py
+++ b/stoatrouter/cli/words.py
@@ -17,7 +17,8 @@
 from stoatrouter.matching.files import Files, Sources, Tables
 from stoatrouter.matching.inputs import HTTP, OBJECTS
 from stoatrouter.matching.records import Computed
-from stoatrouter.matching.table import Bucket, KnownClass, Table, Vocabulary
+from stoatrouter.matching.table import Table
+from stoatrouter.matching.vocabulary import Bucket, KnownClass, Vocabulary
 from stoatrouter.settings import SettingsError, Wrong
 
 FILE = click.Path(exists=True, dir_okay=False, path_type=Path)
--- a/stoatrouter/fronts/http/front.py
+++ b/stoatrouter/fronts/http/front.py
@@ -11,9 +11,9 @@
 from cypressworks import interface as api
 from stoatrouter.core import model
 from stoatrouter.fronts.exchange import BadRequest, Exchange, answer, last, retry_after
+from stoatrouter.matching.decisions import Decision, Refusal
 from stoatrouter.matching.inputs import Input, Unreadable, read_input
 from stoatrouter.matching.matcher import Matcher
-from stoatrouter.matching.table import Decision, Refusal
 from stoatrouter.net.bodies import NoRoom, Room, StoredBody
 from stoatrouter.net.engine import Engine
 from stoatrouter.net.listener import Drain
--- a/stoatrouter/fronts/http/settings.py
+++ b/stoatrouter/fronts/http/settings.py
@@ -10,7 +10,7 @@
 from cypressworks import interface as api
 from stoatrouter.config import Config, ConfigError, address
 from stoatrouter.core.spans import span
-from stoatrouter.matching.table import KnownClass, Vocabulary
+from stoatrouter.matching.vocabulary import KnownClass, Vocabulary
 from stoatrouter.settings import SettingsError, load
 
 
--- a/stoatrouter/fronts/wiring.py
+++ b/stoatrouter/fronts/wiring.py
@@ -11,7 +11,7 @@
 from stoatrouter.matching.files import Tables
 from stoatrouter.matching.inputs import HTTP, OBJECTS
 from stoatrouter.matching.samples import Sampler
-from stoatrouter.matching.table import Bucket
+from stoatrouter.matching.vocabulary import Bucket
 from stoatrouter.net.recorder import Recorder
 from stoatrouter.net.tables import TableService
 from stoatrouter.settings import SettingsError
--- a/stoatrouter/matching/explain.py
+++ b/stoatrouter/matching/explain.py
@@ -15,9 +15,10 @@
 from stoatrouter.expressions import types as t
 from stoatrouter.expressions.show import show
 from stoatrouter.matching.conjuncts import conjuncts
+from stoatrouter.matching.decisions import Decision, Refusal
 from stoatrouter.matching.inputs import Input
 from stoatrouter.matching.matcher import alike, named
-from stoatrouter.matching.table import Compartment, Compiled, Decision, Refusal, Table
+from stoatrouter.matching.table import Compartment, Compiled, Table
 
 MOST_EXAMPLES = 5  # requests that are kept of each difference
 
--- a/stoatrouter/matching/files.py
+++ b/stoatrouter/matching/files.py
@@ -8,9 +8,13 @@
 from pathlib import Path
 
 from stoatrouter.expressions.environment import Environment
+from stoatrouter.matching.cache import Cache
+from stoatrouter.matching.flaws import Flaw, TableError
 from stoatrouter.matching.inputs import HTTP
+from stoatrouter.matching.loader import Loader
 from stoatrouter.matching.records import Rule, Rules, Team
-from stoatrouter.matching.table import Bucket, Cache, Flaw, Loader, Table, TableError, Vocabulary
+from stoatrouter.matching.table import Table
+from stoatrouter.matching.vocabulary import Bucket, Vocabulary
 from stoatrouter.settings import Loaded, Place, SettingsError, Wrong, load
 
 RULES, TEAM = "rules.#Rules", "rules.#Team"
--- a/stoatrouter/matching/matcher.py
+++ b/stoatrouter/matching/matcher.py
@@ -10,9 +10,10 @@
 from datetime import timedelta
 
 from stoatrouter.expressions.runtime import stable_hash
+from stoatrouter.matching.decisions import Decision, Refusal
 from stoatrouter.matching.inputs import Input
 from stoatrouter.matching.placements import Conflict, Placements
-from stoatrouter.matching.table import Decision, Refusal, Table
+from stoatrouter.matching.table import Table
 
 MOST_DIFFERENCES = 1_000  # pairs of rules whose differences are counted apart
 
--- a/stoatrouter/matching/placements.py
+++ b/stoatrouter/matching/placements.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-from stoatrouter.matching.table import Decision
+from stoatrouter.matching.decisions import Decision
 
 MOST = 16_384  # keys held together; beyond, the oldest is forgotten and counted
 
--- a/tests/matching_tables.py
+++ b/tests/matching_tables.py
@@ -5,8 +5,8 @@
 from hypothesis import HealthCheck, settings
 
 from stoatrouter.matching.inputs import read_input
+from stoatrouter.matching.loader import Loader
 from stoatrouter.matching.records import Otherwise, Rule, Rules, Scope
-from stoatrouter.matching.table import Loader
 from tests.rules import APP, FEED, WORDS
 
 DETERMINED = settings(
--- a/tests/rules.py
+++ b/tests/rules.py
@@ -4,7 +4,7 @@
 
 from datetime import timedelta
 
-from stoatrouter.matching.table import KnownClass, Vocabulary
+from stoatrouter.matching.vocabulary import KnownClass, Vocabulary
 
 WORDS = Vocabulary(
     (
--- a/tests/test_matcher.py
+++ b/tests/test_matcher.py
@@ -4,10 +4,10 @@
 
 from datetime import timedelta
 
+from stoatrouter.matching.decisions import Decision, Refusal
 from stoatrouter.matching.matcher import Matcher
 from stoatrouter.matching.placements import Placements
 from stoatrouter.matching.records import Rule
-from stoatrouter.matching.table import Decision, Refusal
 from tests.matching_tables import ask, computed, rule, table
 from tests.rules import APP
 
--- a/tests/test_matching.py
+++ b/tests/test_matching.py
@@ -14,8 +14,8 @@
 from stoatrouter.matching.conjuncts import condition
 from stoatrouter.matching.coverage import Coverage
 from stoatrouter.matching.files import Tables
+from stoatrouter.matching.flaws import TableError
 from stoatrouter.matching.records import Scope
-from stoatrouter.matching.table import TableError
 from stoatrouter.settings import SettingsError
 from tests.matching_tables import DETERMINED, ask, computed, rule, table
 from tests.rules import FEED, OPERATOR, READS, WORDS, write_rules
