--- a/stoatrouter/settings/evaluate.py
+++ b/stoatrouter/settings/evaluate.py
@@ -1,169 +1,36 @@
-"""Unification of settings files with each other and with the schema that the program ships, by CUE's rules.
+"""Unification of settings files with each other and with the program's schema, by CUE's rules.
 
 As in CUE, a field's value is all that is said of it anywhere, taken together: a vertex collects conjuncts,
-each with the scope in which its names are looked up. Definitions (#Name) are closed: what they do not allow
-is wrong.
-Everything that is wrong is collected, with the place in the operator's file.
+each with the scope in which its names are looked up. Definitions (#Name) are closed: fields that they do not
+allow are faults. All faults are collected, with their places in the operator's files.
 """
 
 from __future__ import annotations
 
-import re
-from collections.abc import Iterable, Iterator, Mapping
-from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Any
+from collections.abc import Iterable, Iterator
+from typing import Any
 
 from stoatrouter.settings import syntax as s
-from stoatrouter.settings.constraints import KINDS, Constraints, kind_of
+from stoatrouter.settings.constraints import KINDS, kind_of
+from stoatrouter.settings.descriptions import described, found, said_by_operator, said_here
 from stoatrouter.settings.errors import Wrong
+from stoatrouter.settings.vertex import Allowed, Conjunct, Scope, Vertex
 
 DEEPEST = 60  # vertices below each other; deeper ones are a definition within itself
 MOST_ALTERNATIVES = 64  # combinations of alternatives that are tried for one field
 BUILT_IN = frozenset(KINDS)
-Label = str | int
 STRENGTH = ("", "!", "?")  # marks of a field: the strongest that is said holds
 
 
-@dataclass(slots=True, eq=False)
-class Scope:
-    """Where names are looked up: the struct that they stand in, and what is around it."""
-
-    up: Scope | None
-    vertex: Vertex
-    names: frozenset[str]
-    imports: Mapping[str, Vertex] = field(default_factory=dict)
-
-
-@dataclass(slots=True, frozen=True, eq=False)
-class Conjunct:
-    """One thing that is said of a value. `closers` are the definitions by which it is said."""
-
-    node: s.Node
-    scope: Scope
-    closers: frozenset[int] = frozenset()
-
-
-@dataclass(slots=True, eq=False)
-class Allowed:
-    """What a definition allows in a struct."""
-
-    labels: set[str] = field(default_factory=set)
-    patterns: list[tuple[s.Node, Scope]] = field(default_factory=list)
-    open: bool = False
-
-
-EMPTY: dict[str, type] = {
-    "arcs": dict,
-    "optional": dict,
-    "marks": dict,
-    "disjunctions": list,
-    "allowed": dict,
-    "patterns": list,
-    "lists": list,
-    "wrongs": list,
-}
-
-
-class Vertex:
-    """A field's value, from all that is said of it."""
-
-    __slots__ = (
-        "label",
-        "up",
-        "conjuncts",
-        "arcs",
-        "family",
-        "optional",
-        "marks",
-        "expanded",
-        "expanding",
-        "constraints",
-        "disjunctions",
-        "allowed",
-        "patterns",
-        "lists",
-        "wrongs",
-        "chosen",
-        "depth",
-    )
-
-    def __init__(self, label: Label, up: Vertex | None) -> None:
-        self.label, self.up = label, up
-        # all vertices of one evaluation: they refer to each other, and are let go together
-        self.family: list[Vertex] = [] if up is None else up.family
-        self.family.append(self)
-        if isinstance(label, int):
-            self.family = [self]  # an element of a list is let go once it has been taken out
-        self.depth = 0 if up is None else up.depth + 1
-        self.conjuncts: list[Conjunct] = []
-        self.constraints = Constraints()
-        self.expanded = self.expanding = False
-        self.chosen: Vertex | None = None
-
-    if TYPE_CHECKING:
-        arcs: dict[Label, Vertex]
-        optional: dict[Label, list[Conjunct]]  # said of fields that are not there so far
-        marks: dict[Label, str]
-        disjunctions: list[Conjunct]
-        allowed: dict[int, Allowed]
-        patterns: list[tuple[s.Pattern, Conjunct, Scope]]
-        lists: list[tuple[s.ListOf, Conjunct]]
-        wrongs: list[Wrong]
-
-    def __getattr__(self, name: str) -> Any:
-        # only called for a slot that is not filled yet: most vertices are scalars, and have none of these
-        made = EMPTY[name]()
-        setattr(self, name, made)
-        return made
-
-    @property
-    def path(self) -> str:
-        if self.up is None:
-            return ""
-        above = self.up.path
-        if isinstance(self.label, int):
-            return f"{above}[{self.label}]"
-        name = self.label if re.fullmatch(r"[#_]*[A-Za-z$][A-Za-z0-9_$]*", self.label) else f'"{self.label}"'
-        return f"{above}.{name}" if above else name
-
-    def arc(self, label: Label) -> Vertex:
-        made = self.arcs.get(label)
-        if made is None:
-            made = self.arcs[label] = Vertex(label, self)
-            made.conjuncts = self.optional.pop(label, made.conjuncts)
-        return made
-
-    def release(self) -> None:
-        """Let go of everything. Guards a serving head: what refers to itself would be left to the garbage
-        collector, which would stand still for a second after a large file."""
-        family, self.family = self.family, []
-        for vertex in family:
-            if vertex is not self and vertex.family is not family:
-                vertex.release()
-            vertex.up = vertex.chosen = None
-            vertex.conjuncts.clear()
-            for name in EMPTY:
-                if name != "wrongs":
-                    getattr(vertex, name).clear()
-            vertex.family = []
-
-    @property
-    def at(self) -> s.Place:
-        """Where the value stands: in an operator's file before the schema's."""
-        places = [c.node.at for c in self.conjuncts]
-        own = [p for p in places if not p.file.startswith("<")]
-        return (own or places or [s.Place("", 0)])[0]
-
-
 class Evaluation:
-    """One evaluation. Vertices are expanded when they are asked for."""
+    """One evaluation; vertices are expanded on demand."""
 
     def __init__(self) -> None:
         self.closings = 0
 
     # -- from conjuncts to arcs and constraints -----------------------------------------------------------
     def expand(self, vertex: Vertex) -> None:
-        """Work out what is said of a vertex itself; of its arcs only what is said of them from here."""
+        """Evaluate the conjuncts of a vertex; its fields get theirs, but are not expanded."""
         if vertex.expanded or vertex.expanding:
             return
         if vertex.depth > DEEPEST:
@@ -188,6 +55,7 @@
         vertex.expanded, vertex.expanding = True, False
 
     def take(self, vertex: Vertex, conjunct: Conjunct, waiting: list[Conjunct], seen: set[int]) -> None:
+        """Take one conjunct of a vertex; those that follow from it are appended to `waiting`."""
         node = conjunct.node
         match node:
             case s.Unified():
@@ -209,6 +77,7 @@
                 self.reference(vertex, node, conjunct, waiting, seen)
 
     def bound_operand(self, vertex: Vertex, node: s.BoundOf, conjunct: Conjunct) -> s.Atom | None:
+        """The operand of a bound; None, with a fault recorded, where it is no number or string."""
         if isinstance(node.operand, s.Atom):
             return node.operand
         if isinstance(node.operand, s.Reference):
@@ -221,6 +90,7 @@
         return None
 
     def struct(self, vertex: Vertex, node: s.Struct, conjunct: Conjunct) -> None:
+        """Take a struct: its fields, its patterns, and what it allows in closed definitions."""
         vertex.constraints.kind("struct", node.at, vertex.wrongs, vertex)
         scope = Scope(conjunct.scope, vertex, frozenset(f.label for f in node.fields), conjunct.scope.imports)
         for given in node.fields:
@@ -241,6 +111,7 @@
     def reference(
         self, vertex: Vertex, node: s.Reference, conjunct: Conjunct, waiting: list[Conjunct], seen: set[int]
     ) -> None:
+        """Follow a reference: append the conjuncts of what it names to `waiting`."""
         found = self.resolve(vertex, node, conjunct.scope)
         if found is None:
             return
@@ -257,7 +128,7 @@
         waiting += [Conjunct(c.node, c.scope, c.closers | closers) for c in found.conjuncts]
 
     def resolve(self, vertex: Vertex, node: s.Reference, scope: Scope) -> Vertex | str | None:
-        """What a name stands for: a vertex, or a built-in kind."""
+        """What a name refers to: a vertex, or the name of a built-in kind; None with a fault recorded."""
         at: Scope | None = scope
         while at is not None and node.name not in at.names:
             at = at.up
@@ -286,7 +157,7 @@
         return found
 
     def elements(self, vertex: Vertex) -> None:
-        """Lists, element by element."""
+        """Combine the lists of a vertex, element by element."""
         if not vertex.lists:
             return
         longest = max(len(node.items) for node, _ in vertex.lists)
@@ -306,7 +177,7 @@
                 vertex.marks[i] = ""
 
     def by_pattern(self, vertex: Vertex) -> None:
-        """What patterns say of the fields whose names they match."""
+        """Add to fields the conjuncts of the patterns that their names match."""
         for pattern, conjunct, scope in vertex.patterns:
             for label, arc in vertex.arcs.items():
                 if (
@@ -326,7 +197,7 @@
         return fits
 
     def closed(self, vertex: Vertex) -> None:
-        """Fields that a definition does not allow."""
+        """Record faults for fields that a closed definition does not allow."""
         for label, arc in vertex.arcs.items():
             if not isinstance(label, str) or label[:1] in "#_" or vertex.marks.get(label) == "?":
                 continue
@@ -343,7 +214,7 @@
 
     # -- alternatives -------------------------------------------------------------------------------------
     def choose(self, vertex: Vertex) -> Vertex:
-        """The vertex with its alternatives decided: the one that fits, or of several the default."""
+        """The vertex with its alternatives decided: the one that fits, or the default of several."""
         if vertex.chosen is not None:
             return vertex.chosen
         self.expand(vertex)
@@ -383,7 +254,7 @@
         return vertex.chosen
 
     def combinations(self, vertex: Vertex) -> Iterator[tuple[bool, Vertex]]:
-        """The vertex with each alternative, and whether defaults alone were taken."""
+        """The vertex with each combination of alternatives, and whether it has defaults alone."""
         pending: list[tuple[bool, list[Conjunct]]] = [(True, [])]
         for conjunct in vertex.disjunctions:
             node = conjunct.node
@@ -405,12 +276,12 @@
             yield is_default, self.choose(made)
 
     def plausible(self, vertex: Vertex, part: s.Node) -> bool:
-        """Whether an alternative may fit, by its kind alone: most do not, and need not be tried."""
+        """Whether an alternative may fit by its kind; most do not, and need not be tried."""
         kind = kind_of(part)
         return kind is None or vertex.constraints.may_be(kind)
 
     def without_disjunctions(self, vertex: Vertex) -> list[Conjunct]:
-        """All that is said of a vertex but its alternatives, with references followed."""
+        """All conjuncts of a vertex except alternatives, with references followed."""
         kept: list[Conjunct] = []
         waiting, seen = list(vertex.conjuncts), {id(vertex)}
         while waiting:
@@ -424,7 +295,10 @@
         return kept
 
     def unfit(self, vertex: Vertex) -> list[Wrong]:
-        """No alternative fits: said for the one that is nearest, where one is wrong further down alone."""
+        """The faults where no alternative fits.
+
+        Those of the nearest alternative, where only one is wrong further down alone.
+        """
         near = [self.all_wrongs(made) for _, made in self.combinations(vertex)]
         deeper = [wrongs for wrongs in near if all(wrong.path != vertex.path for wrong in wrongs)]
         if len(deeper) == 1:
@@ -433,7 +307,7 @@
 
     # -- what is wrong, and what comes out ----------------------------------------------------------------
     def all_wrongs(self, vertex: Vertex) -> list[Wrong]:
-        """Everything that is wrong with a vertex and below it."""
+        """All faults of a vertex and below it."""
         made = self.choose(vertex)
         wrongs = [*vertex.wrongs, *(made.wrongs if made is not vertex else ())]
         if made.constraints.is_struct or made.lists:
@@ -454,8 +328,10 @@
         return wrongs
 
     def finish(self, vertex: Vertex, places: dict[str, s.Place]) -> tuple[list[Wrong], Any]:
-        """Everything that is wrong with a vertex, and its plain data where nothing is. Elements of lists are
-        let go one by one: a file of many rules needs the memory of one."""
+        """All faults of a vertex, and its plain data where there are none.
+
+        Elements of lists are released one by one, so that a file of many rules needs the memory of one.
+        """
         made = self.choose(vertex)
         wrongs = [*vertex.wrongs, *(made.wrongs if made is not vertex else ())]
         places[vertex.path] = vertex.at
@@ -480,7 +356,7 @@
         return wrongs, fields
 
     def export(self, vertex: Vertex, places: dict[str, s.Place]) -> Any:
-        """The plain data of a vertex in which nothing is wrong; fills in where each path stands."""
+        """The plain data of a vertex without faults; fills in the place of each path."""
         made = self.choose(vertex)
         places[vertex.path] = vertex.at
         if made.constraints.is_struct:
@@ -497,62 +373,12 @@
 
 
 def plain(evaluation: Evaluation, vertex: Vertex) -> Any:
+    """The plain data of a vertex in which nothing is wrong."""
     return evaluation.export(vertex, {})
 
 
-def said_by_operator(conjunct: Conjunct) -> bool:
-    return not conjunct.node.at.file.startswith("<")
-
-
-def said_here(vertex: Vertex) -> bool:
-    return any(said_by_operator(c) for c in vertex.conjuncts)
-
-
-def found(vertex: Vertex) -> str:
-    """What an operator's file says of a vertex."""
-    said = [written(c.node) for c in vertex.conjuncts if said_by_operator(c)]
-    return " & ".join(said) or "nothing"
-
-
-def described(vertex: Vertex) -> str:
-    """What the schema allows, as it is written there; what an operator said where there is no schema."""
-    said = [c.node for c in vertex.conjuncts if not said_by_operator(c)] or [c.node for c in vertex.conjuncts]
-    return " & ".join(dict.fromkeys(map(written, said))) or "anything"
-
-
-def written(node: s.Node) -> str:
-    """A node as text, cut where it is long."""
-    match node:
-        case s.Atom():
-            text = json_text(node.value)
-        case s.Reference():
-            text = ".".join((node.name, *node.path))
-        case s.BoundOf():
-            text = f"{node.operator}{written(node.operand)}"
-        case s.Unified():
-            text = " & ".join(map(written, node.parts))
-        case s.Disjunction():
-            text = " | ".join(("*" if default else "") + written(part) for default, part in node.parts)
-        case s.ListOf():
-            inner = [written(item) for item in node.items] + (
-                [f"...{written(node.rest) if node.rest else ''}"] if node.open else []
-            )
-            text = f"[{', '.join(inner)}]"
-        case s.Struct():
-            text = "{" + ", ".join(f"{f.label}{f.mark}: {written(f.value)}" for f in node.fields) + "}"
-        case _:
-            text = "..."
-    return text if len(text) <= 120 else text[:117] + "..."
-
-
-def json_text(value: Any) -> str:
-    import json
-
-    return json.dumps(value, ensure_ascii=False)
-
-
 def evaluated(structs: Iterable[Conjunct]) -> tuple[Evaluation, Vertex]:
-    """A vertex of several structs taken together."""
+    """A vertex that unifies several structs, and its evaluation."""
     evaluation, vertex = Evaluation(), Vertex("", None)
     vertex.conjuncts = list(structs)
     return evaluation, vertex
--- a/stoatrouter/settings/load.py
+++ b/stoatrouter/settings/load.py
@@ -13,8 +13,9 @@
 
 from stoatrouter.settings import syntax as s
 from stoatrouter.settings.errors import SettingsError, Wrong
-from stoatrouter.settings.evaluate import Conjunct, Evaluation, Scope, Vertex
+from stoatrouter.settings.evaluate import Evaluation
 from stoatrouter.settings.parser import parse
+from stoatrouter.settings.vertex import Conjunct, Scope, Vertex
 
 Record = TypeVar("Record")
 SCHEMAS = Path(__file__).parent / "schemas"
--- /dev/null
+++ b/stoatrouter/settings/vertex.py
@@ -0,0 +1,150 @@
+"""The values of an evaluation: what is said of each field, and in which scope."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+from stoatrouter.settings import syntax as s
+from stoatrouter.settings.constraints import Constraints
+from stoatrouter.settings.errors import Wrong
+
+Label = str | int
+
+
+@dataclass(slots=True, eq=False)
+class Scope:
+    """Where names are looked up: a struct, and the scopes around it."""
+
+    up: Scope | None
+    vertex: Vertex
+    names: frozenset[str]
+    imports: Mapping[str, Vertex] = field(default_factory=dict)
+
+
+@dataclass(slots=True, frozen=True, eq=False)
+class Conjunct:
+    """One constraint on a value; `closers` are the definitions that it comes from."""
+
+    node: s.Node
+    scope: Scope
+    closers: frozenset[int] = frozenset()
+
+
+@dataclass(slots=True, eq=False)
+class Allowed:
+    """What a definition allows in a struct."""
+
+    labels: set[str] = field(default_factory=set)
+    patterns: list[tuple[s.Node, Scope]] = field(default_factory=list)
+    open: bool = False
+
+
+EMPTY: dict[str, type] = {
+    "arcs": dict,
+    "optional": dict,
+    "marks": dict,
+    "disjunctions": list,
+    "allowed": dict,
+    "patterns": list,
+    "lists": list,
+    "wrongs": list,
+}
+
+
+class Vertex:
+    """The value of a field, made of all conjuncts on it."""
+
+    __slots__ = (
+        "label",
+        "up",
+        "conjuncts",
+        "arcs",
+        "family",
+        "optional",
+        "marks",
+        "expanded",
+        "expanding",
+        "constraints",
+        "disjunctions",
+        "allowed",
+        "patterns",
+        "lists",
+        "wrongs",
+        "chosen",
+        "depth",
+    )
+
+    def __init__(self, label: Label, up: Vertex | None) -> None:
+        self.label, self.up = label, up
+        # all vertices of one evaluation: they refer to each other, and are let go together
+        self.family: list[Vertex] = [] if up is None else up.family
+        self.family.append(self)
+        if isinstance(label, int):
+            self.family = [self]  # an element of a list is let go once it has been taken out
+        self.depth = 0 if up is None else up.depth + 1
+        self.conjuncts: list[Conjunct] = []
+        self.constraints = Constraints()
+        self.expanded = self.expanding = False
+        self.chosen: Vertex | None = None
+
+    if TYPE_CHECKING:
+        arcs: dict[Label, Vertex]
+        optional: dict[Label, list[Conjunct]]  # said of fields that are not there so far
+        marks: dict[Label, str]
+        disjunctions: list[Conjunct]
+        allowed: dict[int, Allowed]
+        patterns: list[tuple[s.Pattern, Conjunct, Scope]]
+        lists: list[tuple[s.ListOf, Conjunct]]
+        wrongs: list[Wrong]
+
+    def __getattr__(self, name: str) -> Any:
+        # only called for a slot that is not filled yet: most vertices are scalars, and have none of these
+        made = EMPTY[name]()
+        setattr(self, name, made)
+        return made
+
+    @property
+    def path(self) -> str:
+        """The path of the field from the top of the file, such as `scopes.app.rules[2]`."""
+        if self.up is None:
+            return ""
+        above = self.up.path
+        if isinstance(self.label, int):
+            return f"{above}[{self.label}]"
+        name = self.label if re.fullmatch(r"[#_]*[A-Za-z$][A-Za-z0-9_$]*", self.label) else f'"{self.label}"'
+        return f"{above}.{name}" if above else name
+
+    def arc(self, label: Label) -> Vertex:
+        """The vertex of a field or element; it is created where it is not there yet."""
+        made = self.arcs.get(label)
+        if made is None:
+            made = self.arcs[label] = Vertex(label, self)
+            made.conjuncts = self.optional.pop(label, made.conjuncts)
+        return made
+
+    def release(self) -> None:
+        """Drop all references.
+
+        Vertices refer to each other and would be left to the garbage collector, which would stop a serving
+        head for a second after a large file.
+        """
+        family, self.family = self.family, []
+        for vertex in family:
+            if vertex is not self and vertex.family is not family:
+                vertex.release()
+            vertex.up = vertex.chosen = None
+            vertex.conjuncts.clear()
+            for name in EMPTY:
+                if name != "wrongs":
+                    getattr(vertex, name).clear()
+            vertex.family = []
+
+    @property
+    def at(self) -> s.Place:
+        """Where the value stands: in an operator's file if it does, else in the schema."""
+        places = [c.node.at for c in self.conjuncts]
+        own = [p for p in places if not p.file.startswith("<")]
+        return (own or places or [s.Place("", 0)])[0]
