Split the checker of expressions by the kinds of nodes that it checks

Typed nodes are in typed.py, what all checks share in checks.py (CheckerBase), literals, names and elements in lookups.py, optionals and macros in macros.py, operators in operators.py, calls of functions in calls.py; Checker is made of them. The seven modules have docstrings, and checker.py leaves the list of files without.

Checked: make lint; the syntax trees of all functions are equal before and after but for the new abstract CheckerBase.of and docstrings; tests/test_expressions.py, test_matching.py, test_request_reading.py and test_settings.py pass; 1,574 tests collected.

--- a/benchmarks/closures.py
+++ b/benchmarks/closures.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from stoatrouter.expressions import runtime
-from stoatrouter.expressions.checker import Checked, Typed
+from stoatrouter.expressions.typed import Checked, Typed
 
 Run = Callable[[Any], Any]
 COMPARE = {
--- a/stoatrouter/expressions/__init__.py
+++ b/stoatrouter/expressions/__init__.py
@@ -4,11 +4,12 @@
 What is kept of CEL, what is left out and where it is stricter: docs/expressions.md.
 """
 
-from stoatrouter.expressions.checker import Checked, check
+from stoatrouter.expressions.checker import check
 from stoatrouter.expressions.compiler import Program, compile_checked
 from stoatrouter.expressions.environment import Environment, Limits, Variable
 from stoatrouter.expressions.errors import ExpressionError, Problem
 from stoatrouter.expressions.parser import parse
+from stoatrouter.expressions.typed import Checked
 
 __all__ = [
     "Checked",
--- a/stoatrouter/expressions/compiler.py
+++ b/stoatrouter/expressions/compiler.py
@@ -14,7 +14,7 @@
 from stoatrouter.expressions import functions as fn
 from stoatrouter.expressions import runtime
 from stoatrouter.expressions import types as t
-from stoatrouter.expressions.checker import Checked, Typed
+from stoatrouter.expressions.typed import Checked, Typed
 
 INPUT = "r"  # the one argument; variables of macros get a prefix, so that they never meet it
 COMPARE: dict[str, type[ast.cmpop]] = {
