Name faults of settings and participants of the roster by what they are

SettingsError.wrongs, Wrong and all_wrongs become faults, Fault and all_faults; Sources.wrong becomes Sources.fault; Roster.here and not_here become participants and unknown_addresses. JSON keys, log events and their fields, and texts to operators stay.

--- a/benchmarks/fuzz_expressions.py
+++ b/benchmarks/fuzz_expressions.py
@@ -40,7 +40,7 @@
             try:
                 read(text)
             except SettingsError as error:
-                if not error.wrongs:
+                if not error.faults:
                     raise AssertionError("a refusal without a place") from error
 
     def one(data: bytes) -> None:
--- a/stoatrouter/cli/check.py
+++ b/stoatrouter/cli/check.py
@@ -9,8 +9,8 @@
 import click
 
 from stoatrouter import config
-from stoatrouter.cli.words import FILE, config_option, json_option, refused, table_of, wrong_data
-from stoatrouter.settings import Place, SettingsError, Wrong, load
+from stoatrouter.cli.words import FILE, config_option, fault_data, json_option, refused, table_of
+from stoatrouter.settings import Fault, Place, SettingsError, load
 from stoatrouter.settings.parser import parse
 
 KINDS = ("head", "http", "objects", "rules", "team")
@@ -36,9 +36,9 @@
     except SettingsError as error:
         sys.exit(refused(error, as_json))
     except config.ConfigError as error:
-        sys.exit(refused(SettingsError(Wrong(Place(str(file), 1), "", str(error))), as_json))
+        sys.exit(refused(SettingsError(Fault(Place(str(file), 1), "", str(error))), as_json))
     if as_json:
-        click.echo(json.dumps({"ok": True, "kind": kind, "warnings": [wrong_data(w) for w in checked]}))
+        click.echo(json.dumps({"ok": True, "kind": kind, "warnings": [fault_data(w) for w in checked]}))
     else:
         for warning in checked:
             click.echo(f"warning: {warning}", err=True)
@@ -70,12 +70,12 @@
     }[kind]
 
 
-def check_head(file: Path, conf: Path | None) -> list[Wrong]:
+def check_head(file: Path, conf: Path | None) -> list[Fault]:
     config.read({"NODE_CONFIG": str(file)}, {})
     return []
 
 
-def check_http(file: Path, conf: Path | None) -> list[Wrong]:
+def check_http(file: Path, conf: Path | None) -> list[Fault]:
     from stoatrouter.fronts.http.settings import HttpFile
 
     made = load(file, HttpFile, "http.#Http")
@@ -83,22 +83,22 @@
     return warnings + (check_rules(file.parent / made.record.shadow, conf) if made.record.shadow else [])
 
 
-def check_objects(file: Path, conf: Path | None) -> list[Wrong]:
+def check_objects(file: Path, conf: Path | None) -> list[Fault]:
     from stoatrouter.fronts.objects.settings import ObjectsFile
 
     made = load(file, ObjectsFile, "objects.#Objects")
     if made.record.rules is None:
         return []
     table, sources, _, _ = table_of(file.parent / made.record.rules, conf, file)
-    return [sources.wrong(flaw) for flaw in table.warnings]
+    return [sources.fault(flaw) for flaw in table.warnings]
 
 
-def check_rules(file: Path, conf: Path | None) -> list[Wrong]:
+def check_rules(file: Path, conf: Path | None) -> list[Fault]:
     table, sources, _, _ = table_of(file, conf)
-    return [sources.wrong(flaw) for flaw in table.warnings]
+    return [sources.fault(flaw) for flaw in table.warnings]
 
 
-def check_team(file: Path, conf: Path | None) -> list[Wrong]:
+def check_team(file: Path, conf: Path | None) -> list[Fault]:
     from stoatrouter.matching.files import TEAM
     from stoatrouter.matching.records import Team
 
--- a/stoatrouter/cli/rules.py
+++ b/stoatrouter/cli/rules.py
@@ -14,12 +14,12 @@
     FILE,
     Cannot,
     config_option,
+    fault_data,
     json_option,
     note_words,
     objects_option,
     refused,
     table_of,
-    wrong_data,
 )
 from stoatrouter.matching.conjuncts import PATH, PREFIX, Condition
 from stoatrouter.matching.decisions import Refusal
@@ -46,7 +46,7 @@
         table, sources, _, known = table_of(file, conf, objects)
     except SettingsError as error:
         sys.exit(refused(error, as_json))
-    warnings = [sources.wrong(flaw) for flaw in table.warnings]
+    warnings = [sources.fault(flaw) for flaw in table.warnings]
     if as_json:
         scopes = {
             n: {"rules": len(c.rules), "steps": c.worst, "most": c.scope.steps}
@@ -59,7 +59,7 @@
                     "epoch": table.epoch,
                     "scopes": scopes,
                     "words_checked": known,
-                    "warnings": [wrong_data(w) for w in warnings],
+                    "warnings": [fault_data(w) for w in warnings],
                 }
             )
         )
--- a/stoatrouter/cli/words.py
+++ b/stoatrouter/cli/words.py
@@ -19,7 +19,7 @@
 from stoatrouter.matching.records import Computed
 from stoatrouter.matching.table import Table
 from stoatrouter.matching.vocabulary import Bucket, KnownClass, Vocabulary
-from stoatrouter.settings import SettingsError, Wrong
+from stoatrouter.settings import Fault, SettingsError
 
 FILE = click.Path(exists=True, dir_okay=False, path_type=Path)
 config_option = click.option(
@@ -77,24 +77,24 @@
     return table, sources, environment, known
 
 
-def wrong_data(wrong: Wrong) -> dict[str, Any]:
+def fault_data(fault: Fault) -> dict[str, Any]:
     return {
-        "file": wrong.at.file,
-        "line": wrong.at.line,
-        "path": wrong.path,
-        "what": wrong.what,
-        "remedy": wrong.remedy,
+        "file": fault.at.file,
+        "line": fault.at.line,
+        "path": fault.path,
+        "what": fault.what,
+        "remedy": fault.remedy,
     }
 
 
 def refused(error: SettingsError, as_json: bool) -> int:
     """Say what is wrong with files; the exit code."""
     if as_json:
-        click.echo(json.dumps({"ok": False, "errors": [wrong_data(wrong) for wrong in error.wrongs]}))
+        click.echo(json.dumps({"ok": False, "errors": [fault_data(fault) for fault in error.faults]}))
     else:
-        for wrong in error.wrongs:
-            click.echo(str(wrong), err=True)
-        click.echo(f"{len(error.wrongs)} error{'s' if len(error.wrongs) != 1 else ''}", err=True)
+        for fault in error.faults:
+            click.echo(str(fault), err=True)
+        click.echo(f"{len(error.faults)} error{'s' if len(error.faults) != 1 else ''}", err=True)
     return 1
 
 
--- a/stoatrouter/matching/files.py
+++ b/stoatrouter/matching/files.py
@@ -15,7 +15,7 @@
 from stoatrouter.matching.records import Rule, Rules, Team
 from stoatrouter.matching.table import Table
 from stoatrouter.matching.vocabulary import Bucket, Vocabulary
-from stoatrouter.settings import Loaded, Place, SettingsError, Wrong, load
+from stoatrouter.settings import Fault, Loaded, Place, SettingsError, load
 
 RULES, TEAM = "rules.#Rules", "rules.#Team"
 
@@ -52,10 +52,10 @@
             return self.teams[parts[1]].place(parts[2])
         return self.operator.place(path)
 
-    def wrong(self, flaw: Flaw) -> Wrong:
+    def fault(self, flaw: Flaw) -> Fault:
         """A flaw with its file and line."""
         inner = f"{flaw.at}: " if flaw.at else ""
-        return Wrong(self.place(flaw.path), flaw.path, inner + flaw.what, flaw.remedy)
+        return Fault(self.place(flaw.path), flaw.path, inner + flaw.what, flaw.remedy)
 
 
 class Files:
@@ -67,21 +67,21 @@
     def read(self, path: Path) -> Sources:
         """Read an operator's rule file and the team files that it names; raises SettingsError."""
         operator: Loaded[Rules] = load(path, Rules, RULES)
-        wrongs: list[Wrong] = []
+        faults: list[Fault] = []
         teams: dict[str, Loaded[Team]] = {}
         for name, scope in operator.record.scopes.items():
             if scope.file is None:
                 continue
             at = operator.place(f"scopes.{name}.file")
             if scope.rules:
-                wrongs.append(Wrong(at, f"scopes.{name}", "it has rules and a file", "leave one of them out"))
+                faults.append(Fault(at, f"scopes.{name}", "it has rules and a file", "leave one of them out"))
             # Guards the operator's part: a team's file is read by itself and can say nothing of scopes.
             try:
                 teams[name] = self.team(path.parent / scope.file)
             except SettingsError as error:
-                wrongs += error.wrongs
-        if wrongs:
-            raise SettingsError(*wrongs)
+                faults += error.faults
+        if faults:
+            raise SettingsError(*faults)
         self.teams = {path: team for path, team in self.teams.items() if team in teams.values()}
         return Sources(operator, teams)
 
@@ -112,4 +112,4 @@
             loader = Loader(self.words, self.environment, self.cache, self.buckets)
             return loader.load(sources.operator.record, rules, sources.epoch), sources
         except TableError as error:
-            raise SettingsError(*(sources.wrong(flaw) for flaw in error.flaws)) from None
+            raise SettingsError(*(sources.fault(flaw) for flaw in error.flaws)) from None
--- a/stoatrouter/membership/detector.py
+++ b/stoatrouter/membership/detector.py
@@ -214,18 +214,18 @@
 
     def _next(self) -> str | None:
         """The next to be probed: each once a round, in an order drawn for it, so that none waits for long."""
-        here = set(self.roster.here(self.name))
+        participants = set(self.roster.participants(self.name))
         while self.order:
-            if (name := self.order.pop()) in here:
+            if (name := self.order.pop()) in participants:
                 return name
-        self.order = sorted(here)
+        self.order = sorted(participants)
         self.draws.shuffle(self.order)
         return self.order.pop() if self.order else None
 
     def _next_stranger(self) -> str | None:
         """The next address at which nobody is known to be: a head that starts, or comes back after a
         split."""
-        left = set(self.roster.not_here(self.peers))
+        left = set(self.roster.unknown_addresses(self.peers))
         while self.strangers:
             if (address := self.strangers.pop()) in left:
                 return address
@@ -236,8 +236,12 @@
     def _ask_others(self, probe: Probe) -> list[Effect]:
         if probe.name not in self.roster.addresses:
             return []
-        here = [n for n in self.roster.here(self.name, probe.name) if self.roster.status(n) is Status.ALIVE]
-        chosen = self.draws.sample(here, min(self.timing.others, len(here)))
+        participants = [
+            n
+            for n in self.roster.participants(self.name, probe.name)
+            if self.roster.status(n) is Status.ALIVE
+        ]
+        chosen = self.draws.sample(participants, min(self.timing.others, len(participants)))
         # and once more itself: at 20% loss that leaves 3 of 100 probes without an answer where 7 were
         again = self._send(self.roster.addresses[probe.name], Kind.PING, probe.number, told=probe.name)
         return [
@@ -353,8 +357,8 @@
         self.gone = True
         self.roster.held[self.name] = self.myself
         self.rumours.add(self.myself)
-        here = self.roster.here(self.name)
-        chosen = self.draws.sample(here, min(2 * self.timing.others, len(here)))
+        participants = self.roster.participants(self.name)
+        chosen = self.draws.sample(participants, min(2 * self.timing.others, len(participants)))
         return [
             SendTo(
                 self.roster.addresses[n],
--- a/stoatrouter/membership/roster.py
+++ b/stoatrouter/membership/roster.py
@@ -91,7 +91,7 @@
         news = self.held.get(name)
         return None if news is None else news.status
 
-    def here(self, *but: str) -> list[str]:
+    def participants(self, *but: str) -> list[str]:
         """The names of heads that take part and whose address is known, without those in `but`."""
         return sorted(
             n
@@ -103,7 +103,7 @@
         """How many heads take part, including this one."""
         return max(1, sum(news.status <= Status.SUSPECT for news in self.held.values()))
 
-    def not_here(self, addresses: Iterable[str]) -> list[str]:
+    def unknown_addresses(self, addresses: Iterable[str]) -> list[str]:
         """Those of the addresses at which no participating head is known."""
-        known = {self.addresses[name] for name in self.here()}
+        known = {self.addresses[name] for name in self.participants()}
         return [address for address in addresses if address not in known]
--- a/stoatrouter/net/tables.py
+++ b/stoatrouter/net/tables.py
@@ -96,7 +96,7 @@
             scopes=len(table.compartments),
         )
         for flaw in table.warnings[:MOST_LOGGED]:
-            logger.warning("rules: {warning}", event="rules.idle", warning=str(sources.wrong(flaw)))
+            logger.warning("rules: {warning}", event="rules.idle", warning=str(sources.fault(flaw)))
         return table
 
     def reload(self) -> None:
@@ -126,8 +126,8 @@
                     event="rules.refused",
                     epoch=self.matcher.table.epoch,
                 )
-                for wrong in error.wrongs[:MOST_LOGGED]:
-                    logger.error("rules: {wrong}", event="rules.wrong", wrong=str(wrong))
+                for fault in error.faults[:MOST_LOGGED]:
+                    logger.error("rules: {wrong}", event="rules.wrong", wrong=str(fault))
                 continue
             except Exception:
                 logger.exception("rules: loading failed in an unforeseen way", event="rules.fault")
--- a/stoatrouter/settings/__init__.py
+++ b/stoatrouter/settings/__init__.py
@@ -3,8 +3,8 @@
 What is read and what is left out: docs/settings.md. What this accepts, CUE accepts.
 """
 
-from stoatrouter.settings.errors import SettingsError, Wrong
+from stoatrouter.settings.errors import Fault, SettingsError
 from stoatrouter.settings.load import Loaded, data_of, load, load_text
 from stoatrouter.settings.syntax import Place
 
-__all__ = ["Loaded", "Place", "SettingsError", "Wrong", "data_of", "load", "load_text"]
+__all__ = ["Loaded", "Place", "SettingsError", "Fault", "data_of", "load", "load_text"]
--- a/stoatrouter/settings/constraints.py
+++ b/stoatrouter/settings/constraints.py
@@ -11,7 +11,7 @@
 import re2
 
 from stoatrouter.settings import syntax as s
-from stoatrouter.settings.errors import Wrong
+from stoatrouter.settings.errors import Fault
 
 # Kinds by their names: sets of the basic ones
 BASIC = frozenset(("null", "bool", "int", "float", "string", "struct", "list"))
@@ -82,7 +82,7 @@
 
 
 class Constraints:
-    """All that is said of one value. What cannot hold is added to the wrongs that are passed in."""
+    """All that is said of one value. What cannot hold is added to the faults that are passed in."""
 
     __slots__ = ("kinds", "value", "bounds", "said")
 
@@ -108,87 +108,87 @@
     def may_be(self, kinds: frozenset[str]) -> bool:
         return bool(self.kinds & kinds)
 
-    def kind(self, name: str, at: s.Place, wrongs: list[Wrong], where: Located) -> None:
+    def kind(self, name: str, at: s.Place, faults: list[Fault], where: Located) -> None:
         """It is of this kind."""
-        self.narrow(KINDS[name], name, at, wrongs, where)
+        self.narrow(KINDS[name], name, at, faults, where)
         if name == "uint":
-            self.bound(">=", 0, at, wrongs, where)
+            self.bound(">=", 0, at, faults, where)
 
     def narrow(
-        self, kinds: frozenset[str], name: str, at: s.Place, wrongs: list[Wrong], where: Located
+        self, kinds: frozenset[str], name: str, at: s.Place, faults: list[Fault], where: Located
     ) -> None:
         if not self.kinds & kinds:
-            wrongs.append(self.conflict(name, at, where))
+            faults.append(self.conflict(name, at, where))
             return
         self.kinds = self.kinds & kinds
         self.said.append((name, at))
 
-    def atom(self, value: Any, at: s.Place, wrongs: list[Wrong], where: Located) -> None:
+    def atom(self, value: Any, at: s.Place, faults: list[Fault], where: Located) -> None:
         """It is this value."""
         kind = kind_of_value(value)
         shown = s_text(value)
         if not self.kinds & {kind}:
-            wrongs.append(self.conflict(shown, at, where))
+            faults.append(self.conflict(shown, at, where))
             return
         if self.is_concrete and (value != self.value or kind_of_value(self.value) != kind):
-            wrongs.append(self.conflict(shown, at, where))
+            faults.append(self.conflict(shown, at, where))
             return
         self.kinds, self.value = frozenset((kind,)), value
         self.said.append((shown, at))
-        self.hold(wrongs, where)
+        self.hold(faults, where)
 
-    def bound(self, name: str, operand: Any, at: s.Place, wrongs: list[Wrong], where: Located) -> None:
+    def bound(self, name: str, operand: Any, at: s.Place, faults: list[Fault], where: Located) -> None:
         """It lies on this side of a value, or matches a pattern."""
         if name in ("=~", "!~"):
             try:
                 compiled(operand)
             except (re2.error, TypeError) as error:
-                wrongs.append(Wrong(at, where.path, f"{operand!r} is no pattern: {error}"))
+                faults.append(Fault(at, where.path, f"{operand!r} is no pattern: {error}"))
                 return
         if name != "!=":
             kinds = KINDS["number"] if isinstance(operand, int | float) else KINDS["string"]
-            self.narrow(kinds, f"{name}{s_text(operand)}", at, wrongs, where)
+            self.narrow(kinds, f"{name}{s_text(operand)}", at, faults, where)
         else:
             self.said.append((f"{name}{s_text(operand)}", at))
         self.bounds.append((name, operand, at))
-        self.hold(wrongs, where)
+        self.hold(faults, where)
 
-    def hold(self, wrongs: list[Wrong], where: Located) -> None:
+    def hold(self, faults: list[Fault], where: Located) -> None:
         """Check the value against the bounds, once there is one."""
-        if not self.is_concrete or wrongs:
+        if not self.is_concrete or faults:
             return
         for name, operand, at in self.bounds:
             comparable = isinstance(operand, str) == isinstance(self.value, str)
             against = compiled(operand, at.file.startswith("<")) if name in ("=~", "!~") else operand
             if (comparable and not COMPARE[name](self.value, against)) or (not comparable and name != "!="):
-                wrongs.append(self.beyond(f"{name}{s_text(operand)}", at, where))
+                faults.append(self.beyond(f"{name}{s_text(operand)}", at, where))
                 return
 
-    def beyond(self, bound: str, at: s.Place, where: Located) -> Wrong:
+    def beyond(self, bound: str, at: s.Place, where: Located) -> Fault:
         """The value lies on the wrong side of a bound."""
         shown = s_text(self.value)
         value_at = next((place for text, place in reversed(self.said) if text == shown), at)
         if at.file.startswith("<"):
             schema = [text for text, place in self.said if place.file.startswith("<")]
             allowed = " & ".join(dict.fromkeys(schema or [bound]))
-            return Wrong(value_at, where.path, f"found {shown}", f"allowed: {allowed}")
-        return Wrong(value_at, where.path, f"found {shown}, but {bound} at {at}", "both cannot hold")
+            return Fault(value_at, where.path, f"found {shown}", f"allowed: {allowed}")
+        return Fault(value_at, where.path, f"found {shown}, but {bound} at {at}", "both cannot hold")
 
-    def conflict(self, new: str, at: s.Place, where: Located) -> Wrong:
+    def conflict(self, new: str, at: s.Place, where: Located) -> Fault:
         """Two things that cannot both hold, said from the operator's side."""
         said = [*self.said, (new, at)]
         own = [entry for entry in said if not entry[1].file.startswith("<")]
         schema = [text for text, place in said if place.file.startswith("<")]
         if not own:
-            return Wrong(
+            return Fault(
                 at, where.path, "the schema contradicts itself: " + " & ".join(text for text, _ in said)
             )
         if not schema:
             first, last = own[0], own[-1]
-            return Wrong(
+            return Fault(
                 last[1], where.path, f"found {last[0]}, but {first[0]} at {first[1]}", "both cannot hold"
             )
-        return Wrong(
+        return Fault(
             own[-1][1], where.path, f"found {own[-1][0]}", "allowed: " + " & ".join(dict.fromkeys(schema))
         )
 
--- a/stoatrouter/settings/errors.py
+++ b/stoatrouter/settings/errors.py
@@ -8,7 +8,7 @@
 
 
 @dataclass(slots=True, frozen=True, order=True)
-class Wrong:
+class Fault:
     """One thing that is wrong."""
 
     at: Place
@@ -24,6 +24,6 @@
 class SettingsError(Exception):
     """Settings that cannot be used; everything that is wrong with them, in the order of the files."""
 
-    def __init__(self, *wrongs: Wrong) -> None:
-        self.wrongs = tuple(sorted(set(wrongs)))
-        super().__init__("\n".join(map(str, self.wrongs)))
+    def __init__(self, *faults: Fault) -> None:
+        self.faults = tuple(sorted(set(faults)))
+        super().__init__("\n".join(map(str, self.faults)))
--- a/stoatrouter/settings/evaluate.py
+++ b/stoatrouter/settings/evaluate.py
@@ -13,7 +13,7 @@
 from stoatrouter.settings import syntax as s
 from stoatrouter.settings.constraints import KINDS, kind_of
 from stoatrouter.settings.descriptions import described, found, said_by_operator, said_here
-from stoatrouter.settings.errors import Wrong
+from stoatrouter.settings.errors import Fault
 from stoatrouter.settings.vertex import Allowed, Conjunct, Scope, Vertex
 
 DEEPEST = 60  # vertices below each other; deeper ones are a definition within itself
@@ -34,8 +34,8 @@
         if vertex.expanded or vertex.expanding:
             return
         if vertex.depth > DEEPEST:
-            vertex.wrongs.append(
-                Wrong(
+            vertex.faults.append(
+                Fault(
                     vertex.at,
                     vertex.path[:60],
                     "a definition holds itself, without end",
@@ -64,15 +64,15 @@
                 self.struct(vertex, node, conjunct)
             case s.ListOf():
                 vertex.lists.append((node, conjunct))
-                vertex.constraints.kind("list", node.at, vertex.wrongs, vertex)
+                vertex.constraints.kind("list", node.at, vertex.faults, vertex)
             case s.Disjunction():
                 vertex.disjunctions.append(conjunct)
             case s.Atom():
-                vertex.constraints.atom(node.value, node.at, vertex.wrongs, vertex)
+                vertex.constraints.atom(node.value, node.at, vertex.faults, vertex)
             case s.BoundOf():
                 operand = self.bound_operand(vertex, node, conjunct)
                 if operand is not None:
-                    vertex.constraints.bound(node.operator, operand.value, node.at, vertex.wrongs, vertex)
+                    vertex.constraints.bound(node.operator, operand.value, node.at, vertex.faults, vertex)
             case s.Reference():
                 self.reference(vertex, node, conjunct, waiting, seen)
 
@@ -86,12 +86,12 @@
                 self.expand(found)
                 if found.constraints.is_concrete:
                     return s.Atom(node.at, found.constraints.value)
-        vertex.wrongs.append(Wrong(node.at, vertex.path, f"{node.operator} wants a number or a string"))
+        vertex.faults.append(Fault(node.at, vertex.path, f"{node.operator} wants a number or a string"))
         return None
 
     def struct(self, vertex: Vertex, node: s.Struct, conjunct: Conjunct) -> None:
         """Take a struct: its fields, its patterns, and what it allows in closed definitions."""
-        vertex.constraints.kind("struct", node.at, vertex.wrongs, vertex)
+        vertex.constraints.kind("struct", node.at, vertex.faults, vertex)
         scope = Scope(conjunct.scope, vertex, frozenset(f.label for f in node.fields), conjunct.scope.imports)
         for given in node.fields:
             said = Conjunct(given.value, scope, conjunct.closers)
@@ -116,7 +116,7 @@
         if found is None:
             return
         if isinstance(found, str):
-            vertex.constraints.kind(found, node.at, vertex.wrongs, vertex)
+            vertex.constraints.kind(found, node.at, vertex.faults, vertex)
             return
         if id(found) in seen:
             return  # x: x says nothing of x
@@ -139,8 +139,8 @@
         elif node.name in BUILT_IN and not node.path:
             return node.name
         else:
-            vertex.wrongs.append(
-                Wrong(
+            vertex.faults.append(
+                Fault(
                     node.at, vertex.path, f"there is nothing named {node.name!r}", "a text stands in quotes"
                 )
             )
@@ -149,8 +149,8 @@
             self.expand(found)
             inner = found.chosen or found
             if name not in inner.arcs:
-                vertex.wrongs.append(
-                    Wrong(node.at, vertex.path, f"{found.path or node.name!r} has no field {name!r}")
+                vertex.faults.append(
+                    Fault(node.at, vertex.path, f"{found.path or node.name!r} has no field {name!r}")
                 )
                 return None
             found = inner.arcs[name]
@@ -163,8 +163,8 @@
         longest = max(len(node.items) for node, _ in vertex.lists)
         for node, conjunct in vertex.lists:
             if len(node.items) < longest and not node.open:
-                vertex.wrongs.append(
-                    Wrong(
+                vertex.faults.append(
+                    Fault(
                         vertex.at, vertex.path, f"a list of {longest} elements, {len(node.items)} are allowed"
                     )
                 )
@@ -192,7 +192,7 @@
         probe = Vertex("", None)
         probe.conjuncts = [Conjunct(s.Atom(pattern.at, label), scope), Conjunct(pattern, scope)]
         self.expand(probe)
-        fits = not probe.wrongs and not self.choose(probe).wrongs
+        fits = not probe.faults and not self.choose(probe).faults
         probe.release()
         return fits
 
@@ -209,7 +209,7 @@
                 ):
                     continue
                 known = ", ".join(sorted(name for name in allowed.labels if name[:1] not in "#_"))
-                vertex.wrongs.append(Wrong(arc.at, arc.path, "there is no such field", f"there is: {known}"))
+                vertex.faults.append(Fault(arc.at, arc.path, "there is no such field", f"there is: {known}"))
                 break
 
     # -- alternatives -------------------------------------------------------------------------------------
@@ -218,21 +218,21 @@
         if vertex.chosen is not None:
             return vertex.chosen
         self.expand(vertex)
-        if not vertex.disjunctions or vertex.wrongs:
+        if not vertex.disjunctions or vertex.faults:
             vertex.chosen = vertex
             return vertex
         fitting = [
-            (default, made) for default, made in self.combinations(vertex) if not self.all_wrongs(made)
+            (default, made) for default, made in self.combinations(vertex) if not self.all_faults(made)
         ]
         if not fitting:
-            vertex.wrongs += self.unfit(vertex)
+            vertex.faults += self.unfit(vertex)
             vertex.chosen = vertex
             return vertex
         preferred = [made for default, made in fitting if default] or [made for _, made in fitting]
         if len({repr(plain(self, made)) for made in preferred}) > 1:
             if not any(said_by_operator(c) for c in vertex.conjuncts):
-                vertex.wrongs.append(
-                    Wrong(
+                vertex.faults.append(
+                    Fault(
                         vertex.up.at if vertex.up else vertex.at,
                         vertex.path,
                         "has no value",
@@ -240,8 +240,8 @@
                     )
                 )
             else:
-                vertex.wrongs.append(
-                    Wrong(
+                vertex.faults.append(
+                    Fault(
                         vertex.at,
                         vertex.path,
                         "more than one alternative fits",
@@ -294,50 +294,50 @@
                 kept.append(conjunct)
         return kept
 
-    def unfit(self, vertex: Vertex) -> list[Wrong]:
+    def unfit(self, vertex: Vertex) -> list[Fault]:
         """The faults where no alternative fits.
 
         Those of the nearest alternative, where only one is wrong further down alone.
         """
-        near = [self.all_wrongs(made) for _, made in self.combinations(vertex)]
-        deeper = [wrongs for wrongs in near if all(wrong.path != vertex.path for wrong in wrongs)]
+        near = [self.all_faults(made) for _, made in self.combinations(vertex)]
+        deeper = [faults for faults in near if all(fault.path != vertex.path for fault in faults)]
         if len(deeper) == 1:
             return deeper[0]
-        return [Wrong(vertex.at, vertex.path, f"found {found(vertex)}", f"allowed: {described(vertex)}")]
+        return [Fault(vertex.at, vertex.path, f"found {found(vertex)}", f"allowed: {described(vertex)}")]
 
     # -- what is wrong, and what comes out ----------------------------------------------------------------
-    def all_wrongs(self, vertex: Vertex) -> list[Wrong]:
+    def all_faults(self, vertex: Vertex) -> list[Fault]:
         """All faults of a vertex and below it."""
         made = self.choose(vertex)
-        wrongs = [*vertex.wrongs, *(made.wrongs if made is not vertex else ())]
+        faults = [*vertex.faults, *(made.faults if made is not vertex else ())]
         if made.constraints.is_struct or made.lists:
-            said = {wrong.path for wrong in wrongs}
+            said = {fault.path for fault in faults}
             for label, arc in list(made.arcs.items()):
                 mark = made.marks.get(label, "")
                 hidden = isinstance(label, str) and label[:1] in "#_"
                 if mark == "?" or hidden or (said and arc.path in said):
                     continue
                 if mark == "!":
-                    wrongs.append(Wrong(made.at, arc.path, "is missing", f"allowed: {described(arc)}"))
+                    faults.append(Fault(made.at, arc.path, "is missing", f"allowed: {described(arc)}"))
                     continue
-                wrongs += self.all_wrongs(arc)
-        elif not wrongs and not made.constraints.is_concrete:
+                faults += self.all_faults(arc)
+        elif not faults and not made.constraints.is_concrete:
             owner = vertex.up.at if vertex.up is not None else vertex.at
             place = vertex.at if said_here(vertex) else owner
-            wrongs.append(Wrong(place, vertex.path, "has no value", f"allowed: {described(vertex)}"))
-        return wrongs
+            faults.append(Fault(place, vertex.path, "has no value", f"allowed: {described(vertex)}"))
+        return faults
 
-    def finish(self, vertex: Vertex, places: dict[str, s.Place]) -> tuple[list[Wrong], Any]:
+    def finish(self, vertex: Vertex, places: dict[str, s.Place]) -> tuple[list[Fault], Any]:
         """All faults of a vertex, and its plain data where there are none.
 
         Elements of lists are released one by one, so that a file of many rules needs the memory of one.
         """
         made = self.choose(vertex)
-        wrongs = [*vertex.wrongs, *(made.wrongs if made is not vertex else ())]
+        faults = [*vertex.faults, *(made.faults if made is not vertex else ())]
         places[vertex.path] = vertex.at
         if not (made.constraints.is_struct or made.lists):
-            return (wrongs or self.all_wrongs(vertex)), made.constraints.value
-        said = {wrong.path for wrong in wrongs}
+            return (faults or self.all_faults(vertex)), made.constraints.value
+        said = {fault.path for fault in faults}
         fields: dict[Any, Any] = {}
         for label, arc in list(made.arcs.items()):
             mark = made.marks.get(label, "")
@@ -345,15 +345,15 @@
             if mark == "?" or hidden or (said and arc.path in said):
                 continue
             if mark == "!":
-                wrongs.append(Wrong(made.at, arc.path, "is missing", f"allowed: {described(arc)}"))
+                faults.append(Fault(made.at, arc.path, "is missing", f"allowed: {described(arc)}"))
                 continue
             more, fields[label] = self.finish(arc, places)
-            wrongs += more
+            faults += more
             if isinstance(label, int):
                 arc.release()
         if made.lists:
-            return wrongs, [fields[i] for i in sorted(fields)]
-        return wrongs, fields
+            return faults, [fields[i] for i in sorted(fields)]
+        return faults, fields
 
     def export(self, vertex: Vertex, places: dict[str, s.Place]) -> Any:
         """The plain data of a vertex without faults; fills in the place of each path."""
--- a/stoatrouter/settings/load.py
+++ b/stoatrouter/settings/load.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from stoatrouter.settings import syntax as s
-from stoatrouter.settings.errors import SettingsError, Wrong
+from stoatrouter.settings.errors import Fault, SettingsError
 from stoatrouter.settings.evaluate import Evaluation
 from stoatrouter.settings.parser import parse
 from stoatrouter.settings.vertex import Conjunct, Scope, Vertex
@@ -54,7 +54,7 @@
 
     files: dict[Path, s.File] = field(default_factory=dict)
     digests: dict[Path, str] = field(default_factory=dict)
-    wrongs: list[Wrong] = field(default_factory=list)
+    faults: list[Fault] = field(default_factory=list)
     packages: dict[Path, Vertex] = field(default_factory=dict)
     open: list[Path] = field(default_factory=list)
 
@@ -62,18 +62,18 @@
         try:
             if len(self.files) >= MOST_FILES:
                 raise SettingsError(
-                    Wrong(s.Place(str(path), 1), "", "too many files", f"{MOST_FILES} at most")
+                    Fault(s.Place(str(path), 1), "", "too many files", f"{MOST_FILES} at most")
                 )
             data = path.read_bytes()
             self.files[path] = parse(data.decode("utf-8"), str(path))
             self.digests[path] = hashlib.sha256(data).hexdigest()
             return self.files[path]
         except OSError as error:
-            self.wrongs.append(Wrong(s.Place(str(path), 1), "", f"cannot be read: {error.strerror or error}"))
+            self.faults.append(Fault(s.Place(str(path), 1), "", f"cannot be read: {error.strerror or error}"))
         except UnicodeDecodeError:
-            self.wrongs.append(Wrong(s.Place(str(path), 1), "", "is not UTF-8"))
+            self.faults.append(Fault(s.Place(str(path), 1), "", "is not UTF-8"))
         except SettingsError as error:
-            self.wrongs += error.wrongs
+            self.faults += error.faults
         return None
 
     def instance(self, path: Path) -> list[s.File]:
@@ -110,8 +110,8 @@
         root = next((f for f in (folder, *folder.parents) if (f / "cue.mod" / "module.cue").is_file()), None)
         module = module_name(root / "cue.mod" / "module.cue") if root is not None else None
         if root is None or module is None:
-            self.wrongs.append(
-                Wrong(
+            self.faults.append(
+                Fault(
                     at,
                     "",
                     f"import {path!r}: there is no cue.mod/module.cue above this file",
@@ -121,8 +121,8 @@
             return None
         inner, _, package = path.partition(":")
         if inner != module and not inner.startswith(module + "/"):
-            self.wrongs.append(
-                Wrong(
+            self.faults.append(
+                Fault(
                     at,
                     "",
                     f"import {path!r} is not of the module {module!r}",
@@ -132,7 +132,7 @@
             return None
         wanted = root / inner.removeprefix(module).lstrip("/")
         if wanted in self.open:
-            self.wrongs.append(Wrong(at, "", f"import {path!r} leads back to itself"))
+            self.faults.append(Fault(at, "", f"import {path!r} leads back to itself"))
             return None
         if wanted not in self.packages:
             vertex = Vertex("", None)
@@ -143,8 +143,8 @@
                 if package_of(f) == package and (file := self.read(f)) is not None
             ]
             if not files:
-                self.wrongs.append(
-                    Wrong(at, "", f"import {path!r}: no file of package {package!r} in {wanted}")
+                self.faults.append(
+                    Fault(at, "", f"import {path!r}: no file of package {package!r} in {wanted}")
                 )
             self.open.append(wanted)
             vertex.conjuncts = self.conjuncts(files, vertex, wanted)
@@ -200,7 +200,7 @@
     try:
         files = [parse(text, name)]
     except SettingsError as error:
-        reader.wrongs += error.wrongs
+        reader.faults += error.faults
         files = []
     return unify(reader, files, Path("/nonexistent"), record, definition)
 
@@ -210,8 +210,8 @@
 ) -> Loaded[Record]:
     root = Vertex("", None)
     root.conjuncts = reader.conjuncts(files, root, folder)
-    if reader.wrongs:
-        raise SettingsError(*reader.wrongs)
+    if reader.faults:
+        raise SettingsError(*reader.faults)
     name, _, wanted = definition.partition(".")
     shipped, shipped_root = schema(name), Vertex("", None)
     names = frozenset(f.label for f in shipped.body.fields)
@@ -231,14 +231,14 @@
 def made_of(evaluation: Evaluation, reader: Reader, root: Vertex, record: type[Record]) -> Loaded[Record]:
     """The record of a vertex that is to have no flaw."""
     places: dict[str, s.Place] = {}
-    wrongs, data = evaluation.finish(root, places)
-    if wrongs:
-        raise SettingsError(*wrongs)
+    faults, data = evaluation.finish(root, places)
+    if faults:
+        raise SettingsError(*faults)
     try:
         made = msgspec.convert(data, record)
     except msgspec.ValidationError as error:
         what = f"the schema lets through what the program cannot use: {error}"
-        raise SettingsError(Wrong(root.at, "", what)) from None
+        raise SettingsError(Fault(root.at, "", what)) from None
     return Loaded(made, places, reader.digests)
 
 
@@ -246,9 +246,9 @@
     """The plain data of a text without any schema; for tests and tools."""
     reader, root = Reader(), Vertex("", None)
     root.conjuncts = reader.conjuncts([parse(text, "text")], root, Path("/nonexistent"))
-    if reader.wrongs:
-        raise SettingsError(*reader.wrongs)
-    wrongs, data = Evaluation().finish(root, {})
-    if wrongs:
-        raise SettingsError(*wrongs)
+    if reader.faults:
+        raise SettingsError(*reader.faults)
+    faults, data = Evaluation().finish(root, {})
+    if faults:
+        raise SettingsError(*faults)
     return data
--- a/stoatrouter/settings/parser.py
+++ b/stoatrouter/settings/parser.py
@@ -12,7 +12,7 @@
 from lark.exceptions import UnexpectedCharacters, UnexpectedInput, UnexpectedToken
 
 from stoatrouter.settings import syntax as s
-from stoatrouter.settings.errors import SettingsError, Wrong
+from stoatrouter.settings.errors import Fault, SettingsError
 from stoatrouter.settings.layout import DEEPEST, Commas, TooDeep
 
 LARGEST = 32 * 1024 * 1024  # bytes of a file
@@ -61,51 +61,51 @@
 def parse(text: str, name: str) -> s.File:
     """The tree of one file; raises SettingsError with file, line and what is wrong."""
     if len(text) > LARGEST:
-        raise SettingsError(Wrong(s.Place(name, 1), "", f"a file of {len(text)} bytes", f"{LARGEST} at most"))
+        raise SettingsError(Fault(s.Place(name, 1), "", f"a file of {len(text)} bytes", f"{LARGEST} at most"))
     try:
         lark, builder = grammar()
         builder.name = name
         file = lark.parse(text.replace("\r\n", "\n"))
     except TooDeep as error:
         raise SettingsError(
-            Wrong(s.Place(name, error.line), "", f"brackets more than {DEEPEST} deep")
+            Fault(s.Place(name, error.line), "", f"brackets more than {DEEPEST} deep")
         ) from None
     except UnexpectedCharacters as error:
         raise SettingsError(not_here(name, text, error.line, error.column, error.char)) from None
     except UnexpectedToken as error:
         raise SettingsError(unexpected(error, name, text)) from None
     except UnexpectedInput as error:
-        raise SettingsError(Wrong(s.Place(name, max(1, error.line)), "", "this cannot be read")) from None
+        raise SettingsError(Fault(s.Place(name, max(1, error.line)), "", "this cannot be read")) from None
     assert isinstance(file, s.File)
     return file
 
 
-def unexpected(error: UnexpectedToken, name: str, text: str) -> Wrong:
+def unexpected(error: UnexpectedToken, name: str, text: str) -> Fault:
     token = error.token
     toml = next((i for i, row in enumerate(text.splitlines(), 1) if TOML.match(row.strip())), None)
     if token.type == "$END" and toml is None:
-        return Wrong(
+        return Fault(
             s.Place(name, text.count("\n") + 1), "", "the file ends too early", "a bracket may be open"
         )
     line = (toml if token.type == "$END" else None) or token.line or 1
     if token.type == "COMMA" and token.value == ",":
-        return Wrong(s.Place(name, line), "", "the line ends too early, or a comma stands here for nothing")
+        return Fault(s.Place(name, line), "", "the line ends too early, or a comma stands here for nothing")
     return not_here(name, text, line, token.column or 1, str(token)[:40])
 
 
-def not_here(name: str, text: str, line: int, column: int, found: str) -> Wrong:
+def not_here(name: str, text: str, line: int, column: int, found: str) -> Fault:
     """Something that the grammar has no place for, with what it most likely was meant for."""
     lines = text.splitlines()
     before = lines[line - 1].strip() if line <= len(lines) else ""
     first = before.partition(" ")[0]
     if first in LEFT_OUT:
-        return Wrong(
+        return Fault(
             s.Place(name, line), "", f"{LEFT_OUT[first]} is not part of the subset that is read here"
         )
     hint = ""
     if TOML.match(before):
         hint = "this is TOML; write 'name: value' and 'name: {...}', see docs/settings.md"
-    return Wrong(s.Place(name, line), "", f"{found!r} cannot stand here (column {column})", hint)
+    return Fault(s.Place(name, line), "", f"{found!r} cannot stand here (column {column})", hint)
 
 
 class Builder(Transformer[Token, Any]):
@@ -121,7 +121,7 @@
         return s.Place(self.name, token.line or 1)
 
     def refused(self, token: Any, what: str, remedy: str = "") -> SettingsError:
-        return SettingsError(Wrong(self.place(token), "", what, remedy))
+        return SettingsError(Fault(self.place(token), "", what, remedy))
 
     # -- files --------------------------------------------------------------------------------------------
     def start(self, parts: list[Any]) -> s.File:
--- a/stoatrouter/settings/vertex.py
+++ b/stoatrouter/settings/vertex.py
@@ -9,7 +9,7 @@
 
 from stoatrouter.settings import syntax as s
 from stoatrouter.settings.constraints import Constraints
-from stoatrouter.settings.errors import Wrong
+from stoatrouter.settings.errors import Fault
 
 Label = str | int
 
@@ -50,7 +50,7 @@
     "allowed": dict,
     "patterns": list,
     "lists": list,
-    "wrongs": list,
+    "faults": list,
 }
 
 
@@ -72,7 +72,7 @@
         "allowed",
         "patterns",
         "lists",
-        "wrongs",
+        "faults",
         "chosen",
         "depth",
     )
@@ -98,7 +98,7 @@
         allowed: dict[int, Allowed]
         patterns: list[tuple[s.Pattern, Conjunct, Scope]]
         lists: list[tuple[s.ListOf, Conjunct]]
-        wrongs: list[Wrong]
+        faults: list[Fault]
 
     def __getattr__(self, name: str) -> Any:
         # only called for a slot that is not filled yet: most vertices are scalars, and have none of these
@@ -138,7 +138,7 @@
             vertex.up = vertex.chosen = None
             vertex.conjuncts.clear()
             for name in EMPTY:
-                if name != "wrongs":
+                if name != "faults":
                     getattr(vertex, name).clear()
             vertex.family = []
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -94,7 +94,7 @@
     with pytest.raises(SettingsError) as refusal:
         data_of(source)
     assert wanted in str(refusal.value)
-    assert all(wrong.at.file == "text" and wrong.at.line >= 1 for wrong in refusal.value.wrongs)
+    assert all(fault.at.file == "text" and fault.at.line >= 1 for fault in refusal.value.faults)
 
 
 def test_all_errors_at_once_each_with_line_path_found_and_allowed():
@@ -197,4 +197,4 @@
     try:
         data_of(source)
     except SettingsError as error:
-        assert error.wrongs and all(wrong.at.line >= 1 for wrong in error.wrongs)
+        assert error.faults and all(fault.at.line >= 1 for fault in error.faults)
