Name what a rule's values use in matching: PlanUse, demand_text, decision_data

Loader.said, the tuple Said, and the functions said and told say what they hold now; PlanUse is a named tuple with its fields.

--- a/stoatrouter/cli/rules.py
+++ b/stoatrouter/cli/rules.py
@@ -23,7 +23,7 @@
 )
 from stoatrouter.matching.conjuncts import PATH, PREFIX, Condition
 from stoatrouter.matching.decisions import Refusal
-from stoatrouter.matching.explain import Explanation, differences, explain, told
+from stoatrouter.matching.explain import Explanation, decision_data, differences, explain
 from stoatrouter.matching.inputs import Input, Unreadable, read_input
 from stoatrouter.matching.samples import read_sample, read_samples
 from stoatrouter.matching.table import Compartment, Table
@@ -176,7 +176,7 @@
         "rules": made.rules,
         "looked": looked,
         "steps": made.steps,
-        "decided": told(made.decided, table),
+        "decided": decision_data(made.decided, table),
     }
 
 
@@ -186,9 +186,9 @@
     else:
         click.echo(f"scope {made.scope}: {made.rules} rules, {len(made.looked)} looked at")
     for each in made.looked:
-        said = "matched" if each.failed is None else f"no: {each.failed}"
-        click.echo(f"  {each.rule}: {said} ({each.steps} steps at most)")
-    data = told(made.decided, table)
+        result = "matched" if each.failed is None else f"no: {each.failed}"
+        click.echo(f"  {each.rule}: {result} ({each.steps} steps at most)")
+    data = decision_data(made.decided, table)
     if isinstance(made.decided, Refusal):
         click.echo(f"refused: {data['refused']} {data['reason']}")
     else:
@@ -224,8 +224,8 @@
                             "new": d.new,
                             "count": d.count,
                             "lines": d.lines,
-                            "was": told(d.example[0], before),
-                            "is": told(d.example[1], after),
+                            "was": decision_data(d.example[0], before),
+                            "is": decision_data(d.example[1], after),
                         }
                         for d in found
                         if d.example
@@ -236,7 +236,7 @@
     else:
         for each in found:
             assert each.example is not None
-            was, now = told(each.example[0], before), told(each.example[1], after)
+            was, now = decision_data(each.example[0], before), decision_data(each.example[1], after)
             changed = ", ".join(
                 f"{k}: {was.get(k)} -> {now.get(k)}"
                 for k in dict.fromkeys([*was, *now])
--- a/stoatrouter/matching/cache.py
+++ b/stoatrouter/matching/cache.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Sequence
+from typing import NamedTuple
 
 from stoatrouter.expressions import Checked, Environment, Limits, check, parse
 from stoatrouter.expressions import types as t
@@ -12,7 +13,13 @@
 from stoatrouter.matching.table import Compartment, Run
 from stoatrouter.matching.vocabulary import Vocabulary
 
-Said = tuple[str, frozenset[str], frozenset[str]]  # a rule's place, its volumes, its plans
+
+class PlanUse(NamedTuple):
+    """The volumes and plans that one rule can yield; a volume must have one plan."""
+
+    place: str  # the rule's path in the file
+    volumes: frozenset[str]
+    plans: frozenset[str]
 
 
 class Cache:
@@ -23,7 +30,7 @@
         self.used: set[tuple[str, t.Type | None, int]] = set()
         self.environment: Environment | None = None
         self.words: Vocabulary | None = None
-        self.scopes: dict[str, tuple[Scope, tuple[Rule, ...], Compartment, list[Flaw], list[Said]]] = {}
+        self.scopes: dict[str, tuple[Scope, tuple[Rule, ...], Compartment, list[Flaw], list[PlanUse]]] = {}
 
     def begin(self, environment: Environment, words: Vocabulary) -> None:
         """Clear the cache where the environment or the vocabulary differs."""
@@ -34,16 +41,18 @@
 
     def compartment(
         self, name: str, scope: Scope, rules: Sequence[Rule]
-    ) -> tuple[Compartment, list[Flaw], list[Said]] | None:
+    ) -> tuple[Compartment, list[Flaw], list[PlanUse]] | None:
         """A scope that is unchanged since it was found good, with its warnings; or None."""
         kept = self.scopes.get(name)
         if kept is None or kept[0] != scope or kept[1] != tuple(rules):
             return None
         return kept[2], kept[3], kept[4]
 
-    def keep(self, made: Compartment, rules: Sequence[Rule], warnings: list[Flaw], said: list[Said]) -> None:
+    def keep(
+        self, made: Compartment, rules: Sequence[Rule], warnings: list[Flaw], plan_uses: list[PlanUse]
+    ) -> None:
         """Keep a scope that was found good for the next load."""
-        self.scopes[made.name] = made.scope, tuple(rules), made, warnings, said
+        self.scopes[made.name] = made.scope, tuple(rules), made, warnings, plan_uses
 
     def get(
         self, source: str, want: t.Type | None, environment: Environment, steps: int
--- a/stoatrouter/matching/explain.py
+++ b/stoatrouter/matching/explain.py
@@ -114,7 +114,7 @@
     return sorted(found.values(), key=lambda d: -d.count), counts
 
 
-def told(decided: Decision | Refusal, table: Table) -> dict[str, Any]:
+def decision_data(decided: Decision | Refusal, table: Table) -> dict[str, Any]:
     """A decision as data for output."""
     if isinstance(decided, Refusal):
         return {
--- a/stoatrouter/matching/loader.py
+++ b/stoatrouter/matching/loader.py
@@ -8,7 +8,7 @@
 from stoatrouter.expressions import Environment
 from stoatrouter.expressions import types as t
 from stoatrouter.matching import index
-from stoatrouter.matching.cache import Cache, Said
+from stoatrouter.matching.cache import Cache, PlanUse
 from stoatrouter.matching.conjuncts import Condition, condition
 from stoatrouter.matching.coverage import Coverage
 from stoatrouter.matching.flaws import Flaw, TableError
@@ -34,9 +34,9 @@
     ) -> None:
         super().__init__(words, environment, before if before is not None else Cache())
         self.buckets = buckets
-        self.plans: dict[str, tuple[str, str]] = {}  # of each volume, and where that is said
+        self.plans: dict[str, tuple[str, str]] = {}  # of each volume, and the place of the rule that says so
         self.warnings: list[Flaw] = []
-        self.said: list[Said] = []  # of the scope at hand
+        self.plan_uses: list[PlanUse] = []  # of the scope being loaded
 
     def load(self, rules: Rules, teams: Mapping[str, Sequence[Rule]], epoch: str) -> Table:
         """Make the table; raises TableError.
@@ -79,10 +79,10 @@
         kept = self.cache.compartment(name, scope, rules)
         if kept is not None:
             self.warnings += kept[1]
-            for said in kept[2]:
-                self.one_plan(*said)
+            for plan_use in kept[2]:
+                self.one_plan(*plan_use)
             return kept[0]
-        self.said = []
+        self.plan_uses = []
         path = f"scopes.{name}"
         before = len(self.flaws), len(self.warnings)
         self.scope_words(path, scope)
@@ -115,7 +115,7 @@
             )
         made = Compartment(name, scope, tuple(compiled), tree, worst)
         if len(self.flaws) == before[0]:
-            self.cache.keep(made, rules, self.warnings[before[1] :], self.said)
+            self.cache.keep(made, rules, self.warnings[before[1] :], self.plan_uses)
         return made
 
     def scope_words(self, path: str, scope: Scope) -> None:
@@ -143,12 +143,8 @@
             if rule.condition.never:
                 self.warnings.append(Flaw(place, f"rule {rule.name!r} never matches: its condition is false"))
             elif clash is not None:
-                self.warnings.append(
-                    Flaw(
-                        place,
-                        f"rule {rule.name!r} never matches: it wants {said(clash[0])} and {said(clash[1])}",
-                    )
-                )
+                both = f"{demand_text(clash[0])} and {demand_text(clash[1])}"
+                self.warnings.append(Flaw(place, f"rule {rule.name!r} never matches: it wants {both}"))
         for i, j in Coverage([c.condition for c in compiled]).covered():
             self.warnings.append(
                 Flaw(
@@ -210,8 +206,9 @@
                         if len(made) > 2
                         else frozenset((f"{ANY} {place}",))
                     )
-        self.said.append((place, self.reached(parts) if self.buckets is not None else volumes, plans))
-        self.one_plan(*self.said[-1])
+        reached = self.reached(parts) if self.buckets is not None else volumes
+        self.plan_uses.append(PlanUse(place, reached, plans))
+        self.one_plan(*self.plan_uses[-1])
         return cost
 
     def reached(self, parts: Condition) -> frozenset[str]:
@@ -246,7 +243,7 @@
 PIECES_OWN = ("volume", "units", "hosts", "repeat")  # of which a call of the object front has none
 
 
-def said(demand: Any) -> str:
+def demand_text(demand: Any) -> str:
     """A demand in words, for warnings."""
     kind, name = demand.dimension
     what = {"prefix": "a path that starts with", "segment": f"segment {name} to be"}.get(
--- a/stoatrouter/matching/samples.py
+++ b/stoatrouter/matching/samples.py
@@ -45,12 +45,13 @@
 def read_sample(line: str) -> Input:
     """Parse a record as service would the request; raises ValueError or Unreadable."""
     try:
-        said: dict[str, Any] = json.loads(line)
+        record: dict[str, Any] = json.loads(line)
         fields = [
-            (str(name).encode("latin-1"), str(value).encode("latin-1")) for name, value in said["fields"]
+            (str(name).encode("latin-1"), str(value).encode("latin-1")) for name, value in record["fields"]
         ]
-        method, target, peer = str(said["method"]), str(said["target"]), str(said.get("peer", "127.0.0.1"))
-        size, kind = int(said.get("size", -1)), str(said.get("class", ""))
+        method, target = str(record["method"]), str(record["target"])
+        peer = str(record.get("peer", "127.0.0.1"))
+        size, kind = int(record.get("size", -1)), str(record.get("class", ""))
     except (KeyError, TypeError, ValueError, RecursionError) as error:
         raise ValueError(f"no recorded request: {error}") from None
     return read_input(method, target, fields, peer, size, kind)
