--- a/stoatrouter/core/reducer.py
+++ b/stoatrouter/core/reducer.py
@@ -1,7 +1,7 @@
-"""The one reducer: every state change of a head is reduce(event) -> effects.
+"""The reducer: every state change of a head is reduce(event) -> effects.
 
-It drives the decision module and adds what a module in a simulator did not have to know: where nodes
-listen, which answers are still owed, and that each request gets exactly one.
+It drives the decision module and adds what that module leaves out: the addresses of nodes, which requests
+are not yet answered, and that each request gets exactly one answer.
 """
 
 from __future__ import annotations
@@ -22,15 +22,17 @@
 
 
 class Gate(Protocol):
-    """Whether requests are paid for: asked when one is taken, told its one final answer."""
+    """Credit control: admits requests, and settles each at its final answer."""
 
-    def take(self, request: model.Request, now: timedelta) -> model.Refused | None: ...
+    def take(self, request: model.Request, now: timedelta) -> model.Refused | None:
+        """Reserve what a request costs; returns the refusal where its customer cannot pay."""
 
-    def end(self, request: str, may_have_run: bool) -> None: ...
+    def end(self, request: str, may_have_run: bool) -> None:
+        """Settle a request's reservation at its final answer; `may_have_run`: a node may have executed it."""
 
 
 class Reducer:
-    """State of one head; all of it changes in reduce and nowhere else."""
+    """The state of one head; it changes in reduce and nowhere else."""
 
     def __init__(self, settings: api.Settings, seed: int, max_open: int = 1 << 30) -> None:
         self.gate: Gate | None = None  # asked before the module whether a request can be paid for
@@ -41,13 +43,13 @@
         self.records: dict[str, model.Record] = {}
         self.flows: dict[str, int] = {}  # classes of requests whose answers are still being passed on
         self.nodes: dict[str, model.NodeInfo] = {}  # as listed
-        self.by_hand = model.ByHand()
+        self.administrative_state = model.AdministrativeState()
         self.tally = model.Tally()
-        self.figures = model.Figures(*([0] * len(settings.classes) for _ in range(3)))
+        self.counters = model.Counters(*([0] * len(settings.classes) for _ in range(3)))
         self.now = NO_TIME
 
     def reduce(self, event: model.Event) -> list[model.Effect]:
-        """Take one event and return what is to be done, in order."""
+        """Take one event and return the effects to run, in order."""
         # Guards against events stamped before one already taken: the module's time never goes back.
         self.now = max(self.now, event.at)
         match event:
@@ -56,51 +58,51 @@
             case model.TurnedAway():
                 return self._turn_away(event.request_class, model.Refused(self.advice), "crowded")
             case model.AttemptEnded():
-                return self._ended(event)
+                return self._attempt_ended(event)
             case model.FlowEnded():
                 return self._flow_ended(event)
             case model.TimerDue():
                 return self._decide(api.TimerFired(event.token))
             case model.ListTold():
-                return self._listed(event)
+                return self._list_received(event)
             case model.ProbeEnded():
                 return self._decide(api.ProbeEnded(event.node, event.outcome, micros(event.took), event.load))
             case model.ClientLeft():
-                return self._left(event.request)
+                return self._client_left(event.request)
             case model.Overdue():
                 return self._overdue(event.request)
-            case model.PutByHand():
-                return self._put(event)
+            case model.SetAdministrativeState():
+                return self._set_administrative_state(event)
             case model.HandedOver():
                 module = handover.hand_over(self.scheduler, micros(self.now))
-                return [model.TellNext(tuple(self.nodes.values()), self.by_hand, module)]
+                return [model.HandoverState(tuple(self.nodes.values()), self.administrative_state, module)]
             case model.TakenBack():
                 handover.take_back(self.scheduler, micros(self.now))
-                self.by_hand = event.by_hand
-                return self._tell(api.ListKind.CHANGES, tuple(self.nodes.values()))
+                self.administrative_state = event.administrative_state
+                return self._pass_on_nodes(api.ListKind.CHANGES, tuple(self.nodes.values()))
             case model.TakenOver():
                 return self._taken_over(event)
-            case model.OutElsewhere():
+            case model.AttemptsElsewhere():
                 for name, node in self.scheduler.nodes.items():
                     node.elsewhere = event.counts.get(name, 0)
                 return []
 
     @property
     def open(self) -> int:
-        """How many requests are owed an answer or have an attempt out."""
+        """How many requests are not yet answered, have an attempt open or are being streamed."""
         return len(self.records) + len(self.flows)
 
     def nodes_out(self) -> list[str]:
-        """The node of each attempt that is out."""
+        """The node of each open attempt."""
         return [a.node for record in self.records.values() for a in record.attempts if a.out]
 
     @property
     def avoided(self) -> int:
-        """How many listed nodes get nothing new at present: draining, out by hand, or left by choice."""
+        """How many listed nodes get nothing new now: draining, out by an operator, or left by choice."""
         return sum(self.scheduler.avoids(name) for name in self.nodes)
 
     def may_begin(self, at: timedelta, request: str, attempt: int) -> bool:
-        """Asked with a connection in hand, before the first byte: whether what was decided still holds."""
+        """Whether an attempt may still be sent, asked once it has a connection and before its first byte."""
         record = self.records.get(request)
         if record is None or record.answered or not record.attempts[attempt].out:
             return False
@@ -118,7 +120,7 @@
             return self._turn_away(request.request_class, refused, "over_credit")
         self.records[request.id] = model.Record(request)
         self.tally.add("taken")
-        self.figures.active += 1
+        self.counters.active += 1
         effects: list[model.Effect] = [model.WatchOverdue(request.time_left + OVERDUE_AFTER, request.id)]
         return effects + self._decide(
             api.RequestArrived(
@@ -138,15 +140,15 @@
 
     def _turn_away(self, request_class: int, answer: model.Answer, why: str) -> list[model.Effect]:
         self.tally.add(why)
-        self.figures.count(request_class, answer)
+        self.counters.count(request_class, answer)
         return [model.TurnAway(answer)]
 
-    def _left(self, name: str) -> list[model.Effect]:
+    def _client_left(self, name: str) -> list[model.Effect]:
         record = self.records.get(name)
         if record is None or record.answered:
             return []
         self.tally.add("client_gone")
-        self.figures.active -= 1
+        self.counters.active -= 1
         record.answered = True
         if self.gate is not None:
             self.gate.end(name, record.may_have_run())
@@ -184,15 +186,15 @@
         return [model.GiveAnswer(name, answer)]
 
     def _count(self, request_class: int, answer: model.Answer) -> None:
-        self.figures.active -= 1
-        self.figures.count(request_class, answer)
+        self.counters.active -= 1
+        self.counters.count(request_class, answer)
 
     def _flow_ended(self, event: model.FlowEnded) -> list[model.Effect]:
         request_class = self.flows.pop(event.request, None)
         if request_class is None:
             return []
         if event.whole is None:
-            self.figures.active -= 1
+            self.counters.active -= 1
         else:
             self._count(request_class, model.Served(b"") if event.whole else model.Failed())
             self.tally.add("passed_on" if event.whole else "broken_off")
@@ -203,7 +205,7 @@
             del self.records[name]
 
     # -- attempts -----------------------------------------------------------------------------------------
-    def _ended(self, event: model.AttemptEnded) -> list[model.Effect]:
+    def _attempt_ended(self, event: model.AttemptEnded) -> list[model.Effect]:
         record = self.records.get(event.request)
         # Guards against an outcome told twice (an attempt cancelled as its answer came): the first counts.
         if record is None or event.attempt >= len(record.attempts) or not record.attempts[event.attempt].out:
@@ -244,11 +246,11 @@
         number = len(record.attempts) - 1
         # Guards against a node that left the list between a decision and its sending: it never ran.
         if node is None:
-            return self._ended(model.AttemptEnded(self.now, action.request, number, api.Outcome.MOOT))
+            return self._attempt_ended(model.AttemptEnded(self.now, action.request, number, api.Outcome.MOOT))
         return [model.SendAttempt(record.request, number, node.address, span(action.timeout))]
 
     # -- the node list ------------------------------------------------------------------------------------
-    def _listed(self, event: model.ListTold) -> list[model.Effect]:
+    def _list_received(self, event: model.ListTold) -> list[model.Effect]:
         if event.kind in (api.ListKind.FULL, api.ListKind.RESTORED):
             self.nodes = {}
         for node in event.nodes:
@@ -256,11 +258,11 @@
                 self.nodes.pop(node.id, None)
             else:
                 self.nodes[node.id] = node
-        return self._tell(event.kind, event.nodes, event.since)
+        return self._pass_on_nodes(event.kind, event.nodes, event.since)
 
     def _taken_over(self, event: model.TakenOver) -> list[model.Effect]:
-        self.by_hand = event.by_hand
-        effects = self._listed(model.ListTold(event.at, api.ListKind.RESTORED, event.nodes))
+        self.administrative_state = event.administrative_state
+        effects = self._list_received(model.ListTold(event.at, api.ListKind.RESTORED, event.nodes))
         try:
             handover.take_over(self.scheduler, event.module)
         except (KeyError, TypeError, ValueError, AttributeError, IndexError) as error:
@@ -272,10 +274,10 @@
             )
         return effects
 
-    def _tell(
+    def _pass_on_nodes(
         self, kind: api.ListKind, nodes: tuple[model.NodeInfo, ...], since: timedelta | None = None
     ) -> list[model.Effect]:
-        seen = (self.by_hand.seen(node) for node in nodes)
+        seen = (self.administrative_state.seen(node) for node in nodes)
         return self._decide(
             api.NodeList(
                 kind,
@@ -286,14 +288,16 @@
             )
         )
 
-    def _put(self, event: model.PutByHand) -> list[model.Effect]:
-        """A node out or back, by hand; no effects where it is not known."""
+    def _set_administrative_state(self, event: model.SetAdministrativeState) -> list[model.Effect]:
+        """Set the administrative state of a node; no effects where the node is not known."""
         node = self.nodes.get(event.node)
-        if node is None and event.node not in self.by_hand.out:
+        if node is None and event.node not in self.administrative_state.out:
             return []
-        (self.by_hand.put_out if event.out else self.by_hand.put_back)(event.node, self.now)
-        effects: list[model.Effect] = [model.KeepByHand()]
-        return effects + (self._tell(api.ListKind.CHANGES, (node,)) if node is not None else [])
+        (self.administrative_state.put_out if event.out else self.administrative_state.put_back)(
+            event.node, self.now
+        )
+        effects: list[model.Effect] = [model.SaveAdministrativeState()]
+        return effects + (self._pass_on_nodes(api.ListKind.CHANGES, (node,)) if node is not None else [])
 
     # -- the decision module ------------------------------------------------------------------------------
     def _decide(self, event: api.Event) -> list[model.Effect]:
--- a/stoatrouter/head.py
+++ b/stoatrouter/head.py
@@ -1,4 +1,4 @@
-"""The wiring of one head: its parts, put together. What starts it is __main__; the demo starts it too."""
+"""One head: its parts created and connected. It is started by __main__ and by the demo."""
 
 from __future__ import annotations
 
@@ -23,9 +23,9 @@
 from stoatrouter.net.early import announcement
 from stoatrouter.net.engine import Engine, watch_loop
 from stoatrouter.net.generations import Generations
-from stoatrouter.net.keep import Keep
 from stoatrouter.net.listener import Drain, Listener, shutdown_deadlines
 from stoatrouter.net.nodes import NodeClient
+from stoatrouter.net.state_file import AdministrativeStateFile
 
 if TYPE_CHECKING:
     from stoatrouter.fronts.http.settings import HttpSettings
@@ -44,13 +44,15 @@
 
 
 def busy_pressed(sockets: int) -> int:
-    """How many may be open while time is short: two fifths of what clients may hold, yet what a head serves
-    at once in quiet times."""
+    """How many connections may have a request open while the event loop lags.
+
+    It is two fifths of the usual bound, but no less than a head has open in quiet times.
+    """
     return max(1, min(int(sockets * BUSY_SHARE), max(PRESSED_LEAST, int(sockets * PRESSED_SHARE))))
 
 
 class Head:
-    """The parts of one head, put together."""
+    """The parts of one head."""
 
     def __init__(
         self,
@@ -70,12 +72,15 @@
             span(min(c.aim for c in conf.settings.classes)),
         )
         self.engine = Engine(
-            Reducer(conf.settings, conf.seed, conf.max_open), Clock(), nodes, Keep(conf.folder)
+            Reducer(conf.settings, conf.seed, conf.max_open),
+            Clock(),
+            nodes,
+            AdministrativeStateFile(conf.folder),
         )
         self.watch = Watch(
             conf.discovery,
             conf.known,
-            self.engine.told,
+            self.engine.apply_node_list,
             self.engine.reducer.tally.add,
             not conf.settings.list_on_request,
             list_times(not conf.settings.list_on_request, conf.drain_grace),
@@ -108,7 +113,7 @@
         # a table of its own: however many clients come, operators are heard
         self.management_clients = ClientTable(MOST_CALLERS, MOST_CALLERS, MOST_CALLERS)
         self.generations = Generations(
-            self.engine, self.watch, self.clients, self.drain, conf.folder, self.rest, self.accept
+            self.engine, self.watch, self.clients, self.drain, conf.folder, self.stop_accepting, self.accept
         )
         self.serving = False
         calls = Management(self.engine, self.drain, self.ready, self.heads.call if self.heads else None)
@@ -117,6 +122,7 @@
 
     # -- what is off on the platform: a head without it imports none of it -----------------------------------
     def open_objects(self, objects: ObjectSettings) -> None:
+        """Set up the object front, with its rule table where one is named; raises ConfigError."""
         from stoatrouter.fronts.objects.front import ObjectFront
 
         choose = None
@@ -135,6 +141,7 @@
         self.objects = Listener(self.object_front.handle, self.drain)
 
     def open_http(self, http: HttpSettings) -> None:
+        """Set up the HTTP front, its rule tables and its recorder; raises ConfigError."""
         from stoatrouter.fronts.http.front import HttpFront
         from stoatrouter.fronts.wiring import http_tables, recorder
 
@@ -153,27 +160,29 @@
         self.http = Listener(self.http_front.handle, self.drain)
 
     def open_heads(self, settings: HeadsSettings, started_with: int) -> None:
+        """Set up the part that talks to other heads."""
         from stoatrouter.peering.heads import Heads
 
         self.heads = Heads(settings, self, started_with)
 
     def ready(self) -> bool:
+        """Whether this head accepts clients and, where heads talk to each other, takes part among them."""
         return self.serving and (self.heads is None or self.heads.ready)
 
     @property
     def listeners(self) -> list[Listener]:
-        """Where clients come."""
+        """The listeners that clients connect to."""
         return [listener for listener in (self.platform, self.objects, self.http) if listener is not None]
 
     async def start(self) -> None:
-        """Restore the list, follow discovery, and listen once it has answered or does not."""
+        """Restore the node list, follow discovery, and listen once discovery has answered or timed out."""
         if self.conf.management is not None:
             await self.management.start(*config.address(self.conf.management))
         loop = asyncio.get_running_loop()
         if await self.generations.take_over():
             self.background.append(loop.create_task(self.watch.run()))
         else:
-            self.engine.reducer.by_hand = self.engine.keep.read()
+            self.engine.reducer.administrative_state = self.engine.state_file.read()
             self.watch.restore()
             self.background.append(loop.create_task(self.watch.run()))
             await self.watch.first_answer()
@@ -187,7 +196,7 @@
             loop.create_task(self.generations.follow()),
             loop.create_task(self.management_clients.keep_swept()),
             loop.create_task(watch_loop(self.engine, self.clients, LAG_EVERY, LAG_LIMIT)),
-            *(loop.create_task(service.keep_told()) for service in self.tables),
+            *(loop.create_task(service.log_periodically()) for service in self.tables),
         ]
         if self.recorder is not None:
             self.background.append(loop.create_task(self.recorder.run()))
@@ -196,7 +205,7 @@
         )
 
     async def accept(self) -> None:
-        """Accept clients at both fronts."""
+        """Accept clients at all fronts."""
         await self.platform.start(*config.address(self.conf.listen), inherited=self.conf.inherited)
         if self.objects is not None and self.object_settings is not None:
             await self.objects.start(*config.address(self.object_settings.listen))
@@ -204,15 +213,18 @@
             await self.http.start(*config.address(self.http_settings.listen))
         self.serving = True
 
-    async def rest(self) -> None:
-        """Accept no more: another process of this head does."""
+    async def stop_accepting(self) -> None:
+        """Stop accepting clients, as another process of this head does so from now on."""
         self.serving = False
         for listener in self.listeners:
-            listener.rest()
+            listener.stop_accepting()
 
     def reload(self, environ: Mapping[str, str]) -> None:
-        """Read the configuration again; all of it must be good. Discovery's address is taken over at once,
-        rule tables once they are read."""
+        """Read the configuration again and apply what can change while serving.
+
+        A configuration with any fault is rejected and logged. Discovery's address is applied at once, rule
+        tables once they are compiled; other changes wait for the next start.
+        """
         for service in self.tables:
             service.reload()
         try:
@@ -240,13 +252,13 @@
         self.watch.move(conf.discovery)
 
     async def stop(self) -> None:
-        """Serve for as long as answers are sure, finish what was taken, then end everything."""
+        """Serve for as long as answers are certain to arrive, finish open requests, and close everything."""
         logger.info("stop: asked to, {open} requests open", event="stop.asked", open=self.engine.reducer.open)
         self.serving = False
         times = shutdown_deadlines(span(max(c.deadline for c in self.conf.settings.classes)))
         self.engine.answer_by = self.engine.clock.now() + times.answer_within
         await asyncio.gather(*(li.stop(lambda: self.engine.busy, times.take_for) for li in self.listeners))
-        self.drain.rest()
+        self.drain.stop_sending_away()
         await self.generations.close()
         if self.heads is not None:
             await self.heads.close()
--- a/stoatrouter/matching/files.py
+++ b/stoatrouter/matching/files.py
@@ -1,4 +1,4 @@
-"""Rule files: read, checked and made into a table. The I/O of this package; decisions are elsewhere."""
+"""Rule files: read, checked and made into a table. This is the I/O of the package."""
 
 from __future__ import annotations
 
@@ -8,10 +8,14 @@
 from pathlib import Path
 
 from stoatrouter.expressions.environment import Environment
+from stoatrouter.matching.cache import Cache
+from stoatrouter.matching.flaws import Flaw, TableError
 from stoatrouter.matching.inputs import HTTP
+from stoatrouter.matching.loader import Loader
 from stoatrouter.matching.records import Rule, Rules, Team
-from stoatrouter.matching.table import Bucket, Cache, Flaw, Loader, Table, TableError, Vocabulary
-from stoatrouter.settings import Loaded, Place, SettingsError, Wrong, load
+from stoatrouter.matching.table import Table
+from stoatrouter.matching.vocabulary import Bucket, Vocabulary
+from stoatrouter.settings import Fault, Loaded, Place, SettingsError, load
 
 RULES, TEAM = "rules.#Rules", "rules.#Team"
 
@@ -25,18 +29,19 @@
 
     @property
     def files(self) -> tuple[Path, ...]:
+        """All files that were read."""
         return (*self.operator.files, *(file for team in self.teams.values() for file in team.files))
 
     @property
     def epoch(self) -> str:
-        """A short name for what the files held: the same content has the same one."""
+        """A short digest of the files' contents; equal contents have the same one."""
         digests = {
             f.name: d for loaded in (self.operator, *self.teams.values()) for f, d in loaded.digests.items()
         }
         return hashlib.sha256(repr(sorted(digests.items())).encode()).hexdigest()[:12]
 
     def place(self, path: str) -> Place:
-        """Where a path of the table stands: rules of a scope with a file of its own are there."""
+        """The file and line of a path of the table."""
         parts = path.split(".", 2)
         if (
             len(parts) == 3
@@ -47,14 +52,14 @@
             return self.teams[parts[1]].place(parts[2])
         return self.operator.place(path)
 
-    def wrong(self, flaw: Flaw) -> Wrong:
+    def fault(self, flaw: Flaw) -> Fault:
         """A flaw with its file and line."""
         inner = f"{flaw.at}: " if flaw.at else ""
-        return Wrong(self.place(flaw.path), flaw.path, inner + flaw.what, flaw.remedy)
+        return Fault(self.place(flaw.path), flaw.path, inner + flaw.what, flaw.remedy)
 
 
 class Files:
-    """Reads rule files; what a team's file held is kept, so that a reload reads what has changed."""
+    """Reads rule files; a team's file is read again only where it has changed."""
 
     def __init__(self) -> None:
         self.teams: dict[Path, Loaded[Team]] = {}
@@ -62,25 +67,26 @@
     def read(self, path: Path) -> Sources:
         """Read an operator's rule file and the team files that it names; raises SettingsError."""
         operator: Loaded[Rules] = load(path, Rules, RULES)
-        wrongs: list[Wrong] = []
+        faults: list[Fault] = []
         teams: dict[str, Loaded[Team]] = {}
         for name, scope in operator.record.scopes.items():
             if scope.file is None:
                 continue
             at = operator.place(f"scopes.{name}.file")
             if scope.rules:
-                wrongs.append(Wrong(at, f"scopes.{name}", "it has rules and a file", "leave one of them out"))
+                faults.append(Fault(at, f"scopes.{name}", "it has rules and a file", "leave one of them out"))
             # Guards the operator's part: a team's file is read by itself and can say nothing of scopes.
             try:
                 teams[name] = self.team(path.parent / scope.file)
             except SettingsError as error:
-                wrongs += error.wrongs
-        if wrongs:
-            raise SettingsError(*wrongs)
+                faults += error.faults
+        if faults:
+            raise SettingsError(*faults)
         self.teams = {path: team for path, team in self.teams.items() if team in teams.values()}
         return Sources(operator, teams)
 
     def team(self, path: Path) -> Loaded[Team]:
+        """A team's file; it is read again only if it has changed. Raises SettingsError."""
         known = self.teams.get(path)
         if known is None or not known.unchanged():
             known = self.teams[path] = load(path, Team, TEAM)
@@ -89,7 +95,7 @@
 
 @dataclass(slots=True)
 class Tables:
-    """Makes tables of one rule file, again and again: what has not changed is taken from the one before."""
+    """Makes the tables of one rule file; what has not changed is taken from the previous one."""
 
     path: Path
     words: Vocabulary
@@ -99,11 +105,11 @@
     cache: Cache = field(default_factory=Cache)
 
     def load(self) -> tuple[Table, Sources]:
-        """The table that the files make now; raises SettingsError with all that is wrong."""
+        """The table of the files as they are now; raises SettingsError with all faults."""
         sources = self.files.read(self.path)
         rules: dict[str, Sequence[Rule]] = {name: team.record.rules for name, team in sources.teams.items()}
         try:
             loader = Loader(self.words, self.environment, self.cache, self.buckets)
             return loader.load(sources.operator.record, rules, sources.epoch), sources
         except TableError as error:
-            raise SettingsError(*(sources.wrong(flaw) for flaw in error.flaws)) from None
+            raise SettingsError(*(sources.fault(flaw) for flaw in error.flaws)) from None
--- a/stoatrouter/net/discovery.py
+++ b/stoatrouter/net/discovery.py
@@ -1,4 +1,4 @@
-"""The watch of the node list. Errors, silence or nonsense never end it."""
+"""The watch of discovery's node list; errors, silence or malformed messages never end it."""
 
 from __future__ import annotations
 
@@ -20,44 +20,44 @@
 from stoatrouter.core.model import NodeInfo
 from stoatrouter.net.nodes import Broken, only_once
 
-PACE = timedelta(milliseconds=50)  # of calls that are answered at once and bring nothing
+LEAST_CALL_INTERVAL = timedelta(milliseconds=50)  # of calls that are answered at once and bring nothing
 LARGEST_LIST = 4 * 1024 * 1024
 UNNAMED_ZONES = 1 << 16  # numbers from here on are of zones that the settings do not name
-MOST_SAID = 1000  # faults of entries that are remembered as said
+MOST_LOGGED_FAULTS = 1000  # faults of entries that are remembered as logged
 NONE_HELD: Mapping[str, NodeInfo] = MappingProxyType({})
 PHASES = {"SERVING": Phase.ON, "DRAINING": Phase.DRAINING, "DELETED": Phase.GONE}
 
 # the kind, the entries, and how long before now they may have counted as told; None: nobody knows
-Told = Callable[[ListKind, tuple[NodeInfo, ...], timedelta | None], None]
+ListCallback = Callable[[ListKind, tuple[NodeInfo, ...], timedelta | None], None]
 
 
 class Watch:
-    """Follows the list and tells what changed."""
+    """Follows the node list and reports what changed."""
 
     def __init__(
         self,
         address: str,
         known: dict[str, Any],
-        told: Told,
+        on_list: ListCallback,
         count: Callable[[str], None] = lambda _: None,
         pushed: bool = True,
         times: ListTimes | None = None,
         zones: tuple[str, ...] = (),
     ) -> None:
-        self.address, self.told, self.count, self.pushed = address, told, count, pushed
+        self.address, self.on_list, self.count, self.pushed = address, on_list, count, pushed
         self.zones = zones  # by name, as the settings number them
         self.times = times or list_times(pushed, timedelta(seconds=2))
-        # in the loop's time: when the present call began, and up to when all is known
-        self.asked, self.sure = 0.0, None
+        # in the loop's time: when the present call began, and up to when the list held is current
+        self.call_began, self.current_at = 0.0, None
         self.held: dict[str, NodeInfo] = {}  # as last told, for entries that cannot be read
-        self.said: set[str] = set()
+        self.logged_faults: set[str] = set()
         self.generation: int | None = None
         self.known = known
         self.failures = 0  # calls in a row
-        self.moved, self.heard = asyncio.Event(), asyncio.Event()
+        self.address_changed, self.answered = asyncio.Event(), asyncio.Event()
 
     def restore(self) -> None:
-        """Tell the list as this head last had it; it may be out of date."""
+        """Report the list that this head last had, which may be out of date."""
         try:
             generation, _, nodes, faults = (
                 read_list(self.known, zones=self.zones) if self.known else (None, True, (), ())
@@ -70,41 +70,45 @@
             )
             generation, nodes, faults = None, (), ()
         self.generation = generation
-        self.tell(ListKind.RESTORED, nodes, faults)
+        self.report(ListKind.RESTORED, nodes, faults)
 
     async def first_answer(self) -> None:
-        """Wait for the first answer, not for long: a start must not depend on discovery. Guards a new
-        process's first requests: what its agent has counts as told from its first moment, and the list it was
-        given may be old."""
+        """Wait for the first answer, within a bound: a start must not depend on discovery.
+
+        What the agent of a new process has is binding from its first moment, and the list it was given may
+        be old.
+        """
         try:
             async with asyncio.timeout(self.times.first.total_seconds()):
-                await self.heard.wait()
+                await self.answered.wait()
         except TimeoutError:
             logger.warning(
                 "discovery: no answer yet, serving on the list known before", event="discovery.unheard"
             )
 
     def move(self, address: str) -> None:
-        """Watch at another address from now on. The list and its generation stay: the next call asks there
-        for what is newer, so that nothing is missed and nothing is forgotten."""
+        """Watch at another address from now on.
+
+        The list and its generation stay: the next call asks there for newer changes, so that none is missed.
+        """
         if address != self.address:
             self.address = address
-            self.moved.set()
+            self.address_changed.set()
 
     async def run(self) -> None:
-        """Watch for as long as the program runs, wherever the list is to be had."""
+        """Watch until cancelled, at whatever address is current."""
         while True:
-            self.moved.clear()
+            self.address_changed.clear()
             following = asyncio.create_task(self.follow())
             try:
-                await self.moved.wait()
+                await self.address_changed.wait()
             finally:
                 # Guards a moved watch against the old agent, which may be silent from now on.
                 following.cancel()
                 await asyncio.gather(following, return_exceptions=True)
 
     async def follow(self) -> None:
-        """Watch at one address."""
+        """Watch at one address until cancelled."""
         # one connection of its own: nothing of the pool to nodes can hold it up
         connector = aiohttp.TCPConnector(limit=2, keepalive_timeout=2 * self.times.hold.total_seconds())
         timeout = aiohttp.ClientTimeout(total=None, sock_connect=self.times.dial.total_seconds())
@@ -120,8 +124,9 @@
                     news = await self.call(session)
                     self.recovered()
                     # Guards the core against an agent that does not hold calls: asking is paced then.
-                    if not news and asyncio.get_running_loop().time() - self.asked < PACE.total_seconds():
-                        await asyncio.sleep(PACE.total_seconds())
+                    took = asyncio.get_running_loop().time() - self.call_began
+                    if not news and took < LEAST_CALL_INTERVAL.total_seconds():
+                        await asyncio.sleep(LEAST_CALL_INTERVAL.total_seconds())
                 except (aiohttp.ClientError, Broken, OSError, ValueError, TimeoutError) as error:
                     self.failed(error)
                     await asyncio.sleep(self.pause().total_seconds())
@@ -132,17 +137,19 @@
                     await asyncio.sleep(self.pause().total_seconds())
 
     def pause(self) -> timedelta:
-        """How long to wait after a failure. Drawn, as all heads lose discovery in the same moment."""
+        """How long to wait after a failure, with jitter, as all heads lose discovery at the same moment."""
         doubled = self.times.pause * 2 ** min(10, max(0, self.failures - 1))
         return min(self.times.longest_pause, doubled) * (0.5 + random.random() / 2)
 
     async def call(self, session: aiohttp.ClientSession) -> bool:
-        """One call: the whole list where none is held, else what is newer than it. Whether it told any. After
-        a failure it is not held: an answer is then due at once, and silence is found out in a fraction of the
-        time."""
+        """Make one call, for the whole list or for changes; returns whether it brought any.
+
+        After a failure the call is not held: an answer is then due at once, and a silent peer is found out
+        in a fraction of the time. Raises ValueError for a malformed answer, and the client's errors.
+        """
         times, query = self.times, ""
         hold = times.hold * (0.75 + random.random() / 4)  # all heads' calls do not come together
-        if self.failures or not self.heard.is_set():
+        if self.failures or not self.answered.is_set():
             hold = times.brief
         within = hold + times.late if hold > times.brief else times.answer
         if self.generation is not None:
@@ -150,7 +157,7 @@
         else:
             within = times.answer
         url = URL(f"http://{self.address}/v1/servers{query}", encoded=True)
-        self.asked = asyncio.get_running_loop().time()
+        self.call_began = asyncio.get_running_loop().time()
         # one time for all of it, as bytes may trickle: dial, wait, head and body
         async with asyncio.timeout(within.total_seconds()):
             async with session.get(url, allow_redirects=False) as response:
@@ -166,12 +173,15 @@
         except RecursionError:  # brackets without end
             raise ValueError("list nested too deeply") from None
         news = self.take(data, self.age())
-        self.sure = asyncio.get_running_loop().time()
-        self.heard.set()
+        self.current_at = asyncio.get_running_loop().time()
+        self.answered.set()
         return news
 
     def take(self, data: Any, age: timedelta | None = timedelta(0)) -> bool:
-        """Take one message, if it makes sense as what follows the list that is held."""
+        """Apply one message; returns whether it brought changes.
+
+        Raises ValueError where it does not follow on the list that is held.
+        """
         generation, whole, nodes, faults = read_list(data, self.held, self.zones)
         if not whole and (self.generation is None or generation < self.generation):
             # Guards against changes to another list than the one held, as from an agent that counts anew.
@@ -179,29 +189,33 @@
             raise ValueError("changes to a list that is not held")
         self.generation = generation
         if whole or nodes or faults:
-            self.tell(ListKind.FULL if whole else ListKind.CHANGES, nodes, faults, age)
+            self.report(ListKind.FULL if whole else ListKind.CHANGES, nodes, faults, age)
         return whole or bool(nodes)
 
     def age(self) -> timedelta | None:
-        """For how long what is told now may have counted as told. Where lists are pushed that is so once the
-        agent has it, asked or not: since the last answer, but for the time in which it could have answered
-        this call."""
+        """For how long the message just read may already have been binding; None: not known.
+
+        Where lists are pushed a message is binding once the agent has it, so that is the time since the last
+        answer, less the time in which the agent could have answered this call.
+        """
         if not self.pushed:
             return timedelta(0)  # told by being written
-        return None if self.sure is None else timedelta(seconds=max(0.0, self.asked - self.sure))
+        if self.current_at is None:
+            return None
+        return timedelta(seconds=max(0.0, self.call_began - self.current_at))
 
-    def tell(
+    def report(
         self,
         kind: ListKind,
         nodes: tuple[NodeInfo, ...],
         faults: tuple[str, ...],
         age: timedelta | None = timedelta(0),
     ) -> None:
-        """Tell what could be read, and say once what could not."""
+        """Report the entries that could be read, and log each unreadable one once."""
         for fault in faults:
             self.count("entry_unreadable")
-            if fault not in self.said and len(self.said) < MOST_SAID:
-                self.said.add(fault)
+            if fault not in self.logged_faults and len(self.logged_faults) < MOST_LOGGED_FAULTS:
+                self.logged_faults.add(fault)
                 logger.warning(
                     "discovery: an entry cannot be read, the others are taken: {error}",
                     event="discovery.entry_unreadable",
@@ -214,9 +228,10 @@
             if node.phase is Phase.GONE:
                 del self.held[node.id]
         if nodes or kind is not ListKind.CHANGES:
-            self.told(kind, nodes, age)
+            self.on_list(kind, nodes, age)
 
     def failed(self, error: BaseException) -> None:
+        """Count a failed call; the first one in a row is logged."""
         if not self.failures:
             logger.warning(
                 "discovery: not reached, the list held stays in use: {error}",
@@ -226,6 +241,7 @@
         self.failures += 1
 
     def recovered(self) -> None:
+        """End a row of failures; it is logged where there was one."""
         if self.failures:
             logger.info(
                 "discovery: reached again, generation {generation}",
@@ -240,8 +256,10 @@
     held: Mapping[str, NodeInfo] = NONE_HELD,
     zones: tuple[str, ...] = (),
 ) -> tuple[int, bool, tuple[NodeInfo, ...], tuple[str, ...]]:
-    """Read a message of discovery: its entries, and what is wrong with those that cannot be read. ValueError
-    where the message as a whole is not what the protocol promises."""
+    """Parse a message: generation, whether it is whole, its nodes, and faults of unreadable entries.
+
+    Raises ValueError where the message as a whole breaks the protocol.
+    """
     try:
         generation, whole, entries = int(data["generation"]), bool(data["reset"]), data["instances"]
         if not isinstance(entries, list):
@@ -264,13 +282,19 @@
 
 
 def zone_number(name: Any, zones: tuple[str, ...]) -> int:
-    """A zone's number as the settings have it. Guards repeats that only one zone drops: a zone that the
-    settings do not name is one of its own, with the same number in every process."""
+    """A zone's number as the settings have it.
+
+    A zone that the settings do not name gets a number of its own, the same in every process, as some repeats
+    are dropped only within one zone.
+    """
     return zones.index(name) if name in zones else UNNAMED_ZONES + zlib.crc32(str(name).encode())
 
 
 def read_node(entry: dict[str, Any], zones: tuple[str, ...] = ()) -> NodeInfo:
-    """Read one entry. The address may be absent from an entry that says the node is gone."""
+    """Parse one entry; only an entry of a node that is gone may lack its address.
+
+    Raises KeyError, TypeError or ValueError.
+    """
     phase = PHASES[entry["lifecycle"]]
     address = str(entry.get("hostPort") or "")
     if not address and phase is not Phase.GONE:
--- a/stoatrouter/net/early.py
+++ b/stoatrouter/net/early.py
@@ -1,4 +1,4 @@
-"""What a process says to the one before it as soon as it starts. Imports little, as it must be early."""
+"""The announcement of a starting process to the one before it. It imports little, to be early."""
 
 from __future__ import annotations
 
@@ -10,8 +10,8 @@
 
 
 @contextlib.contextmanager
-def place(folder: str):
-    """The folder under a name that is short: a socket's path has 107 bytes at most."""
+def short_path(folder: str):
+    """A short path of a folder, as the path of a Unix-domain socket has 107 bytes at most."""
     handle = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
     try:
         yield f"/proc/self/fd/{handle}"
@@ -20,29 +20,33 @@
 
 
 class Announcement:
-    """That this process is starting, while it is."""
+    """Tells the previous process that this one is starting."""
 
     def __init__(self) -> None:
-        self.line: socket.socket | None = None
+        self.connection: socket.socket | None = None
 
-    def make(self, folder: str | None) -> None:
-        """Guards the clients of the old process: a start takes a good part of the core that it needs, so it
-        is to hold less open from now on."""
+    def connect(self, folder: str | None) -> None:
+        """Connect to the previous process, if there is one.
+
+        A start takes a good part of the processor, so the previous process holds fewer requests open from
+        now on.
+        """
         if not folder:
             return
-        line = socket.socket(socket.AF_UNIX)
-        line.setblocking(False)
+        connection = socket.socket(socket.AF_UNIX)
+        connection.setblocking(False)
         try:
-            with place(folder) as short:
-                line.connect(f"{short}/{NAME}")
-            self.line = line
+            with short_path(folder) as short:
+                connection.connect(f"{short}/{NAME}")
+            self.connection = connection
         except OSError:
-            line.close()  # there is none
+            connection.close()  # there is none
 
     def end(self) -> None:
-        if self.line is not None:
-            self.line.close()
-            self.line = None
+        """Close the connection: this process now accepts clients, or is about to end."""
+        if self.connection is not None:
+            self.connection.close()
+            self.connection = None
 
 
 announcement = Announcement()
--- a/stoatrouter/net/hangup.py
+++ b/stoatrouter/net/hangup.py
@@ -1,4 +1,4 @@
-"""SIGHUP before there is a loop to take it. Imports next to nothing, as it must be in force first."""
+"""SIGHUP handling before there is an event loop. It imports little, to be in force first."""
 
 from __future__ import annotations
 
@@ -9,14 +9,17 @@
     """Whether SIGHUP came while the program was still starting."""
 
     def __init__(self) -> None:
-        self.came = False
+        self.received = False
 
     def hold(self) -> None:
-        """Guards a starting head: by default SIGHUP would end it, while imports alone take half a second."""
+        """Install the handler.
+
+        By default SIGHUP would end the process, and imports alone take half a second.
+        """
         signal.signal(signal.SIGHUP, self._note)
 
     def _note(self, *_: object) -> None:
-        self.came = True
+        self.received = True
 
 
 hangups = Hangups()
--- /dev/null
+++ b/stoatrouter/net/state_file.py
@@ -0,0 +1,49 @@
+"""The file in $TMPDIR that keeps the administrative state over restarts and upgrades."""
+
+from __future__ import annotations
+
+import json
+import os
+from pathlib import Path
+
+from loguru import logger
+
+from stoatrouter.core.model import AdministrativeState
+from stoatrouter.net.state import read_administrative_state, write_administrative_state
+
+
+class AdministrativeStateFile:
+    """The file of the administrative state; without a folder nothing is saved."""
+
+    def __init__(self, folder: str | None) -> None:
+        self.path = Path(folder) / "stoatrouter-bricks.json" if folder else None
+
+    def write(self, administrative_state: AdministrativeState) -> bool:
+        """Save the state; returns whether that worked.
+
+        The file is replaced in one step, so that a process that dies here leaves the old one.
+        """
+        if self.path is None:
+            return True
+        temporary = self.path.with_suffix(".new")
+        try:
+            temporary.write_text(json.dumps(write_administrative_state(administrative_state)))
+            os.replace(temporary, self.path)
+        except OSError as error:
+            logger.error("bricks: cannot be kept: {error}", event="bricks.unkept", error=str(error))
+            return False
+        return True
+
+    def read(self) -> AdministrativeState:
+        """The saved state; an empty one where there is no file or it is unreadable."""
+        if self.path is None or not self.path.exists():
+            return AdministrativeState()
+        try:
+            return read_administrative_state(json.loads(self.path.read_text()))
+        except (OSError, ValueError, RecursionError) as error:
+            logger.error(
+                "bricks: what was kept cannot be read, no brick is out: {error}",
+                event="bricks.unreadable",
+                error=str(error),
+            )
+            return AdministrativeState()
--- a/stoatrouter/net/succession.py
+++ b/stoatrouter/net/succession.py
@@ -1,7 +1,7 @@
-"""A new version under load: the new process and the old one meet over a Unix-domain socket in $TMPDIR.
+"""The protocol between two processes of one head, over a Unix-domain socket in $TMPDIR.
 
-The new one connects and asks; the old one stops accepting and tells all it knows in one line, then, line by
-line, what it still holds. The connection's end tells either that the other is gone.
+The new process connects and asks. The old one stops accepting and sends its state in one line, then, line by
+line, what it still holds. The end of the connection tells each that the other is gone.
 """
 
 from __future__ import annotations
@@ -18,28 +18,28 @@
 
 from loguru import logger
 
-from stoatrouter.net.early import NAME, place
+from stoatrouter.net.early import NAME, short_path
 
 VERSION = 1
 # A new process is due to serve within 6 s: an old one that says nothing is left alone after this time.
 ANSWER_WITHIN = timedelta(seconds=2)
-TELL_EVERY = timedelta(milliseconds=25)
+HOLDINGS_EVERY = timedelta(milliseconds=25)
 LARGEST_LINE = 16 * 1024 * 1024
 
 State = dict[str, Any]
 
 
 class Predecessor:
-    """The new process's side: the old process, for as long as it lives."""
+    """The previous process, as the new one sees it."""
 
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, state: State) -> None:
         self.reader, self.writer, self.state = reader, writer, state
 
-    async def follow(self, told: Callable[[State], None]) -> None:
-        """Pass on what the old process still holds, and at its end that it holds nothing."""
+    async def follow(self, on_holdings: Callable[[State], None]) -> None:
+        """Report what the previous process still holds, and at its end that it holds nothing."""
         try:
             while line := await self.reader.readline():
-                told(json.loads(line))
+                on_holdings(json.loads(line))
         except (OSError, ValueError) as error:
             logger.warning(
                 "upgrade: the old process cannot be followed: {error}",
@@ -48,24 +48,24 @@
             )
         finally:
             self.writer.close()
-            told({})
+            on_holdings({})
         logger.info("upgrade: the old process is gone", event="upgrade.old_gone")
 
 
 class Succession:
-    """Where the next process finds this one."""
+    """The socket at which the next process finds this one."""
 
     def __init__(self, folder: str | None) -> None:
         self.folder = folder
         self.server: asyncio.Server | None = None
 
     async def take_over(self) -> Predecessor | None:
-        """Ask the old process, if there is one, to hand over."""
+        """Ask the previous process to hand over; None where there is none or it does not answer."""
         if self.folder is None or not (Path(self.folder) / NAME).exists():
             return None
         try:
             async with asyncio.timeout(ANSWER_WITHIN.total_seconds()):
-                with place(self.folder) as short:
+                with short_path(self.folder) as short:
                     reader, writer = await asyncio.open_unix_connection(f"{short}/{NAME}", limit=LARGEST_LINE)
                 writer.write(json.dumps({"take": VERSION}).encode() + b"\n")
                 state = json.loads(await reader.readline())
@@ -79,18 +79,25 @@
             )
             return None
 
-    async def listen(self, asked: Callable[[asyncio.StreamReader, asyncio.StreamWriter], Any]) -> None:
-        """Be found by the next process from now on, in place of whoever was."""
+    async def listen(
+        self, on_connection: Callable[[asyncio.StreamReader, asyncio.StreamWriter], Any]
+    ) -> None:
+        """Listen for the next process, replacing the socket of the previous one."""
         if self.folder is None:
             return
         await self.close()
         try:
-            with place(self.folder) as short, contextlib.closing(socket.socket(socket.AF_UNIX)) as ear:
-                aside = Path(short) / (NAME + ".new")
-                aside.unlink(missing_ok=True)
-                ear.bind(str(aside))
-                self.server = await asyncio.start_unix_server(asked, sock=ear.dup(), limit=LARGEST_LINE)
-                os.replace(aside, Path(short) / NAME)  # never without one that answers
+            with (
+                short_path(self.folder) as short,
+                contextlib.closing(socket.socket(socket.AF_UNIX)) as listening_socket,
+            ):
+                temporary = Path(short) / (NAME + ".new")
+                temporary.unlink(missing_ok=True)
+                listening_socket.bind(str(temporary))
+                self.server = await asyncio.start_unix_server(
+                    on_connection, sock=listening_socket.dup(), limit=LARGEST_LINE
+                )
+                os.replace(temporary, Path(short) / NAME)  # never without one that answers
         except OSError as error:
             logger.error(
                 "upgrade: a new process will not find this one: {error}",
@@ -99,11 +106,13 @@
             )
 
     async def close(self) -> None:
+        """Stop listening for the next process."""
         if self.server is not None:
             self.server.close()
             self.server = None
 
 
-async def tell(writer: asyncio.StreamWriter, what: State) -> None:
-    writer.write(json.dumps(what).encode() + b"\n")
+async def send_line(writer: asyncio.StreamWriter, state: State) -> None:
+    """Send a state as one line of JSON; raises OSError where the other process is gone."""
+    writer.write(json.dumps(state).encode() + b"\n")
     await writer.drain()
--- a/stoatrouter/net/tables.py
+++ b/stoatrouter/net/tables.py
@@ -1,4 +1,4 @@
-"""Rule tables of a running head: loaded at its start, and again beside its requests on SIGHUP."""
+"""Rule tables of a running head: loaded at its start, and again on SIGHUP while it serves."""
 
 from __future__ import annotations
 
@@ -23,13 +23,15 @@
 # While a table is made in another thread, the loop gets the interpreter back after so long (5 ms by default).
 SWITCH = timedelta(microseconds=500)
 Done = TypeVar("Done")
-MOST_SAID = 20  # lines about one table
-SAY_EVERY = timedelta(seconds=10)
+MOST_LOGGED = 20  # lines about one table
+LOG_EVERY = timedelta(seconds=10)
 
 
 async def in_thread(work: Callable[[], Done]) -> Done:
-    """The result of work in a thread of its own. Guards the end of a stopping head: an executor's threads
-    would be waited for, however long they still take."""
+    """The result of work in a daemon thread of its own.
+
+    An executor's threads would be waited for at the end of the process, however long they take.
+    """
     loop = asyncio.get_running_loop()
     result: asyncio.Future[Done] = loop.create_future()
 
@@ -41,18 +43,21 @@
         try:
             done = work()
         except BaseException as error:  # noqa: BLE001 - it is raised where it is waited for
-            told = partial(give, result.set_exception, error)
+            deliver = partial(give, result.set_exception, error)
         else:
-            told = partial(give, result.set_result, done)
+            deliver = partial(give, result.set_result, done)
         with contextlib.suppress(RuntimeError):  # the loop has ended
-            loop.call_soon_threadsafe(told)
+            loop.call_soon_threadsafe(deliver)
 
     threading.Thread(target=run, daemon=True, name="rules").start()
     return await result
 
 
-def quietly(work: Callable[[], Done]) -> Done:
-    """Do work that makes much, so that requests go on beside it."""
+def without_long_pauses(work: Callable[[], Done]) -> Done:
+    """Run work that creates many objects with short switches between threads and no garbage collection.
+
+    A collection would stop requests for up to a second. What is created is kept for good, so it is frozen.
+    """
     before = sys.getswitchinterval()
     sys.setswitchinterval(SWITCH.total_seconds())
     # Guards requests against standing still: looking for garbage in what is made takes a third of the time,
@@ -70,19 +75,19 @@
 
 
 class TableService:
-    """Puts tables in force, one at a time."""
+    """Loads tables and puts them in force, one at a time."""
 
     def __init__(self, tables: Tables, shadow: Tables | None, windows: dict[int, timedelta]) -> None:
         self.tables, self.shadow = tables, shadow
         made, other = self.load()
-        self.matcher = Matcher(self.told(*made), windows)
+        self.matcher = Matcher(self.log_in_force(*made), windows)
         self.matcher.put_in_shadow(other)
         self.reloading: asyncio.Task[None] | None = None
-        self.again = False
+        self.reload_again = False
         self.managed = False  # the table comes from the heads' history, not from this head's files
 
-    def told(self, table: Table, sources: Sources) -> Table:
-        """Say which table this is, and what in it is idle."""
+    def log_in_force(self, table: Table, sources: Sources) -> Table:
+        """Log which table is in force, and its warnings; returns the table."""
         logger.info(
             "rules: table {epoch} with {rules} rules in {scopes} scopes is in force",
             event="rules.in_force",
@@ -90,12 +95,12 @@
             rules=table.size,
             scopes=len(table.compartments),
         )
-        for flaw in table.warnings[:MOST_SAID]:
-            logger.warning("rules: {warning}", event="rules.idle", warning=str(sources.wrong(flaw)))
+        for flaw in table.warnings[:MOST_LOGGED]:
+            logger.warning("rules: {warning}", event="rules.idle", warning=str(sources.fault(flaw)))
         return table
 
     def reload(self) -> None:
-        """Read the files again, beside the requests. Asked again meanwhile, it does so once more after."""
+        """Load the files again while requests go on; a call during a reload causes one more."""
         if self.managed:
             logger.warning(
                 "rules: the files are not read, the table comes from the heads' history",
@@ -103,14 +108,15 @@
             )
             return
         if self.reloading is not None and not self.reloading.done():
-            self.again = True
+            self.reload_again = True
             return
         self.reloading = asyncio.get_running_loop().create_task(self.load_again())
 
     async def load_again(self) -> None:
-        self.again = True
-        while self.again:
-            self.again = False
+        """Load the files in a thread and put the table in force; a refused one leaves the old in force."""
+        self.reload_again = True
+        while self.reload_again:
+            self.reload_again = False
             try:
                 made = await in_thread(self.load)
             except SettingsError as error:
@@ -120,43 +126,43 @@
                     event="rules.refused",
                     epoch=self.matcher.table.epoch,
                 )
-                for wrong in error.wrongs[:MOST_SAID]:
-                    logger.error("rules: {wrong}", event="rules.wrong", wrong=str(wrong))
+                for fault in error.faults[:MOST_LOGGED]:
+                    logger.error("rules: {wrong}", event="rules.wrong", wrong=str(fault))
                 continue
             except Exception:
                 logger.exception("rules: loading failed in an unforeseen way", event="rules.fault")
                 continue
             (table, sources), shadow = made
-            self.matcher.replace(self.told(table, sources))
+            self.matcher.replace(self.log_in_force(table, sources))
             self.matcher.put_in_shadow(shadow)
 
     def load(self) -> tuple[tuple[Table, Sources], Table | None]:
-        """Make the tables; once the head serves, in a thread of its own, so that requests go on."""
-        return quietly(
+        """Load the tables from their files; raises SettingsError."""
+        return without_long_pauses(
             lambda: (self.tables.load(), self.shadow.load()[0] if self.shadow is not None else None)
         )
 
     async def compile(self, path: Path) -> Made:
-        """A table of other files, made beside the requests and put nowhere yet; raises SettingsError."""
+        """Compile a table of other files without putting it in force; raises SettingsError."""
         now = self.tables
         tables = Tables(path, now.words, now.environment, now.buckets, cache=now.cache)
-        table, sources = await in_thread(lambda: quietly(tables.load))
+        table, sources = await in_thread(lambda: without_long_pauses(tables.load))
         return tables, table, sources
 
     def put(self, made: Made) -> None:
-        """Put a table in force that was made before."""
+        """Put a compiled table in force."""
         self.tables, table, sources = made
-        self.matcher.replace(self.told(table, sources))
+        self.matcher.replace(self.log_in_force(table, sources))
 
-    async def keep_told(self) -> None:
-        """Say now and then where the table in shadow decides otherwise, and what was forgotten."""
-        said, forgotten = 0, 0
+    async def log_periodically(self) -> None:
+        """Log from time to time where the shadow table differs, and placements that were forgotten."""
+        logged, forgotten = 0, 0
         while True:
-            await asyncio.sleep(SAY_EVERY.total_seconds())
+            await asyncio.sleep(LOG_EVERY.total_seconds())
             matcher = self.matcher
             different = matcher.differences.total()
-            if matcher.shadow is not None and different != said:
-                for (in_force, other), count in matcher.differences.most_common(MOST_SAID):
+            if matcher.shadow is not None and different != logged:
+                for (in_force, other), count in matcher.differences.most_common(MOST_LOGGED):
                     logger.info(
                         "rules: shadow differs {count} of {asked} times: {in_force} in force, {other} there",
                         event="rules.shadow",
@@ -165,7 +171,7 @@
                         in_force=in_force,
                         other=other,
                     )
-            said = different
+            logged = different
             if matcher.placements.forgotten != forgotten:
                 forgotten = matcher.placements.forgotten
                 logger.warning(
@@ -175,6 +181,7 @@
                 )
 
     async def close(self) -> None:
+        """Cancel a reload that is under way."""
         if self.reloading is not None:
             self.reloading.cancel()
             await asyncio.gather(self.reloading, return_exceptions=True)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -16,7 +16,7 @@
 from stoatrouter.core import model
 from stoatrouter.core.reducer import Reducer
 from stoatrouter.core.spans import micros, span
-from tests.bench_free import CLASSES, PLAN
+from tests.scheduler_driver import CLASSES, PLAN
 
 ROOT = Path(__file__).parent.parent
 START = timedelta(days=20_000)
@@ -170,10 +170,10 @@
 def test_a_request_counts_once_and_none_stays_active(events, counts):
     r = reducer(node())
     r.reduce(model.Arrived(START, request()))
-    assert r.figures.active == 1
+    assert r.counters.active == 1
     for event in events:
         r.reduce(event)
-    f = r.figures
+    f = r.counters
     assert (sum(f.ok), sum(f.shed), sum(f.errors), f.active) == (*counts, 0)
 
 
@@ -182,7 +182,7 @@
     for arrived in request(), request(), request("s"):
         r.reduce(model.Arrived(START, arrived))
     r.reduce(model.TurnedAway(START, 0))
-    f = r.figures
+    f = r.counters
     assert (sum(f.ok), sum(f.shed), sum(f.errors), f.active) == (0, 2, 1, 1)
 
 
