--- /dev/null
+++ b/benchmarks/capacity/instrumented_head.py
@@ -0,0 +1,193 @@
+"""A head whose processor time is split by place: run in place of `stoatrouter`, with the same configuration.
+
+With CAPACITY_SPLIT set, each callback of the event loop is timed by the thread's clock and counted for the
+place that it belongs to; calls of the reducer and of the decision module inside it count for theirs and not
+for it. What the process uses beyond the sum is the loop's own (select, scheduling) and the timing itself. On
+SIGUSR1 the sums are written as JSON to the file that CAPACITY_SNAPSHOT names. CAPACITY_IDLE_SECONDS keeps
+idle clients longer than the program does, so that their memory can be measured.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import json
+import os
+import resource
+import signal
+import sys
+import time
+from collections.abc import Callable
+from datetime import timedelta
+from pathlib import Path
+from typing import Any
+
+from cypressworks import Scheduler
+from stoatrouter import __main__ as program
+from stoatrouter.core.reducer import Reducer
+from stoatrouter.net import clients
+from stoatrouter.net.nodes import NodeClient
+from stoatrouter.net.pool import NodeConnection, NodePool
+
+FRONT, NODE_CLIENT, DIAL = "front", "node client", "dial"
+REDUCER, DECISION, READING, LIST = "reducer", "decision", "reading", "list"
+TIMERS, ACCEPT, OTHER = "timers", "accept", "other"
+
+
+class Split:
+    """Processor time by place; what is timed inside another timed call is taken off that one."""
+
+    def __init__(self) -> None:
+        self.seconds: dict[str, float] = {}
+        self.calls: dict[str, int] = {}
+        self.inner = [0.0]  # of the calls now running, outermost first: the time of those inside each
+
+    def run(self, place: str, function: Callable[..., Any], *arguments: Any, **named: Any) -> Any:
+        """Call a function and count its time for a place."""
+        began = time.thread_time()
+        self.inner.append(0.0)
+        try:
+            return function(*arguments, **named)
+        finally:
+            took = time.thread_time() - began
+            self.seconds[place] = self.seconds.get(place, 0.0) + took - self.inner.pop()
+            self.calls[place] = self.calls.get(place, 0) + 1
+            self.inner[-1] += took
+
+    def wrap(self, owner: Any, name: str, place: Callable[..., str]) -> None:
+        """Time all calls of a method; the place may follow from its arguments."""
+        function = getattr(owner, name)
+
+        @functools.wraps(function)
+        def timed(*arguments: Any, **named: Any) -> Any:
+            return self.run(place(*arguments), function, *arguments, **named)
+
+        setattr(owner, name, timed)
+
+
+SPLIT = Split()
+PLACES_BY_PROTOCOL = {clients.ClientConnection: FRONT, NodeConnection: NODE_CLIENT}
+PLACES_BY_COROUTINE = {
+    "RequestHandler.start": FRONT,
+    "RequestHandler._handle_request": FRONT,
+    "BaseSelectorEventLoop._accept_connection2": ACCEPT,
+    "ClientTable.keep_swept": FRONT,
+    "NodeClient.attempt": NODE_CLIENT,
+    "TrackedRequest.write_bytes": NODE_CLIENT,
+    "Watch.follow": LIST,
+}
+PLACES_BY_CALLBACK = {
+    "Engine.timer": TIMERS,
+    "Engine.overdue": TIMERS,
+    "Engine.ended": NODE_CLIENT,
+    "ClientRequest.__reset_writer": NODE_CLIENT,
+    "BaseSelectorEventLoop._accept_connection": ACCEPT,
+    "BaseSelectorEventLoop._sock_write_done": NODE_CLIENT,
+    "BaseSelectorEventLoop._sock_connect_cb": DIAL,
+    "ClientConnection.connection_made": ACCEPT,
+    "NodeConnection.connection_made": DIAL,
+}
+
+
+def place_of(callback: Any) -> str:
+    """To which place a callback of the loop belongs; those of no place are counted by name."""
+    place = known_place(callback)
+    if place == OTHER:
+        name = f"unplaced {describe(callback)}"
+        SPLIT.calls[name] = SPLIT.calls.get(name, 0) + 1
+    return place
+
+
+def describe(callback: Any) -> str:
+    """What a callback is called."""
+    function = getattr(callback, "func", callback)
+    owner = getattr(function, "__self__", None)
+    if isinstance(owner, asyncio.Task):
+        return f"task {getattr(owner.get_coro(), '__qualname__', '?')}"
+    return str(getattr(function, "__qualname__", function))
+
+
+def known_place(callback: Any) -> str:
+    """The place of a callback, or OTHER."""
+    function = getattr(callback, "func", callback)  # of a functools.partial
+    owner = getattr(function, "__self__", None)
+    if isinstance(owner, asyncio.Task):
+        name = getattr(owner.get_coro(), "__qualname__", "")
+        return PLACES_BY_COROUTINE.get(name, OTHER)
+    protocol = getattr(owner, "_protocol", None)
+    if protocol is not None:
+        return PLACES_BY_PROTOCOL.get(type(protocol), OTHER)
+    name = getattr(function, "__qualname__", "")
+    if isinstance(owner, clients.ClientConnection | NodeConnection):
+        return PLACES_BY_CALLBACK.get(name, PLACES_BY_PROTOCOL[type(owner)])
+    return PLACES_BY_CALLBACK.get(name, OTHER)
+
+
+def decision_place(scheduler: Scheduler, now: int, event: Any) -> str:
+    """Readings and lists are counted apart from what requests cost."""
+    name = type(event).__name__
+    if name == "NodeList":
+        return LIST
+    return READING if name == "TimerFired" and event.token == 0 else DECISION
+
+
+def instrument() -> None:
+    """Time the loop's callbacks and the calls between the head's parts."""
+    run = asyncio.events.Handle._run
+
+    def timed(handle: asyncio.Handle) -> Any:
+        return SPLIT.run(place_of(handle._callback), run, handle)  # type: ignore[attr-defined]
+
+    asyncio.events.Handle._run = timed  # type: ignore[method-assign]
+    SPLIT.wrap(Reducer, "reduce", lambda *_: REDUCER)
+    SPLIT.wrap(Scheduler, "handle", decision_place)
+    count_calls(NodeClient, "attempt", "attempts")
+    count_calls(NodePool, "_create_connection", "connections dialled")
+
+
+def count_calls(owner: Any, name: str, what: str) -> None:
+    """Count a coroutine function's calls."""
+    function = getattr(owner, name)
+
+    @functools.wraps(function)
+    async def counted(*arguments: Any, **named: Any) -> Any:
+        SPLIT.calls[what] = SPLIT.calls.get(what, 0) + 1
+        return await function(*arguments, **named)
+
+    setattr(owner, name, counted)
+
+
+def write_snapshot() -> None:
+    """Write the sums so far."""
+    used = resource.getrusage(resource.RUSAGE_SELF)
+    found = {
+        "seconds": SPLIT.seconds,
+        "calls": SPLIT.calls,
+        "user_s": used.ru_utime,
+        "system_s": used.ru_stime,
+        "peak_mb": used.ru_maxrss / 1000,
+    }
+    path = Path(os.environ["CAPACITY_SNAPSHOT"])
+    aside = path.with_suffix(".new")
+    aside.write_text(json.dumps(found))
+    aside.replace(path)
+
+
+def main() -> int:
+    """Run the program with its parts timed."""
+    if os.environ.get("CAPACITY_SPLIT"):
+        instrument()
+    if idle := os.environ.get("CAPACITY_IDLE_SECONDS"):
+        clients.IDLE = timedelta(seconds=float(idle))
+    start = program.Head.start
+
+    async def start_and_watch(head: Any) -> None:
+        asyncio.get_running_loop().add_signal_handler(signal.SIGUSR1, write_snapshot)
+        await start(head)
+
+    program.Head.start = start_and_watch  # type: ignore[method-assign]
+    return program.main()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
