--- a/benchmarks/capacity/decision.py
+++ b/benchmarks/capacity/decision.py
@@ -105,7 +105,7 @@
     """The command."""
     arguments = arguments_parser().parse_args()
     harness.require(memory_mb=500)
-    with harness.recording("decision", arguments.out) as run:
+    with harness.recording("decision", arguments.out, arguments.at) as run:
         for case in cases(arguments):
             report(run, case, measure(case, arguments.seconds))
     return 0
--- a/benchmarks/capacity/harness.py
+++ b/benchmarks/capacity/harness.py
@@ -71,11 +71,17 @@
     return Fit(name, unit, base, slope, (squares / len(points)) ** 0.5, min(sizes), max(sizes))
 
 
+def prediction(fit: Fit, size: float) -> str:
+    """A fit's value at a size, marked where nothing near it was measured."""
+    mark = "extrapolated" if fit.extrapolates(size) else "within the range or near it"
+    return f"at {size:g}: {fit.at(size):.4g} {fit.unit} ({mark})"
+
+
 class Run:
     """The measurements of one command: written line by line, shown as a table at the end."""
 
-    def __init__(self, command: str, out: Path | None) -> None:
-        self.command, self.out = command, out
+    def __init__(self, command: str, out: Path | None, at: Sequence[float] = ()) -> None:
+        self.command, self.out, self.at = command, out, at
         self.measurements: list[Measurement] = []
         self.interrupted = False
         if out is not None:
@@ -116,12 +122,14 @@
                 f"fit {fit.name}: {fit.base:.4g} + {fit.slope:.4g} x size {fit.unit}, residual "
                 f"{fit.residual:.3g}, measured from {fit.smallest:g} to {fit.largest:g}"
             )
+            for size in self.at:
+                print(f"    {prediction(fit, size)}")
 
 
 @contextmanager
-def recording(command: str, out: Path | None) -> Iterator[Run]:
-    """A run whose table is printed at its end, also when it was interrupted."""
-    run = Run(command, out)
+def recording(command: str, out: Path | None, at: Sequence[float] = ()) -> Iterator[Run]:
+    """A run whose table is printed at its end, also when it was interrupted; fits are told at these sizes."""
+    run = Run(command, out, at)
     try:
         yield run
     except BaseException:
@@ -137,6 +145,7 @@
     made.add_argument("--sizes", type=numbers, default=numbers(sizes), help=f"default {sizes}")
     made.add_argument("--seeds", type=numbers, default=numbers(seeds), help=f"default {seeds}")
     made.add_argument("--out", type=Path, help="write JSON lines here too")
+    made.add_argument("--at", type=numbers, default=[], help="tell the fits at these sizes")
     return made
 
 
--- a/benchmarks/capacity/load_clients.py
+++ b/benchmarks/capacity/load_clients.py
@@ -1,9 +1,10 @@
 """A child process: clients of one head, whose requests come at a stated rate whatever becomes of them.
 
 Specification: `port`, `connections`, `source` (the address that they come from), `name`, `seed`, `shards`,
-`volumes`, `any_percent`, `choice` (which free connection asks next: `oldest` or `random`). Says `open` once
-all are connected. Each line is one phase, {"rate", "seconds"}, answered with what became of its requests.
-A request's time counts from the moment in which it was due, not from that in which it could be written.
+`volumes` (asked for in turn), `process` of `processes`, `any_percent`, `choice` (which free connection asks
+next: `oldest`, `newest` or `random`). Says `open` once all are connected. Each line is one phase, {"rate",
+"seconds"}, answered with what became of its requests. A request's time counts from the moment in which it was
+due, not from that in which it could be written.
 """
 
 from __future__ import annotations
@@ -154,7 +155,9 @@
         while waiting and self.free:
             if self.told["choice"] == "random":
                 self.free.rotate(self.chance.randrange(len(self.free)))
-            connection, asked = self.free.popleft(), waiting.popleft()
+            newest = self.told["choice"] == "newest"
+            connection = self.free.pop() if newest else self.free.popleft()
+            asked = waiting.popleft()
             if connection.transport is not None and not connection.transport.is_closing():
                 connection.write(asked, self.text(asked.kind))
                 continue
@@ -177,7 +180,7 @@
         """One request of the platform's protocol."""
         self.count += 1
         told, key = self.told, self.chance.randrange(1 << 60)
-        volume = self.chance.randrange(told["volumes"]) + 1
+        volume = (self.count * told["processes"] + told["process"]) % told["volumes"] + 1
         shard = self.chance.randrange(told["shards"])
         if kind == "event-write" and self.chance.randrange(WRITE_PERCENT) < told["any_percent"]:
             shard = -1
--- a/benchmarks/capacity/nodelist.py
+++ b/benchmarks/capacity/nodelist.py
@@ -182,7 +182,7 @@
     arguments = arguments_parser().parse_args()
     harness.require(memory_mb=2_000)
     logger.remove()
-    with harness.recording("nodelist", arguments.out) as run:
+    with harness.recording("nodelist", arguments.out, arguments.at) as run:
         for nodes in arguments.sizes:
             measure_whole(run, nodes)
             for changed in (1, CHANGED_ENTRIES):
--- a/benchmarks/capacity/request.py
+++ b/benchmarks/capacity/request.py
@@ -30,10 +30,12 @@
 FASTEST_MS, SLOWEST_MS = 5, 20
 ANY_PERCENT = 5
 NODES, RATE, CONNECTIONS, VOLUMES = 120, 300, 300, 10_000
+MOST_CLIENTS = 1_000  # by rate: a free client that has just asked asks again, so most of them end idle
 WARM_UP_S, MEASURE_S = 2.0, 5.0
 IN_TIME_PART = 0.99  # of a rate that is carried: so many answers come within their class's aim
 FILL_RATE = 800  # requests a second with which clients and volumes are made known to a head
 CONNECTIONS_MEMORY_MB = 0.2  # of the head and the clients' process together, for one connection
+RATES = [50, 100, 200, 400, 500, 600, 700, 800, 900, 1_000, 1_200]
 MICROSECONDS = 1_000_000
 
 
@@ -133,6 +135,8 @@
             "connections": share,
             "source": f"127.0.0.{2 + i}",
             "name": f"c{i}",
+            "process": i,
+            "processes": len(shares),
             "seed": f"{setting.seed}/{i}",
             "shards": setting.nodes,
             "volumes": setting.volumes,
@@ -254,7 +258,7 @@
     """Higher and higher rates, until answers do not come in time any more."""
     for seed in arguments.seeds:
         carried = 0
-        setting = Setting(arguments.nodes, max(arguments.rates), seed=seed)
+        setting = Setting(arguments.nodes, MOST_CLIENTS, choice="newest", seed=seed)
         with bench(setting) as made:
             for rate in arguments.rates:
                 phase = measured(made, rate, arguments.seconds)
@@ -311,7 +315,7 @@
     """The command."""
     arguments = arguments_parser().parse_args()
     end_on_signals()
-    with harness.recording("request", arguments.out) as run:
+    with harness.recording("request", arguments.out, arguments.at) as run:
         for series in arguments.series.split(","):
             SERIES[series](run, arguments)
     return 0
@@ -326,9 +330,9 @@
     made.add_argument("--nodes", type=int, default=NODES, help=f"where not the axis, default {NODES}")
     made.add_argument("--connections", type=harness.numbers, default=[100, 1_000, 4_000, 9_054])
     made.add_argument("--volumes", type=harness.numbers, default=[10, 1_000, 10_000, 50_000])
-    made.add_argument("--rates", type=harness.numbers, default=[50, 100, 200, 400, 600, 800, 1_000])
+    made.add_argument("--rates", type=harness.numbers, default=RATES)
     made.add_argument("--seconds", type=float, default=MEASURE_S, help="of each measured phase")
-    made.add_argument("--longest-fill", type=float, default=40.0, help="seconds to make volumes known")
+    made.add_argument("--longest-fill", type=float, default=65.0, help="seconds to make volumes known")
     return made
 
 
--- a/benchmarks/capacity/virtual.py
+++ b/benchmarks/capacity/virtual.py
@@ -27,6 +27,7 @@
 ANY_NODE = -1  # a request's shard where any node takes it
 FASTEST_ANSWER, SLOWEST_ANSWER = 5 * MS, 50 * MS
 CALIBRATION_CALLS = 20_000
+LONG_QUEUE = 100.0  # what a full node tells of its queue
 
 
 class Kind(Enum):
@@ -61,6 +62,7 @@
     served: int = 0
     refused: int = 0
     failed: int = 0
+    probes: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,9 +114,15 @@
     """Drives one scheduler: requests arrive, nodes answer after drawn latencies, timers fire in order."""
 
     def __init__(
-        self, settings: api.Settings, entries: Sequence[api.NodeEntry], load: Load, seed: int
+        self,
+        settings: api.Settings,
+        entries: Sequence[api.NodeEntry],
+        load: Load,
+        seed: int,
+        full_nodes: frozenset[str] = frozenset(),
     ) -> None:
         self.load, self.entries = load, entries
+        self.full_nodes = full_nodes  # refuse all that comes, and tell of a long queue
         self.chance = random.Random(f"virtual/{seed}")
         self.scheduler = Scheduler(settings, seed)
         self.settings = settings
@@ -158,8 +166,9 @@
             case api.RequestArrived():
                 self.costs.outcomes.arrived += 1
             case api.AttemptEnded():
-                self.costs.outcomes.served += 1
-                del self.attempts[event.request]
+                self.costs.outcomes.served += event.finished
+                if event.finished:
+                    del self.attempts[event.request]
         for action in actions:
             self.take(action)
 
@@ -193,7 +202,9 @@
             case api.CancelAttempt():
                 raise AssertionError("no virtual node is late enough for a cancel")
             case api.ProbeNode():
-                probed = api.ProbeEnded(action.node, api.Outcome.OK, MS, {"util": 0.0, "inflight": 0.0})
+                outcomes.probes += 1
+                queue = LONG_QUEUE if action.node in self.full_nodes else 0.0
+                probed = api.ProbeEnded(action.node, api.Outcome.OK, MS, {"queue": queue})
                 self.put(self.now + MS, probed)
 
     def answer(self, send: api.Send) -> None:
@@ -201,7 +212,9 @@
         attempt = self.attempts.get(send.request, -1) + 1
         self.attempts[send.request] = attempt
         took = self.chance.randint(FASTEST_ANSWER, SLOWEST_ANSWER)
-        ended = api.AttemptEnded(send.request, attempt, send.node, api.Outcome.OK, took, finished=True)
+        full = send.node in self.full_nodes
+        outcome = api.Outcome.FULL if full else api.Outcome.OK
+        ended = api.AttemptEnded(send.request, attempt, send.node, outcome, took, finished=not full)
         self.put(self.now + took, ended)
 
     def put(self, at: int, event: api.Event) -> None:
