Capacity: tests of the harness and of the commands for a request, the list and nodes

Need: the commands must count what is so, refuse what the machine cannot hold, and leave nothing running. Change: tests/test_capacity_request.py at tiny sizes; no test judges a time.

--- /dev/null
+++ b/tests/test_capacity_request.py
@@ -0,0 +1,317 @@
+"""The commands of the capacity page that concern a request, the node list and what nodes see: at tiny sizes.
+
+What they count is held against what must be so; no test judges a time.
+"""
+
+from __future__ import annotations
+
+import json
+import math
+import os
+import signal
+import subprocess
+import sys
+import time
+from collections import Counter
+from pathlib import Path
+
+import pytest
+
+from benchmarks.capacity import guests, harness, nodelist, request
+from benchmarks.capacity.children import ROOT, children
+from benchmarks.capacity.decision import demo_settings
+from benchmarks.capacity.head_process import Program, node_entries
+from benchmarks.capacity.virtual import SECOND, START, Kind, Load, VirtualHead
+from benchmarks.capacity.virtual import node_entries as virtual_nodes
+from benchmarks.capacity.virtual_watches import INCIDENT_AT, Incident, calls_of_fleet
+
+HEADS, NODES = 7, 5
+
+
+# -- the harness
+# --------------------------------------------------------------------------------------------------------
+def test_a_fit_finds_the_line_its_residual_and_its_range():
+    exact = harness.fit_line("cost", "us", [(12, 5 + 24), (120, 5 + 240), (1700, 5 + 3400)])
+    assert (exact.base, exact.slope) == pytest.approx((5, 2))
+    assert exact.residual == pytest.approx(0, abs=1e-9)
+    assert (exact.smallest, exact.largest) == (12, 1700)
+    # the line between is y = x: two points lie 3 over it, two 3 under, so 3 is the root of the mean square
+    spread = harness.fit_line("cost", "us", [(0, 3), (0, -3), (10, 13), (10, 7)])
+    assert (spread.base, spread.slope, spread.residual) == pytest.approx((0, 1, 3), abs=1e-9)
+
+
+def test_one_size_gives_no_fit():
+    with pytest.raises(ValueError, match=r"cost.*two different sizes.*\[12\]"):
+        harness.fit_line("cost", "us", [(12, 1), (12, 2)])
+
+
+def test_what_lies_beyond_four_times_the_largest_size_is_marked():
+    fit = harness.fit_line("cost", "us", [(10, 10), (100, 100)])
+    assert "extrapolated" not in harness.prediction(fit, 400)
+    assert harness.prediction(fit, 401) == "at 401: 401 us (extrapolated)"
+
+
+def test_a_size_that_the_machine_cannot_hold_is_refused_with_what_is_there_and_what_would_do():
+    harness.require(descriptors=1, memory_mb=1, ports=1)
+    with pytest.raises(harness.TooLarge) as refused:
+        harness.require(descriptors=10**9, memory_mb=1, ports=10**6)
+    descriptors, ports = str(refused.value).split("; ")
+    first, last = map(int, Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split())
+    assert descriptors.startswith("1,000,000,000 descriptors") and "ulimit -n" in descriptors
+    assert ports.startswith("1,000,000 ports") and f"{last - first + 1:,} may be used" in ports
+    assert "127.0.0.0/8" in ports
+
+
+def test_clients_beyond_what_the_machine_holds_are_refused_before_anything_starts(monkeypatch):
+    started = []
+    monkeypatch.setattr(request, "children", lambda *of: started.append(of))
+    with (
+        pytest.raises(harness.TooLarge, match="ports"),
+        request.bench(request.Setting(nodes=1, connections=10**6)),
+    ):
+        pass
+    assert not started
+
+
+def test_an_interrupted_run_says_so_keeps_its_lines_and_fits_nothing(tmp_path, capsys):
+    out = tmp_path / "lines" / "run.jsonl"
+    with pytest.raises(KeyboardInterrupt), harness.recording("cost", out, at=[50]) as run:
+        for size in (10, 20):
+            run.add(harness.Measurement("cost", size, size, "us"))
+        raise KeyboardInterrupt
+    told = capsys.readouterr().out
+    assert "INTERRUPTED" in told and "fit" not in told.replace("nothing is fitted", "")
+    assert [json.loads(line)["size"] for line in out.read_text().splitlines()] == [10, 20]
+
+
+def test_a_whole_run_tells_its_fits_at_the_sizes_asked_for(tmp_path, capsys):
+    with harness.recording("cost", None, at=[50, 500]) as run:
+        for size in (10, 20):
+            run.add(harness.Measurement("cost", size, 2 * size, "us"))
+    told = capsys.readouterr().out
+    assert "at 50: 100 us (within" in told and "at 500: 1000 us (extrapolated)" in told
+
+
+# -- one scheduler in virtual time
+# --------------------------------------------------------------------------------------------------------
+def virtual_head(**load: float) -> VirtualHead:
+    return VirtualHead(demo_settings(), virtual_nodes(NODES), Load(rate=200, **load), seed=3)
+
+
+def test_a_virtual_head_reads_ten_times_a_second_and_accounts_for_every_attempt():
+    head = virtual_head(any_part=0.2)
+    costs = head.run(3 * SECOND)
+    outcomes = costs.outcomes
+    assert costs.by_kind[Kind.READING].calls == 30
+    assert costs.by_kind[Kind.ARRIVED].calls == outcomes.arrived > 400
+    assert outcomes.sent == outcomes.served + len(head.attempts)
+    assert outcomes.sent + outcomes.refused + outcomes.failed <= outcomes.arrived
+    assert head.now == START + 3 * SECOND
+
+
+def test_the_same_seed_gives_the_same_requests_and_ends():
+    first, again = (virtual_head(any_part=0.5).run(SECOND) for _ in range(2))
+    assert first.outcomes == again.outcomes
+    assert {k: c.calls for k, c in first.by_kind.items()} == {k: c.calls for k, c in again.by_kind.items()}
+
+
+def test_requests_of_a_shard_are_spread_by_the_skew_and_the_stated_part_goes_to_any_node():
+    head = virtual_head(any_part=0.25, skew=1.0)
+    drawn = Counter(head.draw_shard() for _ in range(20_000))
+    assert drawn[-1] / 20_000 == pytest.approx(0.25, abs=0.02)
+    weights = [1 / rank for rank in range(1, NODES + 1)]
+    found = sorted((count for shard, count in drawn.items() if shard != -1), reverse=True)
+    assert [n / (20_000 - drawn[-1]) for n in found] == pytest.approx(
+        [w / sum(weights) for w in weights], abs=0.03
+    )
+
+
+# -- the node list
+# --------------------------------------------------------------------------------------------------------
+def fleet(incident: Incident):
+    calls = calls_of_fleet(HEADS, node_entries(list(range(NODES))), False, incident, seed=1)
+    return [call for call in calls if call.asked >= INCIDENT_AT], calls
+
+
+def test_a_quiet_fleet_asks_as_often_as_its_calls_are_held():
+    _, calls = fleet(Incident.NONE)
+    quiet = [call for call in calls if 10 <= call.asked < 20]
+    # a call is held for 1.875 to 2.5 s, so each head asks four to six times in 10 s
+    assert 4 * HEADS <= len(quiet) <= 6 * HEADS
+    assert not any(call.whole for call in calls)
+
+
+def test_a_restarted_discovery_is_asked_for_one_whole_list_by_each_head():
+    after, calls = fleet(Incident.RESTARTED)
+    assert sum(call.whole for call in calls) == HEADS
+    first = [call for call in after if call.asked < INCIDENT_AT + 0.1]
+    assert sum(call.whole for call in first) == HEADS
+
+
+def test_after_a_malformed_answer_each_head_asks_once_without_a_hold_and_for_no_whole_list():
+    after, calls = fleet(Incident.MALFORMED)
+    assert not any(call.whole for call in calls)
+    brief = [call for call in after if call.answered - call.asked < 0.002]
+    assert len(brief) == HEADS
+    # drawn from half the pause up
+    assert all(0.05 <= call.asked - INCIDENT_AT <= 0.1 for call in brief)
+
+
+def test_the_fullest_window_counts_calls_and_bytes():
+    call = nodelist.Call
+    calls = [call(t, t + 1, 10, False) for t in (0.0, 0.05, 0.5, 0.95, 1.04, 2.5)]
+    assert nodelist.most_in(calls, 0.1) == 2
+    assert nodelist.most_in(calls, 1.0) == 4
+    assert nodelist.most_bytes(calls, 1.0) == 40
+
+
+def test_a_change_reaches_the_decision_module_with_requests_waiting():
+    head = nodelist.ListedHead()
+    entries = node_entries(list(range(NODES)))
+    head.watch.take(json.loads(nodelist.message(entries, whole=True)))
+    head.hold_requests(4)
+    held = [node for node in head.reducer.scheduler.nodes.values() if node.held]
+    assert len(held) == 1 and len(held[0].held) == 4 and len(held[0].out) == 1
+    head.watch.take(
+        json.loads(nodelist.message([entries[1] | {"lifecycle": "DELETED"}], whole=False, generation=2))
+    )
+    assert len(head.reducer.nodes) == NODES - 1
+
+
+# -- what nodes see
+# --------------------------------------------------------------------------------------------------------
+def test_the_fullest_cold_window_is_held_against_what_the_node_bears_and_chance():
+    units = 4.0  # two requests of two units in three seconds, at the start
+    sent = [(0, 2.0), (SECOND, 2.0), (2 * SECOND, 2.0), (5 * SECOND, 2.0)]
+    bound, over = guests.fullest(sent, units)
+    most = guests.bears(2 * SECOND, units)
+    assert 2 < most < 2.5
+    assert over == pytest.approx(3 / most)
+    assert bound == pytest.approx(3 / (most + 2 * math.sqrt(most) + 2))
+
+
+@pytest.mark.parametrize(("told", "probed"), [((), False), (("queue",), True)])
+def test_full_nodes_are_probed_only_where_nodes_tell_their_queue(told, probed):
+    from dataclasses import replace
+
+    entries = virtual_nodes(NODES)
+    full = frozenset(entry.node for entry in entries)
+    settings = replace(demo_settings(), report_fields=told)
+    outcomes = VirtualHead(settings, entries, Load(rate=20), 1, full).run(5 * SECOND).outcomes
+    assert outcomes.served == 0 < outcomes.sent
+    assert bool(outcomes.probes) == probed
+
+
+# -- a real head
+# --------------------------------------------------------------------------------------------------------
+TINY = request.Setting(nodes=4, connections=6, volumes=5)
+
+
+def alive(pid: int) -> bool:
+    try:
+        state = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()[0]
+    except FileNotFoundError:
+        return False
+    return state != "Z"
+
+
+def test_every_request_to_a_real_head_is_answered_and_counted_at_the_nodes():
+    with request.bench(TINY) as made:
+        phase = request.measured(made, rate=60, seconds=1.0, warm_up=0)
+        pids = [made.head.pid, *(child.process.pid for child in (*made.nodes, *made.clients))]
+        answered = sum(node.ask({})["answered"] for node in made.nodes)
+    counts = phase.counts
+    assert counts["due"] == counts["ok"] + counts["refused"] + counts["failed"] + counts["broken"] > 20
+    assert answered >= counts["ok"] == len(counts["took_ms"])
+    assert 1 <= phase.open_at_nodes <= phase.accepted
+    assert phase.after.descriptors > TINY.connections + phase.open_at_nodes
+    assert not any(alive(pid) for pid in pids)
+
+
+def test_an_instrumented_head_counts_one_attempt_for_each_request_by_place():
+    setting = request.Setting(nodes=4, connections=6, volumes=5, program=Program.SPLIT)
+    with request.bench(setting) as made:
+        before = made.head.snapshot()
+        counts = made.ask(60, 1.0)
+        after = made.head.snapshot()
+    assert counts["ok"] == counts["due"]
+    assert after["calls"]["attempts"] - before["calls"].get("attempts", 0) == counts["due"]
+    for place in ("front", "node client", "reducer", "decision", "reading"):
+        assert after["calls"][place] > before["calls"].get(place, 0)
+    # a request comes to the decision module as it arrives and as its attempt ends
+    assert after["calls"]["decision"] - before["calls"].get("decision", 0) >= 2 * counts["due"]
+
+
+def test_children_are_ended_where_a_measurement_breaks_off():
+    specification = {"count": 1, "seed": 1, "fastest_ms": 1, "slowest_ms": 1}
+    started = []
+    with (
+        pytest.raises(ZeroDivisionError),
+        children("benchmarks.capacity.node_servers", [specification] * 2) as nodes,
+    ):
+        started += [node.process.pid for node in nodes]
+        assert all(len(node.hear()["ports"]) == 1 for node in nodes)
+        raise ZeroDivisionError
+    assert len(started) == 2 and not any(alive(pid) for pid in started)
+
+
+def children_of(pid: int) -> list[int]:
+    return [int(child) for child in Path(f"/proc/{pid}/task/{pid}/children").read_text().split()]
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
+def test_a_command_that_is_asked_to_end_says_so_and_leaves_nothing_running(number):
+    command = [sys.executable, "-m", "benchmarks.capacity.request", "--series", "rest", "--sizes", "2"]
+    process = subprocess.Popen(
+        [*command, "--seconds", "100"],
+        cwd=ROOT,
+        env=os.environ | {"PYTHONPATH": str(ROOT)},
+        stdout=subprocess.PIPE,
+        stderr=subprocess.DEVNULL,
+        text=True,
+    )
+    try:
+        started: list[int] = []
+        for _ in range(1500):  # nodes in two processes, discovery, the head, a client
+            started = children_of(process.pid)
+            if len(started) == 5:
+                break
+            time.sleep(0.02)
+        assert len(started) == 5
+        process.send_signal(number)
+        told, _ = process.communicate(timeout=30)
+    finally:
+        process.kill()
+        process.wait()
+    assert "INTERRUPTED" in told
+    assert not any(alive(pid) for pid in started)
+
+
+@pytest.mark.parametrize(
+    "arguments",
+    [
+        ["decision", "--sizes", "3,6", "--nodes", "4", "--rates", "50,90", "--any-percents", "0,100"]
+        + ["--cold-percents", "0,50", "--seconds", "0.5", "--rate", "50", "--seeds", "1"],
+        ["nodelist", "--sizes", "3,6", "--heads", "2,4", "--waiting", "2,4", "--seeds", "1"],
+        ["guests", "--series", "probes,cold", "--sizes", "2,3", "--rates-per-node", "1,2", "--seeds", "1"],
+    ],
+)
+def test_each_command_writes_a_line_for_each_measurement_and_fits_them(arguments, tmp_path):
+    out = tmp_path / "run.jsonl"
+    name, *rest = arguments
+    done = subprocess.run(
+        [sys.executable, "-m", f"benchmarks.capacity.{name}", *rest, "--out", str(out)],
+        cwd=ROOT,
+        env=os.environ | {"PYTHONPATH": str(ROOT)},
+        capture_output=True,
+        text=True,
+        timeout=120,
+    )
+    assert done.returncode == 0, done.stderr[-2000:]
+    lines = [json.loads(line) for line in out.read_text().splitlines()]
+    sizes: dict[str, set[float]] = {}
+    for line in lines:
+        assert line["command"] == name
+        sizes.setdefault(line["name"], set()).add(line["size"])
+    fitted = [line for line in done.stdout.splitlines() if line.startswith("fit ")]
+    assert len(fitted) == sum(len(found) > 1 for found in sizes.values()) > 0
