Let the age of a majority's contact travel with each answer

Cause: heads that have lost the majority said that they hear it. `Fleet.fetched` answered `touched` from where the head stands, `fetch` took that as heard at this moment, and voters without a leader fetch from each other: two heads kept each other fresh for ever. Ruled out: the raft's own reducer; its leader stands down in time.

A leader counts from the beginning of a round that a majority answered (it counted answers, also those that had waited for a paused leader). A follower's answer carries its clock's time, the leader sends it back with its own age, and the follower counts from there. A fetch counts from its asking, adds what the answering head held the question for (less the drift of clocks), and takes off the age told. No link makes a contact younger; a leader that is not settled tells none.

--- a/stoatrouter/agreement/leading.py
+++ b/stoatrouter/agreement/leading.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from stoatrouter.agreement.contact import RoundStarts
 from stoatrouter.agreement.log import read_voters
 from stoatrouter.agreement.records import (
     NOOP,
@@ -29,6 +30,7 @@
 
     def _lead(self) -> list[Effect]:
         self.role, self.leader = LEADS, self.me
+        self.round_starts = RoundStarts()
         others = [v for v in self.voters if v != self.me]
         self.peers = {v.identity: Peer(self.log.last + 1, heard=self.now) for v in others}
         return self._add(NOOP, b"")
@@ -70,6 +72,8 @@
     def _broadcast(self) -> list[Effect]:
         """To all voters: new entries, or that the leader is there."""
         self.round += 1
+        self.round_starts.began(self.round, self.now)
+        self._see_majority()  # a leader that is the only voter is the majority
         self.heartbeat_at = self.now + self.timing.heartbeat
         return [self._to(v) for v in self.voters if v != self.me]
 
@@ -84,9 +88,18 @@
             peer.sent_at is None or self.now >= peer.sent_at + 3 * self.timing.heartbeat
         ):
             entries, peer.sent_at = self.log.since(peer.next), self.now
-        return Send(
-            voter, Append(self.term, peer.next - 1, prev, entries, self.commit, self.round, peer.match)
+        append = Append(
+            self.term,
+            peer.next - 1,
+            prev,
+            entries,
+            self.commit,
+            self.round,
+            peer.match,
+            self.contact.age(self.now) if self.settled else None,
+            peer.answered_at,
         )
+        return Send(voter, append)
 
     def _appended(self, sender: Voter, said: Appended) -> list[Effect]:
         peer = self.peers.get(sender.identity)
@@ -94,11 +107,13 @@
             return []
         peer.heard, peer.sent_at = self.now, None
         peer.round = max(peer.round, said.round)
+        peer.answered_at = said.sent_at
         if said.ok:
             peer.match = max(peer.match, said.match)
             peer.next = max(peer.next, peer.match + 1)
         else:
             peer.next = max(peer.match + 1, min(peer.next - 1, said.match + 1))
+        self._see_majority()
         effects = self._count() + self._confirm()
         if self.leads and (peer.next <= self.log.last or not said.ok):
             effects.append(self._to(sender))
@@ -131,8 +146,17 @@
         """Reads hold once a majority answered a round that began after they were asked."""
         if not self.leads:
             return []
-        rounds = [self.round if v == self.me else self.peers[v.identity].round for v in self.voters]
-        confirmed = sorted(rounds, reverse=True)[len(rounds) // 2]
+        confirmed = self._confirmed_round()
         done = [(id, index) for id, index, round in self.reads if round <= confirmed]
         self.reads = [read for read in self.reads if read[2] > confirmed]
         return [Readable(id, index) for id, index in done]
+
+    def _confirmed_round(self) -> int:
+        """The latest round that a majority has answered, this head counted."""
+        rounds = [self.round if v == self.me else self.peers[v.identity].round for v in self.voters]
+        return sorted(rounds, reverse=True)[len(rounds) // 2]
+
+    def _see_majority(self) -> None:
+        """A majority answered a round: it was connected when that round began, or later."""
+        if self.leads:
+            self.contact.seen(self.round_starts.start_of(self._confirmed_round()))
--- a/stoatrouter/agreement/raft.py
+++ b/stoatrouter/agreement/raft.py
@@ -36,7 +36,7 @@
     Write,
     Wrote,
 )
-from stoatrouter.agreement.state import ASKS, KEEP, STANDS, Timing
+from stoatrouter.agreement.state import ASKS, KEEP, NO_TIME, STANDS, Timing
 
 
 class Raft(Leading):
@@ -183,16 +183,26 @@
         self.heard_leader = self.now
         if isinstance(message, Install):
             return effects + self._install(sender, message, term)
+        self._learn_contact(message)
         # Guards the fleet's promises: a disk that lost what it acknowledged must not be counted again.
         if message.acknowledged > self.log.last:
             self.voiceless = True
             return [*effects, Forgot(self.log.last, message.acknowledged)]
         write, ok, match = self._match(message.prev_index, message.prev_term, message.entries)
         write = Write(term, self.voted, write.cut_from, write.entries) if term is not None else write
-        then = (Send(sender, Appended(self.term, ok, match, message.round)),)
+        then = (Send(sender, Appended(self.term, ok, match, message.round, self.now)),)
         effects.append(self._durable(write, then))
         return effects + (self._commit(min(message.commit, match)) if ok else [])
 
+    def _learn_contact(self, message: Append) -> None:
+        """When the leader's majority was connected. The leader wrote this after it had what this head sent at
+        `answers`, so that moment is when this head asked."""
+        # Guards against what an earlier life of this head sent, by a clock that may have begun anew.
+        if message.majority_age is None or message.answers is None:
+            return
+        if self.began <= message.answers <= self.now:
+            self.contact.learned(message.answers, NO_TIME, message.majority_age)
+
     def _match(self, prev: int, prev_term: int, entries: tuple[Entry, ...]) -> tuple[Write, bool, int]:
         """Take entries in where they follow on what is held: the write, whether they do, and up to where."""
         if prev < self.log.snapshot.index:  # all before is committed, and so equal
@@ -220,7 +230,7 @@
         snapshot, effects, write = message.snapshot, [], Write(term, self.voted)
         if snapshot.index > self.commit:
             effects, write = self._replace(snapshot, term)
-        done = Appended(self.term, True, snapshot.index, message.round)
+        done = Appended(self.term, True, snapshot.index, message.round, self.now)
         return [self._durable(write, (Send(sender, done),)), *effects]
 
     def _replace(self, snapshot: Snapshot, term: int | None) -> tuple[list[Effect], Write]:
--- a/stoatrouter/agreement/records.py
+++ b/stoatrouter/agreement/records.py
@@ -59,12 +59,15 @@
     commit: int
     round: int  # of asking all voters; a read waits for a majority of one
     acknowledged: int  # the last index that the receiver said is on its disk, in this term
+    majority_age: timedelta | None = None  # since a majority was connected, as the leader knows
+    answers: timedelta | None = None  # the latest `sent_at` that the leader has from the receiver
 
 
 class Appended(Message, frozen=True, array_like=True, tag="appended"):
     ok: bool
     match: int  # ok: on disk up to here; else where the leader may try next
     round: int
+    sent_at: timedelta | None = None  # on the sender's clock; the leader sends it back
 
 
 class Install(Message, frozen=True, array_like=True, tag="install"):
--- a/stoatrouter/agreement/state.py
+++ b/stoatrouter/agreement/state.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
+from stoatrouter.agreement.contact import MajorityContact, RoundStarts
 from stoatrouter.agreement.log import Log
 from stoatrouter.agreement.records import Apply, Disk, Durable, Effect, NotTaken, Role, Send, Voter, Write
 
@@ -32,6 +33,7 @@
     round: int = 0
     heard: timedelta = NO_TIME
     sent_at: timedelta | None = None  # entries are under way
+    answered_at: timedelta | None = None  # on its own clock, as its last answer said
 
 
 @dataclass(slots=True)
@@ -56,6 +58,9 @@
     votes: set[str] = field(default_factory=set)
     peers: dict[str, Peer] = field(default_factory=dict)  # of a leader, by identity
     round: int = 0
+    round_starts: RoundStarts = field(default_factory=RoundStarts)
+    contact: MajorityContact = field(default_factory=MajorityContact)
+    began: timedelta = field(init=False)
     reads: list[tuple[str, int, int]] = field(default_factory=list)  # id, index, round
     election_at: timedelta | None = None
     heard_leader: timedelta | None = None
@@ -64,6 +69,7 @@
     draws: random.Random = field(init=False)
 
     def __post_init__(self) -> None:
+        self.began = self.now
         self.draws = random.Random(f"agreement/{self.seed}/{self.me.identity}")
         self.term, self.voted = self.disk.term, self.disk.voted
         self.log = Log(self.disk.snapshot, list(self.disk.entries))
--- a/stoatrouter/lab/fleet/voters.py
+++ b/stoatrouter/lab/fleet/voters.py
@@ -98,8 +98,8 @@
 
     def __post_init__(self) -> None:
         names = self.world.names
-        firsts = tuple(Voter(name, f"{name}/0") for name in names[: self.voters])
-        founded = Founded(firsts[0].identity, firsts)
+        self.firsts = tuple(Voter(name, f"{name}/0") for name in names[: self.voters])
+        founded = Founded(self.firsts[0].identity, self.firsts)
         for name in names:
             disk = Disk(0, None, founded.snapshot()) if name in names[: self.voters] else Disk()
             self.boot(name, Voter(name, f"{name}/0"), disk)
--- a/stoatrouter/peering/calls.py
+++ b/stoatrouter/peering/calls.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from datetime import timedelta
+
 import msgspec
 
 from stoatrouter.agreement.records import AnyMessage, Entry, Snapshot, Voter
@@ -28,7 +30,7 @@
 
 class Fetched(msgspec.Struct, frozen=True, array_like=True):
     origin: str  # "": the asked head belongs to no fleet yet
-    touched: bool  # it hears a majority
+    touched: bool  # it is in touch with a majority
     leader: str | None
     prev_index: int = 0
     prev_term: int = 0
@@ -36,6 +38,8 @@
     commit: int = 0
     snapshot: Snapshot | None = None
     voters: tuple[Voter, ...] = ()
+    majority_age: timedelta | None = None  # since a majority was connected, when this answer was given
+    held_for: timedelta = timedelta(0)  # how long the question waited for news
 
 
 class Answer(msgspec.Struct, frozen=True, array_like=True):
--- a/stoatrouter/peering/fleet.py
+++ b/stoatrouter/peering/fleet.py
@@ -14,9 +14,10 @@
 from loguru import logger
 
 from stoatrouter import config
+from stoatrouter.agreement.contact import MajorityContact
 from stoatrouter.agreement.founding import Founded, Founding, Promised
 from stoatrouter.agreement.machine import Command, Machine, Part
-from stoatrouter.agreement.records import AnyMessage, Append, Install, Voter
+from stoatrouter.agreement.records import AnyMessage, Append, Voter
 from stoatrouter.agreement.standing import Facts, Standing, stand
 from stoatrouter.membership.detector import Detector
 from stoatrouter.membership.roster import Status
@@ -84,7 +85,7 @@
             )
         self.began = self.now()
         self.belongs = bool(found.origin)  # and its beginning is on the disk
-        self.touched: timedelta | None = None
+        self.contact = MajorityContact()
         self.goal: int | None = None  # what was agreed on when this head first heard of it
         self.leader: str | None = None  # as the last fetch told
         self.standing: Standing | None = None
@@ -134,9 +135,9 @@
     # -- where this head stands ---------------------------------------------------------------------------
     def facts(self) -> Facts:
         now, raft = self.now(), self.agreed.raft
-        if raft.majority_heard(now) and raft.settled:
-            self.touch(raft.commit)
-        ago = None if self.touched is None else now - self.touched
+        if raft.settled:
+            self.note_contact(raft.contact, raft.commit)
+        ago = self.contact.age(now)
         caught_up = self.goal is not None and self.agreed.machine.index >= self.goal
         return Facts(
             bool(self.founding.origin), caught_up, ago, raft.votes_here, raft.leads, self.agreed.lasting
@@ -161,10 +162,10 @@
         assert self.standing is not None
         return self.standing
 
-    def touch(self, commit: int) -> None:
-        """A majority was heard; up to here it has agreed."""
-        self.touched = self.now()
-        if self.goal is None:
+    def note_contact(self, contact: MajorityContact, commit: int) -> None:
+        """A majority was connected then; up to here it had agreed."""
+        self.contact.seen(contact.at)
+        if self.goal is None and contact.at is not None:
             self.goal = commit
 
     async def keep_looking(self) -> None:
@@ -220,8 +221,8 @@
             return
         self.agreed.hear(sender, message)
         raft = self.agreed.raft
-        if isinstance(message, Append | Install) and raft.leader == sender and message.term == raft.term:
-            self.touch(message.commit if isinstance(message, Append) else message.snapshot.index)
+        if isinstance(message, Append) and raft.leader == sender and message.term == raft.term:
+            self.note_contact(raft.contact, message.commit)
 
     # -- founding -----------------------------------------------------------------------------------------
     async def promise(self, founder: Voter) -> bytes:
@@ -313,6 +314,7 @@
         """Ask one voter; whether it hears a majority."""
         machine, raft = self.agreed.machine, self.agreed.raft
         ask = calls.Fetch(machine.index, raft.log.term(machine.index) or 0)
+        asked_at = self.now()
         try:
             _, body = await self.streams.ask(name, calls.FETCH, msgspec.msgpack.encode(ask))
             told = msgspec.msgpack.decode(body, type=calls.Fetched)
@@ -333,13 +335,16 @@
         self.turn -= told.touched  # stay with a voter that serves
         if told.touched:
             self.leader = told.leader
-            self.touch(told.commit)
+            told_contact = MajorityContact()
+            if told.majority_age is not None:
+                told_contact.learned(asked_at, told.held_for, told.majority_age)
+            self.note_contact(told_contact, told.commit)
             self.look()
         return told.touched
 
     async def fetched(self, ask: calls.Fetch) -> bytes:
         """The answer to a head that follows."""
-        agreed, raft = self.agreed, self.agreed.raft
+        agreed, raft, came_at = self.agreed, self.agreed.raft, self.now()
         if self.founding.origin and raft.commit <= ask.after:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(HOLD.total_seconds()):
@@ -349,6 +354,8 @@
         told: dict[str, Any] = {
             "origin": self.founding.origin,
             "touched": self.stands.changes,
+            "majority_age": self.contact.age(self.now()),
+            "held_for": self.now() - came_at,
             "commit": raft.commit,
             "leader": raft.leader.name if raft.leader else None,
             "voters": raft.voters,
--- a/stoatrouter/peering/operators.py
+++ b/stoatrouter/peering/operators.py
@@ -32,6 +32,11 @@
     return web.Response(status=status, text=text, content_type="application/json")
 
 
+def seconds(span: timedelta | None) -> float | None:
+    """A span as answers tell it."""
+    return None if span is None else round(span.total_seconds(), 3)
+
+
 class Operators:
     """Answers these calls."""
 
@@ -49,7 +54,7 @@
 
     def told(self) -> dict[str, Any]:
         fleet = self.fleet
-        standing, raft, now = fleet.stands, fleet.agreed.raft, fleet.now()
+        standing, raft = fleet.stands, fleet.agreed.raft
         seen = (
             {}
             if fleet.datagrams is None
@@ -65,9 +70,7 @@
             "fleet": fleet.settings.fleet,
             "origin": fleet.founding.origin,
             "state": standing.state.value,
-            "majority_heard_s_ago": None
-            if fleet.touched is None
-            else round((now - fleet.touched).total_seconds(), 3),
+            "majority_heard_s_ago": seconds(fleet.contact.age(fleet.now())),
             "term": raft.term,
             "leader": raft.leader.name if raft.leader else fleet.leader,
             "leads": raft.leads,
--- a/stoatrouter/peering/rulecalls.py
+++ b/stoatrouter/peering/rulecalls.py
@@ -22,7 +22,7 @@
 
 from stoatrouter.history.records import Content, Edit, Undo, Version, digest_of, pack, unpack
 from stoatrouter.peering.agreed import NotAgreed
-from stoatrouter.peering.operators import answer
+from stoatrouter.peering.operators import answer, seconds
 from stoatrouter.peering.rules import RulesService, stamp
 
 ROOT = "/control/rules"
@@ -95,9 +95,7 @@
             "version": service.active,
             "held_for_s": round((now - service.active_since).total_seconds(), 1),
             "state": fleet.stands.state.value,
-            "majority_heard_s_ago": None
-            if fleet.touched is None
-            else round((now - fleet.touched).total_seconds(), 1),
+            "majority_heard_s_ago": seconds(fleet.contact.age(now)),
             "newest_known": register.newest,
             "history_from": register.versions[0].number if register.versions else None,
             "pending": None if register.pending is None else described(register.pending),
--- /dev/null
+++ b/tests/heads/test_contact.py
@@ -0,0 +1,84 @@
+"""How long a head counts as in touch after the majority of voters is lost: the rule, and fleets in virtual
+time."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+import pytest
+
+from stoatrouter.agreement import state
+from stoatrouter.agreement.contact import MOST_ROUNDS, MajorityContact, RoundStarts
+from stoatrouter.lab.fleet.contacts import LOSSES, majority_lost
+from stoatrouter.lab.fleet.voters import Broken
+
+MS = timedelta(milliseconds=1)
+
+
+@pytest.mark.parametrize("seed", range(32))
+def test_nobody_counts_as_in_touch_for_longer_than_the_span_after_the_last_majority(seed):
+    majority_lost(seed)
+
+
+class CountsFromTheAnswer(MajorityContact):
+    """What another head tells is taken as heard at this moment: the fault that was found on real heads."""
+
+    def learned(self, asked_at, held_for, age):
+        self.seen(asked_at + held_for)
+
+
+class ForgetsTheAge(MajorityContact):
+    """The age told counts, but for what was passed on already."""
+
+    def learned(self, asked_at, held_for, age):
+        super().learned(asked_at, held_for, min(age, 100 * MS))
+
+
+@pytest.mark.parametrize("how", LOSSES)
+@pytest.mark.parametrize("mutant", [CountsFromTheAnswer, ForgetsTheAge])
+def test_a_contact_that_becomes_younger_on_its_way_is_caught(mutant, how):
+    seeds = [seed for seed in range(48) if LOSSES[seed // 4 % len(LOSSES)] == how]
+    for seed in seeds:
+        try:
+            majority_lost(seed, mutant)
+        except Broken as caught:
+            assert "the last majority was at" in str(caught)
+            return
+    pytest.fail("no seed caught it")
+
+
+def test_a_leader_that_counts_from_the_last_answer_is_caught(monkeypatch):
+    """A paused leader finds answers that have waited for it: they say nothing of the time since."""
+
+    class StartsNow(RoundStarts):
+        def start_of(self, number):
+            started = super().start_of(number)
+            return None if started is None else started + timedelta(seconds=2)
+
+    monkeypatch.setattr("stoatrouter.agreement.leading.RoundStarts", StartsNow)
+    monkeypatch.setattr(state, "RoundStarts", StartsNow)
+    with pytest.raises(Broken, match="the last majority was at"):
+        for seed in range(32):
+            majority_lost(seed)
+
+
+def test_an_age_that_was_told_counts_from_the_asking_and_never_goes_back():
+    contact = MajorityContact()
+    assert contact.age(9 * MS) is None
+    contact.learned(asked_at=1000 * MS, held_for=0 * MS, age=300 * MS)
+    assert contact.at == 700 * MS and contact.age(1500 * MS) == 800 * MS
+    contact.learned(asked_at=1200 * MS, held_for=105 * MS, age=1000 * MS)
+    assert contact.at == 700 * MS
+    contact.learned(asked_at=1200 * MS, held_for=105 * MS, age=-5 * MS)  # nobody is told of what will be
+    assert contact.at == 1300 * MS
+
+
+def test_rounds_close_together_count_from_the_first_of_them_and_few_are_kept():
+    starts = RoundStarts()
+    assert starts.start_of(3) is None
+    for number in range(1, 40):
+        starts.began(number, number * MS)
+    assert starts.start_of(12) == 11 * MS and starts.start_of(39) == 31 * MS
+    for number in range(100, 100 + 2 * MOST_ROUNDS):
+        starts.began(number, number * 10 * MS)
+    assert len(starts.starts) == MOST_ROUNDS and starts.start_of(101) is None
