Bound every text and number that operators' calls bring

Cause: nothing but the body's 32 MB bounded what a call puts into the log: an edit's id of 10,000 characters was taken, kept on every head's disk and in answers.

Change: `peering/bounds.py` has all bounds; the calls about rules, credit and voters ask it before anything is agreed on, and answer 400 with the field, what was found and what is allowed. Bounds are asked for at calls alone: what is in a log already is applied as it is.

--- a/stoatrouter/peering/creditcalls.py
+++ b/stoatrouter/peering/creditcalls.py
@@ -12,7 +12,6 @@
 
 from __future__ import annotations
 
-import json
 import secrets
 from datetime import UTC, datetime, timedelta
 from typing import Any
@@ -23,11 +22,26 @@
 
 from stoatrouter.credit.records import Begin, Book, Booked, DropCustomer, PutCustomer
 from stoatrouter.peering.agreed import NotAgreed
+from stoatrouter.peering.bounds import (
+    LARGEST_AMOUNT,
+    LONGEST_CUSTOMER,
+    LONGEST_PERSON,
+    LONGEST_REASON,
+    OutOfBounds,
+    check_head,
+    check_id,
+    check_number,
+    check_text,
+    check_volumes,
+    error_text,
+    shown,
+)
 from stoatrouter.peering.credit import CreditService
 from stoatrouter.peering.operators import answer
 
 ROOT = "/control/credit"
 WITHIN = timedelta(seconds=4)
+KINDS = ("top-up", "correction", "refund")
 
 
 class CustomerCall(msgspec.Struct, forbid_unknown_fields=True):
@@ -47,6 +61,13 @@
     kind: str = "top-up"
 
 
+class DropCall(msgspec.Struct):
+    """What a call that drops a customer may say."""
+
+    by: str = ""
+    why: str = ""
+
+
 class CreditCalls:
     """Answers these calls."""
 
@@ -66,17 +87,15 @@
                 case "PUT", ["customers", name]:
                     return await self.put(name, msgspec.json.decode(body, type=CustomerCall))
                 case "DELETE", ["customers", name]:
-                    said = json.loads(body or b"{}")
-                    by, why = str(said.get("by", "")), str(said.get("why", ""))
-                    return await self.book(DropCustomer(name, by, why, now()), secrets.token_hex(8))
+                    return await self.drop(name, msgspec.json.decode(body or b"{}", type=DropCall))
                 case "POST", ["customers", name, "entries"]:
                     return await self.entry(name, msgspec.json.decode(body, type=EntryCall))
                 case "GET", ["entries", id]:
                     return await self.entry_told(id)
                 case "POST", ["heads", name, "write-off"]:
                     return await self.write_off(name)
-        except (msgspec.MsgspecError, ValueError, AttributeError) as error:
-            return answer(400, {"error": str(error)})
+        except (msgspec.MsgspecError, ValueError) as error:
+            return answer(400, {"error": error_text(error)})
         except NotAgreed as error:
             return answer(
                 503,
@@ -109,6 +128,8 @@
         }
 
     async def customer(self, name: str) -> web.Response:
+        """The account, as a majority confirms it."""
+        check_customer(name)
         await self.service.fleet.read(WITHIN)
         account = self.service.ledger.accounts.get(name)
         if account is None:
@@ -134,8 +155,14 @@
         )
 
     async def put(self, name: str, call: CustomerCall) -> web.Response:
+        """Make a customer, or change what is said of it."""
+        check_customer(name)
+        check_who(call)
+        check_volumes(call.volumes)
+        check_number("overdraft", call.overdraft, LARGEST_AMOUNT)
+        check_number("low_water", call.low_water, LARGEST_AMOUNT)
         if call.unsettled not in ("spent", "unspent"):
-            return answer(400, {"error": f"unsettled: found {call.unsettled!r} (allowed: spent, unspent)"})
+            raise OutOfBounds("unsettled", shown(call.unsettled), "spent, unspent")
         return await self.book(
             PutCustomer(
                 name,
@@ -150,15 +177,20 @@
             secrets.token_hex(8),
         )
 
+    async def drop(self, name: str, call: DropCall) -> web.Response:
+        """No more is drawn; what is out is still settled."""
+        check_customer(name)
+        check_who(call)
+        return await self.book(DropCustomer(name, call.by, call.why, now()), secrets.token_hex(8))
+
     async def entry(self, name: str, call: EntryCall) -> web.Response:
-        if call.kind not in ("top-up", "correction", "refund") or not call.id:
-            return answer(
-                400,
-                {
-                    "error": f"kind: found {call.kind!r} (allowed: top-up, correction, refund), "
-                    "and an id of yours"
-                },
-            )
+        """Book a top-up, correction or refund."""
+        check_customer(name)
+        check_id("id", call.id)
+        check_who(call)
+        check_number("amount", call.amount, LARGEST_AMOUNT, -LARGEST_AMOUNT)
+        if call.kind not in KINDS:
+            raise OutOfBounds("kind", shown(call.kind), ", ".join(KINDS))
         # the id within the agreement holds the content too: another entry under it is refused, not answered
         # like the first
         return await self.book(
@@ -173,6 +205,8 @@
         return answer(200, {"balance": booked.balance, "booked_before": booked.again})
 
     async def entry_told(self, id: str) -> web.Response:
+        """Whether, and how, an entry was booked."""
+        check_id("id", id)
         await self.service.fleet.read(WITHIN)
         entry = self.service.ledger.entries.get(id)
         if entry is None:
@@ -186,8 +220,20 @@
 
     async def write_off(self, name: str) -> web.Response:
         """Only for a head that will not come back with its disk: what it held is charged, to the last."""
+        check_head("head", name)
         return await self.book(Begin(name, "", "", 0, ()), secrets.token_hex(8))
 
 
+def check_customer(name: str) -> None:
+    """Raise OutOfBounds unless a customer may be named so."""
+    check_text("customer", name, LONGEST_CUSTOMER, least=1)
+
+
+def check_who(call: CustomerCall | EntryCall | DropCall) -> None:
+    """Raise OutOfBounds unless the call says in few words who asks and why."""
+    check_text("by", call.by, LONGEST_PERSON)
+    check_text("why", call.why, LONGEST_REASON)
+
+
 def now() -> str:
     return datetime.now(UTC).isoformat(timespec="milliseconds")
--- a/stoatrouter/peering/operators.py
+++ b/stoatrouter/peering/operators.py
@@ -21,6 +21,7 @@
 from stoatrouter.agreement.records import Snapshot, Voter
 from stoatrouter.peering import calls
 from stoatrouter.peering.agreed import NotAgreed
+from stoatrouter.peering.bounds import OutOfBounds, check_head
 from stoatrouter.peering.fleet import Fleet
 from stoatrouter.peering.streams import Unreachable
 
@@ -87,6 +88,10 @@
         """Add or remove one voter; answered once the change is agreed on."""
         if method not in ("POST", "DELETE"):
             return answer(405, {"error": "POST or DELETE"})
+        try:
+            check_head("voter", name)
+        except OutOfBounds as error:
+            return answer(400, {"error": str(error)})
         raft = self.fleet.agreed.raft
         if not raft.leads:
             leader = raft.leader.name if raft.leader else self.fleet.leader
--- a/stoatrouter/peering/rulecalls.py
+++ b/stoatrouter/peering/rulecalls.py
@@ -22,14 +22,26 @@
 
 from stoatrouter.history.records import Content, Edit, Undo, Version, digest_of, pack, unpack
 from stoatrouter.peering.agreed import NotAgreed
+from stoatrouter.peering.bounds import (
+    LARGEST_VERSION,
+    LONGEST_FILE_NAME,
+    LONGEST_PERSON,
+    LONGEST_REASON,
+    OutOfBounds,
+    check_id,
+    check_number,
+    check_text,
+    error_text,
+    shown,
+)
 from stoatrouter.peering.operators import answer, seconds
 from stoatrouter.peering.rules import RulesService, stamp
 
 ROOT = "/control/rules"
 WITHIN = timedelta(seconds=3)
 FILE = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.-]{0,99}\.cue")
+ALLOWED_FILE = f"NAME.cue of up to {LONGEST_FILE_NAME} letters, digits, _ . -"
 MOST_FILES = 256
-NO_NAMES = "id, author: found nothing (allowed: an id of yours, and who you are)"
 
 
 class EditCall(msgspec.Struct, forbid_unknown_fields=True):
@@ -67,7 +79,7 @@
                     await self.service.fleet.read(WITHIN)
                     return answer(200, {"newest": self.service.register.newest})
                 case "GET", ["versions", number]:
-                    return await self.version(int(number))
+                    return await self.version(version_number(number))
                 case "POST", ["edits"]:
                     return await self.edit(msgspec.json.decode(body, type=EditCall))
                 case "POST", ["undo"]:
@@ -75,7 +87,7 @@
                 case "GET", ["edits", id]:
                     return await self.became(id)
         except (msgspec.MsgspecError, ValueError) as error:
-            return answer(400, {"error": str(error)})
+            return answer(400, {"error": error_text(error)})
         except NotAgreed as error:
             return answer(
                 503,
@@ -113,28 +125,32 @@
         return answer(200, described(found) | {"root": content.root, "files": content.files})
 
     async def edit(self, call: EditCall) -> web.Response:
-        if why := self.wrong(call):
-            return answer(400, {"error": why})
+        check_who(call)
+        check_number("base", call.base, LARGEST_VERSION)
+        self.check_files(call)
         content = Content(call.root, call.files)
         packed = pack(content)
         edit = Edit(call.id, call.base, digest_of(content), packed, call.author, call.reason, stamp())
         return await self.ask(edit)
 
-    def wrong(self, call: EditCall) -> str | None:
-        if not call.id or not call.author:
-            return NO_NAMES
-        if len(call.files) > MOST_FILES or not all(FILE.fullmatch(name) for name in call.files):
-            found = ", ".join(sorted(call.files))[:200]
-            return f"files: found {found} (allowed: up to {MOST_FILES} NAME.cue)"
+    def check_files(self, call: EditCall) -> None:
+        """Raise OutOfBounds unless these files may be a version."""
+        if len(call.files) > MOST_FILES:
+            raise OutOfBounds("files", f"{len(call.files)} of them", f"up to {MOST_FILES}")
+        for name in sorted(call.files):
+            if not FILE.fullmatch(name):
+                raise OutOfBounds("files", f"{shown(name)} of {len(name)} characters", ALLOWED_FILE)
         if call.root not in call.files:
-            return f"root: found {call.root!r} (allowed: one of files)"
+            raise OutOfBounds("root", shown(call.root), "one of files")
         size = sum(len(text.encode()) for text in call.files.values())
         most = self.service.settings.largest
-        return f"files: found {size} bytes (allowed: {most})" if size > most else None
+        if size > most:
+            raise OutOfBounds("files", f"{size} bytes", f"up to {most}")
 
     async def undo(self, call: UndoCall) -> web.Response:
-        if not call.id or not call.author:
-            return answer(400, {"error": NO_NAMES})
+        check_who(call)
+        check_number("version", call.version, LARGEST_VERSION)
+        check_number("to", call.to, LARGEST_VERSION)
         return await self.ask(Undo(call.id, call.version, call.to, call.author, call.reason, stamp()))
 
     async def ask(self, command: Edit | Undo) -> web.Response:
@@ -147,6 +163,7 @@
 
     async def became(self, id: str) -> web.Response:
         """What became of an id, as a majority confirms it."""
+        check_id("id", id)
         service, register = self.service, self.service.register
         await service.fleet.read(WITHIN)
         if (ended := register.ended.get(id)) is not None:
@@ -175,5 +192,19 @@
         return answer(200, told)
 
 
+def check_who(call: EditCall | UndoCall) -> None:
+    """Raise OutOfBounds unless the call says, in few words, what it is, who asks and why."""
+    check_id("id", call.id)
+    check_text("author", call.author, LONGEST_PERSON, least=1)
+    check_text("reason", call.reason, LONGEST_REASON)
+
+
+def version_number(text: str) -> int:
+    """A version's number in a path; raises OutOfBounds."""
+    if not text.isascii() or not text.isdigit() or len(text) > len(str(LARGEST_VERSION)):
+        raise OutOfBounds("version", shown(text), f"a number up to {LARGEST_VERSION}")
+    return int(text)
+
+
 def described(version: Version) -> dict[str, Any]:
     return {f: getattr(version, f) for f in version.__struct_fields__}
