Count an edit and its undo as no edit since

Cause: after edit A, edit B and the undo of B, an undo of A was refused ("others have edited since: 5 by ann, 6 by bob"). `Register.undo` took every version after A for an edit since.

Logs: an undo that is in a log already must come to the same at each head that replays it, so the new rule holds for undos that say so (`Undo.cancelling`, at the end of the record); those without it are applied by the old one.

--- a/stoatrouter/history/records.py
+++ b/stoatrouter/history/records.py
@@ -49,6 +49,9 @@
     author: str
     reason: str
     when: str
+    # Whether versions since that cancel each other out count as no edit. Undos in logs of before December
+    # 2026 say nothing of it: they are applied as they were then, so that each head comes to the same.
+    cancelling: bool = False
 
 
 class Activate(msgspec.Struct, frozen=True, array_like=True, tag="activate"):
--- a/stoatrouter/peering/rulecalls.py
+++ b/stoatrouter/peering/rulecalls.py
@@ -151,7 +151,8 @@
         check_who(call)
         check_number("version", call.version, LARGEST_VERSION)
         check_number("to", call.to, LARGEST_VERSION)
-        return await self.ask(Undo(call.id, call.version, call.to, call.author, call.reason, stamp()))
+        undo = Undo(call.id, call.version, call.to, call.author, call.reason, stamp(), cancelling=True)
+        return await self.ask(undo)
 
     async def ask(self, command: Edit | Undo) -> web.Response:
         body = msgspec.msgpack.encode(command)
