Split fleet.py by job, and name its parts in the field's words

`agreement/standing.py` is `agreement/availability.py`: Standing -> Availability, stand -> availability_of, State -> HeadState, voice -> votes, touched_ago -> majority_age. Fleet.stands -> availability, extras -> handlers; Fetched.touched -> in_touch (the wire has places, not names); Agreed.told -> notify, asked -> reads; Raft._asked -> _answer_vote_request; with_ear -> listening.

Tests: names alone (test_agreement.py, test_credit_waiting.py).

--- a/stoatrouter/agreement/raft.py
+++ b/stoatrouter/agreement/raft.py
@@ -64,13 +64,13 @@
                 effects = self._learnt(event)
             case DiskFailed():
                 effects = self._lose_voice()
-        return effects + self._tell()
+        return effects + self._announce_role()
 
-    def _tell(self) -> list[Effect]:
+    def _announce_role(self) -> list[Effect]:
         role = Role(self.term, self.leader.name if self.leader else None, self.leads)
-        if role == self.told:
+        if role == self.announced:
             return []
-        self.told = role
+        self.announced = role
         return [role]
 
     # -- time ---------------------------------------------------------------------------------------------
@@ -105,7 +105,7 @@
     def _won(self) -> bool:
         return 2 * sum(v.identity in self.votes for v in self.voters) > len(self.voters)
 
-    def _asked(self, sender: Voter, ask: AskVote) -> list[Effect]:
+    def _answer_vote_request(self, sender: Voter, ask: AskVote) -> list[Effect]:
         """A head that does not know of its vote yet gives it all the same, and to one that it does not
         know as a voter: its own log may be behind the change (4.2.2)."""
         if self.voiceless:
@@ -158,7 +158,7 @@
             return []
         match message:
             case AskVote():
-                return self._asked(sender, message)
+                return self._answer_vote_request(sender, message)
             case GiveVote():
                 return self._vote(sender, message)
             case Appended():
--- a/stoatrouter/agreement/state.py
+++ b/stoatrouter/agreement/state.py
@@ -65,7 +65,7 @@
     election_at: timedelta | None = None
     heard_leader: timedelta | None = None
     heartbeat_at: timedelta = NO_TIME
-    told: Role | None = None
+    announced: Role | None = None  # the last one
     draws: random.Random = field(init=False)
 
     def __post_init__(self) -> None:
--- a/stoatrouter/lab/fleet/contacts.py
+++ b/stoatrouter/lab/fleet/contacts.py
@@ -10,9 +10,9 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
+from stoatrouter.agreement.availability import Facts, HeadState, availability_of
 from stoatrouter.agreement.contact import CLOCK_DRIFT, MajorityContact
 from stoatrouter.agreement.records import Disk, Voter
-from stoatrouter.agreement.standing import Facts, State, stand
 from stoatrouter.lab.fleet.voters import Broken, VoterFleet
 from stoatrouter.lab.fleet.world import World
 
@@ -55,7 +55,7 @@
             return False
         raft, age = self.heads[name].raft, self.contact(name).age(self.world.clock(name))
         facts = Facts(True, True, age, raft.votes_here, raft.leads, True)
-        return stand(facts, CUT_OFF_AFTER, 10 * SECOND, SECOND).state is State.IN_TOUCH
+        return availability_of(facts, CUT_OFF_AFTER, 10 * SECOND, SECOND).state is HeadState.IN_TOUCH
 
     def fetch(self, name: str) -> None:
         """Ask one head, unless a leader tells this one. The answer is held for a while."""
--- a/stoatrouter/peering/agreed.py
+++ b/stoatrouter/peering/agreed.py
@@ -62,17 +62,17 @@
         seed: int,
         now: Callable[[], timedelta],
         send: Callable[[Voter, AnyMessage], None],
-        told: Callable[[], None],
+        notify: Callable[[], None],
     ) -> None:
         self.loop = asyncio.get_running_loop()
-        self.machine, self.now, self.send, self.told = machine, now, send, told
+        self.machine, self.now, self.send, self.notify = machine, now, send, notify
         self.raft = Raft(me, found.disk, seed, timing, now=now())
         self.raft.voiceless = not found.lasting
         self.writer = Writer(storage, self.loop, self.disk_failed, found.lasting)
         self.lasting = found.lasting
         self.size = 0  # bytes applied since the last snapshot
         self.waiting: dict[int, tuple[int, asyncio.Future[bytes]]] = {}  # by index: the term, and who waits
-        self.asked: dict[str, asyncio.Future[int]] = {}  # reads under way
+        self.reads: dict[str, asyncio.Future[int]] = {}  # reads under way
         self.taken: dict[str, tuple[int, int]] = {}
         self.refused: dict[str, str] = {}
         self.number = 0
@@ -113,7 +113,7 @@
         """Up to which index a read must have applied; raises NotAgreed."""
         self.number += 1
         name = f"r{self.number}"
-        future = self.asked[name] = self.loop.create_future()
+        future = self.reads[name] = self.loop.create_future()
         try:
             self.put(Read(self.now(), name))
             async with asyncio.timeout(within.total_seconds()):
@@ -121,7 +121,7 @@
         except TimeoutError:
             raise NotAgreed("no majority confirmed it in time") from None
         finally:
-            self.asked.pop(name, None)
+            self.reads.pop(name, None)
 
     async def applied(self, index: int, within: timedelta) -> bool:
         """Wait until an index is applied here; whether it is."""
@@ -166,7 +166,7 @@
             case NotTaken():
                 self.not_taken(effect)
             case Readable():
-                if (future := self.asked.get(effect.id)) is not None and not future.done():
+                if (future := self.reads.get(effect.id)) is not None and not future.done():
                     future.set_result(effect.index)
             case Role():
                 logger.info(
@@ -175,7 +175,7 @@
                     term=effect.term,
                     leader=effect.leader or "nobody known",
                 )
-                self.told()
+                self.notify()
             case Forgot():
                 logger.error(
                     "heads: the disk holds {held} of {acknowledged} entries acknowledged: it votes no more",
@@ -190,7 +190,7 @@
         self.put(Wrote(self.now(), effect.number))
 
     def not_taken(self, effect: NotTaken) -> None:
-        future = self.asked.get(effect.id)
+        future = self.reads.get(effect.id)
         if future is None:
             self.refused[effect.id] = effect.why
         elif not future.done():
@@ -208,7 +208,7 @@
                     future.set_exception(NotAgreed("another leader's entry took its place"))
             for listener in self.listeners:
                 listener(entry, answer)
-        self.tell_applied()
+        self.notify_applied()
         behind = self.machine.index - self.raft.log.snapshot.index
         if behind >= COMPACT_ENTRIES or self.size >= COMPACT_BYTES:
             self.size = 0
@@ -222,12 +222,12 @@
                 future.set_exception(NotAgreed("what became of it is in a snapshot"))
         for restored in self.restored:
             restored()
-        self.tell_applied()
+        self.notify_applied()
 
-    def tell_applied(self) -> None:
+    def notify_applied(self) -> None:
         self.changed.set()
         self.changed = asyncio.Event()
-        self.told()
+        self.notify()
 
     def disk_failed(self, why: str) -> None:
         logger.error(
--- a/stoatrouter/peering/calls.py
+++ b/stoatrouter/peering/calls.py
@@ -30,7 +30,7 @@
 
 class Fetched(msgspec.Struct, frozen=True, array_like=True):
     origin: str  # "": the asked head belongs to no fleet yet
-    touched: bool  # it is in touch with a majority
+    in_touch: bool  # with a majority
     leader: str | None
     prev_index: int = 0
     prev_term: int = 0
--- a/stoatrouter/peering/credit.py
+++ b/stoatrouter/peering/credit.py
@@ -60,13 +60,13 @@
         self.kick, self.told = asyncio.Event(), asyncio.Event()
         self.seen: dict[str, timedelta] = {}  # allotments, since this head knows of them
         self.closing = False
-        fleet.watchers.append(self.look)
+        fleet.monitor.watchers.append(self.look)
         fleet.agreed.restored.append(self.seen.clear)  # a state that came whole: ages count anew
 
     def look(self) -> None:
-        """Where this head stands has changed: a cut-off one says so in what it refuses."""
-        standing = self.fleet.standing
-        self.holder.reachable = standing is not None and standing.draws
+        """What this head may do has changed: a cut-off one says so in what it refuses."""
+        availability = self.fleet.monitor.latest
+        self.holder.reachable = availability is not None and availability.draws
 
     # -- requests -----------------------------------------------------------------------------------------
     async def prepare(self, request: model.Request) -> bool:
@@ -185,7 +185,7 @@
         """The last word: what is unspent goes back at once."""
         self.closing = True
         turns = self.holder.closing()
-        if turns and self.begun and self.fleet.stands.draws:
+        if turns and self.begun and self.fleet.availability.draws:
             try:
                 async with asyncio.timeout(LAST_WORD.total_seconds()):
                     await self.say(turns)
--- a/stoatrouter/peering/creditcalls.py
+++ b/stoatrouter/peering/creditcalls.py
@@ -119,7 +119,7 @@
             for name, purse in sorted(holder.purses.items())
         }
         return {
-            "state": service.fleet.stands.state.value,
+            "state": service.fleet.availability.state.value,
             "draws": holder.reachable,
             "charged": holder.charged,
             "refused": holder.refused,
--- a/stoatrouter/peering/heads.py
+++ b/stoatrouter/peering/heads.py
@@ -40,7 +40,7 @@
             self.tasks.append(asyncio.get_running_loop().create_task(self.credit.run()))
         if self.rules is not None:
             self.tasks.append(asyncio.get_running_loop().create_task(self.rules.run()))
-        while not self.fleet.stands.serves:
+        while not self.fleet.availability.serves:
             await asyncio.sleep(0.02)
         # a head that comes back decides by what is in force, however long its table takes to make
         while self.rules is not None and not self.rules.caught_up:
@@ -49,14 +49,14 @@
         while (
             self.credit is not None
             and not self.credit.begun
-            and self.fleet.stands.draws
+            and self.fleet.availability.draws
             and self.fleet.now() < until
         ):
             await asyncio.sleep(0.02)
 
     @property
     def ready(self) -> bool:
-        return self.fleet.stands.ready
+        return self.fleet.availability.ready
 
     async def call(self, method: str, path: str, body: bytes) -> web.Response | None:
         """An operators' call that concerns the heads; None where it does not."""
--- a/stoatrouter/peering/operators.py
+++ b/stoatrouter/peering/operators.py
@@ -55,7 +55,7 @@
 
     def told(self) -> dict[str, Any]:
         fleet = self.fleet
-        standing, raft = fleet.stands, fleet.agreed.raft
+        availability, raft = fleet.availability, fleet.agreed.raft
         seen = (
             {}
             if fleet.datagrams is None
@@ -69,11 +69,11 @@
             "identity": fleet.me.identity,
             "process": fleet.process,
             "fleet": fleet.settings.fleet,
-            "origin": fleet.founding.origin,
-            "state": standing.state.value,
-            "majority_heard_s_ago": seconds(fleet.contact.age(fleet.now())),
+            "origin": fleet.belonging.origin,
+            "state": availability.state.value,
+            "majority_heard_s_ago": seconds(fleet.majority_age),
             "term": raft.term,
-            "leader": raft.leader.name if raft.leader else fleet.leader,
+            "leader": fleet.leader,
             "leads": raft.leads,
             "votes": raft.votes_here,
             "disk": fleet.agreed.lasting,
@@ -94,8 +94,7 @@
             return answer(400, {"error": str(error)})
         raft = self.fleet.agreed.raft
         if not raft.leads:
-            leader = raft.leader.name if raft.leader else self.fleet.leader
-            return answer(409, {"error": "ask the head that leads", "leader": leader})
+            return answer(409, {"error": "ask the head that leads", "leader": self.fleet.leader})
         voters = raft.voters
         try:
             if method == "DELETE":
@@ -127,7 +126,7 @@
             return voter
         if held is not None:
             raise NotAgreed(f"{name} votes under an older identity: remove it first")
-        if told.origin != fleet.founding.origin or told.commit + 1_000 < fleet.agreed.raft.commit:
+        if told.origin != fleet.belonging.origin or told.commit + 1_000 < fleet.agreed.raft.commit:
             raise NotAgreed(f"{name} has not caught up yet")
         return voter
 
@@ -135,7 +134,7 @@
         """This head goes on alone with what it holds, as a fleet of a new origin: the old one's voters,
         should they come back, are not heard, and what only they had agreed on is lost."""
         fleet = self.fleet
-        if fleet.stands.changes:
+        if fleet.availability.changes:
             return answer(409, {"error": "this head hears a majority: there is nothing to recover"})
         if not fleet.agreed.lasting or not fleet.settings.listen:
             return answer(409, {"error": "this head cannot vote: its disk fails, or it has no address"})
@@ -148,6 +147,5 @@
             index=machine.index,
         )
         snapshot = Snapshot(max(1, machine.index), raft.term, (fleet.me,), machine.state())
-        fleet.founding.origin = origin
-        fleet.agreed.begin(snapshot, raft.term + 1, origin, fleet.begun)
+        fleet.belonging.begin_alone(origin, snapshot, raft.term + 1)
         return answer(200, {"origin": origin, "applied": machine.index})
--- a/stoatrouter/peering/rulecalls.py
+++ b/stoatrouter/peering/rulecalls.py
@@ -106,8 +106,8 @@
         return {
             "version": service.active,
             "held_for_s": round((now - service.active_since).total_seconds(), 1),
-            "state": fleet.stands.state.value,
-            "majority_heard_s_ago": seconds(fleet.contact.age(now)),
+            "state": fleet.availability.state.value,
+            "majority_heard_s_ago": seconds(fleet.majority_age),
             "newest_known": register.newest,
             "history_from": register.versions[0].number if register.versions else None,
             "pending": None if register.pending is None else described(register.pending),
--- a/stoatrouter/peering/rules.py
+++ b/stoatrouter/peering/rules.py
@@ -130,7 +130,7 @@
     def __post_init__(self) -> None:
         self.tables.managed = True
         self.folder = self.fleet.settings.folder / FOLDER
-        self.fleet.extras[PART], self.fleet.extras[STATUS] = self.hear, self.asked
+        self.fleet.handlers[PART], self.fleet.handlers[STATUS] = self.hear, self.asked
         self.active_since = self.fleet.now()
 
     @property
@@ -270,17 +270,13 @@
         if said == self.said and now < self.said_at + every:
             return
         self.said, self.said_at = said, now
-        leader = self.leader()
+        leader = self.fleet.leader
         if leader == self.fleet.settings.name:
             self.heard[leader] = Heard(said, now)
         elif leader is not None:
             with contextlib.suppress(Unreachable):
                 await self.fleet.streams.ask(leader, PART, msgspec.msgpack.encode(said), timedelta(seconds=1))
 
-    def leader(self) -> str | None:
-        raft = self.fleet.agreed.raft
-        return raft.leader.name if raft.leader is not None else self.fleet.leader
-
     async def hear(self, envelope: Envelope) -> bytes:
         said = msgspec.msgpack.decode(envelope.body, type=Said)
         self.heard[envelope.sender.name] = Heard(said, self.fleet.now())
@@ -339,7 +335,7 @@
 
     async def spread(self) -> Spread | None:
         """Which version each head decides by, from the leader; None where it is not reached."""
-        leader = self.leader()
+        leader = self.fleet.leader
         if leader == self.fleet.settings.name:
             return self.spread_here()
         try:
--- a/stoatrouter/peering/streams.py
+++ b/stoatrouter/peering/streams.py
@@ -64,11 +64,11 @@
         )
         if listen is not None:
             self.server = web.Server(self.take, access_log=None, handler_cancellation=True)
-            with_ear = ListeningSocket()
-            with_ear.setsockopt(1, 2, 1)  # SOL_SOCKET, SO_REUSEADDR
-            with_ear.bind(listen)
-            with_ear.setblocking(False)
-            self.sockets = await asyncio.get_running_loop().create_server(self.server, sock=with_ear)
+            listening = ListeningSocket()
+            listening.setsockopt(1, 2, 1)  # SOL_SOCKET, SO_REUSEADDR
+            listening.bind(listen)
+            listening.setblocking(False)
+            self.sockets = await asyncio.get_running_loop().create_server(self.server, sock=listening)
 
     async def close(self) -> None:
         for task in self.senders.values():
--- a/tests/heads/test_agreement.py
+++ b/tests/heads/test_agreement.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from stoatrouter.agreement.availability import Facts, HeadState, availability_of
 from stoatrouter.agreement.founding import Founded, Founding
 from stoatrouter.agreement.log import write_voters
 from stoatrouter.agreement.raft import Raft
@@ -31,7 +32,6 @@
     Voter,
     Wrote,
 )
-from stoatrouter.agreement.standing import Facts, State, stand
 from stoatrouter.lab.fleet import stories
 from stoatrouter.lab.fleet.exhaustive import search
 from stoatrouter.lab.fleet.voters import Broken
@@ -60,8 +60,8 @@
 
     __slots__ = ()
 
-    def _asked(self, sender, ask):
-        effects = super()._asked(sender, ask)
+    def _answer_vote_request(self, sender, ask):
+        effects = super()._answer_vote_request(sender, ask)
         return [
             e
             for d in effects
@@ -105,8 +105,8 @@
 
     __slots__ = ()
 
-    def _asked(self, sender, ask):
-        return super()._asked(sender, AskVote(ask.term, 1 << 40, 1 << 40, ask.pre))
+    def _answer_vote_request(self, sender, ask):
+        return super()._answer_vote_request(sender, AskVote(ask.term, 1 << 40, 1 << 40, ask.pre))
 
 
 class VotesTwice(Raft):
@@ -114,9 +114,9 @@
 
     __slots__ = ()
 
-    def _asked(self, sender, ask):
+    def _answer_vote_request(self, sender, ask):
         self.voted = None
-        return super()._asked(sender, ask)
+        return super()._answer_vote_request(sender, ask)
 
 
 class ReadsAlone(Raft):
@@ -303,22 +303,27 @@
 @pytest.mark.parametrize(
     ("facts", "waited", "state", "may"),
     [
-        (Facts(False, False, None, False, False, True), 0, State.UNFOUNDED, "serves ready"),
+        (Facts(False, False, None, False, False, True), 0, HeadState.UNFOUNDED, "serves ready"),
         (
             Facts(True, True, 100 * MS, True, True, True),
             9,
-            State.IN_TOUCH,
-            "serves changes draws voice ready",
+            HeadState.IN_TOUCH,
+            "serves changes draws votes ready",
         ),
-        (Facts(True, True, 100 * MS, True, False, False), 9, State.IN_TOUCH, "serves changes draws ready"),
-        (Facts(True, False, 100 * MS, True, False, True), 9, State.CATCHING_UP, "voice"),
-        (Facts(True, True, 9000 * MS, True, False, True), 9, State.CUT_OFF, "serves voice ready"),
-        (Facts(True, False, None, False, False, True), 1, State.CUT_OFF, ""),  # waits at its start
-        (Facts(True, False, None, False, False, True), 9, State.CUT_OFF, "serves ready"),
+        (
+            Facts(True, True, 100 * MS, True, False, False),
+            9,
+            HeadState.IN_TOUCH,
+            "serves changes draws ready",
+        ),
+        (Facts(True, False, 100 * MS, True, False, True), 9, HeadState.CATCHING_UP, "votes"),
+        (Facts(True, True, 9000 * MS, True, False, True), 9, HeadState.CUT_OFF, "serves votes ready"),
+        (Facts(True, False, None, False, False, True), 1, HeadState.CUT_OFF, ""),  # waits at its start
+        (Facts(True, False, None, False, False, True), 9, HeadState.CUT_OFF, "serves ready"),
     ],
 )
-def test_the_table_of_standing(facts, waited, state, may):
-    standing = stand(facts, 3000 * MS, 1000 * waited * MS, 3000 * MS)
-    flags = ("serves", "changes", "draws", "voice", "ready")
-    assert standing.state is state
-    assert [f for f in flags if getattr(standing, f)] == may.split()
+def test_the_table_of_availability(facts, waited, state, may):
+    availability = availability_of(facts, 3000 * MS, 1000 * waited * MS, 3000 * MS)
+    flags = ("serves", "changes", "draws", "votes", "ready")
+    assert availability.state is state
+    assert [f for f in flags if getattr(availability, f)] == may.split()
--- a/tests/heads/test_credit_waiting.py
+++ b/tests/heads/test_credit_waiting.py
@@ -37,7 +37,7 @@
             settings=SimpleNamespace(folder=tmp_path, name="h0"),
             found=SimpleNamespace(lasting=False, boot=1),
             me=SimpleNamespace(identity="h0/0"),
-            watchers=[],
+            monitor=SimpleNamespace(watchers=[]),
             agreed=agreed,
             now=self.now,
             command=self.command,
