Say by a Protocol what the heads' parts need of a head

Cause: stoatrouter/head.py imports peering/heads.py, which imported head.py again for the type `Head`, as did peering/parts.py.

Change: `ServingHead` in peering/parts.py names the three things that the parts use (conf, engine, http_tables). Nothing in peering/ imports stoatrouter.head now, under TYPE_CHECKING or else.

--- a/stoatrouter/peering/heads.py
+++ b/stoatrouter/peering/heads.py
@@ -12,18 +12,17 @@
 from stoatrouter.config import Config
 from stoatrouter.peering.fleet import Fleet
 from stoatrouter.peering.operators import Operators
-from stoatrouter.peering.parts import Call, credit, kept_version, rules
+from stoatrouter.peering.parts import Call, ServingHead, credit, kept_version, rules
 from stoatrouter.peering.settings import HeadsSettings, load_heads
 
 if TYPE_CHECKING:
     from stoatrouter.agreement.machine import Part
-    from stoatrouter.head import Head
 
 
 class Heads:
     """The fleet and what it agrees on."""
 
-    def __init__(self, settings: HeadsSettings, head: Head, started_with: int) -> None:
+    def __init__(self, settings: HeadsSettings, head: ServingHead, started_with: int) -> None:
         self.settings = settings
         self.tasks: list[asyncio.Task[None]] = []
         parts: dict[str, Part] = {}
--- a/stoatrouter/peering/parts.py
+++ b/stoatrouter/peering/parts.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 import msgspec
 from aiohttp import web
@@ -13,16 +13,37 @@
 
 if TYPE_CHECKING:
     from stoatrouter.agreement.machine import Part
+    from stoatrouter.config import Config
     from stoatrouter.fronts.http.settings import HttpSettings
-    from stoatrouter.head import Head
+    from stoatrouter.net.engine import Engine
+    from stoatrouter.net.tables import TableService
     from stoatrouter.peering.credit import CreditService
     from stoatrouter.peering.rules import RulesService
 
 Call = Callable[[str, str, bytes], Awaitable[web.Response | None]]
 
 
+class ServingHead(Protocol):
+    """What the parts need of the head that they are parts of."""
+
+    @property
+    def conf(self) -> Config:
+        """What the platform configured."""
+        ...
+
+    @property
+    def engine(self) -> Engine:
+        """What serves requests; credit is asked by it first."""
+        ...
+
+    @property
+    def http_tables(self) -> TableService | None:
+        """The rule tables of the HTTP front; None where it is off."""
+        ...
+
+
 def credit(
-    settings: HeadsSettings, head: Head, fleet: Fleet, parts: dict[str, Part], calls: list[Call]
+    settings: HeadsSettings, head: ServingHead, fleet: Fleet, parts: dict[str, Part], calls: list[Call]
 ) -> CreditService | None:
     """Prepaid credit, asked by the core before its module for every front."""
     if settings.credit is None:
@@ -49,7 +70,7 @@
 
 def rules(
     settings: HeadsSettings,
-    head: Head,
+    head: ServingHead,
     fleet: Fleet,
     parts: dict[str, Part],
     calls: list[Call],
