--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import tempfile
 from dataclasses import replace
 from datetime import timedelta
 
@@ -11,6 +12,29 @@
 from stoatrouter.core.list_times import list_times
 from stoatrouter.net import listener
 
+FLEETS_AT_ONCE = 4  # of three to five processes each: more of them crowd eight cores
+STARTERS_OF_FLEETS = ("heads_up", "play")
+
+
+@pytest.hookimpl(tryfirst=True)  # pytest-xdist reads the groups in this hook
+def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
+    """Deal the tests that start a fleet of processes out to a few groups; each runs in one worker."""
+    for number, item in enumerate(filter(starts_fleet, items)):
+        item.add_marker(pytest.mark.xdist_group(f"fleet{number % FLEETS_AT_ONCE}"))
+
+
+def starts_fleet(item: pytest.Item) -> bool:
+    """Whether a test's module has a fleet's starter, and the test has a folder to start one in."""
+    in_reach = any(hasattr(item.module, name) for name in STARTERS_OF_FLEETS)
+    return in_reach and "tmp_path" in item.fixturenames
+
+
+@pytest.fixture(autouse=True)
+def no_shared_folder(monkeypatch):
+    """Processes that share $TMPDIR hand over to each other: a test names its own, or there is none."""
+    tempfile.gettempdir()  # is kept: folders of the tests themselves stay where they are
+    monkeypatch.delenv("TMPDIR", raising=False)
+
 
 @pytest.fixture(autouse=True)
 def short_farewell(monkeypatch):
--- a/tests/fleet_story.py
+++ b/tests/fleet_story.py
@@ -15,7 +15,8 @@
 from typing import Any
 
 from stoatrouter.lab.histories.requests import Kind, Terms
-from tests.heads.processes import end_with_parent, free_ports, own_host
+from tests.addresses import free_ports, own_host
+from tests.heads.processes import end_with_parent
 from tests.peers import SETTINGS, told, until
 
 ROOT = Path(__file__).parent.parent
--- a/tests/test_list_and_descriptors.py
+++ b/tests/test_list_and_descriptors.py
@@ -23,8 +23,9 @@
 from stoatrouter.core.spans import micros
 from stoatrouter.head import Head
 from stoatrouter.net.discovery import Watch
+from tests.addresses import free_ports, own_host
 from tests.agent import Agent, agent_up
-from tests.heads.processes import end_with_parent, free_ports, own_host
+from tests.heads.processes import end_with_parent
 from tests.peers import (
     HOST,
     Discovery,
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -13,12 +13,13 @@
 import pytest
 
 from stoatrouter.net import presence
+from tests.addresses import free_port
 from tests.agent import Agent, agent_up
 from tests.heads.processes import end_with_parent
 from tests.peers import HOST, Node, config_data, nodes_up, run, told, until
 from tests.test_network import HEADERS, PATH
 from tests.test_objects import BODY, gateway
-from tests.test_program import ROOT, free_port, program, read
+from tests.test_program import ROOT, program, read
 
 LARGE = 3 * 1024 * 1024
 
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -20,10 +20,11 @@
 from stoatrouter.net.early import NAME, Announcement
 from stoatrouter.net.keep import Keep
 from stoatrouter.net.succession import Succession
+from tests.addresses import free_port
 from tests.bench_free import CLASSES, PLAN, READ
 from tests.peers import HOST, Discovery, Node, config_data, listening, nodes_up, run, told, until
 from tests.test_network import started
-from tests.test_program import PATH, ROOT, free_port, read
+from tests.test_program import PATH, ROOT, read
 
 LIMITED = api.Plan("limited", usual_rate=5, reserve=1, share=1, limit=20, burst=40, tolerance=4)
 
