Capacity: count the functions that a decision calls, as load on the machine alters its time

Need: with a load of 17 to 39 on 8 cores the same command gave 315 and 688 us for a request at 1,700 nodes. Change: decision.py counts Python function calls in a short run of its own (sys.setprofile), the same on each machine.

--- a/benchmarks/capacity/decision.py
+++ b/benchmarks/capacity/decision.py
@@ -1,7 +1,8 @@
 """What the decision module costs one head: processor time of a request and of a reading, without sockets.
 
-Three series, each in virtual time with answers after 5 to 50 ms: by number of nodes, by request rate at the
+Four series, each in virtual time with answers after 5 to 50 ms: by number of nodes, by request rate at the
 fleet's nodes, by the part of requests that any node takes, and by the part of nodes that have just started.
+The functions called are counted too, as a machine's load alters processor time and not these counts.
 """
 
 from __future__ import annotations
@@ -23,6 +24,7 @@
 READINGS_A_SECOND = 10
 MICROSECONDS = 1_000_000
 ANY_PERCENT = 5
+COUNTED_WARM_UP, COUNTED = SECOND // 4, SECOND // 2  # of virtual time, with function calls counted
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,6 +75,29 @@
     return head.run(round(seconds * SECOND))
 
 
+def count(case: Case) -> Costs:
+    """The same in short, counting function calls in place of processor time."""
+    cold = case.nodes * case.cold_percent // 100
+    load = Load(rate=case.rate, any_part=case.any_percent / 100)
+    entries = node_entries(case.nodes, cold)
+    head = VirtualHead(demo_settings(), entries, load, case.seed, count_functions=True)
+    head.run(COUNTED_WARM_UP)
+    return head.run(COUNTED)
+
+
+def report_count(run: harness.Run, case: Case, costs: Costs) -> None:
+    """Write down a case's function calls."""
+    requests = costs.by_kind[Kind.ARRIVED].calls
+    of_requests = (Kind.ARRIVED, Kind.ENDED, Kind.REQUEST_TIMER)
+    found = {
+        "a request": sum(costs.by_kind[kind].function_calls for kind in of_requests) / max(1, requests),
+        "a reading": costs.by_kind[Kind.READING].function_calls / max(1, costs.by_kind[Kind.READING].calls),
+    }
+    for what, value in found.items():
+        name, details = f"function calls {what}, {case.series}", {"nodes": case.nodes, "rate": case.rate}
+        run.add(harness.Measurement(name, case.size, round(value, 2), "calls", case.seed, dict(details)))
+
+
 def report(run: harness.Run, case: Case, costs: Costs) -> None:
     """Write down what a case has cost."""
     outcomes, reading = costs.outcomes, costs.by_kind[Kind.READING]
@@ -108,6 +133,7 @@
     with harness.recording("decision", arguments.out, arguments.at) as run:
         for case in cases(arguments):
             report(run, case, measure(case, arguments.seconds))
+            report_count(run, case, count(case))
     return 0
 
 
--- a/benchmarks/capacity/virtual.py
+++ b/benchmarks/capacity/virtual.py
@@ -9,10 +9,12 @@
 import heapq
 import itertools
 import random
+import sys
 import time
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from enum import Enum
+from types import FrameType
 
 from cypressworks import Scheduler
 from cypressworks import interface as api
@@ -46,6 +48,7 @@
 
     calls: int = 0
     seconds: float = 0.0
+    function_calls: int = 0  # of Python functions and generators inside, where they are counted
 
     @property
     def each(self) -> float:
@@ -120,7 +123,9 @@
         load: Load,
         seed: int,
         full_nodes: frozenset[str] = frozenset(),
+        count_functions: bool = False,
     ) -> None:
+        self.count_functions = count_functions  # in place of the processor time, which that would distort
         self.load, self.entries = load, entries
         self.full_nodes = full_nodes  # refuse all that comes, and tell of a long queue
         self.chance = random.Random(f"virtual/{seed}")
@@ -155,13 +160,9 @@
 
     def tell(self, event: api.Event) -> None:
         """Put one event to the scheduler, count its processor time, and take up its actions."""
-        kind = self.kind(event)
-        began = time.process_time()
-        actions = self.scheduler.handle(self.now, event)
-        took = time.process_time() - began - self.clock_cost
-        cost = self.costs.by_kind[kind]
+        cost = self.costs.by_kind[self.kind(event)]
         cost.calls += 1
-        cost.seconds += max(0.0, took)
+        actions = self.counted(event, cost) if self.count_functions else self.timed(event, cost)
         match event:
             case api.RequestArrived():
                 self.costs.outcomes.arrived += 1
@@ -172,6 +173,25 @@
         for action in actions:
             self.take(action)
 
+    def timed(self, event: api.Event, cost: Cost) -> list[api.Action]:
+        """Handle an event and add its processor time."""
+        began = time.process_time()
+        actions = self.scheduler.handle(self.now, event)
+        cost.seconds += max(0.0, time.process_time() - began - self.clock_cost)
+        return actions
+
+    def counted(self, event: api.Event, cost: Cost) -> list[api.Action]:
+        """Handle an event and add how many functions that called, which no load of the machine alters."""
+
+        def count(frame: FrameType, what: str, argument: object) -> None:
+            cost.function_calls += what == "call"
+
+        sys.setprofile(count)
+        try:
+            return self.scheduler.handle(self.now, event)
+        finally:
+            sys.setprofile(None)
+
     def kind(self, event: api.Event) -> Kind:
         """What an event counts as."""
         match event:
--- a/tests/test_capacity_request.py
+++ b/tests/test_capacity_request.py
@@ -115,6 +115,22 @@
     assert {k: c.calls for k, c in first.by_kind.items()} == {k: c.calls for k, c in again.by_kind.items()}
 
 
+def test_functions_are_counted_alike_in_each_run_and_no_time_is_taken():
+    def calls() -> dict[Kind, int]:
+        head = VirtualHead(
+            demo_settings(), virtual_nodes(NODES), Load(rate=200), seed=3, count_functions=True
+        )
+        costs = head.run(SECOND)
+        assert all(cost.seconds == 0 for cost in costs.by_kind.values())
+        return {kind: cost.function_calls for kind, cost in costs.by_kind.items()}
+
+    first = calls()
+    assert first == calls()
+    assert min(first[kind] for kind in (Kind.ARRIVED, Kind.ENDED, Kind.READING)) > 100
+    assert first[Kind.LIST] == 0  # the list was told before
+    assert sys.getprofile() is None
+
+
 def test_requests_of_a_shard_are_spread_by_the_skew_and_the_stated_part_goes_to_any_node():
     head = virtual_head(any_part=0.25, skew=1.0)
     drawn = Counter(head.draw_shard() for _ in range(20_000))
