--- a/benchmarks/capacity/children.py
+++ b/benchmarks/capacity/children.py
@@ -11,10 +11,10 @@
 import ctypes
 import json
 import os
+import select
 import signal
 import subprocess
 import sys
-import threading
 from collections.abc import Awaitable, Callable, Iterator, Sequence
 from pathlib import Path
 from types import FrameType
@@ -24,6 +24,7 @@
 ANSWER_WITHIN = 120.0  # seconds; a child that takes longer is killed, and the command fails
 END_WITHIN = 3.0  # seconds after which a child that was asked to end is killed
 PARENT_DEATH_SIGNAL = 1  # PR_SET_PDEATHSIG of prctl(2)
+ENDING_SIGNALS = (signal.SIGINT, signal.SIGTERM)
 Message = dict[str, Any]
 
 
@@ -31,18 +32,30 @@
     """A child ended or did not answer in time."""
 
 
+@contextlib.contextmanager
+def signals_held() -> Iterator[None]:
+    """Have signals wait, so that none comes between the start of a process and the note that it runs."""
+    before = signal.pthread_sigmask(signal.SIG_BLOCK, ENDING_SIGNALS)
+    try:
+        yield
+    finally:
+        signal.pthread_sigmask(signal.SIG_SETMASK, before)
+
+
 def die_with_parent() -> None:
     """Run in a child before its program: the system kills it once the command is gone, however that ended."""
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, ENDING_SIGNALS)
     ctypes.CDLL(None).prctl(PARENT_DEATH_SIGNAL, signal.SIGKILL)
 
 
 def end_on_signals() -> None:
-    """Turn SIGTERM into an exception, so that what was started is ended as with Ctrl-C."""
+    """Turn signals into an exception, so that what was started is ended, also where Ctrl-C is ignored."""
 
     def interrupt(number: int, frame: FrameType | None) -> None:
         raise KeyboardInterrupt
 
-    signal.signal(signal.SIGTERM, interrupt)
+    for number in ENDING_SIGNALS:
+        signal.signal(number, interrupt)
 
 
 class Child:
@@ -69,12 +82,9 @@
     def hear(self, within: float = ANSWER_WITHIN) -> Message:
         """The next line that it says."""
         assert self.process.stdout is not None
-        watchdog = threading.Timer(within, self.process.kill)
-        watchdog.start()
-        try:
-            line = self.process.stdout.readline()
-        finally:
-            watchdog.cancel()
+        # no thread watches: an exception between its start and its end would have the command wait for it
+        said, _, _ = select.select([self.process.stdout], [], [], within)
+        line = self.process.stdout.readline() if said else ""
         if not line:
             raise ChildFailed(f"{self.module} ended, or said nothing within {within:g} s")
         heard: Message = json.loads(line)
@@ -109,7 +119,8 @@
     started: list[Child] = []
     try:
         for specification in specifications:
-            started.append(Child(module, specification))
+            with signals_held():
+                started.append(Child(module, specification))
         yield started
     finally:
         for child in started:
--- a/benchmarks/capacity/head_process.py
+++ b/benchmarks/capacity/head_process.py
@@ -20,7 +20,14 @@
 from typing import Any
 
 from benchmarks.capacity import harness
-from benchmarks.capacity.children import ROOT, ChildFailed, children, die_with_parent, end_process
+from benchmarks.capacity.children import (
+    ROOT,
+    ChildFailed,
+    children,
+    die_with_parent,
+    end_process,
+    signals_held,
+)
 
 HOST = "127.0.0.1"
 HEADS = 740
@@ -152,19 +159,22 @@
         environ["CAPACITY_SPLIT"] = "1"
     if program is Program.LONG_IDLE:
         environ["CAPACITY_IDLE_SECONDS"] = str(LONG_IDLE)
-    process = subprocess.Popen(
-        [interpreter(), "-O", "-B", "-m", module],
-        cwd=ROOT,
-        env=environ,
-        stdout=subprocess.DEVNULL,
-        stderr=(folder / "head.log").open("wb"),
-        preexec_fn=die_with_parent,
-    )
+    process: subprocess.Popen[bytes] | None = None
     try:
+        with signals_held(), (folder / "head.log").open("wb") as log:
+            process = subprocess.Popen(
+                [interpreter(), "-O", "-B", "-m", module],
+                cwd=ROOT,
+                env=environ,
+                stdout=subprocess.DEVNULL,
+                stderr=log,
+                preexec_fn=die_with_parent,
+            )
         yield process
     finally:
-        process.kill()
-        end_process(process)
+        if process is not None:
+            process.kill()
+            end_process(process)
 
 
 def interpreter() -> str:
