--- a/benchmarks/capacity/nodelist.py
+++ b/benchmarks/capacity/nodelist.py
@@ -17,6 +17,7 @@
 from loguru import logger
 
 from benchmarks.capacity import harness
+from benchmarks.capacity.children import end_on_signals
 from benchmarks.capacity.decision import demo_settings
 from benchmarks.capacity.head_process import node_entries
 from benchmarks.capacity.virtual_watches import INCIDENT_AT, Call, Incident, calls_of_fleet
@@ -180,6 +181,7 @@
 def main() -> int:
     """The command."""
     arguments = arguments_parser().parse_args()
+    end_on_signals()
     harness.require(memory_mb=2_000)
     logger.remove()
     with harness.recording("nodelist", arguments.out, arguments.at) as run:
