--- a/benchmarks/capacity/harness.py
+++ b/benchmarks/capacity/harness.py
@@ -150,8 +150,8 @@
 
 
 def numbers(text: str) -> list[int]:
-    """Whole numbers between commas."""
-    return [int(part) for part in text.split(",")]
+    """Whole numbers between commas; none of an empty text."""
+    return [int(part) for part in text.split(",") if part]
 
 
 class TooLarge(Exception):
