Measure control: voters by followers, a head's parts off against on, the reading by nodes

Need: the slopes of control towards 740 heads and 1,700 nodes, and whether a voter refuses followers as the probes said. benchmarks/capacity/voters.py grows light followers on the real wire against real voters; control.py runs real heads with one part more each, peers simulated at the wire.

--- /dev/null
+++ b/benchmarks/capacity/list_service.py
@@ -0,0 +1,73 @@
+"""A stand-in for discovery: holds calls as long as they ask it to, and lists nodes that share one address."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager, suppress
+from typing import Any
+
+from aiohttp import web
+
+from tests.peers import HOST, listening
+
+ZONES = 12
+NOBODY = f"{HOST}:9"  # no request is sent in these measurements, so no node is reached
+
+
+def entry(index: int, **more: Any) -> dict[str, Any]:
+    """One node of the list."""
+    return {
+        "instanceId": f"node-{index:05d}",
+        "hostPort": NOBODY,
+        "zone": f"zone-{index % ZONES}",
+        "machineType": "m",
+        "cell": index % 64,
+        "lifecycle": "SERVING",
+        "weight": 1.0,
+        "startedAtMs": 0,
+    } | more
+
+
+class ListService:
+    """The list, its changes, and what calls were answered with."""
+
+    def __init__(self, nodes: int) -> None:
+        self.entries = {f"node-{i:05d}": entry(i) for i in range(nodes)}
+        self.changes: list[dict[str, Any]] = []  # that of generation g is at g - 2: the list begins with 1
+        self.changed = asyncio.Event()
+        self.calls = self.body_bytes = 0
+
+    @property
+    def generation(self) -> int:
+        return len(self.changes) + 1
+
+    def change(self, changed: dict[str, Any]) -> None:
+        """Put a new line to the list; all calls that are held are answered."""
+        self.entries[changed["instanceId"]] = changed
+        self.changes.append(changed)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """One call: the whole list, or what is newer than the caller's, held for as long as it asks."""
+        self.calls += 1
+        known = int(request.query.get("from", 0))
+        if known == self.generation:
+            hold = int(request.query.get("hold_ms", 0)) / 1000
+            with suppress(TimeoutError):
+                await asyncio.wait_for(self.changed.wait(), hold)
+        instances = self.changes[known - 1 :] if known else list(self.entries.values())
+        told = {"generation": self.generation, "reset": not known, "instances": instances}
+        body = json.dumps(told).encode()
+        self.body_bytes += len(body)
+        return web.Response(body=body)
+
+
+@asynccontextmanager
+async def list_service(nodes: int) -> AsyncIterator[tuple[ListService, int]]:
+    """The service, and its port."""
+    service = ListService(nodes)
+    async with listening(service.handle) as port:
+        yield service, port
--- /dev/null
+++ b/benchmarks/capacity/one_head.py
@@ -0,0 +1,130 @@
+"""One head of the real program as the platform starts it, with a chosen part on: what it uses by itself."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+
+from benchmarks.capacity.fleet import FLEET, Usage, usage_of
+from tests.heads.processes import ROOT, end_with_parent, free_ports, own_host
+from tests.peers import config_data, told
+
+SECRET = "s" * 40  # as tests/heads/processes.py writes it
+START_WITHIN_S = 30.0
+
+
+@dataclass(frozen=True)
+class Plan:
+    """What a head is to run with."""
+
+    name: str
+    nodes: tuple[dict[str, Any], ...] = ()
+    discovery: int = 9  # port; nobody listens at 9
+    streams: dict[str, str] | None = None  # voters by name; None: heads do not know each other
+    peers: tuple[str, ...] = ()  # where datagrams reach others; empty: no detector
+    more: str = ""  # further lines of the heads' settings
+    rules: str = ""  # of the HTTP front; empty: none
+
+
+class OneHead:
+    """Its files, its process and calls to it."""
+
+    def __init__(self, folder: Path, plan: Plan, session: aiohttp.ClientSession) -> None:
+        self.folder, self.plan, self.session = folder / plan.name, plan, session
+        self.host = own_host()
+        self.port, self.management, self.datagrams, self.http = free_ports(self.host, 4)
+        self.process: asyncio.subprocess.Process | None = None
+
+    @property
+    def disk(self) -> Path:
+        return self.folder / "disk" / self.plan.name
+
+    @property
+    def pid(self) -> int:
+        assert self.process is not None, "it was not started"
+        return self.process.pid
+
+    @property
+    def peer_address(self) -> tuple[str, int]:
+        """Where datagrams reach it."""
+        return self.host, self.datagrams
+
+    def write(self) -> None:
+        """Its configuration and settings."""
+        plan = self.plan
+        self.folder.mkdir(parents=True)
+        (self.folder / "tmp").mkdir()
+        data = config_data(told(1, *plan.nodes), plan.discovery, self.port, f"{self.host}:{self.management}")
+        data |= {"name": plan.name, "listen": f"{self.host}:{self.port}"}
+        if plan.peers:
+            data |= {"peer_listen": f"{self.host}:{self.datagrams}", "peers": list(plan.peers)}
+        (self.folder / "config.json").write_text(json.dumps(data))
+        if plan.streams is not None:
+            (self.folder / "heads.cue").write_text(
+                f'fleet: "{FLEET}"\nsecret_file: "secret"\nfolder: "disk"\n'
+                f"streams: {json.dumps(plan.streams)}\nvoters: {json.dumps(list(plan.streams))}\n{plan.more}"
+            )
+            (self.folder / "secret").write_text(SECRET)
+        if plan.rules:
+            (self.folder / "http.cue").write_text(f'listen: "{self.host}:{self.http}"\nrules: "rules.cue"\n')
+            (self.folder / "rules.cue").write_text(plan.rules)
+
+    async def start(self) -> None:
+        """Start it and wait until it is ready."""
+        self.write()
+        environ = os.environ | {
+            "NODE_CONFIG": str(self.folder / "config.json"),
+            "PYTHONPATH": str(ROOT),
+            "TMPDIR": str(self.folder / "tmp"),
+            "STOATROUTER_HEADS": "" if self.plan.streams is None else str(self.folder / "heads.cue"),
+            "STOATROUTER_HTTP": str(self.folder / "http.cue") if self.plan.rules else "",
+        }
+        environ.pop("NODE_DISCOVERY", None)
+        with (self.folder / "log").open("ab") as logs:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                *("-O", "-B", "-m", "stoatrouter"),
+                cwd=self.folder,
+                env=environ,
+                stdout=logs,
+                stderr=logs,
+                preexec_fn=end_with_parent,
+            )
+        async with asyncio.timeout(START_WITHIN_S):
+            while (await self.call("/control/ready"))[0] != 200:
+                assert self.process.returncode is None, (self.folder / "log").read_text()[-2000:]
+                await asyncio.sleep(0.05)
+
+    async def call(self, path: str) -> tuple[int, Any]:
+        """A management call: status and what was said; 0 where no answer came."""
+        try:
+            async with (
+                asyncio.timeout(5),
+                self.session.get(f"http://{self.host}:{self.management}{path}") as response,
+            ):
+                text = await response.text()
+                kind = response.headers.get("Content-Type", "")
+                return response.status, json.loads(text) if "json" in kind else text
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return 0, None
+
+    async def usage(self) -> Usage:
+        """What it has used so far. It listens for no streams."""
+        counts: dict[str, int] = {}
+        if self.plan.streams is not None:
+            counts = (await self.call("/control/heads"))[1]["counts"]
+        return usage_of(self.pid, counts)
+
+    async def end(self) -> None:
+        """Kill it: what it would say at its end is not measured."""
+        if self.process is not None and self.process.returncode is None:
+            self.process.kill()
+        if self.process is not None:
+            await self.process.wait()
