--- a/benchmarks/capacity/fleet.py
+++ b/benchmarks/capacity/fleet.py
@@ -16,6 +16,7 @@
 from benchmarks.capacity import harness
 from stoatrouter.peering.envelope import read_secret
 from tests.heads.processes import HeadProcess, Processes, heads_up
+from tests.peers import Node
 
 FLEET = "test"  # the name that tests/heads/processes.py gives
 MARK = struct.Struct(">QQ")  # of peering/storage.py: the number of the last write, twice
@@ -40,10 +41,21 @@
 
 
 @contextlib.asynccontextmanager
-async def direct_heads(count: int, voters: int, more: str = "", http: str = "") -> AsyncIterator[Processes]:
+async def direct_heads(
+    count: int,
+    voters: int,
+    more: str = "",
+    http: str = "",
+    nodes: tuple[Node, ...] = (),
+    discovery: int | None = None,
+) -> AsyncIterator[Processes]:
     """Heads of the real program that reach each other directly, in touch; all are ended at the end."""
     with tempfile.TemporaryDirectory() as folder:
-        async with heads_up(Path(folder), count, voters, more=more, http=http, start=False) as fleet:
+        async with heads_up(
+            Path(folder), count, voters, more=more, http=http, nodes=nodes, start=False
+        ) as fleet:
+            if discovery is not None:
+                fleet.discovery = discovery
             fleet.relay = DirectWays(fleet)  # type: ignore[assignment]
             await asyncio.gather(*(head.start(ready=False) for head in fleet))
             await asyncio.gather(*(head.until_ready() for head in fleet))
--- a/benchmarks/capacity/followers.py
+++ b/benchmarks/capacity/followers.py
@@ -33,6 +33,7 @@
 
 ROOT = Path(__file__).parent.parent.parent
 MOST_IN_PROCESS = 185  # followers; more of them would make the measuring process the bottleneck
+CUT_OFF_AFTER_S = 3.0  # the default of the heads' settings
 REFUSED_ENDING = "answered 503"
 KEPT_COMMITS = 4096  # times at which a follower learnt of an index, the newest
 
@@ -61,6 +62,7 @@
     reports_refused: int = 0
     longest_gap_s: float = 0.0  # between two answers to one follower
     behind_s: float = 0.0  # since the last answer to the follower that waits for the longest
+    cut_off: int = 0  # followers that had no answer for longer than a head takes to count as cut off
     leaders: dict[str, tuple[str, float]] = msgspec.field(
         default_factory=dict
     )  # by follower: who, since when
@@ -186,7 +188,9 @@
         if task.reports:
             tasks.append(asyncio.create_task(follower.report()))
     while await lines.readline():
-        totals.behind_s = time.monotonic() - min(follower.served_at for follower in followers)
+        now = time.monotonic()
+        totals.behind_s = now - min(follower.served_at for follower in followers)
+        totals.cut_off = sum(now - follower.served_at > CUT_OFF_AFTER_S for follower in followers)
         sys.stdout.buffer.write(msgspec.json.encode(totals) + b"\n")
         sys.stdout.buffer.flush()
         totals.longest_gap_s = 0.0
@@ -279,6 +283,7 @@
     "body_bytes_in",
     "reports",
     "reports_refused",
+    "cut_off",
 )
 
 
--- a/benchmarks/capacity/list_service.py
+++ b/benchmarks/capacity/list_service.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import json
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterable
 from contextlib import asynccontextmanager, suppress
 from typing import Any
 
@@ -33,8 +33,8 @@
 class ListService:
     """The list, its changes, and what calls were answered with."""
 
-    def __init__(self, nodes: int) -> None:
-        self.entries = {f"node-{i:05d}": entry(i) for i in range(nodes)}
+    def __init__(self, lines: Iterable[dict[str, Any]]) -> None:
+        self.entries = {line["instanceId"]: line for line in lines}
         self.changes: list[dict[str, Any]] = []  # that of generation g is at g - 2: the list begins with 1
         self.changed = asyncio.Event()
         self.calls = self.body_bytes = 0
@@ -43,10 +43,10 @@
     def generation(self) -> int:
         return len(self.changes) + 1
 
-    def change(self, changed: dict[str, Any]) -> None:
-        """Put a new line to the list; all calls that are held are answered."""
-        self.entries[changed["instanceId"]] = changed
-        self.changes.append(changed)
+    def change(self, *changed: dict[str, Any]) -> None:
+        """Put new lines to the list; all calls that are held are answered."""
+        self.entries |= {line["instanceId"]: line for line in changed}
+        self.changes += changed
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -67,7 +67,7 @@
 
 @asynccontextmanager
 async def list_service(nodes: int) -> AsyncIterator[tuple[ListService, int]]:
-    """The service, and its port."""
-    service = ListService(nodes)
+    """A service of a list of so many nodes, and its port."""
+    service = ListService(entry(index) for index in range(nodes))
     async with listening(service.handle) as port:
         yield service, port
