Count what control costs by the size of the fleet: detector, fetches, a voter's bound

Need: that a head's load does not grow with the fleet must not be lost unseen. Change: tests that count in virtual time and at the wire, each with a broken detector or voter that it catches.

--- /dev/null
+++ b/tests/heads/test_capacity_control.py
@@ -0,0 +1,263 @@
+"""What control costs by the size of the fleet, counted at small sizes: the same in every run, by no clock.
+
+The figures at large sizes, with processor time, are measured by `benchmarks/capacity/control.py`, `voters.py`
+and `times.py` (docs/measurements/capacity-control.md).
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from stoatrouter.agreement.machine import Command
+from stoatrouter.agreement.records import Voter
+from stoatrouter.agreement.state import Timing as AgreementTiming
+from stoatrouter.credit.ledger import Ledger
+from stoatrouter.credit.records import Book, PutCustomer
+from stoatrouter.lab.fleet.detectors import DetectorFleet
+from stoatrouter.lab.fleet.world import World
+from stoatrouter.membership.datagram import Datagram, Kind, encode
+from stoatrouter.membership.detector import Detector, Effect, Timing
+from stoatrouter.membership.roster import News, Rumours, Status
+from stoatrouter.peering import calls, streams
+from stoatrouter.peering.agreed import COMPACT_ENTRIES
+from stoatrouter.peering.counts import Counts
+from stoatrouter.peering.envelope import Envelope, Seal
+from stoatrouter.peering.fleet import Fleet, hash_of
+from stoatrouter.peering.settings import HeadsSettings
+from stoatrouter.peering.streams import MOST_OPEN, Streams, Unreachable
+from tests.heads.processes import free_ports
+from tests.peers import HOST, run, until
+
+SECOND = timedelta(seconds=1)
+SECRET = b"s" * 64
+CREDIT = "credit"
+WATCHED = 10 * SECOND  # virtual
+
+
+# -- the detector ------------------------------------------------------------------------------------------
+@dataclass(frozen=True)
+class Load:
+    """What a head of a fleet sends a second, at rest."""
+
+    messages: float
+    bytes: float
+
+
+def load_at_rest(size: int, make: Callable[..., Detector] = Detector) -> Load:
+    """The load of a head of a fleet that has long been up: all know each other, no news is left."""
+    names = [f"h{i:03d}" for i in range(size)]
+    world = World(1, names)
+    fleet = DetectorFleet(world, make)
+    for name, detector in fleet.detectors.items():
+        detector.roster.held = {other: News(other, 1, Status.ALIVE) for other in names}
+        detector.roster.addresses = {other: other for other in names if other != name}
+        detector.rumours = Rumours()
+    world.run(WATCHED)
+    assert not fleet.changes, "nobody is suspected in a calm fleet"
+    share = size * (WATCHED / SECOND)
+    return Load(sum(world.sent.values()) / share, sum(world.bytes.values()) / share)
+
+
+def loads_do_not_grow(sizes: tuple[int, ...], make: Callable[..., Detector] = Detector) -> None:
+    loads = [load_at_rest(size, make) for size in sizes]
+    # a probe a period and the answer to another's: some cross the end of the span
+    most = 2 * SECOND / Timing().period
+    bare = len(encode(Datagram(Kind.PING, 1, "h000", 1), SECRET, "count"))
+    assert all(load.messages <= most for load in loads), loads
+    assert all(load.bytes <= 1.01 * bare * load.messages for load in loads), loads
+    assert max(load.messages for load in loads) <= 1.02 * min(load.messages for load in loads), loads
+
+
+class ProbesAll(Detector):
+    """Broken: probes every head each period."""
+
+    __slots__ = ()
+
+    def _begin_period(self, now: timedelta) -> list[Effect]:
+        own = super()._begin_period(now)
+        here = self.roster.here(self.name)
+        return own + [self._send(self.roster.addresses[name], Kind.PING, 0) for name in here]
+
+
+class TellsAll(Detector):
+    """Broken: never forgets news that it has passed on."""
+
+    __slots__ = ()
+
+    def _begin_period(self, now: timedelta) -> list[Effect]:
+        for news in self.roster.held.values():
+            self.rumours.add(news)
+        return super()._begin_period(now)
+
+
+def test_detector_load_of_a_head_does_not_grow_with_the_fleet():
+    loads_do_not_grow((20, 60, 180))
+
+
+@pytest.mark.parametrize("broken", [ProbesAll, TellsAll])
+def test_a_detector_whose_load_grows_is_seen(broken):
+    with pytest.raises(AssertionError):
+        loads_do_not_grow((10, 30), broken)
+
+
+# -- following ---------------------------------------------------------------------------------------------
+def one_voter(folder: Path, port: int) -> HeadsSettings:
+    address = f"{HOST}:{port}"
+    return HeadsSettings(
+        name="v0",
+        fleet="count",
+        secret=SECRET,
+        folder=folder,
+        streams={"v0": address},
+        voters=("v0",),
+        listen=address,
+        cut_off_after=3 * SECOND,
+        wait_at_start=SECOND,
+        detector=Timing(),
+        agreement=AgreementTiming(),
+        peers=(),
+        peer_listen=None,
+        credit=None,
+        rules=None,
+    )
+
+
+async def bring(fleet: Fleet, body: msgspec.Struct, name: str) -> None:
+    await fleet.agreed.command(Command(name, CREDIT, msgspec.msgpack.encode(body), "v0"), 10 * SECOND)
+
+
+async def answer_with_nothing_new(fleet: Fleet) -> int:
+    """Bytes of the answer to a follower that has all of it."""
+    raft = fleet.agreed.raft
+    answer = await fleet.fetched(calls.Fetch(raft.commit, raft.log.term(raft.commit) or 0))
+    told = msgspec.msgpack.decode(answer, type=calls.Fetched)
+    assert told.touched and not told.entries and told.snapshot is None
+    return len(answer)
+
+
+def test_an_answer_with_nothing_new_does_not_grow_with_the_log(tmp_path):
+    async def story() -> list[int]:
+        (port,) = free_ports(HOST, 1)
+        fleet = Fleet(one_voter(tmp_path / "v0", port), 1, {CREDIT: Ledger()})
+        fleet.restart()
+        await fleet.start()
+        try:
+            await until(lambda: fleet.agreed.raft.settled)
+            await bring(fleet, PutCustomer("acme", ("volume",)), "customer")
+            sizes, done = [], 0
+            for count in (10, 100, COMPACT_ENTRIES + 100):  # the last is past a snapshot
+                tops = range(done, count)
+                await asyncio.gather(
+                    *(bring(fleet, Book(f"t{i}", "acme", 1, "top-up", "", "", ""), f"t{i}") for i in tops)
+                )
+                done = count
+                sizes.append(await answer_with_nothing_new(fleet))
+            assert fleet.agreed.raft.log.snapshot.index > 0
+            return sizes
+        finally:
+            await fleet.close()
+
+    sizes = run(story())
+    # the two indices in it take one byte each at the first, three at the last
+    assert max(sizes) - min(sizes) <= 4, sizes
+
+
+def test_followers_spread_evenly_over_the_voters():
+    """Each begins at a voter of its own name's choice, so that 740 of them stay under the bound of three."""
+    for voters in (3, 5):
+        begin = [0] * voters
+        for number in range(740):
+            begin[hash_of(f"head-{number:04d}") % voters] += 1
+        assert max(begin) <= 1.05 * 740 / voters, begin
+        assert max(begin) < MOST_OPEN, begin
+
+
+# -- a voter's bound on open questions -----------------------------------------------------------------------
+@dataclass
+class Crowd:
+    """Askers of one voter that holds its answers, as it does while nothing is new."""
+
+    held: int = 0
+    most_held: int = 0
+    refused: int = 0
+    served: int = 0
+
+
+BEYOND = 16  # askers more than a voter answers at once
+
+
+async def crowded_voter() -> tuple[Crowd, Crowd]:
+    """What becomes of MOST_OPEN + BEYOND questions: the first time, and once the refused ask again."""
+    first, again, release = Crowd(), Crowd(), asyncio.Event()
+    now = first
+
+    async def hold(envelope: Envelope) -> bytes:
+        now.held += 1
+        now.most_held = max(now.most_held, now.held)
+        await release.wait()
+        now.held -= 1
+        return b"told"
+
+    async def nothing(envelope: Envelope) -> None:
+        return None
+
+    (port,) = free_ports(HOST, 1)
+    address = {"v0": f"{HOST}:{port}"}
+
+    def streams_of(name: str, handler: streams.Handler) -> Streams:
+        seal = Seal(SECRET, "count", name)
+        return Streams(seal, Voter(name, name), 1, address, Counts(), handler, lambda: "")
+
+    voter = streams_of("v0", hold)
+    askers = [streams_of(f"f{i}", nothing) for i in range(MOST_OPEN + BEYOND)]
+    await voter.start((HOST, port))
+    for asker in askers:
+        await asker.start(None)
+
+    async def ask(asker: Streams, crowd: Crowd) -> bool:
+        try:
+            await asker.ask("v0", calls.FETCH, b"", 20 * SECOND)
+        except Unreachable as error:
+            assert str(error) == "v0 answered 503"
+            crowd.refused += 1
+            return False
+        crowd.served += 1
+        return True
+
+    try:
+        asking = [asyncio.create_task(ask(asker, first)) for asker in askers]
+        await until(lambda: first.held + first.refused == len(askers))
+        release.set()
+        served = await asyncio.gather(*asking)
+        now = again
+        left = [asker for asker, ok in zip(askers, served, strict=True) if not ok]
+        await asyncio.gather(*(ask(asker, again) for asker in left))
+    finally:
+        release.set()
+        for asker in askers:
+            await asker.close()
+        await voter.close()
+    return first, again
+
+
+def bound_holds() -> None:
+    first, again = run(crowded_voter())
+    assert (first.most_held, first.refused, first.served) == (MOST_OPEN, BEYOND, MOST_OPEN)
+    assert (again.refused, again.served) == (0, BEYOND), "all are served in the end"
+
+
+def test_a_voter_refuses_what_is_beyond_its_bound_and_serves_it_later():
+    bound_holds()
+
+
+def test_a_voter_without_its_bound_is_seen(monkeypatch):
+    monkeypatch.setattr(streams, "MOST_OPEN", 1 << 30)
+    with pytest.raises(AssertionError):
+        bound_holds()
