--- a/benchmarks/capacity/control.py
+++ b/benchmarks/capacity/control.py
@@ -26,7 +26,8 @@
 import aiohttp
 
 from benchmarks.capacity import control_inside, harness
-from benchmarks.capacity.fleet import (
+from benchmarks.capacity.harness import Measurement, Run
+from benchmarks.capacity.head_processes import (
     FLEET,
     Usage,
     address_bytes,
@@ -34,7 +35,6 @@
     process_bytes,
     voter_addresses,
 )
-from benchmarks.capacity.harness import Measurement, Run
 from benchmarks.capacity.list_service import ListService, entry, list_service
 from benchmarks.capacity.one_head import SECRET, OneHead, Plan
 from benchmarks.capacity.simulated_peers import SimulatedPeers
--- a/benchmarks/capacity/one_head.py
+++ b/benchmarks/capacity/one_head.py
@@ -12,7 +12,7 @@
 
 import aiohttp
 
-from benchmarks.capacity.fleet import FLEET, Usage, usage_of
+from benchmarks.capacity.head_processes import FLEET, Usage, usage_of
 from tests.heads.processes import ROOT, end_with_parent, free_ports, own_host
 from tests.peers import config_data, told
 
--- a/benchmarks/capacity/simulated_peers.py
+++ b/benchmarks/capacity/simulated_peers.py
@@ -16,7 +16,7 @@
 
 HOST = "127.0.0.1"
 PERIOD_S = Timing().period.total_seconds()
-ACQUAINT_RATE, ACQUAINT_ROUNDS = 200, 2  # probes a second at the start: the head learns the addresses by them
+ACQUAINT_RATE, ACQUAINT_ROUNDS = 400, 2  # probes a second at the start: the head learns the addresses by them
 
 
 @dataclass
--- a/benchmarks/capacity/times.py
+++ b/benchmarks/capacity/times.py
@@ -18,8 +18,8 @@
 from datetime import timedelta
 
 from benchmarks.capacity import harness, times_processes
-from benchmarks.capacity.fleet import direct_heads
 from benchmarks.capacity.harness import Measurement, Run
+from benchmarks.capacity.head_processes import direct_heads
 from benchmarks.capacity.list_service import ListService
 from benchmarks.capacity.spread import add_times
 from stoatrouter.lab.fleet.detectors import DetectorFleet
--- a/benchmarks/capacity/times_processes.py
+++ b/benchmarks/capacity/times_processes.py
@@ -10,15 +10,15 @@
 
 import msgspec
 
-from benchmarks.capacity.fleet import (
+from benchmarks.capacity.followers import Crowd, crowd
+from benchmarks.capacity.harness import Measurement, Run
+from benchmarks.capacity.head_processes import (
     FLEET,
     direct_heads,
     process_bytes,
     secret_of,
     voter_addresses,
 )
-from benchmarks.capacity.followers import Crowd, crowd
-from benchmarks.capacity.harness import Measurement, Run
 from benchmarks.capacity.spread import add_times
 from benchmarks.capacity.voter_load import CREDIT_ON, RULES_ON, Sender, sender_to
 from benchmarks.heads_rules import text_of
--- a/benchmarks/capacity/voter_load.py
+++ b/benchmarks/capacity/voter_load.py
@@ -12,7 +12,9 @@
 
 import msgspec
 
-from benchmarks.capacity.fleet import (
+from benchmarks.capacity.followers import Crowd, Totals, crowd
+from benchmarks.capacity.harness import Measurement, Run
+from benchmarks.capacity.head_processes import (
     FLEET,
     Usage,
     direct_heads,
@@ -20,8 +22,6 @@
     usage,
     voter_addresses,
 )
-from benchmarks.capacity.followers import Crowd, Totals, crowd
-from benchmarks.capacity.harness import Measurement, Run
 from benchmarks.heads_rules import text_of
 from stoatrouter.agreement.machine import Command
 from stoatrouter.agreement.records import Voter
--- a/benchmarks/capacity/voters.py
+++ b/benchmarks/capacity/voters.py
@@ -18,7 +18,9 @@
 from typing import Any
 
 from benchmarks.capacity import harness, voter_load
-from benchmarks.capacity.fleet import (
+from benchmarks.capacity.followers import Crowd, Totals, crowd
+from benchmarks.capacity.harness import Measurement, Run
+from benchmarks.capacity.head_processes import (
     FLEET,
     Usage,
     direct_heads,
@@ -27,8 +29,6 @@
     usage,
     voter_addresses,
 )
-from benchmarks.capacity.followers import Crowd, Totals, crowd
-from benchmarks.capacity.harness import Measurement, Run
 from stoatrouter.peering.streams import MOST_OPEN
 from tests.heads.processes import Processes
 
