Measure reports to the leader while an edit is pending, and an edit's bytes by the form of its rules

Need: each head reports to the leader each 300 ms while an edit is pending, and takes the whole set with it. Change: light followers report at a chosen interval; bytes of a set are counted with numbered and random paths.

--- a/benchmarks/capacity/control_inside.py
+++ b/benchmarks/capacity/control_inside.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import re
 import tempfile
 from datetime import timedelta
 from pathlib import Path
@@ -15,12 +16,14 @@
 from benchmarks.capacity import harness
 from benchmarks.capacity.harness import Measurement, Run
 from benchmarks.capacity.list_service import entry
+from benchmarks.heads_rules import text_of
 from cypressworks.interface import ListKind
 from stoatrouter.core import model
 from stoatrouter.core.reducer import Reducer
 from stoatrouter.credit.holder import Holder
 from stoatrouter.credit.ledger import Ledger
 from stoatrouter.credit.records import Book, Grants, PutCustomer, Turn, Turns
+from stoatrouter.history.records import Content, pack
 from stoatrouter.net.discovery import read_node
 from stoatrouter.peering.book import SpentBook
 from stoatrouter.peering.credit import CreditService
@@ -30,6 +33,7 @@
 NODES = (12, 120, 425, 850, 1700)
 HEADS = (20, 60, 185, 370, 740)
 CUSTOMERS = (1, 10, 50, 100)
+RULES = (10, 100, 1000, 10000)
 READ_EVERY = timedelta(milliseconds=100)
 READINGS = 300  # half a minute of a head's readings
 LEASE, STEP, SECOND = timedelta(seconds=5), timedelta(milliseconds=50), timedelta(seconds=1)
@@ -48,6 +52,8 @@
         add_expiry(run, heads)
     for customers in CUSTOMERS:
         add_words(run, customers)
+    for rules in RULES:
+        add_set(run, rules)
 
 
 # -- the decision module's reading, each 100 ms --------------------------------------------------------------
@@ -179,3 +185,18 @@
     seconds = TURNS_SPAN.total_seconds()
     run.add(Measurement("commands of a head, by customers that it serves", customers, words / seconds, "1/s"))
     run.add(Measurement("turns in them, by customers that it serves", customers, turns_said / seconds, "1/s"))
+
+
+# -- what an edit carries ------------------------------------------------------------------------------------
+def add_set(run: Run, rules: int) -> None:
+    """Bytes of a set as each head is told it: once with rules that differ by a number, once by a random path.
+
+    The whole set travels with each edit, however little of it has changed.
+    """
+    draws = random.Random(f"set/{rules}")
+    regular = text_of(rules, "mark")
+    irregular = re.sub(r"/p[0-9]+", lambda _: f"/{draws.getrandbits(64):016x}", regular)
+    for label, text in (("numbered paths", regular), ("random paths", irregular)):
+        packed = len(pack(Content("rules.cue", {"rules.cue": text})))
+        run.add(Measurement(f"bytes of a set to a head, {label}, by rules", rules, packed, "bytes"))
+    run.add(Measurement("bytes of a set as text, by rules", rules, len(regular), "bytes"))
--- a/benchmarks/capacity/followers.py
+++ b/benchmarks/capacity/followers.py
@@ -28,11 +28,11 @@
 from stoatrouter.peering.envelope import Envelope, Seal, Unbelieved
 from stoatrouter.peering.fleet import AGAIN, LONGEST_AGAIN, hash_of
 from stoatrouter.peering.rules import PART as RULES
-from stoatrouter.peering.rules import SAY_EVERY, Said
+from stoatrouter.peering.rules import Said
 from stoatrouter.peering.streams import Streams, Unreachable
 
 ROOT = Path(__file__).parent.parent.parent
-MOST_IN_PROCESS = 185  # followers; more of them would make the measuring process the bottleneck
+MOST_IN_PROCESS = 93  # followers; more of them would make the measuring process the bottleneck
 CUT_OFF_AFTER_S = 3.0  # the default of the heads' settings
 REFUSED_ENDING = "answered 503"
 KEPT_COMMITS = 4096  # times at which a follower learnt of an index, the newest
@@ -45,7 +45,7 @@
     voters: dict[str, str]  # addresses by name
     secret: bytes
     fleet: str
-    reports: bool = False  # say to the leader which rules are in force, as heads with rules do
+    report_every: float = 0.0  # seconds; how often each says to the leader which rules it has; 0: never
 
 
 class Totals(msgspec.Struct):
@@ -164,9 +164,9 @@
             totals.leaders[self.name] = (told.leader, now)
 
     async def report(self) -> None:
-        """Say to the leader which version is in force, as often as a head does at rest."""
-        body = msgspec.msgpack.encode(Said(0))
-        await asyncio.sleep(self.draws.random() * SAY_EVERY.total_seconds())
+        """Say to the leader which version is in force, as heads with a history of rules do."""
+        body, every = msgspec.msgpack.encode(Said(0)), self.task.report_every
+        await asyncio.sleep(self.draws.random() * every)
         while True:
             if self.leader is not None:
                 self.totals.reports += 1
@@ -174,7 +174,7 @@
                     await self.streams.ask(self.leader, RULES, body)
                 except Unreachable:
                     self.totals.reports_refused += 1
-            await asyncio.sleep(SAY_EVERY.total_seconds())
+            await asyncio.sleep(every)
 
 
 async def run_process(task: Task, lines: asyncio.StreamReader) -> None:
@@ -185,7 +185,7 @@
     for follower in followers:
         await follower.streams.start(None)
         tasks.append(asyncio.create_task(follower.follow()))
-        if task.reports:
+        if task.report_every:
             tasks.append(asyncio.create_task(follower.report()))
     while await lines.readline():
         now = time.monotonic()
@@ -232,7 +232,7 @@
     voters: dict[str, str]
     secret: bytes
     fleet: str
-    reports: bool = False
+    report_every: float = 0.0
     processes: list[FollowerProcess] = field(default_factory=list)
 
     @property
@@ -244,7 +244,7 @@
         while (missing := count - self.count) > 0:
             first = self.count
             names = [f"f{i}" for i in range(first, first + min(missing, MOST_IN_PROCESS))]
-            await self.start(Task(names, self.voters, self.secret, self.fleet, self.reports))
+            await self.start(Task(names, self.voters, self.secret, self.fleet, self.report_every))
 
     async def start(self, task: Task) -> None:
         process = await asyncio.create_subprocess_exec(
@@ -289,10 +289,10 @@
 
 @contextlib.asynccontextmanager
 async def crowd(
-    voters: dict[str, str], secret: bytes, fleet: str, reports: bool = False
+    voters: dict[str, str], secret: bytes, fleet: str, report_every: float = 0.0
 ) -> AsyncIterator[Crowd]:
     """Followers that are all ended at the end."""
-    made = Crowd(voters, secret, fleet, reports)
+    made = Crowd(voters, secret, fleet, report_every)
     try:
         yield made
     finally:
--- a/benchmarks/capacity/voters.py
+++ b/benchmarks/capacity/voters.py
@@ -29,6 +29,7 @@
     usage,
     voter_addresses,
 )
+from benchmarks.heads_rules import text_of
 from stoatrouter.peering.streams import MOST_OPEN
 from tests.heads.processes import Processes
 
@@ -129,11 +130,12 @@
         memory_mb=int(given.voters * MB_OF_VOTER + MB_OF_FOLLOWER * max(sizes)),
     )
     label = f"{given.voters} voters" + (f", {given.gone} gone" if given.gone else "")
+    rules = (voter_load.RULES_ON, text_of(1, "own")) if given.report_every else ("", "")
     async with (
-        direct_heads(given.voters, given.voters) as fleet,
-        crowd(voter_addresses(fleet), secret_of(fleet), FLEET, given.reports) as followers,
+        direct_heads(given.voters, given.voters, *rules) as fleet,
+        crowd(voter_addresses(fleet), secret_of(fleet), FLEET, given.report_every) as followers,
     ):
-        label += ", with reports" if given.reports else ""
+        label += f", reports each {given.report_every:g} s" if given.report_every else ""
         for name in fleet.voters[len(fleet.voters) - given.gone :]:
             await fleet[name].kill()
         for size in sizes:
@@ -148,7 +150,12 @@
     parser.add_argument("--study", choices=["bound", "followers", "commands", "edits"], required=True)
     parser.add_argument("--voters", type=int, default=3, choices=[1, 3, 5])
     parser.add_argument("--gone", type=int, default=0, help="voters that are killed first")
-    parser.add_argument("--reports", action="store_true", help="followers report their rules to the leader")
+    parser.add_argument(
+        "--report-every",
+        type=float,
+        default=0.0,
+        help="seconds between a follower's reports of its rules: 2 at rest, 0.3 in an edit; 0: none",
+    )
     parser.add_argument("--seconds", type=float, default=10.0, help="watched at each size")
     parser.add_argument("--followers", type=int, default=0, help="of the studies of commands and edits")
     parser.add_argument("--rates", type=harness.numbers, default=[1, 10, 50, 200], help="commands a second")
