Hollow heads: real control loops, many to a process, beside real voters

Need: what hundreds of heads do to five voters is not seen with twenty processes. Change: stoatrouter/lab/hollow builds peering's own Heads (detector, streams, agreement with its disk, rules, credit) and the discovery watch without fronts and engine; worker processes hold many, a launcher starts and ends them, a census names each head that died. benchmarks/capacity/fleet.py runs them beside processes of the program, with delays by region injected on the hollow side and in the relay between real heads.

--- /dev/null
+++ b/benchmarks/capacity/realheads.py
@@ -0,0 +1,172 @@
+"""Real heads of a capacity run: voters and followers as processes of the program, beside hollow ones.
+
+They are the processes of the tests (tests/heads/processes.py), with the addresses of all hollow heads among
+their peers and a relay among themselves, which delays by region as the hollow heads' own network does.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import sys
+from collections.abc import Mapping
+from pathlib import Path
+
+import aiohttp
+
+from benchmarks.capacity.harness import process_cpu, process_memory_mb
+from stoatrouter.lab.hollow.places import Place, one_way_seconds
+from tests.heads.processes import ROOT, HeadProcess, Processes, end_with_parent
+from tests.peers import config_data
+
+FLEET = "capacity"
+ZONES = [f"zone-{number}" for number in range(12)]
+MANAGEMENT_WITHIN = 10.0  # seconds
+
+
+class RealHead(HeadProcess):
+    """One process of the program."""
+
+    fleet: RealHeads
+
+    def write(self) -> None:
+        """Its configuration and settings."""
+        fleet, relay = self.fleet, self.fleet.relay
+        others = [name for name in fleet.names if name != self.name]
+        peers = [relay.datagram_address(self.name, other) for other in others]
+        data = fleet.config_data() | {
+            "name": self.name,
+            "listen": f"{self.host}:{self.port}",
+            "management": f"{self.host}:{self.management}",
+            "peer_listen": f"{self.host}:{self.datagrams}",
+            "peers": [*peers, *fleet.hollow_addresses.values()],
+        }
+        streams = {
+            name: f"{self.host}:{self.streams}"
+            if name == self.name
+            else relay.stream_address(self.name, name)
+            for name in fleet.streams
+        }
+        (self.folder / "config.json").write_text(json.dumps(data))
+        (self.folder / "heads.cue").write_text(fleet.heads_file(streams))
+        (self.folder / "secret").write_text("s" * 40)
+        (self.folder / "tmp").mkdir(exist_ok=True)
+        (self.folder / "http.cue").write_text(f'listen: "{self.host}:{self.http}"\nrules: "rules.cue"\n')
+        (self.folder / "rules.cue").write_text(fleet.http)
+
+    async def start(self, ready: bool = True) -> None:
+        """Start the process, with optimisation as it is shipped."""
+        self.write()
+        environ = os.environ | {
+            "NODE_CONFIG": str(self.folder / "config.json"),
+            "PYTHONPATH": str(ROOT),
+            "STOATROUTER_HTTP": str(self.folder / "http.cue"),
+            "TMPDIR": str(self.folder / "tmp"),
+            "STOATROUTER_LOG_FORMAT": "json",
+        }
+        environ.pop("NODE_DISCOVERY", None)
+        if self.fleet.heads_on:
+            environ["STOATROUTER_HEADS"] = str(self.folder / "heads.cue")
+        with self.logs.open("ab") as logs:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-O",
+                "-B",
+                "-m",
+                "stoatrouter",
+                cwd=self.folder,
+                env=environ,
+                stderr=logs,
+                stdout=logs,
+                preexec_fn=end_with_parent,
+            )
+        self.paused = False
+        self.fleet.relay.where[self.name] = (self.host, self.datagrams, self.streams)
+        if ready:
+            await self.until_ready()
+
+    @property
+    def cpu(self) -> float:
+        """Processor seconds since its start."""
+        assert self.process is not None
+        return process_cpu(self.process.pid)
+
+    @property
+    def memory_mb(self) -> float:
+        """What it holds now."""
+        assert self.process is not None
+        return process_memory_mb(self.process.pid)
+
+
+class RealHeads(Processes):
+    """All real heads of a run: the first are voters, the next may come to vote, the others only follow."""
+
+    def __init__(
+        self,
+        folder: Path,
+        count: int,
+        voters: int,
+        spares: int,
+        seed: int,
+        more: str,
+        rules: str,
+        places: Mapping[str, Place],
+        discovery: int,
+        heads_on: bool = True,
+    ) -> None:
+        super().__init__(folder, count, voters, seed, more, rules, {})
+        self.streams = self.names[: voters + spares]
+        self.places, self.discovery, self.heads_on = places, discovery, heads_on
+        self.hollow_addresses: Mapping[str, str] = {}
+
+    def config_data(self) -> dict[str, object]:
+        """What all heads are told, hollow ones too: one discovery serves all in turn."""
+        data = config_data({}, self.discovery)
+        data["settings"] = data["settings"] | {"RegistryMode": "subscribe", "Areas": ZONES}
+        return data
+
+    def heads_file(self, streams: Mapping[str, str]) -> str:
+        """The file of heads that know each other, with streams as one head reaches them."""
+        return (
+            f'fleet: "{FLEET}"\nsecret_file: "secret"\nfolder: "disk"\n'
+            f"streams: {json.dumps(streams)}\nvoters: {json.dumps(self.voters)}\n{self.more}"
+        )
+
+    async def open(self) -> None:
+        """Open the relay and make the heads' folders; no head is started yet."""
+        self.session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0, force_close=True))
+        await self.relay.start()
+        self.heads = {name: RealHead(self, name) for name in self.names}
+        self.delay()
+
+    def delay(self) -> None:
+        """Delay what passes the relay as the places say; to be called again after `relay.heal`."""
+        for (sender, receiver), way in self.relay.ways.items():
+            # the relay draws a delay from nothing up to what it is told: twice the mean
+            way.delay = 2 * one_way_seconds(self.places[sender], self.places[receiver])
+
+    async def close(self) -> None:
+        """End all heads."""
+        for head in self:
+            if head.process is not None and head.process.returncode is None:
+                head.process.kill()
+        for head in self:
+            if head.process is not None:
+                await head.process.wait()
+        await self.relay.close()
+        await self.session.close()
+
+    def write_hollow(self, folder: Path) -> tuple[Path, Path, Path]:
+        """The files of hollow heads: configuration, heads, HTTP front. Their streams need no relay."""
+        folder.mkdir(parents=True, exist_ok=True)
+        first = self.heads[self.names[0]]
+        streams = {name: f"{self[name].host}:{self[name].streams}" for name in self.streams}
+        data = self.config_data() | {"listen": f"{first.host}:0"}
+        files = folder / "config.json", folder / "heads.cue", folder / "http.cue"
+        files[0].write_text(json.dumps(data))
+        files[1].write_text(self.heads_file(streams))
+        files[2].write_text('listen: "127.0.0.1:0"\nrules: "rules.cue"\n')
+        (folder / "secret").write_text("s" * 40)
+        (folder / "rules.cue").write_text(self.http)
+        return files
--- /dev/null
+++ b/stoatrouter/lab/hollow/network.py
@@ -0,0 +1,117 @@
+"""The network between hollow heads: delays by place, and partitions, put in where a head sends and hears.
+
+Loopback has no delay of its own, so it is injected on the hollow side: a datagram is held before its socket
+sends it, a question before it is posted and its answer before it is handed on. What a real head sends to a
+hollow one is held where the hollow head hears it. A partition drops datagrams, and lets questions run out of
+time as connections to a silent machine do. What passes between two real heads is not seen here: the relay
+between them delays it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from datetime import timedelta
+from typing import TYPE_CHECKING, Any
+
+from stoatrouter.lab.hollow.places import Place, one_way_seconds
+from stoatrouter.peering.streams import CONNECT, Unreachable
+
+if TYPE_CHECKING:
+    from stoatrouter.peering.datagrams import Datagrams
+    from stoatrouter.peering.streams import Streams
+
+
+@dataclass(slots=True)
+class Network:
+    """All ways between heads, as one process sees them."""
+
+    places: Mapping[str, Place]
+    names: Mapping[str, str]  # of heads, by the address of their datagrams
+    real: frozenset[str] = frozenset()  # heads that do not hold back what they send
+    sides: Mapping[str, int] = field(default_factory=dict)  # of a partition; a head not named is on side 0
+    cut_off: int = 0  # messages that a partition dropped
+
+    def one_way(self, sender: str, receiver: str) -> float | None:
+        """Seconds from one head to another; None where a partition stands between them."""
+        if self.sides and self.sides.get(sender, 0) != self.sides.get(receiver, 0):
+            self.cut_off += 1
+            return None
+        here, there = self.places.get(sender), self.places.get(receiver)
+        return 0.0 if here is None or there is None else one_way_seconds(here, there)
+
+    def attach_datagrams(self, name: str, datagrams: Datagrams) -> None:
+        """Put this network before and behind a head's datagram socket, which is open already."""
+        transport, receive = datagrams.transport, datagrams.datagram_received
+        assert transport is not None
+        datagrams.transport = DelayedTransport(transport, self, name)  # type: ignore[assignment]
+
+        def received(data: bytes, address: tuple[str, int]) -> None:
+            sender = self.names.get(f"{address[0]}:{address[1]}", "")
+            if sender not in self.real:
+                return receive(data, address)  # held back by its sender already
+            seconds = self.one_way(sender, name)
+            if seconds is not None:
+                later(seconds, receive, data, address)
+
+        datagrams.datagram_received = received  # type: ignore[method-assign]
+
+    def attach_streams(self, name: str, streams: Streams) -> None:
+        """Put this network between a head and those that it asks."""
+        ask = streams.ask
+
+        async def asked(to: str, kind: str, body: bytes, within: timedelta = timedelta(seconds=3)) -> Any:
+            there = self.one_way(name, to)
+            if there is None:
+                await asyncio.sleep(min(within, CONNECT).total_seconds())
+                raise Unreachable(f"{to}: cut off by the partition")
+            if there:
+                await asyncio.sleep(there)
+            answer = await ask(to, kind, body, within)
+            back = self.one_way(to, name)
+            if back is None:
+                raise Unreachable(f"{to}: cut off by the partition")
+            if back:
+                await asyncio.sleep(back)
+            return answer
+
+        streams.ask = asked  # type: ignore[method-assign]
+
+
+def later(seconds: float, call: Any, *values: Any) -> None:
+    """Call after a delay, and at once where there is none."""
+    if seconds > 0:
+        asyncio.get_running_loop().call_later(seconds, call, *values)
+    else:
+        call(*values)
+
+
+class DelayedTransport:
+    """A datagram transport that holds back what is sent, as long as the way takes."""
+
+    def __init__(self, transport: asyncio.DatagramTransport, network: Network, name: str) -> None:
+        self.transport, self.network, self.name = transport, network, name
+
+    def sendto(self, data: bytes, address: tuple[str, int]) -> None:
+        """Send to an address once the way's time is over, or never."""
+        receiver = self.network.names.get(f"{address[0]}:{address[1]}", "")
+        seconds = self.network.one_way(self.name, receiver)
+        if seconds is not None:
+            later(seconds, self._send, data, address)
+
+    def _send(self, data: bytes, address: tuple[str, int]) -> None:
+        if not self.transport.is_closing():
+            self.transport.sendto(data, address)
+
+    def is_closing(self) -> bool:
+        """Whether nothing is sent any more."""
+        return self.transport.is_closing()
+
+    def close(self) -> None:
+        """Close the socket; what is held back by then is not sent."""
+        self.transport.close()
+
+    def abort(self) -> None:
+        """Close the socket at once."""
+        self.transport.abort()
