--- a/benchmarks/capacity/realheads.py
+++ b/benchmarks/capacity/realheads.py
@@ -144,7 +144,8 @@
         """Delay what passes the relay as the places say; to be called again after `relay.heal`."""
         for (sender, receiver), way in self.relay.ways.items():
             # the relay draws a delay from nothing up to what it is told: twice the mean
-            way.delay = 2 * one_way_seconds(self.places[sender], self.places[receiver])
+            here, there = self.places.get(sender), self.places.get(receiver)
+            way.delay = 0.0 if here is None or there is None else 2 * one_way_seconds(here, there)
 
     async def close(self) -> None:
         """End all heads."""
--- a/stoatrouter/lab/hollow/launcher.py
+++ b/stoatrouter/lab/hollow/launcher.py
@@ -201,9 +201,9 @@
         """End heads as processes that are asked to: each says that it leaves."""
         return await self._ask_each(lambda share: Close(share), names, within)
 
-    async def part(self, sides: dict[str, int]) -> Census:
-        """Put a partition between heads on different sides; an empty one heals it."""
-        return await self._ask_all(Part(sides), 30.0)
+    async def part(self, sides: dict[str, int], apart: tuple[tuple[int, int], ...] = ()) -> Census:
+        """Put a partition between heads on different sides, or these pairs of sides alone; none heals it."""
+        return await self._ask_all(Part(sides, apart), 30.0)
 
     async def spend(self, volumes: tuple[str, ...], rate: float, seed: int) -> Census:
         """Let each head have requests of customers at a rate a second; 0: no more."""
--- a/stoatrouter/lab/hollow/network.py
+++ b/stoatrouter/lab/hollow/network.py
@@ -16,9 +16,10 @@
 from typing import TYPE_CHECKING, Any
 
 from stoatrouter.lab.hollow.places import Place, one_way_seconds
-from stoatrouter.peering.streams import CONNECT, Unreachable
+from stoatrouter.peering.streams import ASK, CONNECT, Unreachable
 
 if TYPE_CHECKING:
+    from stoatrouter.agreement.records import Voter
     from stoatrouter.peering.datagrams import Datagrams
     from stoatrouter.peering.streams import Streams
 
@@ -31,16 +32,22 @@
     names: Mapping[str, str]  # of heads, by the address of their datagrams
     real: frozenset[str] = frozenset()  # heads that do not hold back what they send
     sides: Mapping[str, int] = field(default_factory=dict)  # of a partition; a head not named is on side 0
+    apart: frozenset[tuple[int, int]] = frozenset()  # pairs of sides, the lower first; none: all are apart
     cut_off: int = 0  # messages that a partition dropped
 
     def one_way(self, sender: str, receiver: str) -> float | None:
         """Seconds from one head to another; None where a partition stands between them."""
-        if self.sides and self.sides.get(sender, 0) != self.sides.get(receiver, 0):
+        if self.sides and self._parted(self.sides.get(sender, 0), self.sides.get(receiver, 0)):
             self.cut_off += 1
             return None
         here, there = self.places.get(sender), self.places.get(receiver)
         return 0.0 if here is None or there is None else one_way_seconds(here, there)
 
+    def _parted(self, side: int, other: int) -> bool:
+        if side == other:
+            return False
+        return not self.apart or (min(side, other), max(side, other)) in self.apart
+
     def attach_datagrams(self, name: str, datagrams: Datagrams) -> None:
         """Put this network before and behind a head's datagram socket, which is open already."""
         transport, receive = datagrams.transport, datagrams.datagram_received
@@ -58,10 +65,21 @@
         datagrams.datagram_received = received  # type: ignore[method-assign]
 
     def attach_streams(self, name: str, streams: Streams) -> None:
-        """Put this network between a head and those that it asks."""
-        ask = streams.ask
+        """Put this network between a head and those that it asks, and count what it asks by kind."""
+        ask, counts = streams.ask, streams.counts
+
+        async def asked(to: str, kind: str, body: bytes, within: timedelta = ASK) -> tuple[Voter, bytes]:
+            counts.add(f"hollow.asked.{kind}")
+            counts.add(f"hollow.asked_of.{to}")
+            try:
+                answer = await passed(to, kind, body, within)
+            except Unreachable as error:
+                counts.add(f"hollow.unanswered.{kind}.{reason_of(error)}")
+                raise
+            counts.add("hollow.answered_bytes", len(answer[1]))
+            return answer
 
-        async def asked(to: str, kind: str, body: bytes, within: timedelta = timedelta(seconds=3)) -> Any:
+        async def passed(to: str, kind: str, body: bytes, within: timedelta) -> tuple[Voter, bytes]:
             there = self.one_way(name, to)
             if there is None:
                 await asyncio.sleep(min(within, CONNECT).total_seconds())
@@ -79,6 +97,11 @@
         streams.ask = asked  # type: ignore[method-assign]
 
 
+def reason_of(error: Unreachable) -> str:
+    """The last word of an error's text: a status, or what the connection met."""
+    return str(error).rpartition(" ")[2]
+
+
 def later(seconds: float, call: Any, *values: Any) -> None:
     """Call after a delay, and at once where there is none."""
     if seconds > 0:
--- a/stoatrouter/lab/hollow/worker.py
+++ b/stoatrouter/lab/hollow/worker.py
@@ -17,11 +17,12 @@
 from pathlib import Path
 
 import msgspec
+from loguru import logger
 
 from stoatrouter import config
 from stoatrouter.fronts.http.settings import load_http
 from stoatrouter.lab.hollow.head import HollowHead, Life, Surroundings, settings_of
-from stoatrouter.lab.hollow.logs import write_events
+from stoatrouter.lab.hollow.logs import LABEL, write_events
 from stoatrouter.lab.hollow.messages import (
     Answer,
     Close,
@@ -80,7 +81,7 @@
             case Close():
                 await asyncio.gather(*(self.heads[name].close() for name in command.names))
             case Part():
-                self.network.sides = command.sides
+                self.network.sides, self.network.apart = command.sides, frozenset(command.apart)
             case Spend():
                 self.spend(command)
             case Tell():
@@ -117,9 +118,21 @@
         while True:
             await asyncio.sleep(draws.expovariate(command.rate))
             number += 1
-            await head.spend(
-                f"{head.name}/{command.seed}/{number}", draws.choice(command.volumes), draws.randint(1, 4)
-            )
+            id = f"{head.name}/{command.seed}/{number}"
+            at, volume, units = time.time(), draws.choice(command.volumes), draws.randint(1, 4)
+            if head.life is not Life.RUNNING:
+                continue
+            served = await head.spend(id, volume, units)
+            with logger.contextualize(**{LABEL: head.name}):
+                logger.info(
+                    "hollow: a request is {served}",
+                    event="hollow.request",
+                    id=id,
+                    volume=volume,
+                    units=units,
+                    served=served,
+                    asked_at=at,
+                )
 
     # -- reports ------------------------------------------------------------------------------------------
     def answer(self, number: int, error: str = "") -> Answer:
