--- a/stoatrouter/lab/hollow/launcher.py
+++ b/stoatrouter/lab/hollow/launcher.py
@@ -189,9 +189,9 @@
         return worker
 
     # -- commands -----------------------------------------------------------------------------------------
-    async def start(self, names: Iterable[str], within: float = 240.0) -> Census:
-        """Start heads; returns when all run or died."""
-        return await self._ask_each(lambda share: Start(share), names, within)
+    async def start(self, names: Iterable[str], within: float = 240.0, at_once: int = 16) -> Census:
+        """Start heads, so many at a time in each worker; returns when all run or died."""
+        return await self._ask_each(lambda share: Start(share, at_once), names, within)
 
     async def crash(self, names: Iterable[str], within: float = 60.0) -> Census:
         """End heads as killed processes end."""
--- a/stoatrouter/lab/hollow/logs.py
+++ b/stoatrouter/lab/hollow/logs.py
@@ -49,5 +49,6 @@
                 event = json.loads(line)
             except ValueError:
                 continue  # cut short by a kill
-            found[event.pop(LABEL)].append(event)
+            if (name := event.pop(LABEL)) != UNNAMED:
+                found[name].append(event)
     return dict(found)
