--- a/benchmarks/capacity/spans.py
+++ b/benchmarks/capacity/spans.py
@@ -42,8 +42,10 @@
 
 def in_force_spans(history: History, part: ScenePart) -> list[float]:
     """For each edit of a scene, seconds from the asking until the last head that was up all the while decides
-    by it; infinite where one never does."""
+    by it; infinite where one never does. Nothing where no head was up all the while."""
     heads = [name for name in history.logs if name not in part.interrupted]
+    if not heads:
+        return []
     return [
         max((in_force_at(history.logs[name], number, at) - at for name in heads), default=NEVER)
         for number, at in accepted_edits(history, part)
--- /dev/null
+++ b/tests/heads/test_hollow.py
@@ -0,0 +1,374 @@
+"""Hollow heads: like real ones in what they count, named when they die, and bounded in what they ask.
+
+Nothing here is judged by a clock: spans only bound what a test waits for, and rates are held against the most
+that the heads' own timers allow in the time that passed.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import math
+import os
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import AsyncIterator, Callable
+from datetime import timedelta
+from pathlib import Path
+
+import pytest
+
+from benchmarks.capacity.fleet import MORE, CapacityFleet, Size, fleet_up
+from benchmarks.capacity.harness import TooLarge
+from benchmarks.capacity.realheads import FLEET
+from benchmarks.capacity.story import Story
+from stoatrouter import config
+from stoatrouter.agreement.records import Voter
+from stoatrouter.fronts.http.settings import load_http
+from stoatrouter.lab.histories.judge import judge
+from stoatrouter.lab.hollow.census import Census, Incomplete
+from stoatrouter.lab.hollow.head import HollowHead, Life, Surroundings, settings_of
+from stoatrouter.lab.hollow.launcher import choose_addresses
+from stoatrouter.lab.hollow.network import Network
+from stoatrouter.peering.counts import Counts
+from stoatrouter.peering.envelope import Envelope, Seal
+from stoatrouter.peering.settings import load_heads
+from stoatrouter.peering.streams import MOST_OPEN, Streams, Unreachable
+from tests.heads.processes import ROOT, free_ports
+from tests.heads.test_rules_processes import RULES
+from tests.peers import config_data, run, told
+
+LIMIT = 170.0
+SMALL = Size(hollow=4, voters=3, spares=0, followers=1, workers=2, nodes=2)
+PERIOD = 0.5  # seconds, of the detector
+HELD = 0.5  # seconds that a fetch waits for news
+SAY_EVERY = 2.0  # seconds between a head's words to the leader of the rules
+LIKENESS = 1.5  # a hollow head counts at most so many times what a real one does, and at least a part of it
+SEEN_PERIODS = 8  # periods of each head that are counted
+
+
+async def until(holds: Callable[[], bool], what: str) -> None:
+    """Wait for a state; the limit only ends what would never come."""
+    async with asyncio.timeout(LIMIT - 30):
+        while not holds():
+            await asyncio.sleep(0.05)
+    assert holds(), what
+
+
+# -- many in this process -----------------------------------------------------------------------------------
+@contextlib.asynccontextmanager
+async def hollow_only(folder: Path, count: int, voters: int = 3) -> AsyncIterator[list[HollowHead]]:
+    """Hollow heads that vote, and hollow heads that follow them, all in this process."""
+    names = tuple(f"h{number}" for number in range(count))
+    addresses = choose_addresses([names])
+    ports = free_ports("127.0.0.1", voters)
+    streams = {name: f"127.0.0.1:{port}" for name, port in zip(names, ports, strict=False)}
+    (folder / "secret").write_text("s" * 40)
+    (folder / "rules.cue").write_text(RULES)
+    (folder / "http.cue").write_text('listen: "127.0.0.1:0"\nrules: "rules.cue"\n')
+    (folder / "config.json").write_text(json.dumps(config_data(told(1))))
+    (folder / "heads.cue").write_text(
+        f'fleet: "{FLEET}"\nsecret_file: "secret"\nfolder: "disk"\n'
+        f"streams: {json.dumps(streams)}\nvoters: {json.dumps(names[:voters])}\n{MORE}"
+    )
+    files = {"NODE_CONFIG": str(folder / "config.json"), "STOATROUTER_HTTP": str(folder / "http.cue")}
+    conf = config.read(files, {})
+    common = load_heads(folder / "heads.cue", conf)
+    network = Network({}, {address: name for name, address in addresses.items()})
+    surroundings = Surroundings(conf, load_http(folder / "http.cue"), network, watches=False)
+    peers = tuple(addresses.values())
+    heads = [
+        HollowHead(name, settings_of(common, name, addresses[name], peers), surroundings) for name in names
+    ]
+    try:
+        await asyncio.gather(*(asyncio.create_task(head.start()) for head in heads))
+        yield heads
+    finally:
+        await asyncio.gather(*(head.close() for head in heads))
+
+
+def seen(head: HollowHead) -> int:
+    """How many heads a hollow head's detector has heard itself, and so can reach; itself with them."""
+    assert head.heads is not None and head.heads.fleet.datagrams is not None
+    return len(head.heads.fleet.datagrams.detector.roster.addresses) + 1
+
+
+def own_probes(counts: dict[str, int]) -> int:
+    """Pings that a head sent for itself: without those sent in another's place, and without the second one
+    of each probe for which others were asked."""
+    for_others = counts.get("hollow.heard.ping_for", 0)
+    again = math.ceil(counts.get("hollow.said.ping_for", 0) / 3)
+    return counts.get("hollow.said.ping", 0) - for_others - again
+
+
+@pytest.mark.parametrize("count", [20, 60])
+def test_what_a_head_asks_does_not_grow_with_the_fleet(tmp_path, count):
+    """The same bounds hold at 20 heads and at 60: one probe a period, one fetch held, one word to the leader,
+    and nothing else while nothing happens."""
+
+    async def story():
+        async with hollow_only(tmp_path, count) as heads:
+            followers = heads[3:]
+            await until(lambda: all(seen(head) == count for head in heads), "all have met")
+            await asyncio.sleep(SAY_EVERY)  # what the start left to be agreed on is over
+            began = time.monotonic()
+            before = {head.name: head.counts for head in heads}
+
+            def grown(head: HollowHead, kind: str) -> int:
+                return head.counts[kind] - before[head.name][kind]
+
+            await until(
+                lambda: all(grown(head, "hollow.said.ping") >= SEEN_PERIODS for head in heads), "probes"
+            )
+            entries = followers[0].heads.fleet.agreed.machine.index
+            for head in followers:
+                spent = time.monotonic() - began
+                counted = {kind: grown(head, kind) for kind in head.counts}
+                assert own_probes(counted) <= spent / PERIOD + 2, counted
+                # an answer to each ping that came, and to each that was sent in another's place
+                pings = counted.get("hollow.heard.ping", 0)
+                relayed = counted.get("hollow.heard.ping_for", 0)
+                assert counted.get("hollow.said.ack", 0) <= pings + relayed + 2, counted
+                assert counted.get("hollow.asked.fetch", 0) <= spent / HELD + 2, counted
+                assert counted.get("hollow.asked.rules", 0) <= spent / SAY_EVERY + 2, counted
+                others = sum(
+                    grown(head, kind)
+                    for kind in counted
+                    if kind.startswith("hollow.asked.")
+                    and kind.removeprefix("hollow.asked.") not in ("fetch", "rules")
+                )
+                assert others == 0, counted
+            assert followers[0].heads.fleet.agreed.machine.index == entries
+
+    run(story(), LIMIT)
+
+
+def test_a_hollow_head_whose_loop_ends_is_dead_and_says_why(tmp_path):
+    async def story():
+        async with hollow_only(tmp_path, 4) as heads:
+            victim = heads[3]
+            victim.heads.fleet.tasks[0].cancel()
+            await until(lambda: victim.life is Life.DIED, "it is found dead")
+            assert "run_for_ever" in victim.why and "cancelled" in victim.why
+            assert [head.life for head in heads[:3]] == [Life.RUNNING] * 3
+            for task in (*victim.heads.tasks, *victim.heads.fleet.tasks):
+                task.cancel()
+            victim.life = Life.RUNNING  # so that it is closed with the others
+
+    run(story(), LIMIT)
+
+
+def test_a_crashed_hollow_head_says_nothing_and_begins_again_with_its_disk(tmp_path):
+    async def story():
+        async with hollow_only(tmp_path, 4) as heads:
+            victim, witness = heads[3], heads[0]
+            await until(lambda: seen(witness) == 4, "all know each other")
+            identity = victim.heads.fleet.me
+            await victim.crash()
+            left = [
+                news
+                for news in witness.heads.fleet.datagrams.detector.roster.held.values()
+                if news.status.name == "LEFT"
+            ]
+            assert not left
+            await victim.start()
+            assert victim.heads.fleet.me == identity and victim.life is Life.RUNNING
+
+    run(story(), LIMIT)
+
+
+# -- a voter's bound ----------------------------------------------------------------------------------------
+def test_a_voter_holds_so_many_questions_and_refuses_the_next(tmp_path):
+    """Each waiting question holds a place; those beyond MOST_OPEN are refused, the others answered."""
+    beyond, at_once = 8, 8  # a client opens eight connections to one head
+
+    async def story():
+        release, fleet = asyncio.Event(), "f"
+        secret = b"s" * 64
+
+        async def answer(envelope: Envelope) -> bytes:
+            await release.wait()
+            return envelope.body
+
+        def streams(name: str, handler=answer) -> Streams:
+            return Streams(
+                Seal(secret, fleet, name), Voter(name, name), 1, addresses, Counts(), handler, lambda: ""
+            )
+
+        port = free_ports("127.0.0.1", 1)[0]
+        addresses = {"voter": f"127.0.0.1:{port}"}
+        voter = streams("voter")
+        await voter.start(("127.0.0.1", port))
+        clients = [streams(f"c{number}") for number in range((MOST_OPEN + beyond) // at_once)]
+        asked = []
+        for client in clients:
+            await client.start(None)
+            asked += [
+                asyncio.create_task(client.ask("voter", "fetch", b"x", timedelta(seconds=LIMIT)))
+                for _ in range(at_once)
+            ]
+        await until(lambda: sum(task.done() for task in asked) == beyond, "the ones beyond are refused")
+        assert voter.open == MOST_OPEN
+        release.set()
+        answers = await asyncio.gather(*asked, return_exceptions=True)
+        refused = [each for each in answers if isinstance(each, Unreachable)]
+        assert len(refused) == beyond and all(str(each).endswith("503") for each in refused)
+        assert sum(isinstance(each, tuple) for each in answers) == MOST_OPEN and voter.open == 0
+        for each in (*clients, voter):
+            await each.close()
+
+    run(story(), LIMIT)
+
+
+# -- beside real heads --------------------------------------------------------------------------------------
+async def counts_of(fleet: CapacityFleet) -> tuple[dict[str, int], dict[str, dict[str, int]]]:
+    """What the real follower and the hollow ones have counted."""
+    real = next(head for head in fleet.real if head.name not in fleet.real.voters)
+    census = await fleet.hollow.tell()
+    assert not census.died, census.tell()
+    return (await real.told())["counts"], {report.name: report.counts for report in census.running}
+
+
+def test_a_hollow_head_counts_what_a_real_one_does(tmp_path):
+    async def story():
+        async with fleet_up(tmp_path, SMALL, seed=1) as fleet:
+            await fleet.steady(quiet=True)
+            real_before, hollow_before = await counts_of(fleet)
+            await asyncio.sleep(10)
+            real_after, hollow_after = await counts_of(fleet)
+            for kind in (
+                "datagrams.sent",
+                "datagrams.received",
+                "datagrams.bytes",
+                "streams.sent",
+                "streams.bytes",
+            ):
+                real = real_after[kind] - real_before[kind]
+                for name, counts in hollow_after.items():
+                    hollow = counts[kind] - hollow_before[name][kind]
+                    assert real / LIKENESS <= hollow <= real * LIKENESS, (kind, name, hollow, real)
+
+    run(story(), LIMIT)
+
+
+def test_real_voters_and_hollow_heads_keep_all_promises_under_faults(tmp_path):
+    """The leader is killed, hollow heads crash, two regions are apart; the judges read the logs of all."""
+
+    async def story():
+        async with fleet_up(tmp_path, SMALL, seed=2) as fleet:
+            from benchmarks.capacity.faults import Faults
+
+            await fleet.steady(quiet=True)
+            asking = Story(fleet, 2, tmp_path / "history.jsonl", edit_every=2.0)
+            faults = Faults(fleet, asking)
+            await asking.begin(spend=0.5)
+            leader = await fleet.real.leader()
+            await leader.kill()
+            await fleet.hollow.crash(fleet.hollow.names[:2])
+            await fleet.real.leader()
+            await faults.start([leader.name], fleet.hollow.names[:2])
+            await faults.part_regions(0, 1)
+            await asyncio.sleep(3)
+            await faults.heal()
+            await fleet.steady(quiet=True)
+            await asyncio.sleep(2)
+            await asking.finish()
+            history, broken = asking.judged()
+            assert broken == []
+            assert asking.accepted > 0
+            for name in fleet.hollow.names:
+                assert any(event["event"] == "rules.version" for event in history.logs[name]), name
+            served = [line for line in history.of("request") if line["status"] == 200]
+            assert served and {line["head"] for line in served} == set(fleet.hollow.names)
+            # the judge reads hollow heads' logs: one that goes back to an older version is found out
+            name = fleet.hollow.names[0]
+            newest = next(e for e in reversed(history.logs[name]) if e["event"] == "rules.version")
+            history.logs[name].append(newest | {"number": 0})
+            assert any(f"{name} went from version" in text for text in judge(history))
+
+    run(story(), LIMIT)
+
+
+def test_the_heads_of_a_worker_that_dies_are_named_and_in_no_mean(tmp_path):
+    async def story():
+        async with fleet_up(tmp_path, SMALL, seed=3) as fleet:
+            before = await fleet.hollow.tell()
+            worker = fleet.hollow.workers[0]
+            worker.process.kill()
+            await worker.process.wait()
+            after = await fleet.hollow.tell()
+            assert set(after.died) == set(worker.names) and "worker 0" in after.died[worker.names[0]]
+            assert after.lives["died"] == len(worker.names) and len(after.running) == 2
+            assert all(name in after.tell() for name in worker.names)
+            with pytest.raises(Incomplete, match=worker.names[0]):
+                after.mean_rates(before, 1.0)
+
+    run(story(), LIMIT)
+
+
+def test_a_head_without_a_report_counts_as_dead():
+    census = Census(("a", "b"))
+    assert set(census.died) == {"a", "b"} and census.lives["died"] == 2
+
+
+# -- sizes and ends -----------------------------------------------------------------------------------------
+@pytest.mark.parametrize(
+    ("size", "says"),
+    [
+        (Size(hollow=2_000), "a detector holds 1,024"),
+        (Size(hollow=900, workers=300), "processes are needed"),
+        (Size(hollow=10, nodes=1_000_000), "raise `ulimit -n`"),
+        (Size(hollow=10, voters=5, followers=90), "descriptors of one process"),
+    ],
+)
+def test_sizes_that_this_machine_cannot_hold_are_refused_with_what_would_do(size, says):
+    with pytest.raises(TooLarge, match=says):
+        size.check()
+
+
+def test_the_command_refuses_before_it_starts_anything():
+    done = subprocess.run(
+        [sys.executable, "-m", "benchmarks.capacity.fleet", "--sizes", "5000"],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
+    assert done.returncode == 2 and "refused:" in done.stderr and "founded" not in done.stderr
+
+
+def children(pid: int) -> set[int]:
+    """All processes below one."""
+    parents = {}
+    for entry in Path("/proc").iterdir():
+        with contextlib.suppress(OSError, ValueError):
+            parents[int(entry.name)] = int((entry / "stat").read_text().rsplit(")", 1)[1].split()[1])
+    found: set[int] = set()
+    while more := {child for child, parent in parents.items() if parent in (pid, *found)} - found:
+        found |= more
+    return found
+
+
+def test_an_interrupted_run_says_so_and_leaves_no_process_behind():
+    sizes = ["--sizes", "6", "--voters", "3", "--spares", "0", "--followers", "0", "--workers", "1"]
+    arguments = [*sizes, "--nodes", "2", "--seconds", "600"]
+    command = subprocess.Popen(
+        [sys.executable, "-m", "benchmarks.capacity.fleet", *arguments],
+        cwd=ROOT,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+        start_new_session=True,
+    )
+    assert command.stderr is not None
+    while "hollow heads run" not in (line := command.stderr.readline()):
+        assert line, "the command ended by itself"
+    started = children(command.pid)
+    assert len(started) >= 5
+    command.send_signal(signal.SIGINT)
+    out, _ = command.communicate(timeout=60)
+    assert command.returncode == 130 and "INTERRUPTED" in out and "fit " not in out
+    assert not [pid for pid in started if os.path.exists(f"/proc/{pid}")]
