--- a/benchmarks/capacity/faults.py
+++ b/benchmarks/capacity/faults.py
@@ -7,7 +7,7 @@
 import time
 from collections.abc import Collection, Iterable, Iterator
 
-from benchmarks.capacity.fleet import CapacityFleet
+from benchmarks.capacity.mixed import CapacityFleet
 from benchmarks.capacity.story import Story
 from stoatrouter.lab.hollow.places import Place
 from tests.heads.chaos import VOLUMES
@@ -44,6 +44,11 @@
         there = {*self.fleet.real.heads, *self.fleet.hollow.names}
         return [name for name in self.fleet.places if name in there and name not in away]
 
+    def numbers(self, what: str) -> list[int]:
+        """The regions, zones or racks that hold any hollow head."""
+        places = self.fleet.places
+        return sorted({getattr(places[name], what) for name in self.fleet.hollow.names})
+
     def members(self, what: str, number: int) -> list[str]:
         """All heads of a region, zone or rack."""
         there = {*self.fleet.real.heads, *self.fleet.hollow.names}
--- a/benchmarks/capacity/samples.py
+++ b/benchmarks/capacity/samples.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from benchmarks.capacity.fleet import CapacityFleet, cpu_of
+from benchmarks.capacity.mixed import CapacityFleet, cpu_of
 from stoatrouter.lab.hollow.census import Census
 
 EVERY = 1.0  # seconds
--- a/benchmarks/capacity/story.py
+++ b/benchmarks/capacity/story.py
@@ -15,7 +15,7 @@
 from pathlib import Path
 from typing import Any
 
-from benchmarks.capacity.fleet import CapacityFleet
+from benchmarks.capacity.mixed import CapacityFleet
 from benchmarks.capacity.spans import ScenePart
 from stoatrouter.credit.records import charge_of
 from stoatrouter.lab.histories.judge import History, judge, read
--- a/tests/heads/test_hollow.py
+++ b/tests/heads/test_hollow.py
@@ -21,8 +21,8 @@
 
 import pytest
 
-from benchmarks.capacity.fleet import MORE, CapacityFleet, Size, fleet_up
 from benchmarks.capacity.harness import TooLarge
+from benchmarks.capacity.mixed import MORE, CapacityFleet, Size, fleet_up
 from benchmarks.capacity.realheads import FLEET
 from benchmarks.capacity.story import Story
 from stoatrouter import config
