--- a/benchmarks/capacity/scenes.py
+++ b/benchmarks/capacity/scenes.py
@@ -251,6 +251,7 @@
     """One scene, from its start to a steady state, and its figures."""
     show(f"scene: {name}")
     began, part = time.monotonic(), ScenePart(name, time.time())
+    part.interrupted.update(stage.story.gone)
     stage.story.parts.append(part)
     stage.figures = {}
     await SCENES[name](stage)
