--- a/benchmarks/capacity/discovery_server.py
+++ b/benchmarks/capacity/discovery_server.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from benchmarks.capacity.children import Message, say, serve, specification
-from stoatrouter.lab.standins import Listening, StandInDiscovery
+from stoatrouter.lab.standins import StandInServers, StandInDiscovery
 
 
 @dataclass(slots=True)
@@ -27,7 +27,7 @@
     """Serve until the command ends."""
     entries = json.loads(Path(told["entries"]).read_text())
     discovery = StandInDiscovery([ListedNode(entry) for entry in entries])  # type: ignore[misc]
-    listening, calls = Listening(), 0
+    listening, calls = StandInServers(), 0
 
     async def handle(request: Any) -> Any:
         nonlocal calls
--- a/benchmarks/capacity/followers.py
+++ b/benchmarks/capacity/followers.py
@@ -26,7 +26,7 @@
 from stoatrouter.peering import calls
 from stoatrouter.peering.counts import Counts
 from stoatrouter.peering.envelope import Envelope, Seal, Unbelieved
-from stoatrouter.peering.fleet import AGAIN, LONGEST_AGAIN, hash_of
+from stoatrouter.peering.following import LONGEST_RETRY, RETRY, hash_of
 from stoatrouter.peering.rules import PART as RULES
 from stoatrouter.peering.rules import Said
 from stoatrouter.peering.streams import Streams, Unreachable
@@ -106,14 +106,14 @@
 
     async def follow(self) -> None:
         """Ask for ever, in the cadence of a head."""
-        wait = AGAIN
+        wait = RETRY
         await asyncio.sleep(self.draws.random() / 2)  # heads do not start in the same moment
         while True:
             if await self.fetch(self.next_voter()):
-                wait = AGAIN
+                wait = RETRY
             else:
                 await asyncio.sleep(wait.total_seconds() * (0.5 + self.draws.random()))
-                wait = min(2 * wait, LONGEST_AGAIN)
+                wait = min(2 * wait, LONGEST_RETRY)
 
     def next_voter(self) -> str:
         names = list(self.task.voters)
--- a/benchmarks/capacity/nodes.py
+++ b/benchmarks/capacity/nodes.py
@@ -12,7 +12,7 @@
 
 from stoatrouter.lab.hollow.places import ZONES
 from stoatrouter.lab.hollow.worker import end_with_parent
-from stoatrouter.lab.standins import Listening, StandInDiscovery, StandInNode
+from stoatrouter.lab.standins import StandInServers, StandInDiscovery, StandInNode
 
 SHARDS = 2  # as the settings of the tests have it
 
@@ -27,7 +27,7 @@
 
 async def serve(count: int, seed: int) -> None:
     """Serve until standard input ends."""
-    listening = Listening()
+    listening = StandInServers()
     nodes = [ZonedNode(f"node-{number}", number % SHARDS, seed) for number in range(count)]
     for node in nodes:
         node.port = await listening.serve(node.handle)
--- a/tests/heads/test_capacity_control.py
+++ b/tests/heads/test_capacity_control.py
@@ -29,7 +29,8 @@
 from stoatrouter.peering.agreed import COMPACT_ENTRIES
 from stoatrouter.peering.counts import Counts
 from stoatrouter.peering.envelope import Envelope, Seal
-from stoatrouter.peering.fleet import Fleet, hash_of
+from stoatrouter.peering.fleet import Fleet
+from stoatrouter.peering.following import hash_of
 from stoatrouter.peering.settings import HeadsSettings
 from stoatrouter.peering.streams import MOST_OPEN, Streams, Unreachable
 from tests.heads.processes import free_ports
