Split the credit tests by topic

Change: test_credit.py keeps the seeds and mutants; test_ledger.py has the account under any commands, test_credit_holder.py one head, the core's charges and the book. test_credit_processes.py keeps the stories with faults, test_credit_operations.py those of daily work; what both need is credit_clients.py.

--- /dev/null
+++ b/tests/heads/credit_clients.py
@@ -0,0 +1,73 @@
+"""Clients and operators of prepaid credit, as stories on processes need them, and what they were answered."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from tests.heads.processes import HeadProcess, Processes
+
+LIMIT = 150.0
+PRICE = 1_000  # millionths for each unit of a score-read
+CHARGE = 2 * PRICE
+CREDIT = 'credit: {prices: {"score-read": 1000, "event-write": 1000, "stats-export": 1000}, lease: "2s"}\n'
+VOLUME, OTHER = "00000003b4d60021", "00000003b4d60022"
+
+
+@dataclass
+class Counted:
+    """What clients saw: served for sure, refused for sure, or no answer to go by."""
+
+    served: int = 0
+    refused: int = 0
+    unknown: int = 0
+    advice: list[str] = field(default_factory=list)
+
+    async def ask(self, head: HeadProcess, name: str, volume: str = VOLUME, **how) -> int:
+        status, headers = await head.read(name, volume, **how)
+        if status == 200:
+            self.served += 1
+        elif status == 503:
+            self.refused += 1
+            self.advice.append(headers.get("Retry-After", ""))
+        else:
+            self.unknown += 1
+        return status
+
+
+async def customer(head: HeadProcess, name: str, *volumes: str, paid: int = 0, **more) -> None:
+    call = {"volumes": list(volumes), "by": "test", "why": "story"} | more
+    status, told = await head.call("PUT", f"/control/credit/customers/{name}", call)
+    assert status == 200, told
+    if paid:
+        assert (await pay(head, name, paid, f"first-{name}"))[0] == 200
+
+
+async def pay(head: HeadProcess, name: str, amount: int, id: str, kind: str = "top-up"):
+    return await head.call(
+        "POST",
+        f"/control/credit/customers/{name}/entries",
+        {"id": id, "amount": amount, "kind": kind, "by": "test", "why": "story"},
+    )
+
+
+async def account(fleet: Processes, name: str) -> dict:
+    """The account, once some head can confirm it."""
+
+    async def look():
+        for head in fleet.up:
+            status, told = await head.call("GET", f"/control/credit/customers/{name}")
+            if status == 200:
+                return told
+        return None
+
+    return await fleet.until(look, f"the account of {name}")
+
+
+async def settled(fleet: Processes, name: str) -> dict:
+    """The account once nothing of it is out."""
+
+    async def look():
+        told = await account(fleet, name)
+        return told if not told["out"] else None
+
+    return await fleet.until(look, f"all of {name} settled")
--- /dev/null
+++ b/tests/heads/test_credit_holder.py
@@ -0,0 +1,186 @@
+"""Credit at one head: its pace, its allotments, the charge of a request by its outcome, the book on disk."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cypressworks import interface as api
+from stoatrouter.core import model
+from stoatrouter.core.reducer import Reducer
+from stoatrouter.credit.gate import Gate, ranks
+from stoatrouter.credit.holder import Holder, Purse
+from stoatrouter.credit.records import (
+    Grant,
+    Settle,
+    charge_of,
+)
+from stoatrouter.lab.fleet.credit import Disk
+from stoatrouter.peering.book import SpentBook
+from tests.peers import Node, head_config
+
+SECOND = timedelta(seconds=1)
+MS = timedelta(milliseconds=1)
+
+
+def held(amount: int = 100, balance: int = 100, low_water: int = 0) -> Holder:
+    holder = Holder(5 * SECOND, Disk())
+    holder.want("x", 1, SECOND)
+    (asked,) = holder.turns(SECOND)
+    holder.granted(asked, Grant("x", "1.0", amount, balance, low_water), SECOND, SECOND)
+    return holder
+
+
+def test_the_pace_narrows_smoothly_what_can_wait_first_and_protected_reads_last():
+    def passed(balance: int) -> list[int]:
+        holder = held(10**9, balance, 1000)
+        return [
+            sum(holder.take(f"{rank}.{i}", "x", 1, rank, SECOND + i * MS) is None for i in range(300))
+            for rank in range(3)
+        ]
+
+    before = [300, 300, 300]
+    for balance in range(1000, -1, -50):
+        now = passed(balance)
+        assert all(a <= b + 1 for a, b in zip(now, before, strict=True))
+        assert now[0] <= now[1] + 1 <= now[2] + 2
+        before = now
+    assert before == [0, 0, 0]
+    assert passed(834)[1:] == [300, 300] and 100 < passed(834)[0] < 200
+    assert passed(500)[0] == 0 and passed(500)[2] == 300
+
+
+def test_at_nothing_all_is_refused_at_once_with_advice_only_where_it_is_known():
+    holder = held(10)
+    assert holder.take("a", "x", 10, 2, SECOND) is None
+    turned = holder.take("b", "x", 1, 2, SECOND)
+    assert turned is not None and turned.retry_in is not None  # more is asked for
+    holder.end("a", True)
+    (asked,) = holder.turns(SECOND)
+    holder.granted(asked, Grant("x", "", 0, 0, 0), SECOND, SECOND)
+    turned = holder.take("c", "x", 1, 2, SECOND)
+    assert turned is not None and turned.retry_in is None and "nothing is left" in turned.why
+    holder.reachable = False
+    assert "cut off" in holder.take("d", "x", 1, 2, SECOND).why
+
+
+def test_what_expired_is_not_taken_from_and_is_settled_after_its_last_reservation():
+    holder = held()
+    assert holder.take("a", "x", 7, 2, 5 * SECOND) is None
+    assert holder.take("b", "x", 7, 2, 7 * SECOND) is not None  # asked at 1 s, for 5 s
+    (asked,) = holder.turns(7 * SECOND)
+    assert not any(s.final for s in asked.settles)
+    holder.granted(asked, Grant("x", "", 0, 100, 0), 7 * SECOND, 7 * SECOND)
+    holder.end("a", True)
+    (asked,) = holder.turns(8 * SECOND)
+    assert Settle("1.0", 7, True) in asked.settles
+
+
+def test_a_purse_that_was_idle_gives_back_and_is_forgotten():
+    holder = held()
+    (asked,) = holder.turns(9 * SECOND)
+    assert asked.settles == (Settle("1.0", 0, True),) and asked.want == 0
+    holder.granted(asked, Grant("x", "", 0, 100, 0), 9 * SECOND, 9 * SECOND)
+    holder.turns(60 * SECOND)
+    assert not holder.purses
+
+
+def test_the_shares_of_ranks_are_whole_above_the_mark():
+    purse = Purse("x", balance=100, low_water=100, told=SECOND)
+    assert [purse.share(rank) for rank in range(3)] == [1, 1, 1]
+    purse.balance = 50
+    assert [round(purse.share(rank), 2) for rank in range(3)] == [0, 0.5, 1]
+
+
+@given(st.floats(0.001, 1e4), st.integers(0, 10**9))
+def test_charges_are_whole_and_rounded_up(units, price):
+    charge = charge_of(units, price)
+    assert charge - 1 < units * price <= charge or price == 0
+
+
+# -- the core asks, once for each request ----------------------------------------------------------------
+def core(*outcomes: api.Outcome | None) -> tuple[Holder, list[model.Effect]]:
+    """A request whose attempts end so (None: stays out); its client gives up at the end."""
+    conf = head_config(Node("a", 0), Node("b", 0))
+    reducer = Reducer(conf.settings, 1)
+    nodes = tuple(model.NodeInfo(n, f"127.0.0.1:{9 + i}", 0, api.Phase.ON) for i, n in enumerate("ab"))
+    reducer.reduce(model.ListTold(SECOND, api.ListKind.RESTORED, nodes))
+    holder = held(1000, 1000)
+    classes = conf.settings.classes
+    reducer.gate = Gate(
+        holder,
+        lambda volume: "x" if volume == "v" else None,
+        (10, 20, 30),
+        ranks(classes, reducer.scheduler.background),
+    )
+    request = model.Request("r", 0, 1, "v", "k", 0, 2.0, 1, 2 * SECOND, False)
+    sent = list(reducer.reduce(model.Arrived(SECOND, request)))
+    now = SECOND
+    for number, outcome in enumerate(outcomes):
+        now += 20 * MS
+        while not any(isinstance(e, model.SendAttempt) and e.attempt == number for e in sent):
+            timers = [e for e in sent if isinstance(e, model.SetTimer)]
+            if now > 4 * SECOND or not timers:
+                break
+            now += 20 * MS
+            for timer in timers:
+                sent += reducer.reduce(model.TimerDue(now, timer.token))
+        if outcome is not None:
+            sent += reducer.reduce(model.AttemptEnded(now, "r", number, outcome, b"x"))
+    sent += reducer.reduce(model.ClientLeft(now + MS, "r"))
+    return holder, sent
+
+
+O = api.Outcome  # noqa: E741
+
+
+@pytest.mark.parametrize(
+    ("outcomes", "charged"),
+    [
+        ((O.OK,), 20),
+        ((O.CONNECT_FAILED,), 0),
+        ((O.FULL,), 0),
+        ((O.MOOT,), 0),
+        ((O.RESET,), 20),
+        ((O.TIMEOUT,), 20),
+        ((O.ERROR,), 20),
+        ((None,), 20),
+        ((O.CONNECT_FAILED, O.OK), 20),
+        ((O.RESET, O.OK), 20),
+        ((O.FULL, O.FULL), 0),
+        ((), 20),
+    ],
+)
+def test_a_request_is_charged_once_by_what_may_have_run(outcomes, charged):
+    holder, sent = core(*outcomes)
+    assert any(isinstance(e, model.SendAttempt) for e in sent)
+    assert holder.charged == charged and not holder.reservations
+
+
+def test_a_volume_of_nobody_is_free_and_another_customer_loses_nothing():
+    conf = head_config(Node("a", 0))
+    reducer = Reducer(conf.settings, 1)
+    holder = held(10, 10)
+    reducer.gate = Gate(holder, {"v": "x"}.get, (10, 20, 30), (2, 1, 0))
+    for i, volume in enumerate("vvww"):
+        request = model.Request(f"r{i}", 0, 1, volume, "k", 0, 1.0, 1, 2 * SECOND, False)
+        effects = reducer.reduce(model.Arrived(SECOND, request))
+        turned = isinstance(effects[0], model.TurnAway)
+        assert turned == (i == 1)
+        if turned:
+            assert isinstance(effects[0].answer, model.Refused)
+
+
+# -- the book of what is spent ---------------------------------------------------------------------------
+def test_the_book_is_read_by_the_next_process_and_has_a_bound(tmp_path):
+    book = SpentBook(tmp_path / "book")
+    assert book.begin("7.0") and book.begin("8.1")
+    book.set("7.0", 12)
+    book.set("8.1", 5)
+    book.end("8.1")
+    again = SpentBook(tmp_path / "book")  # the first one was killed
+    assert again.read() == {"7.0": 12}
+    assert all(again.begin(f"{i}.0") for i in range(100, 100 + 4095)) and not again.begin("x")
--- a/tests/heads/test_credit_processes.py
+++ b/tests/heads/test_credit_processes.py
@@ -9,80 +9,24 @@
 import asyncio
 import shutil
 import signal
-from dataclasses import dataclass, field
 
 import pytest
 
-from tests.heads.processes import HeadProcess, Processes, heads_up
+from tests.heads.credit_clients import (
+    CHARGE,
+    CREDIT,
+    LIMIT,
+    OTHER,
+    VOLUME,
+    Counted,
+    account,
+    customer,
+    pay,
+    settled,
+)
+from tests.heads.processes import Processes, heads_up
 from tests.peers import Node, run
 
-LIMIT = 150.0
-PRICE = 1_000  # millionths for each unit of a score-read
-CHARGE = 2 * PRICE
-CREDIT = 'credit: {prices: {"score-read": 1000, "event-write": 1000, "stats-export": 1000}, lease: "2s"}\n'
-VOLUME, OTHER = "00000003b4d60021", "00000003b4d60022"
-
-
-@dataclass
-class Counted:
-    """What clients saw: served for sure, refused for sure, or no answer to go by."""
-
-    served: int = 0
-    refused: int = 0
-    unknown: int = 0
-    advice: list[str] = field(default_factory=list)
-
-    async def ask(self, head: HeadProcess, name: str, volume: str = VOLUME, **how) -> int:
-        status, headers = await head.read(name, volume, **how)
-        if status == 200:
-            self.served += 1
-        elif status == 503:
-            self.refused += 1
-            self.advice.append(headers.get("Retry-After", ""))
-        else:
-            self.unknown += 1
-        return status
-
-
-async def customer(head: HeadProcess, name: str, *volumes: str, paid: int = 0, **more) -> None:
-    call = {"volumes": list(volumes), "by": "test", "why": "story"} | more
-    status, told = await head.call("PUT", f"/control/credit/customers/{name}", call)
-    assert status == 200, told
-    if paid:
-        assert (await pay(head, name, paid, f"first-{name}"))[0] == 200
-
-
-async def pay(head: HeadProcess, name: str, amount: int, id: str, kind: str = "top-up"):
-    return await head.call(
-        "POST",
-        f"/control/credit/customers/{name}/entries",
-        {"id": id, "amount": amount, "kind": kind, "by": "test", "why": "story"},
-    )
-
-
-async def account(fleet: Processes, name: str) -> dict:
-    """The account, once some head can confirm it."""
-
-    async def look():
-        for head in fleet.up:
-            status, told = await head.call("GET", f"/control/credit/customers/{name}")
-            if status == 200:
-                return told
-        return None
-
-    return await fleet.until(look, f"the account of {name}")
-
-
-async def settled(fleet: Processes, name: str) -> dict:
-    """The account once nothing of it is out."""
-
-    async def look():
-        told = await account(fleet, name)
-        return told if not told["out"] else None
-
-    return await fleet.until(look, f"all of {name} settled")
-
-
 # On a crowded machine a round of the account takes longer than the 150 ms that a request waits by default,
 # and leaders come and go. Here requests wait for the state: a refusal is the program's, not the machine's.
 PATIENT = CREDIT.replace('lease: "2s"', 'lease: "2s", wait: "5s"') + (
@@ -280,136 +224,5 @@
     run(story(), LIMIT)
 
 
-def test_customers_are_moved_and_dropped_with_requests_out(tmp_path):
-    async def story():
-        node, gate = Node("a", 0), asyncio.Event()
-
-        async def hold(request):
-            if request.headers["Req-Id"].startswith("held"):
-                await gate.wait()
-
-        node.gate = hold
-        async with heads_up(tmp_path, count=3, seed=6, more=CREDIT, nodes=(node,)) as fleet:
-            await customer(fleet["h0"], "acme", VOLUME, paid=20 * CHARGE)
-            await customer(fleet["h0"], "next", paid=20 * CHARGE)
-            await fleet.all_equal()
-            counted = Counted()
-            held = [
-                asyncio.create_task(counted.ask(fleet["h1"], f"held{i}", deadline=6000, kind="stats-export"))
-                for i in range(2)
-            ]
-            await fleet.until(lambda: len(node.requests) == 2, "two are held")
-            await customer(fleet["h2"], "next", VOLUME)  # the volume moves
-            await fleet.all_equal()
-            assert await counted.ask(fleet["h1"], "after") == 200
-            gate.set()
-            await asyncio.gather(*held)
-            told = await settled(fleet, "acme")
-            assert told["charged"] == 2 * CHARGE and told["volumes"] == []
-            assert (await settled(fleet, "next"))["charged"] == CHARGE
-            gate.clear()
-            held = [
-                asyncio.create_task(counted.ask(fleet["h1"], "held9", deadline=6000, kind="stats-export"))
-            ]
-            await fleet.until(lambda: len(node.requests) == 4, "one is held")
-            assert (
-                await fleet["h0"].call(
-                    "DELETE", "/control/credit/customers/next", {"by": "test", "why": "gone"}
-                )
-            )[0] == 200
-            gate.set()
-            await asyncio.gather(*held)
-
-            async def gone() -> bool:
-                return (await fleet["h0"].call("GET", "/control/credit/customers/next"))[0] == 404
-
-            await fleet.until(gone, "it goes once its last charge is settled")
-            await fleet.all_equal()
-            assert await counted.ask(fleet["h1"], "free") == 200  # the volume is nobody's now
-
-    run(story(), LIMIT)
-
-
-JUMP = """
-import time
-_ns, _time = time.time_ns, time.time
-time.time_ns = lambda: _ns() + {jump} * 10**9
-time.time = lambda: _time() + {jump}
-"""
-
-
-def test_clocks_that_jump_change_nothing(tmp_path):
-    """A head restarts with its clock a year back, another a year ahead: both take part, and leases hold."""
-
-    async def story():
-        async with heads_up(tmp_path, count=3, seed=7, more=CREDIT) as fleet:
-            await customer(fleet["h0"], "acme", VOLUME, paid=100 * CHARGE)
-            await fleet.all_equal()
-            counted = Counted()
-            for name, jump in (("h1", -31_000_000), ("h2", 31_000_000), ("h2", 0)):
-                head = fleet[name]
-                await head.kill()
-                (head.folder / "sitecustomize.py").write_text(JUMP.format(jump=jump))
-                await head.start()
-                await fleet.all_in_touch()
-                for n in range(3):
-                    assert await counted.ask(head, f"{name}{jump}{n}") == 200
-            await seen_alive(fleet)
-            told = await settled(fleet, "acme")
-            assert told["charged"] == counted.served * CHARGE == 9 * CHARGE
-
-    run(story(), LIMIT)
-
-
 async def all_cut_off(fleet: Processes, names: list[str]) -> bool:
     return all([(await fleet[n].told())["state"] == "cut off" for n in names])
-
-
-async def seen_alive(fleet: Processes) -> None:
-    async def look() -> bool:
-        return all([set((await h.told())["seen"].values()) == {"alive"} for h in fleet.up])
-
-    await fleet.until(look, "all see all alive")
-
-
-def test_what_is_low_is_narrowed_and_a_stop_gives_back_what_was_not_spent(tmp_path):
-    async def story():
-        async with heads_up(tmp_path, count=3, seed=8, more=CREDIT) as fleet:
-            await customer(fleet["h0"], "acme", VOLUME, paid=1000 * CHARGE, low_water=2000 * CHARGE)
-            await fleet.all_equal()
-            counts = {kind: Counted() for kind in ("stats-export", "score-read")}
-            for n in range(30):
-                for kind, counted in counts.items():
-                    await counted.ask(fleet["h1"], f"{kind}{n}", kind=kind)
-            assert counts["score-read"].refused == 0  # half is left of the mark: exports stand, reads pass
-            assert counts["stats-export"].served <= 2
-            assert await fleet["h1"].stop() == 0
-            told = await settled(fleet, "acme")
-            assert told["charged"] == sum(c.served for c in counts.values()) * CHARGE
-            assert not fleet["h1"].events("credit.unsettled")
-
-    run(story(), LIMIT)
-
-
-def test_calls_that_are_wrong_say_what_would_be_right(tmp_path):
-    async def story():
-        async with heads_up(tmp_path, count=3, seed=9, more=CREDIT) as fleet:
-            head = fleet["h0"]
-            for call, words in (
-                ({"volumes": [], "by": "x"}, "why"),
-                ({"by": "x", "why": "y", "paid": 3}, "paid"),
-                ({"by": "x", "why": "y", "unsettled": "z"}, "spent, unspent"),
-                ({"by": "x", "why": "y", "overdraft": "much"}, "overdraft"),
-            ):
-                status, told = await head.call("PUT", "/control/credit/customers/acme", call)
-                assert status == 400 and words in told["error"]
-            status, told = await pay(head, "nobody", 5, "1")
-            assert status == 409 and "no customer" in told["error"]
-            assert (await head.call("GET", "/control/credit/customers/nobody"))[0] == 404
-            assert (await head.call("GET", "/control/credit/none"))[0] == 404
-            await customer(head, "acme", VOLUME)
-            status, told = await pay(head, "acme", -5, "1")
-            assert status == 409 and "more than 0" in told["error"]
-            assert (await pay(head, "acme", 5, "2", "gift"))[0] == 400
-
-    run(story(), LIMIT)
