--- a/stoatrouter/agreement/founding.py
+++ b/stoatrouter/agreement/founding.py
@@ -24,6 +24,7 @@
     voters: tuple[Voter, ...]
 
     def snapshot(self) -> Snapshot:
+        """The state that the log of this fleet begins with."""
         return Snapshot(1, 0, self.voters, b"")
 
 
@@ -48,6 +49,7 @@
 
     @property
     def founds(self) -> bool:
+        """Whether this head is the one that asks the others."""
         return not self.origin and bool(self.names) and self.me.name == min(self.names)
 
     def promise(self, founder: Voter) -> Promised:
--- a/stoatrouter/agreement/log.py
+++ b/stoatrouter/agreement/log.py
@@ -13,6 +13,8 @@
 
 @dataclass(slots=True)
 class Log:
+    """One head's log: a snapshot, and the entries after it."""
+
     snapshot: Snapshot
     entries: list[Entry] = field(default_factory=list)
     changes: list[Entry] = field(default_factory=list)  # of the voters, among the entries
@@ -21,6 +23,7 @@
         self.changes = [entry for entry in self.entries if entry.kind == VOTERS]
 
     def add(self, entries: list[Entry]) -> None:
+        """Append entries that follow on the last one."""
         self.entries += entries
         self.changes += [entry for entry in entries if entry.kind == VOTERS]
 
@@ -31,10 +34,12 @@
 
     @property
     def last(self) -> int:
+        """The index of the last entry."""
         return self.entries[-1].index if self.entries else self.snapshot.index
 
     @property
     def last_term(self) -> int:
+        """The term of the last entry."""
         return self.entries[-1].term if self.entries else self.snapshot.term
 
     def term(self, index: int) -> int | None:
@@ -59,6 +64,7 @@
         return tuple(taken)
 
     def between(self, after: int, to: int) -> tuple[Entry, ...]:
+        """The entries after one index, up to another."""
         return tuple(self.entries[max(0, after + 1 - self.first) : max(0, to + 1 - self.first)])
 
     def cut(self, index: int) -> None:
@@ -83,8 +89,10 @@
 
 
 def read_voters(body: bytes) -> tuple[Voter, ...]:
+    """The voters that an entry names."""
     return msgspec.msgpack.decode(body, type=tuple[Voter, ...])
 
 
 def write_voters(voters: tuple[Voter, ...]) -> bytes:
+    """The body of an entry that names the voters."""
     return msgspec.msgpack.encode(voters)
--- a/stoatrouter/agreement/machine.py
+++ b/stoatrouter/agreement/machine.py
@@ -21,6 +21,8 @@
 
 
 class Command(msgspec.Struct, frozen=True, array_like=True):
+    """What a caller asks of one part; under one id it acts once."""
+
     id: str  # the caller's
     part: str
     body: bytes
@@ -37,9 +39,13 @@
 class Part(Protocol):
     """One concern's state. What it does follows from its state and the command alone."""
 
-    def apply(self, index: int, body: bytes) -> bytes: ...
+    def apply(self, index: int, body: bytes) -> bytes:
+        """Apply one command; its answer."""
+        ...
 
-    def state(self) -> bytes: ...
+    def state(self) -> bytes:
+        """All that was applied, for a snapshot."""
+        ...
 
     def restore(self, state: bytes) -> None:
         """Replace the state; b"" is that of a fleet just founded."""
@@ -47,6 +53,8 @@
 
 @dataclass(slots=True)
 class Machine:
+    """All parts of the agreed state, and the latest answers."""
+
     parts: dict[str, Part]
     answers: OrderedDict[str, bytes] = field(default_factory=OrderedDict)
     index: int = 0
@@ -68,10 +76,12 @@
         return command.id, answer
 
     def state(self) -> bytes:
+        """All parts and answers, for a snapshot."""
         parts = {name: part.state() for name, part in self.parts.items()}
         return msgspec.msgpack.encode(Held(list(self.answers.items()), parts))
 
     def restore(self, index: int, state: bytes) -> None:
+        """Replace everything by a snapshot's state; b"" is that of a fleet just founded."""
         held = msgspec.msgpack.decode(state, type=Held) if state else Held([], {})
         self.answers = OrderedDict(held.answers)
         self.index = index
@@ -80,8 +90,10 @@
 
 
 def encode(value: Any) -> bytes:
+    """A value as bytes of the log."""
     return msgspec.msgpack.encode(value)
 
 
 def decoder(kind: Any) -> Callable[[bytes], Any]:
+    """What reads such bytes back."""
     return msgspec.msgpack.Decoder(kind).decode
--- a/stoatrouter/agreement/raft.py
+++ b/stoatrouter/agreement/raft.py
@@ -45,6 +45,7 @@
     __slots__ = ()
 
     def reduce(self, event: Event) -> list[Effect]:
+        """Take one event in; the effects are to be run in order."""
         at = getattr(event, "at", self.now)
         self.now = max(self.now, at)
         match event:
--- a/stoatrouter/agreement/records.py
+++ b/stoatrouter/agreement/records.py
@@ -21,6 +21,8 @@
 
 
 class Entry(msgspec.Struct, frozen=True, array_like=True):
+    """One place of the log."""
+
     index: int
     term: int
     kind: str
@@ -38,21 +40,29 @@
 
 # -- messages -----------------------------------------------------------------------------------------------
 class Message(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    """What a voter says to another, in a term."""
+
     term: int
 
 
 class AskVote(Message, frozen=True, array_like=True, tag="ask"):
+    """Asks for a vote, or whether it would be given."""
+
     last_index: int
     last_term: int
     pre: bool  # only whether it would be given; nothing is promised
 
 
 class GiveVote(Message, frozen=True, array_like=True, tag="vote"):
+    """Answers to that."""
+
     granted: bool
     pre: bool
 
 
 class Append(Message, frozen=True, array_like=True, tag="append"):
+    """The leader's entries, or its heartbeat where there are none."""
+
     prev_index: int
     prev_term: int
     entries: tuple[Entry, ...]
@@ -64,6 +74,8 @@
 
 
 class Appended(Message, frozen=True, array_like=True, tag="appended"):
+    """A follower's answer to entries, a heartbeat or a snapshot."""
+
     ok: bool
     match: int  # ok: on disk up to here; else where the leader may try next
     round: int
@@ -71,6 +83,8 @@
 
 
 class Install(Message, frozen=True, array_like=True, tag="install"):
+    """A snapshot for a follower that is behind the log's beginning."""
+
     snapshot: Snapshot
     round: int
 
@@ -101,6 +115,7 @@
 
     @property
     def empty(self) -> bool:
+        """Whether nothing is written."""
         return self == EMPTY
 
 
@@ -109,16 +124,22 @@
 
 # -- events -----------------------------------------------------------------------------------------------
 class Tick(msgspec.Struct, frozen=True):
+    """Time has passed."""
+
     at: timedelta
 
 
 class Received(msgspec.Struct, frozen=True):
+    """A message has come."""
+
     at: timedelta
     sender: Voter
     message: AnyMessage
 
 
 class Propose(msgspec.Struct, frozen=True):
+    """Asks for an entry to be agreed on."""
+
     at: timedelta
     id: str
     body: bytes
--- a/stoatrouter/agreement/state.py
+++ b/stoatrouter/agreement/state.py
@@ -38,6 +38,8 @@
 
 @dataclass(slots=True)
 class State:
+    """One head's whole state of the agreement."""
+
     me: Voter
     disk: Disk
     seed: int
@@ -79,14 +81,17 @@
     # -- what is asked from outside -----------------------------------------------------------------------
     @property
     def voters(self) -> tuple[Voter, ...]:
+        """Who votes, by the log; the latest entry counts, agreed on or not."""
         return self.log.voters()[1]
 
     @property
     def votes_here(self) -> bool:
+        """Whether this head's vote counts."""
         return self.me in self.voters and not self.voiceless
 
     @property
     def leads(self) -> bool:
+        """Whether this head leads, as far as it knows."""
         return self.role == LEADS
 
     @property
--- a/stoatrouter/peering/agreed.py
+++ b/stoatrouter/peering/agreed.py
@@ -104,9 +104,11 @@
             self.waiting.pop(index, None)
 
     async def command(self, command: Command, within: timedelta) -> bytes:
+        """Bring a command through, here at the leader; its answer. Raises NotAgreed."""
         return await self.propose(encode(command), "c", within)
 
     async def change_voters(self, body: bytes, within: timedelta) -> None:
+        """Bring a change of the voters through, here at the leader. Raises NotAgreed."""
         await self.propose(body, VOTERS, within)
 
     async def read(self, within: timedelta) -> int:
@@ -134,6 +136,7 @@
         return True
 
     def hear(self, sender: Voter, message: AnyMessage) -> None:
+        """A message of the agreement has come."""
         self.put(Received(self.now(), sender, message))
 
     def learn(
@@ -144,14 +147,17 @@
         commit: int,
         snapshot: Snapshot | None,
     ) -> None:
+        """Take in what a voter tells as committed."""
         self.put(Learnt(self.now(), prev_index, prev_term, entries, commit, snapshot))
 
     # -- events in, effects out ---------------------------------------------------------------------------
     def put(self, event: Event) -> None:
+        """Reduce an event, and run its effects in order."""
         for effect in self.raft.reduce(event):
             self.run(effect)
 
     def run(self, effect: Effect) -> None:
+        """Run one effect."""
         match effect:
             case Send():
                 self.send(effect.to, effect.message)
@@ -185,11 +191,13 @@
                 )
 
     def wrote(self, effect: Durable) -> None:
+        """A write is on the disk: what has waited for it goes out."""
         for send in effect.then:
             self.send(send.to, send.message)
         self.put(Wrote(self.now(), effect.number))
 
     def not_taken(self, effect: NotTaken) -> None:
+        """A proposal or read is refused: whoever waits for it is told."""
         future = self.reads.get(effect.id)
         if future is None:
             self.refused[effect.id] = effect.why
@@ -197,6 +205,7 @@
             future.set_exception(NotAgreed(effect.why))
 
     def apply(self, entries: tuple[Entry, ...]) -> None:
+        """Apply committed entries, and answer those who wait for them."""
         for entry in entries:
             answer = self.machine.apply(entry)
             self.size += len(entry.body)
@@ -215,6 +224,7 @@
             self.put(Compact(self.now(), self.machine.index, self.machine.state()))
 
     def restore(self, snapshot: Snapshot) -> None:
+        """Replace all that was applied by a snapshot."""
         logger.info("heads: caught up by a snapshot at {index}", event="heads.restored", index=snapshot.index)
         self.machine.restore(snapshot.index, snapshot.state)
         for index, (_, future) in self.waiting.items():
@@ -225,11 +235,13 @@
         self.notify_applied()
 
     def notify_applied(self) -> None:
+        """Wake those who wait for an index to be applied."""
         self.changed.set()
         self.changed = asyncio.Event()
         self.notify()
 
     def disk_failed(self, why: str) -> None:
+        """The disk takes no writes any more: this head has no vote from now on."""
         logger.error(
             "heads: the disk takes no writes, this head has no voice: {why}", event="heads.disk", why=why
         )
@@ -253,9 +265,11 @@
         self.writer.put(write, begun)
 
     async def run_for_ever(self) -> None:
+        """Let time pass for the agreement."""
         while True:
             self.put(Tick(self.now()))
             await asyncio.sleep(TICK.total_seconds())
 
     def close(self) -> None:
+        """Stop writing."""
         self.writer.close()
--- a/stoatrouter/peering/book.py
+++ b/stoatrouter/peering/book.py
@@ -53,6 +53,7 @@
         return found
 
     def begin(self, allotment: str) -> bool:
+        """Take a slot for an allotment; whether there is one."""
         if not self.free or len(allotment) > NAME:
             return False
         slot = self.places[allotment] = self.free.pop()
@@ -61,6 +62,7 @@
         return True
 
     def set(self, allotment: str, spent: int) -> None:
+        """Record what was spent of it in all."""
         slot = self.places.get(allotment)
         if slot is not None:
             SPENT.pack_into(
@@ -68,12 +70,14 @@
             )
 
     def end(self, allotment: str) -> None:
+        """Free its slot."""
         slot = self.places.pop(allotment, None)
         if slot is not None:
             self.map[slot * SIZE : (slot + 1) * SIZE] = bytes(SIZE)
             self.free.append(slot)
 
     def close(self) -> None:
+        """Close the file."""
         self.map.close()
         if self.file >= 0:
             os.close(self.file)
--- a/stoatrouter/peering/calls.py
+++ b/stoatrouter/peering/calls.py
@@ -29,6 +29,8 @@
 
 
 class Fetched(msgspec.Struct, frozen=True, array_like=True):
+    """What was agreed on after an index, and how the answering head is connected."""
+
     origin: str  # "": the asked head belongs to no fleet yet
     in_touch: bool  # with a majority
     leader: str | None
--- a/stoatrouter/peering/counts.py
+++ b/stoatrouter/peering/counts.py
@@ -10,6 +10,8 @@
 
 @dataclass(slots=True)
 class Counts:
+    """Counts of messages by name, and a log line for the first of each kind that is dropped."""
+
     counts: Counter[str] = field(default_factory=Counter)
 
     def drop(self, way: str, why: str, where: str) -> None:
@@ -25,4 +27,5 @@
             )
 
     def add(self, name: str, count: int = 1) -> None:
+        """Count something."""
         self.counts[name] += count
--- a/stoatrouter/peering/credit.py
+++ b/stoatrouter/peering/credit.py
@@ -98,6 +98,7 @@
                     await self.kick.wait()
 
     async def speak(self) -> None:
+        """Say what there is to be said, and take in the answer."""
         if not self.begun:
             await self.begin()
         asked_at = self.now()
@@ -109,6 +110,7 @@
             self.hear(turns, grants, asked_at)
 
     def hear(self, turns: list[Turn], grants: Grants, asked_at: timedelta) -> None:
+        """Take in the account's answer, and wake the requests that wait for it."""
         now = self.now()
         for turn, grant in zip(turns, grants.grants, strict=False):
             self.holder.granted(turn, grant, asked_at, now)
@@ -127,6 +129,7 @@
         return msgspec.msgpack.decode(answer, type=Grants) if answer else Grants(())
 
     async def until_answered(self, body: bytes) -> bytes:
+        """Bring one word through, again and again under its id; b"" where this head ends first."""
         id = f"credit/{self.fleet.me.identity}/{self.number}"
         while True:
             try:
@@ -202,5 +205,6 @@
 
     # -- for operators ------------------------------------------------------------------------------------
     async def command(self, command: Command, id: str, within: timedelta) -> Booked:
+        """Bring an operator's entry through; raises NotAgreed."""
         body = msgspec.msgpack.encode(command)
         return msgspec.msgpack.decode(await self.fleet.command(PART, body, id, within), type=Booked)
--- a/stoatrouter/peering/creditcalls.py
+++ b/stoatrouter/peering/creditcalls.py
@@ -45,6 +45,8 @@
 
 
 class CustomerCall(msgspec.Struct, forbid_unknown_fields=True):
+    """What is said of a customer."""
+
     by: str
     why: str
     volumes: list[str] = []
@@ -54,6 +56,8 @@
 
 
 class EntryCall(msgspec.Struct, forbid_unknown_fields=True):
+    """A top-up, correction or refund."""
+
     id: str
     amount: int
     by: str
@@ -75,6 +79,7 @@
         self.service = service
 
     async def call(self, method: str, path: str, body: bytes) -> web.Response | None:
+        """Answer one call; None where it is not about credit."""
         if path != ROOT and not path.startswith(ROOT + "/"):
             return None
         parts = [unquote(part) for part in path[len(ROOT) :].split("/")[1:]]
@@ -108,6 +113,7 @@
         return answer(404, {"error": "no such call"})
 
     def held(self) -> dict[str, Any]:
+        """What this head holds of each customer's credit."""
         holder, service = self.service.holder, self.service
         purses = {
             name: {
@@ -199,6 +205,7 @@
         )
 
     async def book(self, command: Any, id: str) -> web.Response:
+        """Bring a command through; 409 where the account refuses it."""
         booked: Booked = await self.service.command(command, id, WITHIN)
         if not booked.ok:
             return answer(409, {"error": booked.why})
@@ -236,4 +243,5 @@
 
 
 def now() -> str:
+    """The time of day, as the account's book has it."""
     return datetime.now(UTC).isoformat(timespec="milliseconds")
--- a/stoatrouter/peering/datagrams.py
+++ b/stoatrouter/peering/datagrams.py
@@ -46,13 +46,16 @@
         self.taken = 0
 
     async def start(self, host: str, port: int) -> None:
+        """Listen."""
         loop = asyncio.get_running_loop()
         self.transport, _ = await loop.create_datagram_endpoint(lambda: self, local_addr=(host, port))
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """The socket is open."""
         self.transport = transport  # type: ignore[assignment]
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """A datagram has come; what is not believed is dropped and counted."""
         where = f"{addr[0]}:{addr[1]}"
         self.taken += 1
         self.counts.add("datagrams.received")
@@ -69,13 +72,16 @@
         self.put(Heard(self.now(), where, message), where)
 
     def error_received(self, exc: Exception) -> None:
+        """A datagram could not be sent; the detector finds out by itself."""
         self.counts.add("datagrams.errors")  # a peer that does not listen; the probe's end says it
 
     def put(self, event: Event, where: str = "") -> None:
+        """Reduce an event of the detector, and run its effects."""
         for effect in self.detector.reduce(event):
             self.run(effect, where)
 
     def run(self, effect: Effect, where: str) -> None:
+        """Run one effect."""
         match effect:
             case SendTo():
                 data = encode(effect.message, self.secret, self.fleet)
@@ -96,6 +102,7 @@
                 self.counts.drop("datagram", effect.why, where)
 
     async def run_for_ever(self) -> None:
+        """Let time pass for the detector."""
         while True:
             self.taken = 0
             self.put(Tick(self.now()))
--- a/stoatrouter/peering/envelope.py
+++ b/stoatrouter/peering/envelope.py
@@ -22,6 +22,8 @@
 
 
 class Envelope(msgspec.Struct, frozen=True, array_like=True):
+    """A message with its sender, its receiver and its number."""
+
     origin: str  # of the sender's fleet; "": it belongs to none yet
     sender: Voter
     process: int  # of the sender; later ones have higher numbers
@@ -71,9 +73,11 @@
         self.person = hashlib.blake2b(b"stream/" + self.fleet.encode(), digest_size=16).digest()
 
     def mac(self, data: bytes) -> bytes:
+        """The authentication code of these bytes."""
         return hashlib.blake2b(data, key=self.secret, person=self.person, digest_size=MAC).digest()
 
     def close(self, envelope: Envelope) -> bytes:
+        """An envelope as bytes, authenticated."""
         data = msgspec.msgpack.encode(envelope)
         return self.mac(data) + data
 
--- a/stoatrouter/peering/heads.py
+++ b/stoatrouter/peering/heads.py
@@ -55,6 +55,7 @@
 
     @property
     def ready(self) -> bool:
+        """Whether this head may be sent requests."""
         return self.fleet.availability.ready
 
     async def call(self, method: str, path: str, body: bytes) -> web.Response | None:
@@ -65,6 +66,7 @@
         return None
 
     async def close(self) -> None:
+        """End all parts, the fleet last."""
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
--- a/stoatrouter/peering/operators.py
+++ b/stoatrouter/peering/operators.py
@@ -29,6 +29,7 @@
 
 
 def answer(status: int, told: Any) -> web.Response:
+    """An answer in JSON."""
     text = json.dumps(told, indent=1) + "\n"
     return web.Response(status=status, text=text, content_type="application/json")
 
@@ -45,6 +46,7 @@
         self.fleet = fleet
 
     async def call(self, method: str, path: str, body: bytes) -> web.Response | None:
+        """Answer one call; None where it is not about the heads."""
         if path == "/control/heads":
             return answer(200, self.told()) if method == "GET" else answer(405, {"error": "GET"})
         if path == "/control/heads/recover":
@@ -54,6 +56,7 @@
         return None
 
     def told(self) -> dict[str, Any]:
+        """What this head knows of itself and the others."""
         fleet = self.fleet
         availability, raft = fleet.availability, fleet.agreed.raft
         seen = (
--- a/stoatrouter/peering/rulecalls.py
+++ b/stoatrouter/peering/rulecalls.py
@@ -45,6 +45,8 @@
 
 
 class EditCall(msgspec.Struct, forbid_unknown_fields=True):
+    """A set of files to be put in force."""
+
     id: str
     base: int
     root: str
@@ -54,6 +56,8 @@
 
 
 class UndoCall(msgspec.Struct, forbid_unknown_fields=True):
+    """A version to be taken back."""
+
     id: str
     version: int
     author: str
@@ -68,6 +72,7 @@
         self.service = service
 
     async def call(self, method: str, path: str, body: bytes) -> web.Response | None:
+        """Answer one call; None where it is not about rules."""
         if path != ROOT and not path.startswith(ROOT + "/"):
             return None
         parts = [unquote(part) for part in path[len(ROOT) :].split("/")[1:]]
@@ -100,6 +105,7 @@
         return answer(404, {"error": "no such call"})
 
     def told(self) -> dict[str, Any]:
+        """What this head decides by, and the history as it knows it."""
         service, register = self.service, self.service.register
         fleet = service.fleet
         now = fleet.now()
@@ -116,6 +122,7 @@
         }
 
     async def version(self, number: int) -> web.Response:
+        """One version with its files, as a majority confirms it."""
         await self.service.fleet.read(WITHIN)
         register = self.service.register
         found = register.version(number)
@@ -125,6 +132,7 @@
         return answer(200, described(found) | {"root": content.root, "files": content.files})
 
     async def edit(self, call: EditCall) -> web.Response:
+        """Ask for a set of files to be put in force."""
         check_who(call)
         check_number("base", call.base, LARGEST_VERSION)
         self.check_files(call)
@@ -148,6 +156,7 @@
             raise OutOfBounds("files", f"{size} bytes", f"up to {most}")
 
     async def undo(self, call: UndoCall) -> web.Response:
+        """Ask for a version to be taken back."""
         check_who(call)
         check_number("version", call.version, LARGEST_VERSION)
         check_number("to", call.to, LARGEST_VERSION)
@@ -155,6 +164,7 @@
         return await self.ask(undo)
 
     async def ask(self, command: Edit | Undo) -> web.Response:
+        """Bring an edit or undo through; 409 where the history refuses it."""
         body = msgspec.msgpack.encode(command)
         name = f"rules/{command.id}/{hashlib.blake2b(body, digest_size=8).hexdigest()}"
         said = await self.service.command(command, name)
@@ -208,4 +218,5 @@
 
 
 def described(version: Version) -> dict[str, Any]:
+    """A version as answers tell it."""
     return {f: getattr(version, f) for f in version.__struct_fields__}
--- a/stoatrouter/peering/rules.py
+++ b/stoatrouter/peering/rules.py
@@ -59,6 +59,8 @@
 
 @dataclass(slots=True)
 class Heard:
+    """What a head said, and when."""
+
     said: Said
     at: timedelta
 
@@ -140,6 +142,7 @@
         return newest is None or self.active >= newest.number or newest.digest in self.faults
 
     async def run(self) -> None:
+        """Do what there is to do, whenever something was agreed on and now and then."""
         while True:
             try:
                 await self.step()
@@ -152,6 +155,7 @@
                     await changed.wait()
 
     async def step(self) -> None:
+        """One round: put in force, check, say so, and decide where this head leads."""
         self.put_in_force()
         self.check()
         await self.say()
@@ -174,6 +178,7 @@
                 return
 
     async def make(self, version: Version) -> None:
+        """Make the table of a version's set."""
         content = self.register.contents.get(version.digest)
         if content is None:
             return
@@ -195,6 +200,7 @@
         return materialize(self.folder, content)
 
     def fault(self, version: Version, why: str) -> None:
+        """Note that a set cannot be loaded here, and why."""
         # where the set lies at this head is of no use to whoever reads it at another
         why = why.replace(f"{self.folder / version.digest}{os.sep}", "")
         self.faults[version.digest] = why[:LONGEST_WHY]
@@ -256,6 +262,7 @@
 
     # -- what heads say to the leader ---------------------------------------------------------------------
     def own(self) -> Said:
+        """What this head has to say of itself."""
         pending = self.register.pending
         if pending is not None and pending.digest in self.faults:
             return Said(self.active, pending.number, False, self.faults[pending.digest])
@@ -278,12 +285,14 @@
                 await self.fleet.streams.ask(leader, PART, msgspec.msgpack.encode(said), timedelta(seconds=1))
 
     async def hear(self, envelope: Envelope) -> bytes:
+        """At the leader: what another head says of itself."""
         said = msgspec.msgpack.decode(envelope.body, type=Said)
         self.heard[envelope.sender.name] = Heard(said, self.fleet.now())
         return b""
 
     # -- the leader ---------------------------------------------------------------------------------------
     async def lead(self) -> None:
+        """At the leader: decide about the version that is being put in force."""
         pending = self.register.pending
         if pending is None or not self.fleet.agreed.raft.settled:
             self.pending_since = (0, timedelta(0))
@@ -309,6 +318,7 @@
             await self.bring(decided)
 
     async def bring(self, decided: Activate | Abandon) -> None:
+        """Bring a decision through; whoever leads next decides anew where that fails."""
         id = f"rules/{type(decided).__name__}/{decided.number}/{self.fleet.me.identity}"
         try:
             await self.command(decided, id)
@@ -323,9 +333,11 @@
             )
 
     async def asked(self, envelope: Envelope) -> bytes:
+        """At the leader: answer which version each head decides by."""
         return msgspec.msgpack.encode(self.spread_here())
 
     def spread_here(self) -> Spread:
+        """Which version each head decides by, as this leader knows."""
         now = self.fleet.now()
         self.heard[self.fleet.settings.name] = Heard(self.own(), now)
         return Spread(
@@ -346,10 +358,12 @@
 
     # -- for operators ------------------------------------------------------------------------------------
     async def command(self, command: Command, id: str) -> Answer:
+        """Bring a command through; raises NotAgreed."""
         body = msgspec.msgpack.encode(command)
         return msgspec.msgpack.decode(await self.fleet.command(PART, body, id, WITHIN), type=Answer)
 
     async def close(self) -> None:
+        """Stop making tables; what is being kept is written to its end."""
         if self.making is not None:
             self.making.cancel()
             await asyncio.gather(self.making, return_exceptions=True)
@@ -357,4 +371,5 @@
 
 
 def stamp() -> str:
+    """The time of day, as the history has it."""
     return datetime.now(UTC).isoformat(timespec="milliseconds")
--- a/stoatrouter/peering/settings.py
+++ b/stoatrouter/peering/settings.py
@@ -20,6 +20,8 @@
 
 
 class DetectorFile(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The part `detector` of the file."""
+
     period: str
     ack_within: str
     others: int
@@ -28,17 +30,23 @@
 
 
 class AgreementFile(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The part `agreement` of the file."""
+
     heartbeat: str
     election: str
 
 
 class CreditFile(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The part `credit` of the file."""
+
     prices: dict[str, int]
     lease: str
     wait: str
 
 
 class RulesFile(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The part `rules` of the file."""
+
     versions: int
     check_within: str
     largest: int
@@ -62,12 +70,16 @@
 
 
 class CreditSettings(msgspec.Struct, frozen=True):
+    """What a head is told of prepaid credit."""
+
     prices: tuple[int, ...]  # by class, in millionths of a credit unit for each unit of a request
     lease: timedelta
     wait: timedelta
 
 
 class RulesSettings(msgspec.Struct, frozen=True):
+    """What a head is told of the history of rules."""
+
     versions: int
     check_within: timedelta
     largest: int  # bytes
@@ -94,6 +106,7 @@
 
 
 def span_of(text: str) -> timedelta:
+    """A span as the file has it."""
     match = SPAN.fullmatch(text)
     assert match is not None, "the schema allows spans only"
     return float(match[1]) * UNITS[match[2]]
@@ -160,6 +173,7 @@
 
 
 def credit_of(path: Path, made: HeadsFile, conf: Config) -> CreditSettings | None:
+    """The credit's settings; raises ConfigError where a price names no class."""
     if made.credit is None:
         return None
     classes = [c.name for c in conf.settings.classes]
--- a/stoatrouter/peering/storage.py
+++ b/stoatrouter/peering/storage.py
@@ -46,6 +46,7 @@
 
 
 def checksum(data: bytes) -> bytes:
+    """A checksum of one row."""
     return hashlib.blake2b(data, digest_size=16).digest()
 
 
@@ -78,9 +79,11 @@
         return min(first, second)
 
     def set(self, number: int) -> None:
+        """Set the mark."""
         self.map[:] = self.FORM.pack(number, number)
 
     def close(self) -> None:
+        """Close the file."""
         self.map.close()
         os.close(self.file)
 
@@ -272,6 +275,7 @@
         self._done()
 
     def kept(self, key: str) -> str:
+        """What is kept under a key; "" where there is nothing."""
         assert self.base is not None
         row = self.base.execute("SELECT value FROM meta WHERE key = ?", (key,)).fetchone()
         return row[0].decode() if row else ""
@@ -289,6 +293,7 @@
         base.execute("INSERT OR REPLACE INTO meta VALUES (?, ?)", (key, value.encode()))
 
     def close(self) -> None:
+        """Close the database."""
         if self.base is not None:
             self.base.close()
             self.base = None
--- a/stoatrouter/peering/streams.py
+++ b/stoatrouter/peering/streams.py
@@ -58,6 +58,7 @@
         self.senders: dict[str, asyncio.Task[None]] = {}
 
     async def start(self, listen: tuple[str, int] | None) -> None:
+        """Listen where this head is reached, and open connections as they are needed."""
         self.session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0, limit_per_host=8),
             timeout=aiohttp.ClientTimeout(total=ASK.total_seconds(), connect=CONNECT.total_seconds()),
@@ -71,6 +72,7 @@
             self.sockets = await asyncio.get_running_loop().create_server(self.server, sock=listening)
 
     async def close(self) -> None:
+        """Stop sending and listening."""
         for task in self.senders.values():
             task.cancel()
         await asyncio.gather(*self.senders.values(), return_exceptions=True)
@@ -117,6 +119,7 @@
 
     @staticmethod
     async def read(request: web.BaseRequest) -> bytes:
+        """A message's bytes; raises Unbelieved where they are too many."""
         if (request.content_length or 0) > LARGEST:
             raise Unbelieved("too_long")
         data = bytearray()
@@ -127,6 +130,7 @@
         return bytes(data)
 
     def envelope(self, to: str, number: int, kind: str, body: bytes) -> Envelope:
+        """A message of this head."""
         return Envelope(self.origin(), self.me, self.process, to, number, kind, body)
 
     # -- saying -------------------------------------------------------------------------------------------
@@ -177,6 +181,7 @@
             self.senders[name] = asyncio.get_running_loop().create_task(self.send_queue(name))
 
     async def send_queue(self, name: str) -> None:
+        """Send what is queued for a head, in batches."""
         queue = self.queues[name]
         while queue:
             batch, queue[:] = queue[:MOST_IN_BATCH], queue[MOST_IN_BATCH:]
