--- a/stoatrouter/credit/gate.py
+++ b/stoatrouter/credit/gate.py
@@ -65,6 +65,7 @@
             self.holder.end_wait(customer, charge)
 
     def want(self, request: model.Request, now: timedelta) -> None:
+        """A request waits: ask for an allotment that is large enough for it."""
         customer = self.customer_of(request.volume)
         if customer is not None:
             self.holder.want(customer, charge_of(request.units, self.prices[request.request_class]), now)
--- a/stoatrouter/credit/holder.py
+++ b/stoatrouter/credit/holder.py
@@ -40,9 +40,13 @@
         """Whether there is room for it; what cannot be recorded is not spent from."""
         ...
 
-    def set(self, allotment: str, spent: int) -> None: ...
+    def set(self, allotment: str, spent: int) -> None:
+        """Keep what was spent of it in all."""
+        ...
 
-    def end(self, allotment: str) -> None: ...
+    def end(self, allotment: str) -> None:
+        """Its last word was heard: forget it."""
+        ...
 
 
 @dataclass(slots=True)
@@ -59,6 +63,7 @@
 
     @property
     def left(self) -> int:
+        """What may still be reserved from it."""
         return 0 if self.closing else self.amount - self.spent - self.reserved
 
 
@@ -94,6 +99,8 @@
 
 @dataclass(slots=True)
 class Reservation:
+    """What one request may be charged, and where."""
+
     purse: Purse
     held: Held
     charge: int
--- a/stoatrouter/credit/ledger.py
+++ b/stoatrouter/credit/ledger.py
@@ -50,6 +50,8 @@
 
 
 class Account(msgspec.Struct, array_like=True):
+    """One customer's account."""
+
     name: str
     volumes: list[str]
     overdraft: int = 0
@@ -71,6 +73,7 @@
 
     @property
     def balance(self) -> int:
+        """What is not charged yet, the overdraft counted in."""
         return self.paid + self.overdraft - self.charged
 
 
@@ -112,10 +115,12 @@
         return self.customers.get(volume)
 
     def allotment(self, id: str) -> Allotment:
+        """An allotment that is out; raises KeyError where there is none."""
         return self.accounts[self.places[id]].out[id]
 
     # -- a part of what the heads agree on ----------------------------------------------------------------
     def apply(self, index: int, body: bytes) -> bytes:
+        """Apply one command; its answer."""
         command = self.read.decode(body)
         match command:
             case PutCustomer():
@@ -133,11 +138,13 @@
         return msgspec.msgpack.encode(answer)
 
     def state(self) -> bytes:
+        """All accounts, for a snapshot."""
         return msgspec.msgpack.encode(
             Held(list(self.accounts.values()), list(self.entries.values()), self.heads)
         )
 
     def restore(self, state: bytes) -> None:
+        """Replace everything by a snapshot's state; b"" is that of a fleet just founded."""
         held = msgspec.msgpack.decode(state, type=Held) if state else Held([], [], {})
         self.heads = held.heads
         self.accounts = {account.name: account for account in held.accounts}
@@ -147,6 +154,7 @@
 
     # -- operators ----------------------------------------------------------------------------------------
     def put(self, command: PutCustomer) -> Booked:
+        """Make a customer, or change what is said of it."""
         if command.overdraft < 0 or command.low_water < 0:
             return Booked(False, "overdraft and low_water are 0 or more")
         account = self.accounts.get(command.name)
@@ -166,6 +174,7 @@
         return Booked(True, balance=account.balance)
 
     def drop(self, command: DropCustomer) -> Booked:
+        """Close a customer's account."""
         account = self.accounts.get(command.name)
         if account is None:
             return Booked(False, f"there is no customer {command.name!r}")
@@ -181,6 +190,7 @@
             self.accounts.pop(account.name, None)
 
     def book(self, index: int, command: Book) -> Booked:
+        """Book an entry, once under its id."""
         before = self.entries.get(command.id)
         account = self.accounts.get(command.customer)
         if before is not None:
@@ -212,6 +222,7 @@
 
     # -- heads --------------------------------------------------------------------------------------------
     def turns(self, index: int, command: Turns) -> Grants:
+        """Take in what a head says of its customers, and hand out what it wants."""
         # Guards the sum: what a head said before its last word is no news, in whatever order it comes.
         if not self._heard(command.holder, command.identity, command.number):
             return Grants(())
@@ -256,6 +267,7 @@
         self._forget(account)
 
     def grant(self, id: str, command: Turns, turn: Turn) -> Grant:
+        """Hand out an allotment, as far as there is something."""
         account = self.accounts.get(turn.customer)
         if account is None:
             return Grant(turn.customer, "", 0, 0, 0, known=False)
@@ -268,6 +280,7 @@
         )
 
     def expired(self, command: Expired) -> Booked:
+        """Note that the time of allotments is over."""
         for id in command.allotments:
             account = self.accounts.get(self.places.get(id, ""))
             if account is not None:
--- a/stoatrouter/credit/records.py
+++ b/stoatrouter/credit/records.py
@@ -42,6 +42,8 @@
 
 
 class Settle(msgspec.Struct, frozen=True, array_like=True):
+    """What was spent of one allotment."""
+
     allotment: str
     spent: int  # in all, from it
     final: bool  # nothing more will be: what is left goes back
@@ -98,6 +100,8 @@
 
 
 class Grants(msgspec.Struct, frozen=True, array_like=True):
+    """To all turns of one word, in their order; none where the word was not heard."""
+
     grants: tuple[Grant, ...]
 
 
--- a/stoatrouter/history/kept.py
+++ b/stoatrouter/history/kept.py
@@ -14,6 +14,8 @@
 
 
 class Kept(msgspec.Struct, frozen=True, array_like=True):
+    """One version, as a head keeps it."""
+
     number: int
     digest: str
     content: bytes  # packed
@@ -21,6 +23,7 @@
 
 
 def write(kept: Kept) -> bytes:
+    """A kept version as bytes, with its checksum."""
     body = msgspec.msgpack.encode(kept)
     return MAGIC + hashlib.blake2b(body, digest_size=SUM).digest() + body
 
--- a/stoatrouter/history/records.py
+++ b/stoatrouter/history/records.py
@@ -23,16 +23,20 @@
 
 
 def unpack(data: bytes) -> Content:
+    """The set that was packed."""
     return msgspec.msgpack.decode(zlib.decompress(data), type=Content)
 
 
 def digest_of(content: Content) -> str:
+    """The name of a set: equal sets have equal names."""
     files = sorted(content.files.items())
     return hashlib.blake2b(repr((content.root, files)).encode(), digest_size=16).hexdigest()
 
 
 # -- commands ---------------------------------------------------------------------------------------------
 class Edit(msgspec.Struct, frozen=True, array_like=True, tag="edit"):
+    """Asks for a set to become the next version."""
+
     id: str
     base: int  # the version that it was made against; 0: there is none yet
     digest: str
@@ -43,6 +47,8 @@
 
 
 class Undo(msgspec.Struct, frozen=True, array_like=True, tag="undo"):
+    """Asks for what was in force before a version, or at one."""
+
     id: str
     version: int  # what it undoes
     to: int  # where others have edited since: the version to return to; 0: not named
@@ -55,11 +61,15 @@
 
 
 class Activate(msgspec.Struct, frozen=True, array_like=True, tag="activate"):
+    """The leader puts a version in force."""
+
     number: int
     keep: int  # versions that the history holds from now on
 
 
 class Abandon(msgspec.Struct, frozen=True, array_like=True, tag="abandon"):
+    """The leader gives a version up, and says why."""
+
     number: int
     why: str
 
--- a/stoatrouter/history/register.py
+++ b/stoatrouter/history/register.py
@@ -31,6 +31,8 @@
 
 @dataclass(slots=True)
 class Register:
+    """All versions that the history holds, and what became of those that were asked for."""
+
     versions: list[Version] = field(default_factory=list)  # that were in force, the newest last
     contents: dict[str, bytes] = field(default_factory=dict)  # packed, by digest
     pending: Version | None = None
@@ -41,6 +43,7 @@
 
     # -- a part of what the heads agree on ----------------------------------------------------------------
     def apply(self, index: int, body: bytes) -> bytes:
+        """Apply one command; its answer."""
         command = self.read.decode(body)
         match command:
             case Edit():
@@ -54,6 +57,7 @@
         return msgspec.msgpack.encode(answer)
 
     def state(self) -> bytes:
+        """The whole history, for a snapshot."""
         return msgspec.msgpack.encode(
             Held(
                 self.versions,
@@ -66,6 +70,7 @@
         )
 
     def restore(self, state: bytes) -> None:
+        """Replace everything by a snapshot's state; b"" is that of a fleet just founded."""
         held = msgspec.msgpack.decode(state, type=Held) if state else Held([], {}, None, [], 0, 0)
         self.versions, self.contents, self.pending = held.versions, held.contents, held.pending
         self.ended = OrderedDict((ended.version.id, ended) for ended in held.ended)
@@ -78,6 +83,7 @@
         return self.versions[-1].number if self.versions else 0
 
     def version(self, number: int) -> Version | None:
+        """A version of the history; None: it is not in it."""
         return next((v for v in self.versions if v.number == number), None)
 
     def by_id(self, id: str) -> Version | None:
@@ -88,6 +94,7 @@
 
     # -- changes ------------------------------------------------------------------------------------------
     def edit(self, edit: Edit) -> Answer:
+        """Take an edit, where it was made against the newest version."""
         if (again := self._again(edit.id)) is not None:
             return again
         if self.pending is not None:
@@ -99,6 +106,7 @@
         return self._propose("edit", edit, edit.digest, edit.base, 0, 0)
 
     def undo(self, undo: Undo) -> Answer:
+        """Take an undo, where nobody has edited since or a version is named."""
         if (again := self._again(undo.id)) is not None:
             return again
         if self.pending is not None:
@@ -210,6 +218,7 @@
             self.ended.popitem(last=False)
 
     def activate(self, command: Activate) -> Answer:
+        """Put the pending version in force, and let the oldest go."""
         if self.pending is None or self.pending.number != command.number:
             return self._refuse(f"version {command.number} is not being put in force")
         self.versions.append(self.pending)
@@ -220,6 +229,7 @@
         return Answer(True, command.number, newest=self.newest)
 
     def abandon(self, command: Abandon) -> Answer:
+        """Give the pending version up."""
         if self.pending is None or self.pending.number != command.number:
             return self._refuse(f"version {command.number} is not being put in force")
         self._end(self.pending, command.why)
