--- a/stoatrouter/lab/fleet/credit.py
+++ b/stoatrouter/lab/fleet/credit.py
@@ -42,13 +42,16 @@
     spent: dict[str, int] = field(default_factory=dict)
 
     def begin(self, allotment: str) -> bool:
+        """Keep a record of an allotment."""
         self.spent[allotment] = 0
         return True
 
     def set(self, allotment: str, spent: int) -> None:
+        """Keep what was spent of it in all."""
         self.spent[allotment] = spent
 
     def end(self, allotment: str) -> None:
+        """Forget it."""
         self.spent.pop(allotment, None)
 
 
@@ -70,6 +73,8 @@
 
 @dataclass
 class CreditFleet:
+    """Heads with customers' credit, beside one account that is always right."""
+
     world: World  # the account is the machine named so; all others are heads
     customers: int = 2
     returned: bool = False
@@ -104,16 +109,19 @@
 
     @property
     def names(self) -> list[str]:
+        """All heads."""
         return [name for name in self.world.names if name != ACCOUNT]
 
     # -- the account --------------------------------------------------------------------------------------
     def apply(self, command: Command, id: str) -> bytes:
+        """Apply a command at the account, once under its id; its answer."""
         if id not in self.answers:
             self.index += 1
             self.answers[id] = self.ledger.apply(self.index, msgspec.msgpack.encode(command))
         return self.answers[id]
 
     def expire(self) -> None:
+        """At the account: note which allotments' time is over."""
         now = self.world.clock(ACCOUNT)
         self.seen = {id: self.seen.get(id, now) for id in self.ledger.places}
         over = tuple(
@@ -141,18 +149,21 @@
         self.world.at(AGAIN, lambda: self.top_up(customer, amount, id))
 
     def pay(self, customer: str, amount: int) -> None:
+        """Pay in for a customer."""
         self.count += 1
         self.paid[customer] += amount
         self.top_up(customer, amount, f"t{self.count}")
 
     # -- heads --------------------------------------------------------------------------------------------
     def boot(self, name: str, identity: str, disk: Disk) -> None:
+        """Start a head with what its disk holds."""
         life = self.world.machines[name].life
         holder = self.make(LEASE, disk)
         self.heads[name] = Here(identity, disk, holder, life << 32, life, before=dict(disk.spent))
         self.world.on(name, timedelta(milliseconds=30), lambda: self.tick(name))
 
     def kill(self, name: str, wipe: bool) -> None:
+        """End a head, perhaps with its disk."""
         if name == ACCOUNT:
             return
         self.world.down(name)
@@ -162,12 +173,14 @@
             self.heads[name].identity = f"{name}/{self.wiped}"
 
     def start(self, name: str) -> None:
+        """Start a head again."""
         if name == ACCOUNT:
             return
         self.world.up(name)
         self.boot(name, self.heads[name].identity, self.heads[name].disk)
 
     def tick(self, name: str) -> None:
+        """A head says what there is to be said to the account."""
         here, now = self.heads[name], self.world.clock(name)
         if here.saying is None:
             if not here.begun:
@@ -188,10 +201,12 @@
 
     @staticmethod
     def next(here: Here) -> int:
+        """The number of a head's next word."""
         here.number += 1
         return here.number
 
     def begun(self, name: str, answer: bytes) -> None:
+        """The account has heard a head's first word: settle what the process before had spent."""
         here = self.heads[name]
         before = here.before
         booked = msgspec.msgpack.decode(answer, type=Booked)
@@ -237,6 +252,7 @@
         send()
 
     def granted(self, name: str, turns: list[Turn], answer: bytes, asked_at: timedelta) -> None:
+        """The account has answered a head's turns."""
         here, now = self.heads[name], self.world.clock(name)
         grants = msgspec.msgpack.decode(answer, type=Grants).grants
         for turn, grant in zip(turns, grants, strict=False):
@@ -271,6 +287,7 @@
         world.on(name, timedelta(seconds=world.draws.uniform(0.01, 0.4)), attempt)
 
     def end(self, name: str, here: Here, id: str, customer: str, charge: int, sent: bool) -> None:
+        """A request ends; what was charged is held against what should be."""
         before = here.holder.charged
         here.holder.end(id, sent or self.charged_if_unsent)
         charged = here.holder.charged - before
--- a/stoatrouter/lab/fleet/detectors.py
+++ b/stoatrouter/lab/fleet/detectors.py
@@ -35,6 +35,7 @@
             self.boot(name, 1)
 
     def boot(self, name: str, incarnation: int) -> None:
+        """Start a head's detector."""
         peers = tuple(other for other in self.world.names if other != name)
         self.detectors[name] = self.make(
             name, incarnation, peers, self.world.seed * 7 + self.world.machines[name].life, self.timing
@@ -42,10 +43,12 @@
         self.world.on(name, self.timing.period * self.world.draws.random(), lambda: self.tick(name))
 
     def tick(self, name: str) -> None:
+        """Let time pass for a head."""
         self.put(name, Tick(self.world.clock(name)))
         self.world.on(name, TICK, lambda: self.tick(name))
 
     def put(self, name: str, event: Event) -> None:
+        """Reduce an event, and run its effects."""
         for effect in self.detectors[name].reduce(event):
             match effect:
                 case SendTo():
@@ -65,15 +68,18 @@
                     self.changes.append((self.world.now, name, effect.name, effect.status, so))
 
     def kill(self, name: str, wipe: bool = False) -> None:
+        """End a head without a word."""
         self.world.down(name)
         self.down_since[name] = self.world.now
 
     def start(self, name: str) -> None:
+        """Start a head again."""
         self.down_since.pop(name, None)
         self.world.up(name)
         self.boot(name, 1 + self.world.machines[name].life if self.world.draws.random() < 0.5 else 1)
 
     def leave(self, name: str) -> None:
+        """End a head that says so."""
         self.put(name, Leaving(self.world.clock(name)))
         self.kill(name)
 
@@ -103,4 +109,5 @@
         )
 
     def suspicions(self) -> int:
+        """How often a head that was up was suspected."""
         return sum(status is Status.SUSPECT and not so for _, _, _, status, so in self.changes)
--- a/stoatrouter/lab/fleet/exhaustive.py
+++ b/stoatrouter/lab/fleet/exhaustive.py
@@ -84,6 +84,7 @@
 
     # -- what may happen next -----------------------------------------------------------------------------
     def actions(self) -> Iterator[tuple[str, int]]:
+        """All that may happen in this state."""
         for i, (_, _, message) in enumerate(self.between):
             yield f"deliver {type(message).__name__}", i
             yield "lose", i
@@ -128,6 +129,7 @@
         return new
 
     def put(self, i: int, event: Event) -> None:
+        """Reduce an event at one voter, and run its effects."""
         here = self.here[i]
         for effect in here.raft.reduce(event):
             match effect:
@@ -146,6 +148,7 @@
             raise Broken(f"two leaders of term {here.raft.term}")
 
     def send(self, i: int, send: Send) -> None:
+        """Put a message between two voters, once."""
         to = next(j for j, here in enumerate(self.here) if here.raft.me == send.to)
         if (i, to, send.message) not in self.between:
             self.between.append((i, to, send.message))
--- a/stoatrouter/lab/fleet/faults.py
+++ b/stoatrouter/lab/fleet/faults.py
@@ -63,6 +63,7 @@
 def strike(
     world: World, fault: Fault, kill: Callable[[str, bool], None], start: Callable[[str], None]
 ) -> None:
+    """Let one fault begin, and end after its span."""
     world.note(str(fault))
     whom = set(fault.whom)
     links = [link for (a, b), link in world.links.items() if (a in whom) != (b in whom)]
--- a/stoatrouter/lab/fleet/voters.py
+++ b/stoatrouter/lab/fleet/voters.py
@@ -106,6 +106,7 @@
 
     # -- machines -----------------------------------------------------------------------------------------
     def boot(self, name: str, voter: Voter, disk: Disk) -> None:
+        """Start a head with what its disk holds."""
         raft = self.make(
             voter,
             disk,
@@ -119,6 +120,7 @@
         self.world.on(name, TICK, lambda: self.fetch(name))
 
     def tick(self, name: str) -> None:
+        """Let time pass for a head."""
         self.put(name, Tick(self.world.clock(name)))
         self.world.on(name, TICK, lambda: self.tick(name))
 
@@ -143,12 +145,14 @@
         return all(2 * len(intact & set(voters)) > len(voters) for voters in sets)
 
     def start(self, name: str) -> None:
+        """Start a head again."""
         self.world.up(name)
         head = self.heads[name]
         self.boot(name, head.voter, head.disk)
 
     # -- events and effects -------------------------------------------------------------------------------
     def put(self, name: str, event: Event) -> None:
+        """Reduce an event at a head, and run its effects."""
         head = self.heads[name]
         for effect in head.raft.reduce(event):
             self.run(name, head, effect)
@@ -160,6 +164,7 @@
                 raise Broken(f"two leaders of term {raft.term}: {before} and {raft.me.identity}")
 
     def run(self, name: str, head: Head, effect: Effect) -> None:
+        """Run one effect."""
         match effect:
             case Send():
                 self.send(name, head, effect)
@@ -190,6 +195,7 @@
                 self.forgot += 1
 
     def send(self, name: str, head: Head, effect: Send) -> None:
+        """Send a message of the agreement."""
         sender, to = head.voter, effect.to
         self.world.note(f"{name}>{to.name} {effect.message!r:.60}")
 
@@ -201,6 +207,7 @@
         self.world.send(name, to.name, arrive)
 
     def wrote(self, name: str, head: Head) -> None:
+        """A head's oldest write is on its disk."""
         effect = head.pending.pop(0)
         head.disk = written(head.disk, effect.write)
         for send in effect.then:
@@ -211,6 +218,7 @@
         self.put(name, Wrote(self.world.clock(name), effect.number))
 
     def apply(self, name: str, head: Head, entry: Entry) -> None:
+        """A head applies an entry: it is held against what others applied."""
         # Promise: the same entry at each index of every head, none left out.
         before = self.applied.setdefault(entry.index, entry)
         if before != entry:
@@ -237,6 +245,7 @@
         world.on(name, timedelta(milliseconds=150), lambda: self.fetch(name))
 
     def answer(self, name: str, to: str, after: int) -> None:
+        """What a head tells one that follows."""
         raft = self.heads[name].raft
         term = raft.log.term(after)
         if term is not None and after:
@@ -315,4 +324,5 @@
 
 
 def restored(state: bytes) -> list[bytes]:
+    """The values that a snapshot holds."""
     return state.split(b"\n") if state else []
--- a/stoatrouter/lab/fleet/world.py
+++ b/stoatrouter/lab/fleet/world.py
@@ -43,6 +43,8 @@
 
 @dataclass(slots=True)
 class World:
+    """All machines, what is between them, and what happens next."""
+
     seed: int
     names: list[str]
     now: timedelta = ZERO
@@ -69,6 +71,7 @@
         return machine.offset + self.now * machine.rate
 
     def at(self, after: timedelta, what: Callable[[], None]) -> None:
+        """Let something happen after a span."""
         self.order += 1
         heapq.heappush(self.queue, (self.now + max(ZERO, after), self.order, what))
 
@@ -98,6 +101,7 @@
             self.at(delay, lambda: self.arrive(a, b, what))
 
     def arrive(self, a: str, b: str, what: Callable[[], None]) -> None:
+        """A message arrives, unless the link is cut or the machine is down."""
         machine = self.machines[b]
         if self.links[a, b].cut or not machine.up:
             return
@@ -110,6 +114,7 @@
         self.digest.update(f"{self.now // timedelta(microseconds=1)} {what}\n".encode())
 
     def step(self) -> bool:
+        """Let the next thing happen; whether there was one."""
         if not self.queue:
             return False
         at, _, what = heapq.heappop(self.queue)
@@ -119,6 +124,7 @@
         return True
 
     def run(self, until: timedelta, after_each: Callable[[], None] | None = None) -> None:
+        """Let everything happen up to a time."""
         while self.queue and self.queue[0][0] <= until:
             self.step()
             if after_each is not None:
@@ -127,6 +133,7 @@
 
     # -- faults -------------------------------------------------------------------------------------------
     def split(self, *sides: list[str], both: bool = True) -> None:
+        """Cut all links between these sides."""
         for i, side in enumerate(sides):
             for other in sides[i + 1 :]:
                 for a in side:
@@ -136,15 +143,19 @@
                             self.links[b, a].cut = True
 
     def heal(self) -> None:
+        """All links are whole again."""
         for link in self.links.values():
             link.cut, link.loss, link.twice, link.most = False, 0.0, 0.0, timedelta(milliseconds=8)
 
     def pause(self, name: str, span: timedelta) -> None:
+        """A machine stands still for a span."""
         self.machines[name].paused_until = self.now + span
 
     def down(self, name: str) -> None:
+        """A machine ends."""
         self.machines[name].up = False
 
     def up(self, name: str) -> None:
+        """A machine starts, in another life."""
         machine = self.machines[name]
         machine.up, machine.life, machine.paused_until = True, machine.life + 1, ZERO
--- a/stoatrouter/membership/detector.py
+++ b/stoatrouter/membership/detector.py
@@ -9,7 +9,7 @@
 very message that probes it (buddy system).
 
 A failed head is tried again once a period, one at a time, so that two halves of a split find each other
-again. What the detector says moves no share and no right (agreement/standing.py): it only guides who is
+again. What the detector says moves no share and no right (agreement/availability.py): it only guides who is
 waited for.
 """
 
