--- a/tests/heads/test_hollow.py
+++ b/tests/heads/test_hollow.py
@@ -374,3 +374,11 @@
     out, _ = command.communicate(timeout=60)
     assert command.returncode == 130 and "INTERRUPTED" in out and "fit " not in out
     assert not [pid for pid in started if os.path.exists(f"/proc/{pid}")]
+
+
+def test_a_serving_head_imports_no_hollow_one():
+    code = (
+        "import sys, stoatrouter.__main__, stoatrouter.peering.heads\n"
+        "assert not [name for name in sys.modules if name.startswith('stoatrouter.lab')], 'the lab'"
+    )
+    subprocess.run([sys.executable, "-c", code], cwd=ROOT, check=True, timeout=60)
