--- a/benchmarks/capacity/voters.py
+++ b/benchmarks/capacity/voters.py
@@ -109,6 +109,10 @@
     add("answers with nothing new, of all served", share(window, "empty", "served"), "share")
     add("refused, of all asked", share(window, "refused", "asked"), "share")
     add("failed otherwise, of all asked", share(window, "failed", "asked"), "share")
+    add("followers without an answer for 3 s", window.totals.cut_off, "count")
+    if window.totals.reports:
+        add("reports to the leader", window.followers_count("reports") / window.seconds, "1/s")
+        add("reports refused, of all", share(window, "reports_refused", "reports"), "share")
     add("longest wait of a follower", max(window.totals.longest_gap_s, window.totals.behind_s), "s")
     add(
         "body bytes of a follower out",
