Capacity: measure a fixed piece of work beside each figure, to tell the machine's state

Need: the same decision took 30 us of processor time beside little other work and 55 us at a load of 23. Change: harness.reference_ms, kept with each line of decision.py and request.py.

--- a/benchmarks/capacity/decision.py
+++ b/benchmarks/capacity/decision.py
@@ -99,8 +99,8 @@
         run.add(harness.Measurement(name, case.size, round(value, 2), "calls", case.seed, dict(details)))
 
 
-def report(run: harness.Run, case: Case, costs: Costs) -> None:
-    """Write down what a case has cost."""
+def report(run: harness.Run, case: Case, costs: Costs, reference_ms: float) -> None:
+    """Write down what a case has cost, and the reference work meanwhile."""
     outcomes, reading = costs.outcomes, costs.by_kind[Kind.READING]
     details: dict[str, float | int | str] = {
         "nodes": case.nodes,
@@ -111,6 +111,7 @@
         "sent": outcomes.sent,
         "refused": outcomes.refused,
         "failed": outcomes.failed,
+        "reference_ms": round(reference_ms, 2),
     }
 
     def add(what: str, value: float, unit: str) -> None:
@@ -134,7 +135,9 @@
     harness.require(memory_mb=500)
     with harness.recording("decision", arguments.out, arguments.at) as run:
         for case in cases(arguments):
-            report(run, case, measure(case, arguments.seconds))
+            before = harness.reference_ms()
+            costs = measure(case, arguments.seconds)
+            report(run, case, costs, (before + harness.reference_ms()) / 2)
             report_count(run, case, count(case))
     return 0
 
--- a/benchmarks/capacity/harness.py
+++ b/benchmarks/capacity/harness.py
@@ -20,6 +20,7 @@
 
 MOST_EXTRAPOLATED = 4.0  # times the largest size measured; beyond, a figure is marked as extrapolated
 MEMORY_SHARE = 0.5  # of the machine's memory, at most
+REFERENCE_SIZE = 200_000  # calls of a function
 EPHEMERAL_RANGE = Path("/proc/sys/net/ipv4/ip_local_port_range")
 MEMORY_INFO = Path("/proc/meminfo")
 
@@ -204,6 +205,16 @@
     return time.process_time() - before
 
 
+def reference_ms() -> float:
+    """The processor time of a fixed piece of work, in ms.
+
+    Where others use the machine all work takes longer: figures of different runs are held against each other
+    by this.
+    """
+    took = processor_seconds(lambda: min(range(REFERENCE_SIZE), key=lambda number: number % 1_000))
+    return took * 1_000
+
+
 def process_cpu(pid: int) -> float:
     """The processor time that another process has used since its start, user and system, in seconds."""
     fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
--- a/benchmarks/capacity/request.py
+++ b/benchmarks/capacity/request.py
@@ -74,6 +74,7 @@
     before: Usage
     after: Usage
     counts: Message
+    reference_ms: float  # processor time of the harness's reference work, before and after
     accepted: int  # connections that nodes accepted meanwhile
     open_at_nodes: int
     seconds: float
@@ -152,14 +153,17 @@
     if warm_up:
         made.ask(rate, warm_up)
     accepted = sum(node.ask({})["accepted"] for node in made.nodes)
+    reference = harness.reference_ms()
     before = made.head.usage()
     counts = made.ask(rate, seconds)
     after = made.head.usage()
+    reference = (reference + harness.reference_ms()) / 2
     seen = [node.ask({}) for node in made.nodes]
     return Phase(
         before,
         after,
         counts,
+        reference,
         sum(each["accepted"] for each in seen) - accepted,
         sum(each["open"] for each in seen),
         seconds,
@@ -174,6 +178,7 @@
         "connections": setting.connections,
         "volumes": setting.volumes,
         "rate": rate,
+        "reference_ms": round(phase.reference_ms, 2),
         **{key: round(value, 3) for key, value in counts.items()},
     }
 
