--- a/benchmarks/capacity/discovery_server.py
+++ b/benchmarks/capacity/discovery_server.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from benchmarks.capacity.children import Message, say, serve, specification
-from stoatrouter.lab.standins import StandInServers, StandInDiscovery
+from stoatrouter.lab.standins import StandInDiscovery, StandInServers
 
 
 @dataclass(slots=True)
--- a/benchmarks/capacity/nodes.py
+++ b/benchmarks/capacity/nodes.py
@@ -12,7 +12,7 @@
 
 from stoatrouter.lab.hollow.places import ZONES
 from stoatrouter.lab.hollow.worker import end_with_parent
-from stoatrouter.lab.standins import StandInServers, StandInDiscovery, StandInNode
+from stoatrouter.lab.standins import StandInDiscovery, StandInNode, StandInServers
 
 SHARDS = 2  # as the settings of the tests have it
 
--- a/benchmarks/capacity/one_head.py
+++ b/benchmarks/capacity/one_head.py
@@ -13,7 +13,8 @@
 import aiohttp
 
 from benchmarks.capacity.head_processes import FLEET, Usage, usage_of
-from tests.heads.processes import ROOT, end_with_parent, free_ports, own_host
+from tests.addresses import free_ports, own_host
+from tests.heads.processes import ROOT, end_with_parent
 from tests.peers import config_data, told
 
 SECRET = "s" * 40  # as tests/heads/processes.py writes it
--- a/stoatrouter/lab/hollow/worker.py
+++ b/stoatrouter/lab/hollow/worker.py
@@ -199,7 +199,7 @@
         head.name,
         head.life.value,
         head.why,
-        fleet.stands.state.value,
+        fleet.availability.state.value,
         fleet.leader or "",
         fleet.agreed.machine.index,
         0 if heads.rules is None else heads.rules.active,
--- a/tests/heads/test_capacity_control.py
+++ b/tests/heads/test_capacity_control.py
@@ -33,7 +33,7 @@
 from stoatrouter.peering.following import hash_of
 from stoatrouter.peering.settings import HeadsSettings
 from stoatrouter.peering.streams import MOST_OPEN, Streams, Unreachable
-from tests.heads.processes import free_ports
+from tests.addresses import free_ports
 from tests.peers import HOST, run, until
 
 SECOND = timedelta(seconds=1)
@@ -139,7 +139,7 @@
     raft = fleet.agreed.raft
     answer = await fleet.fetched(calls.Fetch(raft.commit, raft.log.term(raft.commit) or 0))
     told = msgspec.msgpack.decode(answer, type=calls.Fetched)
-    assert told.touched and not told.entries and told.snapshot is None
+    assert told.in_touch and not told.entries and told.snapshot is None
     return len(answer)
 
 
--- a/tests/heads/test_hollow.py
+++ b/tests/heads/test_hollow.py
@@ -37,7 +37,8 @@
 from stoatrouter.peering.envelope import Envelope, Seal
 from stoatrouter.peering.settings import load_heads
 from stoatrouter.peering.streams import MOST_OPEN, Streams, Unreachable
-from tests.heads.processes import ROOT, free_ports
+from tests.addresses import free_ports
+from tests.heads.processes import ROOT
 from tests.heads.test_rules_processes import RULES
 from tests.peers import config_data, run, told
 
