--- a/benchmarks/capacity/fleet.py
+++ b/benchmarks/capacity/fleet.py
@@ -14,8 +14,9 @@
 import sys
 import tempfile
 import time
-from argparse import ArgumentParser
+from argparse import ArgumentParser, Namespace
 from collections import Counter
+from collections.abc import Coroutine
 from pathlib import Path
 
 from benchmarks.capacity.harness import Measurement, Run, TooLarge, parser, process_memory_mb, recording
@@ -97,7 +98,7 @@
             run.add(
                 Measurement(f"{what} processor", heads, mean, "% of a core", seed, {"most": round(most, 2)})
             )
-            memory = max(real[name].memory_mb for name in names)  # type: ignore[attr-defined]
+            memory = max(real[name].memory_mb for name in names)
             run.add(Measurement(f"{what} memory, most", heads, memory, "MB", seed))
 
 
@@ -161,25 +162,25 @@
     made.add_argument("--spares", type=int, default=2, help="real heads that may come to vote, default 2")
 
 
-def size_of(given: object, heads: int) -> Size:
+def size_of(given: Namespace, heads: int) -> Size:
     """The size that arguments name."""
-    real = given.voters + given.spares + given.followers  # type: ignore[attr-defined]
+    real = given.voters + given.spares + given.followers
     if heads <= real:
         raise TooLarge(f"{heads} heads are asked for, {real} are real: fewer --followers, or a larger size")
     return Size(
         heads - real,
-        given.voters,  # type: ignore[attr-defined]
-        given.spares,  # type: ignore[attr-defined]
-        given.followers,  # type: ignore[attr-defined]
-        given.workers,  # type: ignore[attr-defined]
-        given.nodes,  # type: ignore[attr-defined]
+        given.voters,
+        given.spares,
+        given.followers,
+        given.workers,
+        given.nodes,
     )
 
 
-def interruptible(work: object) -> None:
+def interruptible(work: Coroutine[None, None, None]) -> None:
     """Run to the end, or to the first signal: what was started is ended then, too."""
     signal.signal(signal.SIGTERM, signal.default_int_handler)
-    asyncio.run(work)  # type: ignore[arg-type]
+    asyncio.run(work)
 
 
 def main() -> int:
--- a/stoatrouter/lab/hollow/launcher.py
+++ b/stoatrouter/lab/hollow/launcher.py
@@ -14,7 +14,7 @@
 import os
 import socket
 import sys
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -195,11 +195,11 @@
 
     async def crash(self, names: Iterable[str], within: float = 60.0) -> Census:
         """End heads as killed processes end."""
-        return await self._ask_each(lambda share: Crash(share), names, within)
+        return await self._ask_each(Crash, names, within)
 
     async def stop(self, names: Iterable[str], within: float = 60.0) -> Census:
         """End heads as processes that are asked to: each says that it leaves."""
-        return await self._ask_each(lambda share: Close(share), names, within)
+        return await self._ask_each(Close, names, within)
 
     async def part(self, sides: dict[str, int], apart: tuple[tuple[int, int], ...] = ()) -> Census:
         """Put a partition between heads on different sides, or these pairs of sides alone; none heals it."""
@@ -213,15 +213,15 @@
         """A round of reports: every head by name, whatever became of it."""
         return await self._ask_all(Tell(), within)
 
-    async def _ask_each(self, make: object, names: Iterable[str], within: float) -> Census:
+    async def _ask_each(
+        self, make: Callable[[tuple[str, ...]], Command], names: Iterable[str], within: float
+    ) -> Census:
         wanted = set(names)
         shares = {
             worker.number: tuple(name for name in worker.names if name in wanted) for worker in self.workers
         }
-        return await self._gather(
-            {number: make(share) for number, share in shares.items() if share},  # type: ignore[operator]
-            within,
-        )
+        commands = {number: make(share) for number, share in shares.items() if share}
+        return await self._gather(commands, within)
 
     async def _ask_all(self, command: Command, within: float) -> Census:
         return await self._gather({worker.number: command for worker in self.workers}, within)
