Let two capacity tests hang on counts alone, however busy the machine is

Cause: in a whole run at load 20 two failed. Functions were counted with what other libraries hook into garbage collections, which come at other moments in each run: 18,187 and 18,000 calls. 272 connections to one voter at once had half a second to come up. Change: collections wait while a decision's functions are counted; askers begin 16 at a time, each batch once the one before is held or refused. What is asserted stays.

--- a/benchmarks/capacity/virtual.py
+++ b/benchmarks/capacity/virtual.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import gc
 import heapq
 import itertools
 import random
@@ -186,11 +187,15 @@
         def count(frame: FrameType, what: str, argument: object) -> None:
             cost.function_calls += what == "call"
 
+        collects = gc.isenabled()
+        gc.disable()  # what others hook into collections is not the decision's
         sys.setprofile(count)
         try:
             return self.scheduler.handle(self.now, event)
         finally:
             sys.setprofile(None)
+            if collects:
+                gc.enable()
 
     def kind(self, event: api.Event) -> Kind:
         """What an event counts as."""
--- a/tests/heads/test_capacity_control.py
+++ b/tests/heads/test_capacity_control.py
@@ -194,6 +194,8 @@
 
 
 BEYOND = 16  # askers more than a voter answers at once
+AT_ONCE = 16  # a connection has half a second to come up, however busy the machine is
+ENOUGH = 60.0  # seconds; guards against a hang
 
 
 async def crowded_voter() -> tuple[Crowd, Crowd]:
@@ -235,8 +237,11 @@
         return True
 
     try:
-        asking = [asyncio.create_task(ask(asker, first)) for asker in askers]
-        await until(lambda: first.held + first.refused == len(askers))
+        asking = []
+        for begin in range(0, len(askers), AT_ONCE):
+            asking += [asyncio.create_task(ask(asker, first)) for asker in askers[begin : begin + AT_ONCE]]
+            begun = len(asking)
+            await until(lambda begun=begun: first.held + first.refused == begun)
         release.set()
         served = await asyncio.gather(*asking)
         now = again
@@ -251,7 +256,7 @@
 
 
 def bound_holds() -> None:
-    first, again = run(crowded_voter())
+    first, again = run(crowded_voter(), ENOUGH)
     assert (first.most_held, first.refused, first.served) == (MOST_OPEN, BEYOND, MOST_OPEN)
     assert (again.refused, again.served) == (0, BEYOND), "all are served in the end"
 
