--- a/stoatrouter/lab/hollow/worker.py
+++ b/stoatrouter/lab/hollow/worker.py
@@ -38,6 +38,7 @@
 )
 from stoatrouter.lab.hollow.network import Network
 from stoatrouter.lab.hollow.places import Place
+from stoatrouter.peering.operators import Operators
 from stoatrouter.peering.settings import load_heads
 
 PR_SET_PDEATHSIG = 1
@@ -190,24 +191,21 @@
     """One head's line of the report."""
     if head.heads is None or head.life not in (Life.STARTING, Life.RUNNING):
         return HeadReport(head.name, head.life.value, head.why, served=head.served, refused=head.refused)
-    heads, fleet = head.heads, head.heads.fleet
-    seen = dict.fromkeys(HeadReport.COUNTED, 0)
-    if fleet.datagrams is not None:
-        for news in fleet.datagrams.detector.roster.held.values():
-            seen[news.status.name.lower()] += 1
+    told = Operators(head.heads.fleet).told()  # as an operator is told
+    rules = head.heads.rules
     return HeadReport(
         head.name,
         head.life.value,
         head.why,
-        fleet.stands.state.value,
-        fleet.leader or "",
-        fleet.agreed.machine.index,
-        0 if heads.rules is None else heads.rules.active,
+        told["state"],
+        told["leader"] or "",
+        told["applied"],
+        0 if rules is None else rules.active,
         head.listed,
         head.served,
         head.refused,
         dict(head.counts),
-        seen,
+        {status: list(told["seen"].values()).count(status) for status in HeadReport.COUNTED},
     )
 
 
