Leave a head that has just ended out of a sample; the leader's scene at 740 heads

Cause: a head listed as up ended before its processor time was read from /proc; the sampler died and with it the restart's scene at 740. Change: such a head is left out of that sample.

--- a/benchmarks/capacity/mixed.py
+++ b/benchmarks/capacity/mixed.py
@@ -226,9 +226,12 @@
 
 
 def cpu_of(fleet: CapacityFleet) -> dict[str, float]:
-    """Processor seconds of each worker and each real head."""
+    """Processor seconds of each worker and each real head; one that has just ended is left out."""
     used = {f"worker {number}": answer.cpu_seconds for number, answer in fleet.hollow.answers.items()}
-    return used | {head.name: head.cpu for head in fleet.real.up}  # type: ignore[attr-defined]
+    for head in fleet.real.up:
+        with contextlib.suppress(FileNotFoundError):
+            used[head.name] = head.cpu  # type: ignore[attr-defined]
+    return used
 
 
 def count_of(told: dict[str, object], kind: str) -> int:
