End the fleet's benchmarks on an interrupt also where their starter ignores it

Cause: a whole run of the tests that a shell had started in the background failed once: a program started there inherits that interrupts are ignored, Python then sets no handler, and the command ran on for the 60 s of the test. Ruled out: a cancellation that is swallowed (the run went on measuring, no cancellation came). Change: both signals get the handler. The test starts the command that way now, as the harder case: fails without the change (66 s), passes with it (6 s).

--- a/benchmarks/capacity/fleet.py
+++ b/benchmarks/capacity/fleet.py
@@ -178,8 +178,12 @@
 
 
 def interruptible(work: Coroutine[None, None, None]) -> None:
-    """Run to the end, or to the first signal: what was started is ended then, too."""
-    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    """Run to the end, or to the first signal: what was started is ended then, too.
+
+    Also where whoever started this ignores interrupts, as shells do for what they run in the background.
+    """
+    for number in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(number, signal.default_int_handler)
     asyncio.run(work)
 
 
--- a/tests/heads/test_hollow.py
+++ b/tests/heads/test_hollow.py
@@ -365,6 +365,7 @@
         stderr=subprocess.PIPE,
         text=True,
         start_new_session=True,
+        preexec_fn=lambda: signal.signal(signal.SIGINT, signal.SIG_IGN),  # as a shell starts background jobs
     )
     assert command.stderr is not None
     while "hollow heads run" not in (line := command.stderr.readline()):
