Virtual time: customers made and volumes moved during faults, heads with ledgers

Cause: the lab's credit fleet made all customers before the first fault and asked escrows by customer, so a gate that takes an unknown volume for a free one could not be seen. Change: heads follow the account's log by polls, restore it at a start and decide by the program's gate; the world knows whose a volume was.

--- a/stoatrouter/lab/fleet/credit.py
+++ b/stoatrouter/lab/fleet/credit.py
@@ -59,7 +59,7 @@
 
     def __post_init__(self) -> None:
         """Make the customers and start all heads."""
-        self.account = CreditAccount(self.world, self.make_ledger())
+        self.account = self.make_account()
         for i in range(self.customers):
             name = f"c{i}"
             self.charged[name] = 0
@@ -70,6 +70,10 @@
             self.boot(name, f"{name}/0", CreditDisk())
         self.world.schedule(EXPIRY_INTERVAL, self.account.expire_allotments)
 
+    def make_account(self) -> CreditAccount:
+        """Make the account."""
+        return CreditAccount(self.world, self.make_ledger())
+
     @property
     def names(self) -> list[str]:
         """The names of all heads."""
--- a/stoatrouter/lab/fleet/credit_head.py
+++ b/stoatrouter/lab/fleet/credit_head.py
@@ -26,9 +26,10 @@
 
 @dataclass(slots=True)
 class CreditDisk:
-    """What a head's process leaves behind: what was spent of each allotment (an escrow's `Record`)."""
+    """What a head's process leaves behind: what was spent of each allotment, as an escrow's `Record`."""
 
     spent: dict[str, int] = field(default_factory=dict)
+    log: list[bytes] = field(default_factory=list)  # of committed commands, where heads follow the ledger
 
     def begin(self, allotment: str) -> bool:
         """Record an allotment; there is always space for it."""
--- a/stoatrouter/lab/fleet/stories.py
+++ b/stoatrouter/lab/fleet/stories.py
@@ -11,6 +11,7 @@
 from stoatrouter.lab.fleet import faults
 from stoatrouter.lab.fleet.credit import CreditFleet
 from stoatrouter.lab.fleet.credit_account import ACCOUNT
+from stoatrouter.lab.fleet.credit_ledger import LedgerFleet
 from stoatrouter.lab.fleet.faults import Fault, FaultKind
 from stoatrouter.lab.fleet.register_clients import run_client
 from stoatrouter.lab.fleet.voter_changes import change_voters
@@ -148,6 +149,34 @@
     return fleet
 
 
+def run_ledger(seed: int, heads: int = 5, span: timedelta = 20 * SECOND, **options: Any) -> LedgerFleet:
+    """Run credit under faults while customers are made and volumes move; heads know the ledger by copies.
+
+    Args:
+        seed: Everything that is random.
+        heads: How many heads there are, beside the account.
+        span: How long faults and clients go on.
+        options: Passed on to `LedgerFleet`.
+
+    Returns:
+        The fleet at the end of the run.
+
+    Raises:
+        InvariantViolated: An invariant does not hold.
+    """
+    world = World(seed, [*(f"h{i}" for i in range(heads)), ACCOUNT])
+    fleet = LedgerFleet(world, **options)
+    for i in range(fleet.customers):
+        fleet.put_customer(f"c{i}", f"v{i}")
+    schedule_credit_run(fleet, seed, span, wipes=True)
+    fleet.change_owners(span)
+    world.run(span)
+    restart_all(fleet, fleet.names)
+    world.run(span + CREDIT_SETTLE_TIME)
+    fleet.check_settled()
+    return fleet
+
+
 def schedule_credit_run(fleet: CreditFleet, seed: int, span: timedelta, wipes: bool) -> None:
     """Schedule the faults, requests and top-ups of a run of credit."""
     world = fleet.world
