Judge: whose a volume may have been; customers made and volumes moved in faults

Cause: all customers of a run were made before its first fault, and a request named its customer, so the judge could not see a volume served free of charge after it had got one. Change: the history has the calls that make customers; a request names its volume, and must be charged where by no ledger that a head may decide by the volume was free or another's. LedgerChaos makes customers and moves a volume while heads start cut off, without their folders too; a lost folder lets a head begin with its own files again.

--- a/stoatrouter/lab/histories/history.py
+++ b/stoatrouter/lab/histories/history.py
@@ -42,6 +42,28 @@
     charge: int
     status: int  # of HTTP; 0: no answer came
     head: str = ""
+    volume: str = ""  # "": it is the customer's all the time
+
+
+class CustomerPut(Line, frozen=True, tag="customer"):
+    """A call that makes a customer, or gives it other volumes, which are taken from whoever had them."""
+
+    until: float
+    customer: str
+    volumes: list[str]
+    status: int  # of HTTP; 0: no answer came
+
+
+class LedgerBehind(Line, frozen=True, tag="ledger_behind"):
+    """How old the ledger may be by which a head decides, from this moment on."""
+
+    seconds: float
+
+
+class FolderLost(Line, frozen=True, tag="folder_lost"):
+    """A head's folder was lost while it was down: nothing that it had stored is there from now on."""
+
+    head: str
 
 
 class Settled(Line, frozen=True, tag="settled"):
--- /dev/null
+++ b/tests/heads/ledger_chaos.py
@@ -0,0 +1,148 @@
+"""Random faults while customers are made and volumes move: what a head knows of the ledger matters.
+
+Beside the faults of `chaos`, heads without a vote lose their folders, and heads start while they are cut off.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import shutil
+import time
+from typing import Any
+
+from tests.heads.chaos import FAULTS, MORE, Chaos
+from tests.heads.history_clients import OK, PRICE, VOLUMES
+from tests.heads.processes import HeadProcess
+
+CUT_OFF_AFTER = 1.5  # seconds
+LEASE = 2.0  # of MORE; a charge may be booked on an allotment of who had the volume before
+LEDGER_MORE = MORE + f'cut_off_after: "{CUT_OFF_AFTER}s"\nwait_at_start: "1s"\n'
+LONGEST_BEHIND = max(CUT_OFF_AFTER, LEASE) * 1.05 + 0.1  # clocks that drift, and what a loop may lag
+MOVING = "00000003b4d60030"
+MADE = [f"00000003b4d600{number}" for number in range(40, 52)]  # nobody's until a customer is made
+CHANGE_INTERVAL = (0.3, 1.5)  # seconds
+
+
+class LedgerChaos(Chaos):
+    """One run."""
+
+    faults_drawn = [*FAULTS, "lose_folder", "start_cut_off", "start_cut_off"]
+
+    def __init__(self, *of_chaos: Any) -> None:
+        super().__init__(*of_chaos)
+        self.made = 0  # customers, of MADE
+        self.lost: dict[str, int] = dict.fromkeys(VOLUMES, 0)  # what lost folders may have held, by customer
+        self.changes: asyncio.Task[None] | None = None
+
+    async def put_customers(self) -> None:
+        """Make the first customers, and go on to make others and move a volume while faults go on."""
+        await super().put_customers()
+        self.write("ledger_behind", time.time(), seconds=LONGEST_BEHIND)
+        for name, volume in VOLUMES.items():
+            self.write("customer", 0.0, until=0.0, customer=name, volumes=[volume], status=OK)
+        self.changes = asyncio.create_task(self.change_owners())
+
+    # -- customers ----------------------------------------------------------------------------------------
+    async def change_owners(self) -> None:
+        """Make customers of free volumes, and move a volume to and fro."""
+        while not self.over:
+            await asyncio.sleep(self.draws.uniform(*CHANGE_INTERVAL))
+            head = self.some()
+            if head is None:
+                continue
+            if self.made < len(MADE) and self.draws.random() < 0.6:
+                self.made += 1
+                await self.put(head, f"made{self.made}", MADE[self.made - 1])
+            else:
+                customer = self.draws.choice(["acme", "other"])
+                await self.put(head, customer, VOLUMES[customer], MOVING)
+
+    async def put(self, head: HeadProcess, customer: str, *volumes: str) -> None:
+        """Make a customer, or give it these volumes."""
+        at = time.time()
+        record = {"volumes": list(volumes), "by": "chaos", "why": "run", "low_water": 10 * PRICE}
+        status, _ = await head.call("PUT", f"/control/credit/customers/{customer}", record)
+        self.write("customer", at, until=time.time(), customer=customer, volumes=volumes, status=status)
+
+    async def request(self, head: HeadProcess) -> None:
+        """Make one request of a volume that is somebody's, that moves, or that may get a customer."""
+        volume = self.draws.choice([*VOLUMES.values(), MOVING, MOVING, *MADE[: self.made + 2]])
+        units = self.draws.randint(1, 4)
+        id, at = self.name("r"), time.time()
+        status, _ = await head.read(id, volume, units=units, deadline=1500)
+        charge = units * PRICE
+        line = {"id": id, "customer": "", "volume": volume, "charge": charge, "head": head.name}
+        self.write("request", at, until=time.time(), status=status, **line)
+
+    # -- faults -------------------------------------------------------------------------------------------
+    async def inject(self, fault: str, head: HeadProcess | None, duration: float) -> None:
+        """Inject one fault."""
+        match fault:
+            case "lose_folder":
+                await self.lose_folder(self.fleet[self.draws.choice(self.followers)], duration)
+            case "start_cut_off":
+                await self.start_cut_off(head, duration)
+            case _:
+                await super().inject(fault, head, duration)
+
+    @property
+    def followers(self) -> list[str]:
+        """Heads without a vote: what they lose, no promise of the agreement hangs on."""
+        return [name for name in self.fleet.names if name not in self.fleet.voters]
+
+    async def lose_folder(self, head: HeadProcess, duration: float) -> None:
+        """Kill a head, note what its folder may hold of each customer, and start it without it, cut off."""
+        if head not in self.fleet.up or len(self.fleet.up) <= 2:
+            return
+        await head.kill()
+        held = await self.held_by(head.name)
+        if held is not None:
+            for customer, amount in held.items():
+                self.lost[customer] += amount
+            shutil.rmtree(head.disk)
+            self.write("folder_lost", time.time(), head=head.name)
+        self.cut_off(head)
+        self.restarts.append(asyncio.create_task(self.start_after(min(duration, 1.0), head)))
+
+    async def start_cut_off(self, head: HeadProcess, duration: float) -> None:
+        """Kill a head, cut it off from all others, and start it again."""
+        if len(self.fleet.up) > 2:
+            await head.kill()
+            self.cut_off(head)
+            self.restarts.append(asyncio.create_task(self.start_after(min(duration, 1.0), head)))
+
+    def cut_off(self, head: HeadProcess) -> None:
+        """Cut a head off from all others."""
+        others = [name for name in self.fleet.names if name != head.name]
+        self.fleet.relay.split([head.name], others)
+
+    async def held_by(self, name: str) -> dict[str, int] | None:
+        """What a dead head may have spent and not reported, by customer; None where nobody can say."""
+        held = {}
+        for customer in VOLUMES:
+            account = await self.read_account(customer)
+            if account is None:
+                return None
+            out = [allotment for allotment in account["out"].values() if allotment["head"] == name]
+            held[customer] = sum(allotment["amount"] - allotment["spent"] for allotment in out)
+        return held
+
+    async def read_account(self, customer: str) -> dict[str, Any] | None:
+        """An account, as the first head that can confirm it has it."""
+        for head in self.fleet.up:
+            status, account = await head.call("GET", f"/control/credit/customers/{customer}")
+            if status == OK:
+                return account
+        return None
+
+    # -- the end ------------------------------------------------------------------------------------------
+    async def settle(self, healed: float, in_touch: float) -> None:
+        """As in every run; the customers that were made are settled too."""
+        assert self.changes is not None
+        await self.changes
+        await super().settle(healed, in_touch)
+        for number in range(1, self.made + 1):
+            account = await self.read_account(f"made{number}")
+            if account is not None:
+                figures = {key: account[key] for key in ("paid", "charged", "balance")}
+                self.write("settled", time.time(), customer=f"made{number}", **figures)
--- a/tests/heads/test_histories.py
+++ b/tests/heads/test_histories.py
@@ -7,7 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from stoatrouter.lab.histories.history import History, Payment, RegisterLine, Request
+from stoatrouter.lab.histories.history import CustomerPut, History, Payment, RegisterLine, Request
 from stoatrouter.lab.histories.judge import describe, judge
 from stoatrouter.lab.histories.linear import (
     NEVER,
@@ -20,6 +20,7 @@
     register_model,
 )
 from tests.heads.chaos import MORE, Chaos
+from tests.heads.ledger_chaos import LEDGER_MORE, LedgerChaos
 from tests.heads.processes import heads_up
 from tests.heads.rules_clients import rules
 from tests.peers import run
@@ -183,6 +184,14 @@
     assert words in wrong
 
 
+def test_a_head_that_lost_its_folder_begins_with_its_own_files():
+    logs = {"a": [version(2) | {"at": 1.0}, version(1) | {"at": 3.0}]}
+    assert judge(History([{"what": "folder_lost", "at": 2.0, "head": "a"}], logs)) == []
+    for lost in ({"at": 2.0, "head": "b"}, {"at": 4.0, "head": "a"}, {"at": 0.5, "head": "a"}):
+        (wrong,) = judge(History([{"what": "folder_lost"} | lost], logs))
+        assert "back to 1" in wrong
+
+
 def test_a_head_that_was_seen_as_failed_is_found_out_in_time():
     assert judge(History([DOWN], {"a": [seen("failed")]})) == []
 
@@ -205,3 +214,72 @@
             assert done.count(200) > 50
 
     run(story(), 170.0)
+
+
+# -- customers made and volumes moved during the faults ----------------------------------------------------
+def put(customer, at, until=None, status=200, volumes=("v",)) -> dict:
+    end = at if until is None else until
+    line = {"what": "customer", "at": at, "until": end, "customer": customer, "volumes": list(volumes)}
+    return line | {"status": status}
+
+
+def of_volume(id, at, status=200, until=None, volume="v") -> dict:
+    return request(id, status, at) | {
+        "customer": "",
+        "volume": volume,
+        "until": at if until is None else until,
+    }
+
+
+BEHIND = {"what": "ledger_behind", "at": 0.0, "seconds": 2.0}
+
+
+@pytest.mark.parametrize(
+    ("lines", "words"),
+    [
+        # nobody's, and served free
+        ([of_volume("1", 5.0), put("x", 6.0), settled(0, 0)], ""),
+        # a customer's for longer than any ledger may be old, and served without a charge
+        ([put("x", 1.0), pay("t", 100), of_volume("1", 5.0), settled(100, 0)], "clients say 10"),
+        ([put("x", 1.0), of_volume("1", 5.0)], "more than was paid in"),
+        # a moment behind: charged or not, both may be
+        ([put("x", 4.0), pay("t", 100), of_volume("1", 5.0), settled(100, 0)], ""),
+        ([put("x", 4.0), pay("t", 100), of_volume("1", 5.0), settled(100, 10)], ""),
+        # asked before the customer was there, answered long after
+        ([put("x", 4.0), pay("t", 100), of_volume("1", 3.0, until=9.0), settled(100, 0)], ""),
+        # the call's caller never knew; it may come at any time, but not before it was made
+        ([put("x", 1.0, status=503), pay("t", 100), of_volume("1", 5.0), settled(100, 10)], ""),
+        ([put("x", 6.0, status=503), pay("t", 100), of_volume("1", 5.0), settled(100, 10)], "clients say 0"),
+        ([put("x", 1.0, status=409), pay("t", 100), of_volume("1", 5.0), settled(100, 10)], "clients say 0"),
+        # moved: charged to one of them while a ledger may be old, to the second afterwards
+        ([put("y", 1.0), put("x", 4.0), pay("t", 100), of_volume("1", 5.0), settled(100, 0)], ""),
+        (
+            [put("y", 1.0), put("x", 4.0), pay("t", 100), of_volume("1", 7.0), settled(100, 0)],
+            "clients say 10",
+        ),
+        # x is put again without the volume
+        ([put("x", 1.0), put("x", 2.0, volumes=()), of_volume("1", 5.0), settled(0, 0)], ""),
+    ],
+)
+def test_the_judge_knows_whose_a_volume_may_have_been(lines, words):
+    wrong = describe(judge(History([BEHIND, *lines], {})))
+    assert words in wrong if words else wrong == "all promises are kept"
+
+
+@pytest.mark.parametrize("seed", [3, 4])
+def test_customers_made_and_volumes_moved_while_heads_lose_folders(tmp_path, seed):
+    """Kills and lost folders of cut-off heads beside the other faults: nothing is served uncharged."""
+
+    async def story():
+        async with heads_up(tmp_path, seed=seed, more=LEDGER_MORE, http=rules("own")) as fleet:
+            chaos = LedgerChaos(fleet, seed, tmp_path / "history.jsonl")
+            history = await chaos.run(14, detect=False)
+            wrong = judge(history)
+            assert not wrong, describe(wrong) + "\n" + "\n".join(chaos.faults)
+            statuses = [request.status for request in history.of(Request)]
+            print(
+                f"{len(statuses)} requests, {statuses.count(200)} served, {len(history.of(CustomerPut))} puts"
+            )
+            assert statuses.count(200) > 50 and len(history.of(CustomerPut)) > 3
+
+    run(story(), 170.0)
