--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import tempfile
+from collections.abc import Iterator
 from dataclasses import replace
 from datetime import timedelta
 
@@ -11,10 +12,11 @@
 from stoatrouter import head
 from stoatrouter.core.list_times import list_times
 from stoatrouter.net import listener
-from tests.known_red import read_known_red
+from tests.known_red import pass_over, read_known_red
 
 FLEETS_AT_ONCE = 4  # of three to five processes each: more of them crowd eight cores
 STARTERS_OF_FLEETS = ("heads_up", "play")
+KNOWN_RED = read_known_red()
 
 
 @pytest.hookimpl(tryfirst=True)  # pytest-xdist reads the groups in this hook
@@ -22,11 +24,15 @@
     """Deal the tests that start a fleet of processes out to a few groups; each runs in one worker."""
     for number, item in enumerate(filter(starts_fleet, items)):
         item.add_marker(pytest.mark.xdist_group(f"fleet{number % FLEETS_AT_ONCE}"))
-    known_red = read_known_red()
-    for item in items:
-        if item.nodeid in known_red:
-            entry = known_red[item.nodeid]
-            item.add_marker(pytest.mark.xfail(reason=f"{entry.cause} ({entry.issue})", strict=False))
+
+
+@pytest.hookimpl(hookwrapper=True)
+def pytest_runtest_makereport(item: pytest.Item, call: pytest.CallInfo[None]) -> Iterator[None]:
+    """Pass over the known failures of listed tests."""
+    outcome = yield
+    entry = KNOWN_RED.get(item.nodeid)
+    if entry is not None:
+        pass_over(outcome.get_result(), call, entry)
 
 
 def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
@@ -36,9 +42,9 @@
         for name in ("xfailed", "xpassed")
         for report in terminalreporter.stats.get(name, [])
     }
-    for entry in read_known_red().values():
+    for entry in KNOWN_RED.values():
         became = {"xfailed": "failed", "xpassed": "passed"}.get(results.get(entry.test, ""), "not run")
-        terminalreporter.write_line(f"known red, {became}: {entry.test}: {entry.cause} ({entry.issue})")
+        terminalreporter.write_line(f"known red, {became}: {entry.test}: {entry.reason}")
 
 
 def starts_fleet(item: pytest.Item) -> bool:
