The retry budget holds the arrivals of one window, not all of them

Callers saw: memory that grows with each request, without end.

Cause: times were dropped only where a retry was weighed, and never where the settings name no window; with a window it grew until the next retry too.

Change: old times are dropped with each arrival, nothing is noted without a window. It holds as the answers stay those of the definition (property test) and what is held is one window.

--- a/stoatrouter/policy/retry_budget.py
+++ b/stoatrouter/policy/retry_budget.py
@@ -8,7 +8,11 @@
 
 
 class RetryBudget:
-    """Counts arrivals and retries; a retry is allowed up to a minimum plus a ratio of the arrivals."""
+    """Counts arrivals and retries; a retry is allowed up to a minimum plus a ratio of the arrivals.
+
+    What is older than the window is dropped with each arrival, not only when a retry is weighed: that may be
+    hours apart where answers are good, and memory would grow with each request.
+    """
 
     def __init__(self, rules: Rules) -> None:
         """Start with nothing counted; without `retry_budget_window` every retry is allowed."""
@@ -18,23 +22,29 @@
 
     def note_arrival(self, now: int) -> None:
         """Count a client's request that arrived at `now` (microseconds)."""
+        if self.rules.retry_budget_window is None:
+            return
         self.arrivals.append(now)
+        self._drop_old(now, self.rules.retry_budget_window)
 
     def note_retry(self, now: int) -> None:
         """Count a retry sent at `now` (microseconds)."""
-        self.retries.append(now)
+        if self.rules.retry_budget_window is not None:
+            self.retries.append(now)
 
     def allows_retry(self, now: int) -> bool:
         """Whether the budget takes one more retry at `now` (microseconds)."""
         rules = self.rules
         if rules.retry_budget_window is None:
             return True
-        since = now - rules.retry_budget_window
-        drop_before(self.retries, since)
-        drop_before(self.arrivals, since + 1)
+        self._drop_old(now, rules.retry_budget_window)
         allowed = rules.retry_budget_min + rules.retry_budget_ratio * len(self.arrivals)
         return len(self.retries) + 1 <= allowed
 
+    def _drop_old(self, now: int, window: int) -> None:
+        drop_before(self.retries, now - window)
+        drop_before(self.arrivals, now - window + 1)
+
 
 def drop_before(times: deque[int], first: int) -> None:
     """Drop all times before `first` from the left of an ascending queue."""
--- /dev/null
+++ b/tests/test_held_memory.py
@@ -0,0 +1,138 @@
+"""What is held after many requests does not grow with their number, whatever optional settings are missing.
+
+What happened: where the settings name no window for the retry budget (`CountedOver`), the time of each
+arrival was held for ever, 25,000 after 25,000 requests. With a window it was held until the next retry was
+weighed: for hours, on a head whose nodes answer well. Why: times were dropped only where the budget was
+asked. They are dropped with each arrival now, and not noted where there is no window.
+"""
+
+from __future__ import annotations
+
+import gc
+from types import FunctionType, MethodType, ModuleType
+
+from hypothesis import Phase, given, settings
+from hypothesis import strategies as st
+
+from stoatrouter.policy import interface as api
+from stoatrouter.policy.retry_budget import RetryBudget
+from tests.scheduler_driver import EXPORT, MS, PLAN, READ, SECOND, WRITE, SchedulerDriver, answer_after
+
+CONTAINERS = (dict, list, set, tuple)
+NOT_STATE = (ModuleType, FunctionType, MethodType, type, str, bytes, int, float)
+REQUESTS = 150  # of one round
+INTERVAL = 20 * MS
+QUIET = 70 * SECOND  # longer than anything is retained
+# Each round meets other volumes, keys and shards: what is held of them has to go.
+MOST_GROWTH = 20
+
+ORDERED = api.RequestClass(
+    "ordered", priority_weight=3, latency_objective=400 * MS, deadline=2 * SECOND, ordered_by_key=True
+)
+
+
+def held(root: object) -> int:
+    """How many elements the containers hold that can be reached from an object."""
+    seen: set[int] = set()
+    to_visit, count = [root], 0
+    while to_visit:
+        found = to_visit.pop()
+        if id(found) in seen or isinstance(found, NOT_STATE):
+            continue
+        seen.add(id(found))
+        if isinstance(found, CONTAINERS) or hasattr(found, "popleft"):
+            count += len(found)
+        to_visit += gc.get_referents(found)
+    return count
+
+
+optional = st.fixed_dictionaries(
+    {},
+    optional={
+        "retry_budget_window": st.sampled_from([SECOND, 10 * SECOND]),
+        "retry_budget_ratio": st.just(0.2),
+        "retry_budget_min": st.just(2.0),
+        "key_hold_down": st.just(300 * MS),
+        "poll_within": st.just(SECOND),
+        "warm_up_time": st.just(3 * SECOND),
+        "overload_window": st.just(500 * MS),
+        "charged_on_arrival": st.booleans(),
+    },
+)
+general = st.fixed_dictionaries(
+    {},
+    optional={
+        "hosts": st.integers(1, 4),
+        "parallel_attempts": st.booleans(),
+        "may_cancel": st.booleans(),
+        "health_checks": st.booleans(),
+        "must_subscribe": st.booleans(),
+        "meter_period": st.just(SECOND),
+        "meters_others": st.booleans(),
+        "max_attempts": st.integers(1, 3),
+    },
+)
+plans = st.sampled_from([PLAN, api.Plan("limited", 50, limit=40, burst=5)])
+outcomes = st.sampled_from([api.Outcome.OK, api.Outcome.TIMEOUT, api.Outcome.FULL, api.Outcome.RESET])
+
+
+def play_round(driver: SchedulerDriver, number: int, reply) -> int:
+    """Many requests of volumes, keys and shards that were not met before, then quiet; what is held."""
+    for i in range(REQUESTS):
+        name = f"r{number}-{i}"
+        driver.request(name, i % 4, volume=f"v{name}", shard=i % 3, key=f"k{name}")
+        driver.wait(INTERVAL, reply)
+    driver.wait(QUIET, reply)
+    driver.log.clear()
+    driver.attempts.clear()
+    return held(driver.scheduler)
+
+
+@given(optional, general, plans, outcomes)
+@settings(max_examples=12, deadline=None, phases=[Phase.generate])  # a round takes a second: no shrinking
+def test_a_scheduler_holds_no_more_after_more_requests(rules, more, plan, outcome):
+    nodes = [api.NodeEntry(f"n{i}", i) for i in range(3)]
+    classes = (READ, WRITE, EXPORT, ORDERED)
+    driver = SchedulerDriver(classes=classes, plans=(plan,), rules=rules, nodes=nodes, **more)
+    reply = answer_after(10 * MS, outcome)
+    play_round(driver, 0, reply)
+    after_one = play_round(driver, 1, reply)
+    after_two = play_round(driver, 2, reply)
+    assert after_two <= after_one + MOST_GROWTH, (after_one, after_two)
+
+
+def test_arrivals_are_held_for_the_window_alone_though_nothing_is_retried():
+    rules = api.Rules(retry_budget_window=SECOND, retry_budget_ratio=0.1)
+    budget = RetryBudget(rules)
+    for i in range(10_000):
+        budget.note_arrival(i * 10 * MS)
+        assert len(budget.arrivals) <= 101
+    without_window = RetryBudget(api.Rules())
+    for i in range(1000):
+        without_window.note_arrival(i)
+        without_window.note_retry(i)
+    assert not without_window.arrivals and not without_window.retries
+
+
+@given(
+    st.lists(st.tuples(st.booleans(), st.integers(0, 400)), max_size=80),
+    st.integers(1, 1000),
+    st.sampled_from([0.0, 0.1, 0.5]),
+)
+def test_dropping_early_changes_no_answer(steps, window, ratio):
+    """Against the definition: arrivals after `now - window`, retries from there on."""
+    budget = RetryBudget(api.Rules(retry_budget_window=window, retry_budget_min=1, retry_budget_ratio=ratio))
+    arrivals, retries, now = [], [], 0
+    for is_arrival, span in steps:
+        now += span
+        if is_arrival:
+            arrivals.append(now)
+            budget.note_arrival(now)
+            continue
+        counted = sum(at > now - window for at in arrivals)
+        spent = sum(at >= now - window for at in retries)
+        allowed = spent + 1 <= 1 + ratio * counted
+        assert budget.allows_retry(now) is allowed
+        if allowed:
+            retries.append(now)
+            budget.note_retry(now)
