A head whose disk takes no writes does not hold each write that it asked for

Callers saw: memory of such a head that grows, by a write for each poll, two a second and more, as long as it runs.

Cause: pending_writes waits for the end of each write, and a broken disk ends none. Change: once the disk has failed, none is waited for.

--- a/stoatrouter/agreement/raft.py
+++ b/stoatrouter/agreement/raft.py
@@ -130,6 +130,8 @@
         """Neither vote nor acknowledge any more; a leader steps down."""
         rejected = self._reject_pending_reads(RejectReason.DISK_FAILED) if self.leads else []
         self.abstains = True
+        self.disk_failed = True
+        self.pending_writes.clear()
         self._become_follower(None)
         return rejected
 
--- a/stoatrouter/agreement/state.py
+++ b/stoatrouter/agreement/state.py
@@ -88,6 +88,7 @@
     role: Role = Role.FOLLOWER
     leader: Voter | None = None
     abstains: bool = False  # its disk broke a promise: it neither votes nor acknowledges
+    disk_failed: bool = False  # it takes no writes, so none that is asked for ever ends
     commit_index: int = 0
     last_applied: int = 0
     durable_index: int = 0  # the last entry on this head's disk
@@ -193,5 +194,6 @@
 
     def _persist(self, write: Write, then: tuple[Send, ...] = ()) -> Persist:
         self.last_write_number += 1
-        self.pending_writes[self.last_write_number] = self.log.last
+        if not self.disk_failed:
+            self.pending_writes[self.last_write_number] = self.log.last
         return Persist(self.last_write_number, write, then)
--- a/stoatrouter/peering/replication.py
+++ b/stoatrouter/peering/replication.py
@@ -108,6 +108,7 @@
         self.machine = machine
         self.raft = Raft(me, stored.disk, seed, timing, now=now())
         self.raft.abstains = not stored.writable
+        self.raft.disk_failed = not stored.writable
         self.disk_writable = stored.writable
         self.changed = asyncio.Event()
         self.restore_listeners: list[Callable[[], None]] = []
--- a/tests/heads/test_agreement.py
+++ b/tests/heads/test_agreement.py
@@ -16,6 +16,7 @@
     AppendEntriesReply,
     Apply,
     CommittedReceived,
+    DiskFailed,
     Entry,
     LogLost,
     Persist,
@@ -303,6 +304,19 @@
     assert not raft.reduce(Received(2 * MS, voter(2), RequestVote(9, 99, 9, False)))
 
 
+def test_a_head_whose_disk_takes_no_writes_waits_for_none():
+    """It follows by polls for as long as it runs: each was a write that never ended, held for ever."""
+    raft = Raft(voter(3), GENESIS, 1)
+    raft.reduce(CommittedReceived(MS, 1, 0, (Entry(2, 1, "c", b"x"),), 2))
+    assert raft.pending_writes
+    raft.reduce(DiskFailed(2 * MS))
+    for index in range(3, 100):
+        at = index * MS
+        effects = raft.reduce(CommittedReceived(at, index - 1, 1, (Entry(index, 1, "c", b"x"),), index))
+        assert any(isinstance(effect, Apply) for effect in effects)
+    assert not raft.pending_writes
+
+
 def test_two_changes_of_voters_at_once_are_rejected():
     raft = elected(Raft(voter(0), GENESIS, 1))
     body = encode_voters(THREE[:2])
