A rejected read that nobody waits for leaves nothing behind

Callers saw: nothing but memory that grows, by a record for each read that had timed out when its leader stepped down.

Cause: a rejection without a waiting read was kept as a proposal's, by id, and no proposal has that id. Change: the outcome of the one proposal at hand is kept, as each is answered at once.

--- a/stoatrouter/peering/replication.py
+++ b/stoatrouter/peering/replication.py
@@ -124,9 +124,7 @@
         self._last_request = 0  # numbers the ids of proposals and reads
         self._proposals: dict[int, PendingProposal] = {}  # by index
         self._reads: dict[str, asyncio.Future[int]] = {}  # by id
-        # What the agreement answers to a proposal at once, by id, until `propose` takes it.
-        self._accepted: dict[str, Accepted] = {}
-        self._rejected: dict[str, Rejected] = {}
+        self._proposal_outcome: Accepted | Rejected | None = None  # of the latest one, known at once
 
     def restore_stored(self) -> None:
         """Apply what the disk held as committed at the start, once all parts of the machine are known."""
@@ -167,10 +165,11 @@
         """Put a proposal to the agreement, which accepts or rejects it at once; raises ProposalRejected."""
         request_id = self._next_id("p")
         self._step(Propose(self._now(), request_id, body, kind))
-        rejected = self._rejected.pop(request_id, None)
-        if rejected is not None:
-            raise ProposalRejected(rejected.reason)
-        return self._accepted.pop(request_id)
+        outcome = self._proposal_outcome
+        if isinstance(outcome, Accepted) and outcome.id == request_id:
+            return outcome
+        assert isinstance(outcome, Rejected), "the agreement answers each proposal at once"
+        raise ProposalRejected(outcome.reason)
 
     async def command(self, command: Command, within: timedelta) -> bytes:
         """Have a command committed, here at the leader; its answer. Raises as `propose` does."""
@@ -292,7 +291,7 @@
             case Restore():
                 self._restore(effect.snapshot)
             case Accepted():
-                self._accepted[effect.id] = effect
+                self._proposal_outcome = effect
             case Rejected():
                 self._reject(effect)
             case ReadConfirmed():
@@ -359,7 +358,7 @@
         """Fail the read of this id; without one it is a proposal, whose caller looks for the rejection."""
         index = self._reads.get(rejected.id)
         if index is None:
-            self._rejected[rejected.id] = rejected
+            self._proposal_outcome = rejected
         elif not index.done():
             index.set_exception(ProposalRejected(rejected.reason))
 
--- a/tests/test_held_memory.py
+++ b/tests/test_held_memory.py
@@ -8,18 +8,14 @@
 
 from __future__ import annotations
 
-import gc
-from types import FunctionType, MethodType, ModuleType
-
 from hypothesis import Phase, given, settings
 from hypothesis import strategies as st
 
 from stoatrouter.policy import interface as api
 from stoatrouter.policy.retry_budget import RetryBudget
+from tests.held import held
 from tests.scheduler_driver import EXPORT, MS, PLAN, READ, SECOND, WRITE, SchedulerDriver, answer_after
 
-CONTAINERS = (dict, list, set, tuple)
-NOT_STATE = (ModuleType, FunctionType, MethodType, type, str, bytes, int, float)
 REQUESTS = 150  # of one round
 INTERVAL = 20 * MS
 QUIET = 70 * SECOND  # longer than anything is retained
@@ -31,21 +27,6 @@
 )
 
 
-def held(root: object) -> int:
-    """How many elements the containers hold that can be reached from an object."""
-    seen: set[int] = set()
-    to_visit, count = [root], 0
-    while to_visit:
-        found = to_visit.pop()
-        if id(found) in seen or isinstance(found, NOT_STATE):
-            continue
-        seen.add(id(found))
-        if isinstance(found, CONTAINERS) or hasattr(found, "popleft"):
-            count += len(found)
-        to_visit += gc.get_referents(found)
-    return count
-
-
 optional = st.fixed_dictionaries(
     {},
     optional={
