A connection to a node rests before it is used again

Callers saw: another caller's answer, from a node that wrote an answer twice, and after it each request on that connection the answer of the one before.

Cause: an answer names no request, and a connection was used again at once: a second answer some milliseconds late met the next request, already written.

A success that comes before the system has taken the whole request is no answer to it. It holds for what comes within the rest; later crossings cannot be told apart by the protocol, a test shows that limit and where it ends.

--- a/stoatrouter/net/node_connection.py
+++ b/stoatrouter/net/node_connection.py
@@ -13,11 +13,14 @@
 from typing import Any, Protocol
 
 from aiohttp.client_proto import ResponseHandler
+from loguru import logger
 
 from stoatrouter.net.errors import MalformedAnswer
 from stoatrouter.net.framing import CHUNKED, HEAD_END, UNTIL_CLOSE, body_length
+from stoatrouter.net.rest_times import Address, RestTimes
 
 LARGEST_HEAD = 16 * 1024
+SUCCESS = b"2"  # the first digit of a status
 RECEIVE = 64 * 1024  # bytes read at once: asyncio's default would cost each of many large answers more memory
 
 
@@ -34,6 +37,10 @@
     def record_success(self, idle: float) -> None:
         """Record that a connection which had been idle for `idle` seconds served a request."""
 
+    @property
+    def rest_times(self) -> RestTimes:
+        """How long connections rest before they are used again."""
+
 
 class NodeConnection(ResponseHandler):
     """A connection to a node, with at most one exchange at a time."""
@@ -63,6 +70,7 @@
         self.stall_timer: asyncio.TimerHandle | None = None
         self.idle_since: float | None = None  # in the loop's time
         self.idle_for = 0.0  # seconds before the present request
+        self.node: Address | None = None  # set once the connection is open
 
     # -- what aiohttp calls -------------------------------------------------------------------------------
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -108,6 +116,10 @@
             self.awaiting_answer or not self._idle_too_long() and not self._unread()
         )
 
+    def has_rested(self, rest: float) -> bool:
+        """Whether it has been idle for `rest` seconds."""
+        return self.idle_since is not None and self._loop.time() - self.idle_since >= rest
+
     def _idle_too_long(self) -> bool:
         idle = 0.0 if self.idle_since is None else self._loop.time() - self.idle_since
         return self.should_close or idle > self.pool.reuse_within
@@ -118,7 +130,7 @@
             super().data_received(data)  # aiohttp continues with what it has
         elif not self.awaiting_answer:
             # Guards the next request on this connection: bytes behind an answer belong to nobody.
-            self._end()
+            self._end_for_surplus()
         elif not self.in_body:
             self._take_head(data)
         elif self.chunked or self.ends_with_connection:
@@ -148,6 +160,10 @@
             self._fail_exchange("no head")
 
     def _begin(self, head: bytes, rest: bytes) -> None:
+        if head[9:10] == SUCCESS and self._request_is_unwritten():
+            # Guards a client against another one's answer: the node has not got this request yet.
+            self._record_surplus()
+            return self._fail_exchange("a success before the request was written")
         try:
             # RFC 9112, 6.3: no body follows these, whatever length they state
             length = 0 if self.bodiless or head[9:12] in (b"204", b"304") else body_length(head)
@@ -173,7 +189,7 @@
             self._exchange_done()
         super().data_received(head + body)
         if surplus:
-            self._end()
+            self._end_for_surplus()
 
     def _take_chunked(self, data: bytes) -> None:
         super().data_received(data)
@@ -214,6 +230,24 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def _end_for_surplus(self) -> None:
+        """End the connection, as it has brought bytes that belong to no request."""
+        self._record_surplus()
+        self._end()
+
+    def _record_surplus(self) -> None:
+        if self.node is not None and self.pool.rest_times.record_surplus(self.node, self._loop.time()):
+            logger.warning(
+                "node {address} sent bytes that belong to no request",
+                event="node.surplus",
+                address=f"{self.node.host}:{self.node.port}",
+            )
+
+    def _request_is_unwritten(self) -> bool:
+        """Whether the system has not yet taken all of the request that was handed to it."""
+        transport = self.transport
+        return isinstance(transport, asyncio.WriteTransport) and transport.get_write_buffer_size() > 0
+
     def _fail_exchange(self, why: str) -> None:
         error = MalformedAnswer(why)
         if self._payload is not None and not self._payload.is_eof():
--- a/stoatrouter/net/pool.py
+++ b/stoatrouter/net/pool.py
@@ -11,6 +11,7 @@
 
 from stoatrouter.net.errors import NotBegun
 from stoatrouter.net.node_connection import NodeConnection
+from stoatrouter.net.rest_times import Address, RestTimes
 
 # How long an idle connection may be reused adapts to what becomes of those that are reused.
 LEAST_REUSE_WITHIN = 0.05  # seconds
@@ -35,6 +36,7 @@
         self.reuse_within = self.keep  # seconds that a connection may have been idle to be reused
         self.alive: set[NodeConnection] = set()
         self.attempts_written = 0  # attempts written complete, since the start
+        self.rest_times = RestTimes()
         # aiohttp has no public way to choose the class of a connector's connections
         self._factory = partial(  # type: ignore[assignment]  # partial is invariant in what it returns
             NodeConnection,
@@ -70,6 +72,8 @@
         if len(self.alive) >= self.max_connections:
             self._end_oldest_idle()
         connection = await super().connect(req, traces, timeout)
+        if isinstance(connection.protocol, NodeConnection):
+            connection.protocol.node = Address(req.url.host, req.url.port)
         may_begin = getattr(req, "may_begin", None)
         if may_begin is not None and not may_begin():
             # Guards drains, windows for repeats and clients that have gone: a dial may outlast all of them.
@@ -80,6 +84,19 @@
             raise NotBegun
         return connection
 
+    async def _get(self, key: Any, traces: Any) -> Any:
+        """An idle connection that has rested; None where there is none, so that another one is opened."""
+        idle = self._conns.get(key)
+        if not idle:
+            return None
+        # Guards a client against another one's answer. The first has rested longest; aiohttp would close
+        # one that may not be used yet.
+        protocol, now = idle[0][0], asyncio.get_running_loop().time()
+        rest = self.rest_times.rest_of(Address(key.host, key.port), now)
+        if isinstance(protocol, NodeConnection) and not protocol.has_rested(rest):
+            return None
+        return await super()._get(key, traces)
+
     def _end_oldest_idle(self) -> None:
         oldest = ((conns[0][1], key) for key, conns in self._conns.items() if conns)
         _, key = min(oldest, key=lambda pair: pair[0], default=(0.0, None))
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -5,11 +5,13 @@
 import asyncio
 import contextlib
 from collections import deque
+from dataclasses import replace
 from datetime import timedelta
 
 import pytest
 
 from stoatrouter.net.nodes import NodeClient
+from stoatrouter.net.rest_times import REUSE_AFTER
 from stoatrouter.policy.interface import Outcome
 from tests.peers import HOST, run, until
 from tests.platform_client import attempt
@@ -38,6 +40,11 @@
         writer.close()
 
 
+async def rested() -> None:
+    """Wait until idle connections may be used again."""
+    await asyncio.sleep(2 * REUSE_AFTER.total_seconds())
+
+
 def address_of(server: asyncio.Server) -> str:
     host, port = server.sockets[0].getsockname()
     return f"{host}:{port}"
@@ -105,6 +112,7 @@
             assert all(
                 not c.head and not c.stall_timer for c in nodes.session.connector.alive
             )  # nothing is kept
+            await rested()
             assert (await nodes.attempt(effect)).body == b"good"
             assert script.connections == 1
 
@@ -140,6 +148,7 @@
         async with client_of(script) as (nodes, effect):
             script.more.set()
             assert await (await nodes.attempt(effect)).stream.read_complete(len(body)) == body
+            await rested()
             assert (await nodes.attempt(effect)).body == b"good"
             assert script.connections == 1
 
@@ -184,3 +193,133 @@
             assert pool.reuse_within >= 0.05
 
     run(story())
+
+
+# -- an answer that belongs to another request -------------------------------------------------------------
+# What happened: a node wrote an answer a second time after the next request had gone out on the connection,
+# and that request's client was given it, another caller's data; its own answer went to the one after it, and
+# so on. Answers name no request: all that tells them apart is what a connection brings, and when. So it rests
+# before it is used again, far longer once its node has sent too much, and a success that comes before its
+# request is written is no answer to it.
+def request_name(head: bytes) -> bytes:
+    """The id of a request that a node has got."""
+    return head.split(b"Req-Id: ")[1].split(b"\r\n")[0]
+
+
+def answer_naming(name: bytes) -> bytes:
+    """An answer whose body is a request's id."""
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(name) + name
+
+
+class Echo:
+    """A node that answers each request with its Req-Id, and writes the first answer again after a while."""
+
+    def __init__(self, again_after: float | None) -> None:
+        self.again_after, self.connections, self.doubled = again_after, 0, 0
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                answer = answer_naming(request_name(await reader.readuntil(b"\r\n\r\n")))
+                writer.write(answer)
+                if self.again_after is not None and not self.doubled:
+                    self.doubled += 1
+                    asyncio.get_running_loop().call_later(self.again_after, writer.write, answer)
+        writer.close()
+
+
+def named(effect, name: str):
+    return replace(effect, request=replace(effect.request, id=name))
+
+
+@pytest.mark.parametrize("again_after", [0.0, 0.002, 0.01])
+def test_an_answer_that_comes_again_within_the_rest_is_nobodys(again_after):
+    async def story():
+        node = Echo(again_after)
+        async with client_of(node) as (nodes, effect):
+            for number in range(40):
+                name = f"r{number}"
+                assert (await nodes.attempt(named(effect, name))).body == name.encode()
+            assert node.doubled == 1 and node.connections > 1
+
+    run(story())
+
+
+def test_what_cannot_be_told_apart_is_one_answer_and_its_node_is_known_afterwards():
+    """The limit: it comes after the rest, between the next request and that one's own answer."""
+
+    async def story():
+        node = Doubling()
+        async with client_of(node) as (nodes, effect):
+            assert (await nodes.attempt(named(effect, "first"))).body == b"first"
+            await rested()
+            assert (await nodes.attempt(named(effect, "second"))).body == b"first"  # another one's
+            (connection,) = nodes.session.connector.alive
+            node.own_answer.set()
+            # the second's own answer comes while the connection rests, which ends; the others rest long
+            await until(lambda: connection not in nodes.session.connector.alive)
+            for number in range(5):
+                name = f"r{number}"
+                assert (await nodes.attempt(named(effect, name))).body == name.encode()
+                await rested()
+            assert node.connections == 6
+
+    run(story())
+
+
+class Doubling:
+    """A node that answers the second request with the first answer once more, and with its own when told."""
+
+    def __init__(self) -> None:
+        self.connections, self.answered, self.own_answer = 0, [], asyncio.Event()
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                name = request_name(await reader.readuntil(b"\r\n\r\n"))
+                if len(self.answered) == 1:
+                    writer.write(answer_naming(self.answered[0]))
+                    await self.own_answer.wait()
+                self.answered.append(name)
+                writer.write(answer_naming(name))
+        writer.close()
+
+
+def test_a_connection_is_used_again_once_it_has_rested(monkeypatch):
+    async def story():
+        node, now = Echo(again_after=None), 0.0
+        async with client_of(node) as (nodes, effect):
+            monkeypatch.setattr(asyncio.get_running_loop(), "time", lambda: now)
+            await nodes.attempt(named(effect, "a"))
+            await nodes.attempt(named(effect, "b"))
+            assert node.connections == 2  # at once: the first has not rested
+            now = REUSE_AFTER.total_seconds()
+            await nodes.attempt(named(effect, "c"))
+            assert node.connections == 2
+
+    run(story())
+
+
+def test_a_success_before_the_request_is_written_is_no_answer_to_it():
+    """The node has not read the body: what it sends is of an earlier request, or of nobody's."""
+
+    async def story():
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+                await reader.readuntil(b"\r\n\r\n")
+                reader._transport.pause_reading()
+                writer.write(OK + b"body")
+                await asyncio.sleep(5)
+
+        server = await asyncio.start_server(serve, HOST, 0, limit=1024)
+        nodes = NodeClient(timedelta(milliseconds=250), timedelta(seconds=30), 4, rest_within=REST)
+        effect = attempt(address_of(server), timeout=timedelta(seconds=20))
+        large = replace(effect.request, method="PUT", body=b"x" * 30_000_000)
+        async with server:
+            reply = await nodes.attempt(replace(effect, request=large))
+            assert reply.outcome is Outcome.CONNECT_FAILED  # it never got the request: it may be repeated
+            await nodes.close()
+
+    run(story())
