A rejection for low credit advises a wait that can be seen

Callers saw: Retry-After: 0.000, and another rejection when they tried at once.

Waits under half a millisecond were printed as none.

Change: a sum is whole within 1e-9; a positive wait is printed as 0.001 at the least. It holds as sums of quotas are off by far less than 1e-9 (a property of which requests are admitted).

--- a/stoatrouter/credit/local_account.py
+++ b/stoatrouter/credit/local_account.py
@@ -15,6 +15,7 @@
 NO_TIME = timedelta(0)
 USE_OVER = timedelta(seconds=2)  # the span over which recent use is averaged
 LONGEST_ADVICE = timedelta(seconds=5)  # the longest wait that a rejection advises
+ROUNDING = 1e-9  # of a request: what sums of quotas may be off by
 LEAST_REQUEST_RATE = 0.01  # requests a second, so that a wait advised to a rare class stays finite
 
 
@@ -123,8 +124,10 @@
         if quota <= 0.0:
             return Rejection(None, RejectionReason.LOWER_PRIORITY_SHED)
         self.pace_tokens[rank] += quota
-        if self.pace_tokens[rank] >= 1.0:
-            self.pace_tokens[rank] -= 1.0
+        # Guards the advice: fractions that add up to a whole may be short of it by a rounding error, and the
+        # rest would be a wait of nothing.
+        if self.pace_tokens[rank] >= 1.0 - ROUNDING:
+            self.pace_tokens[rank] = max(0.0, self.pace_tokens[rank] - 1.0)
             return None
         missing = (1.0 - self.pace_tokens[rank]) / quota  # requests until the next is admitted
         wait = timedelta(seconds=missing / max(self.request_rates[rank], LEAST_REQUEST_RATE))
--- a/stoatrouter/fronts/exchange.py
+++ b/stoatrouter/fronts/exchange.py
@@ -17,6 +17,7 @@
 from stoatrouter.net.errors import BrokenOff, TooLarge, TooSlow
 from stoatrouter.net.listener import Drain
 
+LEAST_DELAY = timedelta(milliseconds=1)  # that a Retry-After field of three decimals can say
 HEALTH_PATH = "/healthz"
 
 
@@ -146,7 +147,11 @@
 
 
 def retry_after_field(delay: timedelta | None) -> dict[str, str]:
-    """Build the Retry-After field in decimal seconds; no field where no time is known."""
+    """Build the Retry-After field in decimal seconds; no field where no time is known.
+
+    A wait shorter than the field can say is said as the least that it can: 0 would mean at once.
+    """
     if delay is None:
         return {}
-    return {"Retry-After": f"{delay.total_seconds():.3f}"}
+    printed = max(delay, LEAST_DELAY) if delay else delay
+    return {"Retry-After": f"{printed.total_seconds():.3f}"}
--- a/tests/heads/test_credit_escrow.py
+++ b/tests/heads/test_credit_escrow.py
@@ -19,6 +19,7 @@
     Settlement,
     charge_of,
 )
+from stoatrouter.fronts.exchange import retry_after_field
 from stoatrouter.lab.fleet.credit_head import CreditDisk
 from stoatrouter.peering.spent_journal import SpentJournal
 from stoatrouter.policy import interface as api
@@ -187,3 +188,31 @@
     again = SpentJournal(tmp_path / "book")  # the first one was killed
     assert again.read() == {"7.0": 12}
     assert all(again.begin(f"{i}.0") for i in range(100, 100 + 4095)) and not again.begin("x")
+
+
+# What happened: a customer whose credit is low was told `Retry-After: 0.000`, to try again at once, and was
+# rejected again. Why: the tenths of a request that a quota of 0.1 admits add up to 0.9999999999999999 in ten
+# steps, short of one by 1e-16 of a request; and any wait under half a millisecond was printed as none.
+@pytest.mark.parametrize("every", [2, 3, 5, 6, 7, 10, 12, 49])
+def test_a_quota_admits_each_nth_request_and_advises_a_wait_that_is_seen(every):
+    account = LocalAccount("x", low_water=3 * every, balance=1, answered_at=SECOND)
+    rank = 2
+    quota = account.quota(rank)
+    assert quota == pytest.approx(1 / every)
+    account.pace_tokens[rank] = 0.0
+    verdicts = []
+    for n in range(20 * every):
+        account.count_request(1, rank, SECOND * (1 + n))
+        verdicts.append(account.pace(rank))
+    admitted = [n + 1 for n, verdict in enumerate(verdicts) if verdict is None]
+    assert admitted == [every * n for n in range(1, 21)]
+    least = min(verdict.retry_in for verdict in verdicts if verdict is not None)
+    assert least >= timedelta(milliseconds=100)  # one request's interval at one a second, about
+
+
+@given(st.integers(1, 10**7))
+def test_an_advised_wait_is_never_printed_as_none(microseconds):
+    printed = retry_after_field(timedelta(microseconds=microseconds))["Retry-After"]
+    assert float(printed) > 0
+    assert abs(float(printed) - microseconds / 1e6) <= 0.001
+    assert retry_after_field(timedelta(0)) == {"Retry-After": "0.000"}  # at once
