A field's name in quotes is read or refused, never dropped

Operators saw: a field named "", "_x" or "#x" in their file had no effect, and nothing said so.

Cause: is_hidden asked whether a name's first character is one of '#_', and that of an empty name is part of any string; a name in quotes was taken for a hidden one. Change: such a name is refused with its place when the file is parsed, where all quoted names pass.

--- a/stoatrouter/settings/parser.py
+++ b/stoatrouter/settings/parser.py
@@ -211,8 +211,16 @@
         return Label(str(token), mark, self.place(token))
 
     def label_of_string(self, token: Token, mark: Mark) -> Label:
-        """A label in quotes."""
-        return Label(self.value(token, literals.read_string), mark, self.place(token))
+        """A label in quotes, which must not look like that of a hidden field or a definition.
+
+        Raises:
+            SettingsError: It is empty or begins with `#` or `_`; such a field would be dropped in silence.
+        """
+        text = self.value(token, literals.read_string)
+        if not text or text.startswith(s.HIDDEN):
+            what = f"found {token} as a field's name"
+            raise self.rejection(token, what, "a name that is not empty and begins with neither # nor _")
+        return Label(text, mark, self.place(token))
 
     def regular(self, parts: Parts) -> Label:
         """The label of a field that has a value: `name`."""
--- a/stoatrouter/settings/syntax.py
+++ b/stoatrouter/settings/syntax.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass
 from typing import Literal
 
+HIDDEN = ("#", "_")  # what the names of definitions and hidden fields begin with
+
 
 @dataclass(slots=True, frozen=True, order=True)
 class Place:
--- a/stoatrouter/settings/vertex.py
+++ b/stoatrouter/settings/vertex.py
@@ -160,5 +160,5 @@
 
 
 def is_hidden(label: Label) -> bool:
-    """Whether a field is a definition, hidden or without a name: it is neither closed nor exported."""
-    return isinstance(label, str) and label[:1] in "#_"
+    """Whether a field is a definition or hidden: it is neither closed nor exported."""
+    return isinstance(label, str) and label.startswith(s.HIDDEN)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -83,6 +83,12 @@
     ("a: " + "[" * 100, "brackets more than"),
     ('a: "x\ny"', "cannot stand here"),
     ('import "x/y"\na: 1', "cue.mod"),
+    # What happened: these fields were dropped without a word, as hidden ones are: is_hidden took the first
+    # character of "" for one of "#_". In CUE all three are fields like any other.
+    ('a: 1\n"": 2', 'text:2: found "" as a field\'s name'),
+    ('a: {"": 2}', "as a field's name"),
+    ('"_x": 1', 'found "_x" as a field\'s name'),
+    ('"#x"?: 1', 'found "#x" as a field\'s name'),
 ]
 
 
