A program that does not see its clients leave is caught by a forced crossing

Cause: whether a client left between an attempt and its retry hung on the draws of a story and on the machine's pace, so that six stories now and then had none: the check failed once beside other runs. Change: a node holds the attempt, the client leaves, the node declines it 0.6 s later; the broken program's retry is found, the whole program sends nothing. The drawn stories stay for the other faults.

Also: a head whose rules.kept is spoilt decides by the version that its log holds as committed, now that a start applies it; its own files hold where the log is lost too (both cases are tests). Fakes of a fleet got the ledger's age.

--- a/stoatrouter/peering/storage.py
+++ b/stoatrouter/peering/storage.py
@@ -2,7 +2,7 @@
 
 What is promised: once a write returns, it is there after a crash of the process or of the machine (WAL with
 synchronous=FULL). A database that is torn, foreign, from a later version or older than what this head
-acknowledged (`write_mark`) is never voted from: it is set aside and the head goes on under a new identity,
+acknowledged (`heads.mark`) is never voted from: it is set aside and the head goes on under a new identity,
 without a vote; one that belongs to something else is left alone and ends the start.
 """
 
--- /dev/null
+++ b/tests/departure_story.py
@@ -0,0 +1,87 @@
+"""Clients that leave while their first attempt is at a node, which declines it long after: it is forced."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+from pathlib import Path
+from typing import Any
+
+from stoatrouter.lab.histories.requests import Terms
+from tests.fleet_stand_ins import History, RoughNode
+from tests.fleet_story import CLASSES_BY_NAME, GRACE, Client, StoryHead, stand_ins
+from tests.peers import until
+
+DEPARTURES = 4
+DECLINED_AFTER = 0.6  # seconds after the client has gone: later than the judge lets an attempt begin
+LIMIT = 60.0  # seconds, for what would never end
+RETRIES_WITHIN = 0.8  # seconds: the longest backoff of a retry, and more
+
+
+class HoldingNode(RoughNode):
+    """A node that holds an attempt until it is released, and then declines it; released, it serves."""
+
+    def __init__(self, name: str, cell: int, history: History) -> None:
+        super().__init__(name, cell, 0, history)
+        self.released = asyncio.Event()
+
+    async def answer(
+        self, request: str, began: float, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        """Answer one request; returns whether its connection goes on."""
+        self.history.write("attempt", request=request, node=self.name, first=began)
+        held = not self.released.is_set()
+        ended = asyncio.ensure_future(reader.read(1))
+        release = asyncio.ensure_future(self.released.wait())
+        await asyncio.wait([ended, release], return_when=asyncio.FIRST_COMPLETED)
+        self.end_attempt(request, ran=not held)
+        was_cancelled = ended.done()
+        for waiting in (ended, release):
+            waiting.cancel()
+        await asyncio.gather(ended, release, return_exceptions=True)
+        if was_cancelled:
+            return False
+        if held:
+            writer.write(b"HTTP/1.1 503 Full\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n")
+        else:
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone")
+        return True
+
+
+async def play_departures(folder: Path, prelude: str = "") -> tuple[list[dict[str, Any]], Terms]:
+    """Play the story: what the stand-ins and clients saw, and the terms to judge it by."""
+    history = History()
+    nodes = [HoldingNode(f"n{i}", i % 2, history) for i in range(4)]  # two shards
+    head = StoryHead("h0", folder, nodes, history, prelude)
+    async with stand_ins(nodes, [head]):
+        await head.start(1)
+        try:
+            async with asyncio.timeout(LIMIT):
+                for number in range(DEPARTURES):
+                    await depart(Client(number, head, 0, history), f"d{number}", nodes)
+        finally:
+            head.process.kill()
+            await head.process.wait()
+        now = time.monotonic()
+    lines = [line for line in history.lines if line["at"] <= now]
+    return lines, Terms(CLASSES_BY_NAME, {node.name: node.cell for node in nodes}, GRACE, slack=0.4)
+
+
+async def depart(client: Client, name: str, nodes: list[HoldingNode]) -> None:
+    """Make one request, leave once a node has it, and let the node decline it later."""
+    for node in nodes:
+        node.released.clear()
+    history = client.history
+    _, writer = await asyncio.open_connection(client.head.host, client.head.port)
+    history.write("sent", request=name, head=client.head.name, kind="look")
+    writer.write(client.encode(name, "look"))
+    await until(lambda: history.reached_a_node(name))
+    history.write("gone", request=name)
+    writer.close()
+    with contextlib.suppress(OSError):
+        await writer.wait_closed()
+    await asyncio.sleep(DECLINED_AFTER)
+    for node in nodes:
+        node.released.set()
+    await asyncio.sleep(RETRIES_WITHIN)
--- a/tests/heads/test_credit_waiting.py
+++ b/tests/heads/test_credit_waiting.py
@@ -41,13 +41,14 @@
         self.ledger, self.asked, self.answers = Ledger(), [], asyncio.Semaphore(0)
         self.ledger.put_customer(PutCustomer("acme", ("v",)))
         self.ledger.book_entry(1, BookEntry("t", "acme", paid, "top-up", "x", "y", "z"))
-        agreed = SimpleNamespace(raft=SimpleNamespace(settled=False))
+        agreed = SimpleNamespace(raft=SimpleNamespace(settled=False), machine=SimpleNamespace(index=1))
         fleet = SimpleNamespace(
-            settings=SimpleNamespace(folder=tmp_path, name="h0"),
+            settings=SimpleNamespace(folder=tmp_path, name="h0", cut_off_after=3 * SECOND),
             stored=SimpleNamespace(writable=False, boot=1),
             me=SimpleNamespace(identity="h0/0"),
             monitor=SimpleNamespace(watchers=[]),
             replication=agreed,
+            followed_age=timedelta(0),
             now=self.now,
             command=self.command,
         )
--- a/tests/heads/test_rules_processes.py
+++ b/tests/heads/test_rules_processes.py
@@ -225,8 +225,12 @@
     run(story(), LIMIT)
 
 
-@pytest.mark.parametrize("spoilt", [False, True], ids=["kept", "spoilt"])
-def test_a_start_with_nobody_else_serves_what_was_kept(tmp_path, spoilt):
+@pytest.mark.parametrize(
+    ("spoilt", "log_lost"), [(False, False), (True, False), (True, True)], ids=["kept", "spoilt", "all lost"]
+)
+def test_a_start_with_nobody_else_serves_what_was_kept(tmp_path, spoilt, log_lost):
+    """What was stored, or what its log holds as committed; its own files only where it has neither."""
+
     async def story():
         async with heads_up(tmp_path, count=3, seed=7, more=HISTORY, http=rules("own")) as fleet:
             await put(fleet, "e1", 0, "one")
@@ -238,10 +242,13 @@
                 data = bytearray((alone.disk / "rules.kept").read_bytes())
                 data[60] ^= 1
                 (alone.disk / "rules.kept").write_bytes(bytes(data))
+            if log_lost:
+                (alone.disk / "heads.db").unlink()
             await alone.start()
-            assert await mark(alone) == ("own" if spoilt else "one")
+            assert await mark(alone) == ("own" if log_lost else "one")
             told = (await alone.call("GET", "/control/rules"))[1]
-            assert told["state"] == "cut off" and told["version"] == (0 if spoilt else 1)
+            assert told["state"] == ("unfounded" if log_lost else "cut off")
+            assert told["version"] == (0 if log_lost else 1)
             if spoilt:
                 assert any("rules.kept.spoilt" in p.name for p in alone.disk.iterdir())
                 assert alone.events("rules.kept_spoilt")
--- a/tests/test_request_histories.py
+++ b/tests/test_request_histories.py
@@ -9,6 +9,7 @@
 import pytest
 
 from stoatrouter.lab.histories.requests import Effect, RequestClass, Terms, judge
+from tests.departure_story import DEPARTURES, play_departures
 from tests.fleet_story import play
 
 TERMS = Terms(
@@ -98,12 +99,28 @@
 }
 
 
+# What happened: the stories below failed once to show this one. Whether a client leaves between an attempt
+# and its retry hung on draws and on the machine's pace, so that now and then none had it. Here it is forced.
+def test_a_program_that_does_not_see_its_clients_leave_is_caught(tmp_path):
+    found = "after its client had gone"
+    lines, terms = asyncio.run(play_departures(tmp_path, BROKEN[found]))
+    said = judge(lines, terms)
+    # the first at least: after it the node has declined, and not each attempt is repeated
+    assert said and all(found in violation for violation in said), said
+
+
+def test_nothing_is_sent_for_a_client_that_has_gone(tmp_path):
+    lines, terms = asyncio.run(play_departures(tmp_path))
+    assert judge(lines, terms) == []
+    assert sum(line["what"] == "attempt" for line in lines) == DEPARTURES
+
+
 # A story shows a fault where its draws and the machine's pace bring one about: a client that leaves before a
 # retry, say. On a crowded machine one story has too few of them, so more are played.
 STORIES = range(1, 7)
 
 
-@pytest.mark.parametrize("found", list(BROKEN))
+@pytest.mark.parametrize("found", [found for found in BROKEN if found != "after its client had gone"])
 def test_a_broken_program_is_caught(tmp_path, found):
     def is_caught(seed: int) -> bool:
         print("seed", seed)
