--- a/benchmarks/heads_history.py
+++ b/benchmarks/heads_history.py
@@ -1,6 +1,9 @@
 """Ten minutes of random faults on heads of the real program, and the verdict on what clients and heads wrote.
 
-python -m benchmarks.heads_history --seconds 600 --heads 5 --seed 1 [--keep FOLDER]
+python -m benchmarks.heads_history --seconds 600 --heads 5 --seed 1 [--ledger] [--keep FOLDER]
+
+With --ledger customers are made and a volume moves during the faults, and heads start cut off or without their
+folders; the detector is not judged then.
 """
 
 from __future__ import annotations
@@ -15,14 +18,16 @@
 from stoatrouter.lab.histories.judge import describe, judge
 
 
-async def play(folder: Path, heads: int, seed: int, seconds: float) -> int:
+async def play(folder: Path, heads: int, seed: int, seconds: float, ledger: bool) -> int:
     from tests.heads.chaos import MORE, Chaos
+    from tests.heads.ledger_chaos import LEDGER_MORE, LedgerChaos
     from tests.heads.processes import heads_up
     from tests.heads.rules_clients import rules
 
-    async with heads_up(folder, count=heads, seed=seed, more=MORE, http=rules("own")) as fleet:
-        chaos = Chaos(fleet, seed, folder / "history.jsonl")
-        history = await chaos.run(seconds, detect=True)
+    kind, more = (LedgerChaos, LEDGER_MORE) if ledger else (Chaos, MORE)
+    async with heads_up(folder, count=heads, seed=seed, more=more, http=rules("own")) as fleet:
+        chaos = kind(fleet, seed, folder / "history.jsonl")
+        history = await chaos.run(seconds, detect=not ledger)
     wrong = judge(history)
     statuses = Counter(request.status for request in history.of(Request))
     print(
@@ -45,13 +50,14 @@
     parser.add_argument("--seconds", type=float, default=600)
     parser.add_argument("--heads", type=int, default=5)
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--ledger", action="store_true")
     parser.add_argument("--keep", type=Path)
     given = parser.parse_args()
     if given.keep is not None:
         given.keep.mkdir(parents=True, exist_ok=True)
-        return asyncio.run(play(given.keep, given.heads, given.seed, given.seconds))
+        return asyncio.run(play(given.keep, given.heads, given.seed, given.seconds, given.ledger))
     with tempfile.TemporaryDirectory() as folder:
-        return asyncio.run(play(Path(folder), given.heads, given.seed, given.seconds))
+        return asyncio.run(play(Path(folder), given.heads, given.seed, given.seconds, given.ledger))
 
 
 if __name__ == "__main__":
