--- a/tests/heads/test_credit_ledger.py
+++ b/tests/heads/test_credit_ledger.py
@@ -30,34 +30,32 @@
         return None
 
 
-class TakesRestoredForCurrent(Gate):
-    """What was restored from the disk counts as confirmed."""
+class MistakesKnowledge(Gate):
+    """One kind of knowledge is taken for a current ledger."""
 
     __slots__ = ()
+    mistaken: LedgerKnowledge
 
     def _take_unowned(self):
-        knowledge = self.knowledge()
-        self.knowledge, before = lambda: known_as_current(knowledge, LedgerKnowledge.RESTORED), self.knowledge
+        knowledge = self.knowledge
+        self.knowledge = lambda: LedgerKnowledge.CURRENT if knowledge() is self.mistaken else knowledge()
         rejection = super()._take_unowned()
-        self.knowledge = before
+        self.knowledge = knowledge
         return rejection
 
 
-class TakesStaleForCurrent(Gate):
-    """A ledger that was followed once counts as current for ever."""
+class TakesRestoredForCurrent(MistakesKnowledge):
+    """What was restored from the disk counts as confirmed."""
 
     __slots__ = ()
+    mistaken = LedgerKnowledge.RESTORED
 
-    def _take_unowned(self):
-        knowledge = self.knowledge()
-        self.knowledge, before = lambda: known_as_current(knowledge, LedgerKnowledge.STALE), self.knowledge
-        rejection = super()._take_unowned()
-        self.knowledge = before
-        return rejection
 
+class TakesStaleForCurrent(MistakesKnowledge):
+    """A ledger that was followed once counts as current for ever."""
 
-def known_as_current(knowledge: LedgerKnowledge, mistaken: LedgerKnowledge) -> LedgerKnowledge:
-    return LedgerKnowledge.CURRENT if knowledge is mistaken else knowledge
+    __slots__ = ()
+    mistaken = LedgerKnowledge.STALE
 
 
 @pytest.mark.parametrize(
