A poll's answer names what is known as committed beside what is held

Change: commit is what is held again, known_commit (new, last, 0 from earlier versions) goes with the contact. Found by reading the users of the field.

--- a/stoatrouter/peering/follower_feed.py
+++ b/stoatrouter/peering/follower_feed.py
@@ -50,11 +50,11 @@
             origin,
             self._monitor.current().changes,
             raft.leader.name if raft.leader else None,
-            # The age below may be of a contact that this head's log has not caught up with.
-            commit=max(raft.commit_index, self._monitor.known_commit),
+            commit=raft.commit_index,
             voters=raft.voters,
             majority_age=self._monitor.contact.age(self._now()),
             waited=self._now() - arrived_at,
+            known_commit=self._monitor.known_commit,
         )
         if fetch.after and raft.log.term_at(fetch.after) == fetch.after_term:
             entries = raft.log.entries_from(fetch.after + 1, raft.commit_index)
--- a/tests/heads/test_ledger_knowledge.py
+++ b/tests/heads/test_ledger_knowledge.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
 from datetime import timedelta
+from types import SimpleNamespace
 
+import msgspec
 import pytest
 
+from stoatrouter.agreement.contact import MajorityContact
 from stoatrouter.core import model
 from stoatrouter.credit.escrow import HeadEscrow
 from stoatrouter.credit.gate import Gate
@@ -18,6 +22,8 @@
 )
 from stoatrouter.credit.local_account import RejectionReason
 from stoatrouter.lab.fleet.credit_head import CreditDisk
+from stoatrouter.peering.availability import AvailabilityMonitor
+from stoatrouter.peering.calls import Fetched
 
 SECOND = timedelta(seconds=1)
 CUT_OFF_AFTER = 3 * SECOND
@@ -65,3 +71,34 @@
 def request(request_class: int) -> model.Request:
     """A request of a volume without a known customer."""
     return model.Request(f"r{request_class}", request_class, 1, "v", "k", 0, 2.0, 1, 2 * SECOND, False)
+
+
+def test_a_contact_counts_as_followed_once_what_it_came_with_is_applied():
+    """A voter may report a fresh contact while its log lags: the index that was committed travels with it."""
+
+    async def story() -> None:
+        now = [10 * SECOND]
+        machine = SimpleNamespace(index=5)
+        raft = SimpleNamespace(settled=False, votes_here=False, leads=False)
+        replication = SimpleNamespace(machine=machine, raft=raft, disk_writable=True)
+        settings = SimpleNamespace(cut_off_after=CUT_OFF_AFTER, wait_at_start=SECOND)
+        monitor = AvailabilityMonitor(settings, replication, SimpleNamespace(origin="o"), lambda: now[0])
+        monitor.note_contact(MajorityContact(9 * SECOND), 5)
+        assert monitor.followed.latest == 9 * SECOND
+        now[0] = 12 * SECOND
+        monitor.note_contact(MajorityContact(12 * SECOND), 7)  # two entries are still to come
+        assert (monitor.followed.latest, monitor.contact.latest) == (9 * SECOND, 12 * SECOND)
+        machine.index = 7
+        monitor.refresh()
+        assert monitor.followed.latest == 12 * SECOND
+        monitor.note_contact(MajorityContact(13 * SECOND), 6)  # from one that knows less
+        assert monitor.known_commit == 7
+        monitor.begin_anew()
+        assert monitor.followed.latest is None
+
+    asyncio.run(story())
+
+
+def test_an_answer_to_a_poll_of_an_earlier_version_is_read():
+    old = msgspec.msgpack.encode(("o", True, "h0", 1, 1, (), 9, None, (), None, timedelta(0)))
+    assert msgspec.msgpack.decode(old, type=Fetched).known_commit == 0
