--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -267,6 +267,21 @@
     run(story())
 
 
+def test_an_answer_that_comes_again_ten_milliseconds_later_is_nobodys():
+    """Known red: the bound is of the first mend, whose longer rest cost the short days too much."""
+
+    async def story():
+        node = Doubling()
+        node.own_answer.set()
+        async with client_of(node) as (nodes, effect):
+            assert (await nodes.attempt(named(effect, "first"))).body == b"first"
+            (connection,) = nodes.session.connector.alive
+            connection.idle_since -= 0.01  # so much later
+            assert (await nodes.attempt(named(effect, "second"))).body == b"second"
+
+    run(story())
+
+
 def test_what_cannot_be_told_apart_is_one_answer_and_its_node_is_known_afterwards(monkeypatch):
     """The limit: it comes after the rest, between the next request and that one's own answer."""
 
