Nodes put back by hand are forgotten once they are warm, those out are bounded

Operators' calls left one record for ever for each node that was taken out and put back, and for each that left the list while it was out: in memory, in $TMPDIR and in each handover. Cause: AdministrativeState.back is needed only while a node may still warm up, but nothing removed a record. Why this holds: each call drops what is over an hour old; beyond 16,384 nodes that are out, unlisted ones go first, named in the log. A listed node stays out whatever the bound.

--- a/stoatrouter/core/nodes.py
+++ b/stoatrouter/core/nodes.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+from collections.abc import Container
 from dataclasses import dataclass, field, replace
 from datetime import timedelta
 
 from stoatrouter.policy import interface as api
 
+MOST_OUT = 16_384  # nodes; beyond, those that are not listed are forgotten, the first that was out first
+BACK_HELD_FOR = timedelta(hours=1)  # far longer than any node takes to warm up
+
 
 @dataclass(slots=True, frozen=True)
 class NodeInfo:
@@ -38,6 +42,26 @@
         if (since := self.out.pop(node, None)) is not None:
             self.back[node] = (since, now)
 
+    def forget_old(self, listed: Container[str], now: timedelta) -> list[str]:
+        """Forget what has no effect any more, and what is beyond the bound.
+
+        Args:
+            listed: The nodes of the list: these are never forgotten while they are out.
+            now: The present time.
+
+        Returns:
+            Nodes that were out, and count as never taken out from now on.
+        """
+        old = [node for node, (_, back) in self.back.items() if now - back > BACK_HELD_FOR]
+        for node in old:
+            del self.back[node]
+        surplus = len(self.out) - MOST_OUT
+        unlisted = [node for node in self.out if node not in listed] if surplus > 0 else []
+        forgotten = unlisted[: max(0, surplus)]
+        for node in forgotten:
+            del self.out[node]
+        return forgotten
+
     def effective(self, node: NodeInfo) -> NodeInfo:
         """A listed node with the phase or start time that operators override, for the decision module."""
         if node.id in self.out:
--- a/stoatrouter/core/reducer.py
+++ b/stoatrouter/core/reducer.py
@@ -301,6 +301,12 @@
             self.administrative_state.take_out(event.node, self.now)
         else:
             self.administrative_state.put_back(event.node, self.now)
+        for forgotten in self.administrative_state.forget_old(self.nodes, self.now):
+            logger.warning(
+                "bricks: {node} is forgotten, it is not listed and too many are out by hand",
+                event="bricks.forgotten",
+                node=forgotten,
+            )
         effects: list[model.Effect] = [model.SaveAdministrativeState()]
         return effects + (self._pass_on_nodes(api.ListKind.CHANGES, (node,)) if node is not None else [])
 
--- a/tests/test_held_memory.py
+++ b/tests/test_held_memory.py
@@ -8,13 +8,18 @@
 
 from __future__ import annotations
 
+from datetime import timedelta
+
 from hypothesis import Phase, given, settings
 from hypothesis import strategies as st
 
+from stoatrouter.core import model, nodes
+from stoatrouter.core.nodes import BACK_HELD_FOR
 from stoatrouter.policy import interface as api
 from stoatrouter.policy.retry_budget import RetryBudget
 from tests.held import held
 from tests.scheduler_driver import EXPORT, MS, PLAN, READ, SECOND, WRITE, SchedulerDriver, answer_after
+from tests.test_core import START, node, reducer
 
 REQUESTS = 150  # of one round
 INTERVAL = 20 * MS
@@ -117,3 +122,37 @@
         if allowed:
             retries.append(now)
             budget.note_retry(now)
+
+
+def take_out_and_back(r, number: int, at: timedelta, back: bool) -> None:
+    """List a node of a new name, take it out, put it back perhaps, and list it no more."""
+    own = node(f"n{number}")
+    r.reduce(model.EndpointListReceived(at, api.ListKind.FULL, (own,)))
+    assert r.reduce(model.SetAdministrativeState(at, own.id, True))
+    if back:
+        assert r.reduce(model.SetAdministrativeState(at, own.id, False))
+
+
+def test_nodes_put_back_by_hand_are_forgotten_once_they_are_warm():
+    """Guards memory: they were remembered by name for ever, one after each call."""
+    r = reducer()
+    interval = BACK_HELD_FOR / 10
+    for number in range(200):
+        take_out_and_back(r, number, START + number * interval, back=True)
+    assert len(r.administrative_state.back) <= 11 and not r.administrative_state.out
+
+
+def test_nodes_out_by_hand_that_are_not_listed_are_bounded(monkeypatch):
+    """A node that is listed stays out whatever the bound; one put back still warms up."""
+    monkeypatch.setattr(nodes, "MOST_OUT", 8)
+    r = reducer()
+    for number in range(20):
+        take_out_and_back(r, number, START, back=False)
+    assert list(r.administrative_state.out) == [f"n{number}" for number in range(12, 20)]
+    listed = tuple(node(f"m{number}") for number in range(12))
+    r.reduce(model.EndpointListReceived(START, api.ListKind.FULL, listed))
+    for each in listed:
+        assert r.reduce(model.SetAdministrativeState(START, each.id, True))
+    assert list(r.administrative_state.out) == [each.id for each in listed]
+    assert r.reduce(model.SetAdministrativeState(START, "m0", False))
+    assert list(r.administrative_state.back) == ["m0"]
