At the bound a request waits for its node's resting connection, it opens none

Callers saw: slower answers, and nodes that declined more, whenever a head held as many connections to nodes as it may. Cause: `connect` ended the connection that had been idle for longest before it was known whether room was needed: the one that could be used a moment later; then it opened a new one to the same node, which costs that node work and its first request time.

Change: the pool counts what is open and being opened; aiohttp's limit, which counts connections in use alone, is off. In this order: an idle connection that may be used; a new one where there is room; the first of the node's that will have rested; room made by another node's idle one where this node has none; a turn (net/pool_waiters.py). The wait is within the request's own time. Counters: waits_for_rest, ended_for_room. Why it works: a connection is ended for room only for another node.

--- a/stoatrouter/net/connection_counters.py
+++ b/stoatrouter/net/connection_counters.py
@@ -12,4 +12,6 @@
     dials: int = 0  # connections that were asked for, opened or not
     dials_beside_resting: int = 0  # of these, while an idle connection to the node had to rest
     reuses: int = 0
+    waits_for_rest: int = 0  # at the bound, for a connection that had to rest
+    ended_for_room: int = 0  # idle connections to other nodes, ended at the bound
     repetitions_dropped: int = 0  # answers that came a second time, under a later request
--- a/stoatrouter/net/node_connection.py
+++ b/stoatrouter/net/node_connection.py
@@ -38,6 +38,9 @@
     reuse_within: float  # seconds that a connection may have been idle to be reused
     attempts_written: int  # attempts written complete
 
+    def record_end(self, connection: NodeConnection) -> None:
+        """Record that a connection has ended."""
+
     def record_break(self, idle: float) -> None:
         """Record that a connection which had been idle for `idle` seconds broke before any answer."""
 
@@ -100,7 +103,7 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """End the exchange; a body without a stated length is complete only after a clean end."""
-        self.pool.alive.discard(self)
+        self.pool.record_end(self)
         by_peer = self.transport is not None  # an end of our own has dropped it already
         if by_peer and self.awaiting_answer and not self.head and not self.in_body:
             self.pool.record_break(self.idle_for)
--- a/stoatrouter/net/pool.py
+++ b/stoatrouter/net/pool.py
@@ -15,6 +15,7 @@
 from stoatrouter.net.connection_counters import ConnectionCounters
 from stoatrouter.net.errors import NotBegun
 from stoatrouter.net.node_connection import NodeConnection
+from stoatrouter.net.pool_waiters import PoolWaiters
 from stoatrouter.net.rest_times import Address, RestTimes
 
 # How long an idle connection may be reused adapts to what becomes of those that are reused.
@@ -35,7 +36,9 @@
             keep: How long an idle connection is kept.
             rest_within: How long the rest of an answer may take once it has begun.
         """
-        super().__init__(limit=max_connections, keepalive_timeout=keep.total_seconds(), use_dns_cache=False)
+        # no limit of aiohttp's: it counts connections in use only, and opens one more than it allows where
+        # the one that was waited for is another request's meanwhile
+        super().__init__(limit=0, keepalive_timeout=keep.total_seconds(), use_dns_cache=False)
         self.max_connections = max_connections
         self.keep = keep.total_seconds()
         self.reuse_within = self.keep  # seconds that a connection may have been idle to be reused
@@ -44,6 +47,8 @@
         self.rest_times = RestTimes()
         self.fingerprints = AnswerFingerprints()
         self.counters = ConnectionCounters()
+        self._dialling = 0  # connections that are being opened
+        self._waiters_at_bound = PoolWaiters()
         # aiohttp has no public way to choose the class of a connector's connections
         self._factory = partial(  # type: ignore[assignment]  # partial is invariant in what it returns
             NodeConnection,
@@ -54,7 +59,13 @@
 
     def set_limit(self, max_connections: int) -> None:
         """Set the bound, as the previous process still has connections open."""
-        self.max_connections = self._limit = max_connections
+        self.max_connections = max_connections
+        self._waiters_at_bound.wake_all()
+
+    def record_end(self, connection: NodeConnection) -> None:
+        """Record that a connection has ended: there is room for another one."""
+        self.alive.discard(connection)
+        self._waiters_at_bound.wake(None)
 
     def record_break(self, idle: float) -> None:
         """Record that a connection which had been idle for `idle` seconds broke before any answer.
@@ -75,9 +86,6 @@
 
     async def connect(self, req: Any, traces: Any, timeout: Any) -> Any:
         """A connection for a request; raises NotBegun where the decision to send it no longer holds."""
-        # Guards the descriptors: aiohttp's limit counts connections in use only.
-        if len(self.alive) >= self.max_connections:
-            self._end_oldest_idle()
         connection = await super().connect(req, traces, timeout)
         protocol = connection.protocol
         may_begin = getattr(req, "may_begin", None)
@@ -93,15 +101,32 @@
         return connection
 
     async def _get(self, key: Any, traces: Any) -> Any:
-        """An idle connection that may be used; None where there is none, so that another one is opened."""
-        connection = self._take_idle(key)
-        self.counters.reuses += connection is not None
+        """An idle connection that may be used; None: there is none, and there is room to open one."""
+        while (connection := self._take_idle(key)) is None:
+            if len(self.alive) + self._dialling < self.max_connections:
+                return None
+            rest = self._shortest_rest(key)
+            if rest is None and self._end_oldest_idle():
+                return None
+            # Guards the node: in place of one that rests it would get a new connection, which costs it more.
+            self.counters.waits_for_rest += rest is not None
+            await self._waiters_at_bound.wait(key, rest)
+        self.counters.reuses += 1
         return connection
 
+    def _release(self, key: Any, protocol: Any, *, should_close: bool = False) -> None:
+        super()._release(key, protocol, should_close=should_close)
+        self._waiters_at_bound.wake(key)
+
     async def _create_connection(self, req: Any, traces: Any, timeout: Any) -> Any:
         self.counters.dials += 1
         self.counters.dials_beside_resting += bool(self._conns.get(req.connection_key))
-        return await super()._create_connection(req, traces, timeout)
+        self._dialling += 1
+        try:
+            return await super()._create_connection(req, traces, timeout)
+        finally:
+            self._dialling -= 1
+            self._waiters_at_bound.wake(None)
 
     def _take_idle(self, key: Any) -> Connection | None:
         """The connection that was released first, of those that are whole and need not rest."""
@@ -122,14 +147,27 @@
             protocol.close()
         return None
 
-    def _end_oldest_idle(self) -> None:
+    def _shortest_rest(self, key: Any) -> float | None:
+        """How many seconds the idle connections of a node have to rest at least; None: there are none."""
+        now = asyncio.get_running_loop().time()
+        idle = (protocol for protocol, _ in self._conns.get(key, ()))
+        rests = (protocol.rest_left(now) for protocol in idle if isinstance(protocol, NodeConnection))
+        return min(rests, default=None)
+
+    def _end_oldest_idle(self) -> bool:
+        """End the connection that has been idle for longest; False where none is idle."""
         oldest = ((conns[0][1], key) for key, conns in self._conns.items() if conns)
         _, key = min(oldest, key=lambda pair: pair[0], default=(0.0, None))
-        if key is not None:
-            connection, _ = self._conns[key].popleft()
-            if not self._conns[key]:
-                del self._conns[key]
-            connection.close()
+        if key is None:
+            return False
+        connection, _ = self._conns[key].popleft()
+        if not self._conns[key]:
+            del self._conns[key]
+        self.counters.ended_for_room += 1
+        if isinstance(connection, NodeConnection):
+            self.alive.discard(connection)  # there is room at once, though its end is told later
+        connection.close()
+        return True
 
 
 def kind_of(request: aiohttp.ClientRequest) -> RequestKind:
