The judge of requests finds an answer that belongs to another request

Cause: answers of the stand-in nodes were all alike, so that a client that got another request's answer could not be seen in a history. Change: a line of an answer may name the request that its body names (`of`), and the judge compares; rough nodes have hooks for bodies and writes, agents of discovery for resets and outages; what is at nodes is counted as it is written, no longer by a walk over the whole history.

--- a/stoatrouter/lab/histories/requests.py
+++ b/stoatrouter/lab/histories/requests.py
@@ -67,6 +67,7 @@
 
     request: str
     status: int
+    of: str | None = None  # the request that the body names; None: it names none
 
 
 class Ended(Line, frozen=True, tag="ended"):
@@ -187,6 +188,9 @@
         yield f"{request.id}: {len(answers)} answers"
     if answers and any(end.at < answers[0].at for end in request.ends):
         yield f"{request.id}: an answer after its connection had ended"
+    for answer in answers:
+        if answer.of is not None and answer.of != request.id:
+            yield f"{request.id}: answered with the answer to {answer.of}"
     for end in request.ends:
         sent = request.sent[0]
         from_, until = sent.at - KILL_MARGIN, end.at + KILL_MARGIN
--- a/tests/fleet_stand_ins.py
+++ b/tests/fleet_stand_ins.py
@@ -7,6 +7,7 @@
 import json
 import random
 import time
+from collections import Counter
 from typing import Any
 
 from tests.peers import node_list
@@ -17,21 +18,30 @@
 
     def __init__(self) -> None:
         self.lines: list[dict[str, Any]] = []
+        self.heads: dict[str, str] = {}  # that were asked, by request
+        self.attempted: set[str] = set()
+        self.at_nodes: Counter[str] = Counter()  # attempts that are open, by head
 
     def write(self, what: str, **more: Any) -> None:
         """Add a line, of now."""
         self.lines.append({"what": what, "at": time.monotonic(), **more})
+        request = more.get("request", "")
+        match what:
+            case "sent":
+                self.heads[request] = more["head"]
+            case "attempt":
+                self.attempted.add(request)
+                self.at_nodes[self.heads.get(request, "")] += 1
+            case "over":
+                self.at_nodes[self.heads.get(request, "")] -= 1
 
     def reached_a_node(self, request: str) -> bool:
         """Whether a request was attempted."""
-        return any(line["what"] == "attempt" and line["request"] == request for line in self.lines)
+        return request in self.attempted
 
     def in_flight(self, head: str) -> int:
         """How many requests of a head are at nodes now."""
-        own = {line["request"] for line in self.lines if line["what"] == "sent" and line["head"] == head}
-        begun = [line["request"] for line in self.lines if line["what"] == "attempt"]
-        ended = [line["request"] for line in self.lines if line["what"] == "over"]
-        return sum(request in own for request in begun) - sum(request in own for request in ended)
+        return self.at_nodes[head]
 
 
 class RoughNode:
@@ -63,7 +73,7 @@
         fate = self.draws.random()
         if fate < 0.08:
             self.end_attempt(request, ran=False)
-            writer.write(b"HTTP/1.1 503 Full\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n")
+            self.send(writer, b"HTTP/1.1 503 Full\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n")
             return True
         # its end at the node is also that of the head's connection: nothing answers to nobody
         left = asyncio.ensure_future(reader.read(1))
@@ -79,11 +89,20 @@
             writer.transport.abort()
             return False
         if fate < 0.3:
-            writer.write(b"HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n")
+            self.send(writer, b"HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n")
         else:
-            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone")
+            body = self.body_for(request)
+            self.send(writer, b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
         return True
 
+    def body_for(self, request: str) -> bytes:
+        """The body of a good answer."""
+        return b"done"
+
+    def send(self, writer: asyncio.StreamWriter, answer: bytes) -> None:
+        """Write a whole answer."""
+        writer.write(answer)
+
     def end_attempt(self, request: str, ran: bool) -> None:
         """Note that an attempt ended here, and whether it may have run."""
         self.history.write("over", request=request, node=self.name, ran=ran)
@@ -111,6 +130,7 @@
         self.open: set[asyncio.StreamWriter] = set()
         self.silent: set[asyncio.StreamWriter] = set()
         self.pending: dict[str, float] = {}  # draining nodes, which a silent watch misses
+        self.down = False  # whether it ends all connections
 
     def push(self, node: RoughNode) -> None:
         """Push a node's change.
@@ -133,9 +153,17 @@
         """Send nothing more on the watches that are open."""
         self.silent |= self.open
 
+    def reset_watches(self) -> None:
+        """Reset the watches that are open."""
+        for writer in self.open:
+            writer.transport.abort()
+
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             while head := (await reader.readuntil(b"\r\n\r\n")).decode():
+                if self.down:
+                    writer.transport.abort()
+                    break
                 self.open.add(writer)
                 query = head.split(" ")[1].partition("?")[2]
                 asked = dict(pair.split("=") for pair in query.split("&")) if query else {}
--- a/tests/fleet_story.py
+++ b/tests/fleet_story.py
@@ -12,7 +12,7 @@
 import time
 from collections.abc import AsyncIterator
 from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple
 
 from stoatrouter.lab.histories.requests import Effect, RequestClass, Terms
 from tests.addresses import free_ports, own_host
@@ -66,9 +66,18 @@
         self.host, self.agent = own_host(), PushingAgent(name, nodes, history)
         self.port, self.at = free_ports(self.host, 2)
         self.process: asyncio.subprocess.Process | None = None
+        self.environ: dict[str, str] = {}  # beside that of the tests
 
     async def start(self, heads: int) -> None:
         """Start the process, and wait until it serves."""
+        path = self.write_configuration(heads)
+        self.process = await self.spawn(path)
+        while not await self.ready():
+            assert self.process.returncode is None, (self.folder / f"{self.name}.log").read_text()[-2000:]
+            await asyncio.sleep(0.02)
+
+    def write_configuration(self, heads: int) -> Path:
+        """Write what the process is told at its start."""
         data = {
             "name": self.name,
             "listen": f"{self.host}:{self.port}",
@@ -80,11 +89,16 @@
         }
         path = self.folder / f"{self.name}.json"
         path.write_text(json.dumps(data))
-        environ = os.environ | {"NODE_CONFIG": str(path), "PYTHONPATH": str(ROOT)}
+        return path
+
+    async def spawn(self, configuration: Path, **more: Any) -> asyncio.subprocess.Process:
+        """Start a process, without waiting for it."""
+        environ = os.environ | {"NODE_CONFIG": str(configuration), "PYTHONPATH": str(ROOT)}
         for name in ("TMPDIR", "NODE_DISCOVERY"):
             environ.pop(name, None)
+        environ |= self.environ
         with (self.folder / f"{self.name}.log").open("ab") as log:
-            self.process = await asyncio.create_subprocess_exec(
+            return await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-B",
                 "-c",
@@ -93,10 +107,8 @@
                 env=environ,
                 stderr=log,
                 preexec_fn=end_with_parent,
+                **more,
             )
-        while not await self.ready():
-            assert self.process.returncode is None, (self.folder / f"{self.name}.log").read_text()[-2000:]
-            await asyncio.sleep(0.02)
 
     async def ready(self) -> bool:
         """Whether the process serves."""
@@ -148,15 +160,15 @@
         if self.draws.random() < 0.15 and await self.leave_early(name, reader, writer):
             return False
         try:
-            status, goes_on = await read_answer(reader)
+            answer = await read_answer(reader)
         except (OSError, asyncio.IncompleteReadError):
             # a close that crossed a request which the head has not read: it is sent once more, so it counts
             # as gone
             was_read = self.history.reached_a_node(name) and not was_closed
             self.history.write("ended" if was_read else "gone", request=name)
             return False
-        self.history.write("answered", request=name, status=status)
-        return goes_on
+        self.history.write("answered", request=name, status=answer.status)
+        return answer.goes_on
 
     def encode(self, name: str, kind: str) -> bytes:
         """A request of a class; only those that change nothing have no body."""
@@ -189,13 +201,21 @@
         return True
 
 
-async def read_answer(reader: asyncio.StreamReader) -> tuple[int, bool]:
-    """Read a complete answer: its status, and whether the connection goes on."""
+class Answer(NamedTuple):
+    """A complete answer to a client."""
+
+    status: int
+    goes_on: bool  # whether its connection does
+    body: bytes
+
+
+async def read_answer(reader: asyncio.StreamReader) -> Answer:
+    """Read a complete answer."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode()
     lines = head.lower().split("\r\n")
     length = next(int(line.split(":")[1]) for line in lines if line.startswith("content-length"))
-    await reader.readexactly(length)
-    return int(head.split(" ")[1]), "connection: close" not in head.lower()
+    body = await reader.readexactly(length)
+    return Answer(int(head.split(" ")[1]), "connection: close" not in head.lower(), body)
 
 
 async def play(
--- a/tests/test_request_histories.py
+++ b/tests/test_request_histories.py
@@ -53,6 +53,8 @@
         ([sent(), attempt(), over(), ANSWER], None),
         ([sent(), attempt(), over(), attempt("b", 0.5), over("b", 0.6), ANSWER], None),
         ([sent(), attempt(), over()], "never answered"),
+        ([sent(), attempt(), over(), line("answered", 3.0, status=200, of="r")], None),
+        ([sent(), attempt(), over(), line("answered", 3.0, status=200, of="q")], "the answer to q"),
         ([sent(), ANSWER, line("answered", 3.1, status=503)], "2 answers"),
         ([sent(), attempt(), line("ended")], "lost by h"),
         ([sent(), attempt(), line("ended"), {"what": "killed", "at": 0.9, "head": "h"}], None),
