--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -15,7 +15,7 @@
 from tests.known_red import pass_over, read_known_red
 
 FLEETS_AT_ONCE = 4  # of three to five processes each: more of them crowd eight cores
-STARTERS_OF_FLEETS = ("heads_up", "play")
+STARTERS_OF_FLEETS = ("heads_up", "play", "Soak")
 KNOWN_RED = read_known_red()
 
 
--- /dev/null
+++ b/tests/soak/credit_story.py
@@ -0,0 +1,42 @@
+"""A seed of the soak with heads that know each other: credit and rules under faults and cut-offs."""
+
+from __future__ import annotations
+
+from collections import Counter
+from pathlib import Path
+
+from stoatrouter.lab.histories.history import Request
+from stoatrouter.lab.histories.judge import judge
+from tests.heads.ledger_chaos import LEDGER_MORE, LedgerChaos
+from tests.heads.processes import Processes, heads_up
+from tests.heads.rules_clients import rules
+from tests.soak.plan import Kind
+from tests.soak.report import Finding, SeedReport, Usage
+from tests.soak.story import add_tracebacks
+
+HEADS = 5
+ENDS = ("kill", "kill_leader", "lose_folder", "start_cut_off")  # faults that end a process
+UNCHARGED = ("served", "paid in", "charged")  # in the judge's words
+
+
+async def play_credit(folder: Path, seed: int, seconds: float, settings: str = LEDGER_MORE) -> SeedReport:
+    """Play and judge one seed."""
+    report = SeedReport(seed, Kind.CREDIT)
+    async with heads_up(folder, count=HEADS, seed=seed, more=settings, http=rules("own")) as fleet:
+        report.before = usage(fleet)
+        chaos = LedgerChaos(fleet, seed, folder / "history.jsonl")
+        history = await chaos.run(seconds, detect=False)
+        report.after = usage(fleet)
+    for violation in judge(history):
+        text = str(violation)
+        uncharged = any(word in text for word in UNCHARGED)
+        report.add(Finding.UNCHARGED if uncharged else Finding.CREDIT, text)
+    add_tracebacks(report, [head.logs for head in fleet])
+    report.answers = Counter(str(request.status) for request in history.of(Request))
+    report.ends = sum(fault.split()[1] in ENDS for fault in chaos.faults)
+    return report
+
+
+def usage(fleet: Processes) -> list[Usage]:
+    """What the heads hold now."""
+    return [Usage.of(head.process.pid) for head in fleet.up if head.process is not None]
--- /dev/null
+++ b/tests/soak/ends.py
@@ -0,0 +1,175 @@
+"""Ends of heads as the platform's pages have them: signals in series, clients that stay, a kill in time."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import random
+import signal
+import socket
+import time
+from pathlib import Path
+
+from tests.addresses import free_port
+from tests.fleet_stand_ins import History
+from tests.fleet_story import DEADLINE, StoryHead
+from tests.soak.plan import TERM, draw_series
+from tests.soak.report import Finding, SeedReport
+from tests.soak.stand_ins import SoakNode, knock
+
+KILL_AFTER = DEADLINE + 0.7  # seconds after SIGTERM: the page's earliest
+KNOCKING = (0.2, 0.4)  # seconds in which new connections go on to come
+READY_WITHIN = 30.0  # seconds
+EARLY = 0.4  # seconds after its start in which a process is signalled, running its loop or not
+NEVER_READY = "not ready within 30 s"
+
+
+class SoakHead(StoryHead):
+    """A head of the soak: at an address of its own, or on a socket that its processes inherit."""
+
+    def __init__(
+        self, name: str, folder: Path, nodes: list[SoakNode], history: History, prelude: str, inherits: bool
+    ) -> None:
+        super().__init__(name, folder, nodes, history, prelude)
+        self.socket = socket.create_server((self.host, self.port), backlog=1024) if inherits else None
+        temporary = folder / f"{name}-tmp"
+        temporary.mkdir()
+        self.environ = {"TMPDIR": str(temporary)}
+
+    async def spawn(self, configuration: Path) -> asyncio.subprocess.Process:
+        """Start a process, without waiting for it."""
+        if self.socket is None:
+            return await super().spawn(configuration)
+        self.management = f"127.0.0.1:{free_port()}"
+        told = {"NODE_INHERITED_FD": str(self.socket.fileno()), "NODE_MANAGEMENT": self.management}
+        self.environ |= told
+        return await super().spawn(configuration, pass_fds=[self.socket.fileno()])
+
+    async def is_managed_ready(self) -> bool:
+        """Whether the process that was started last serves, by the operators' call."""
+        host, _, port = self.management.partition(":")
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(b"GET /control/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+            answer = await reader.readuntil(b"\r\n\r\n")
+            writer.close()
+            return b" 200 " in answer
+        return False
+
+    def close(self) -> None:
+        """Close the inherited socket."""
+        if self.socket is not None:
+            self.socket.close()
+
+
+class Ender:
+    """Ends the heads of one seed, and starts them again."""
+
+    def __init__(self, seed: int, history: History, report: SeedReport, heads: int) -> None:
+        self.seed, self.history, self.report, self.heads = seed, history, report, heads
+        self.draws = random.Random(f"ends/{seed}")
+        self.knockers = 0
+
+    async def start(self, head: SoakHead) -> bool:
+        """Start a head; whether it got ready."""
+        try:
+            async with asyncio.timeout(READY_WITHIN):
+                await head.start(self.heads)
+        except TimeoutError:
+            self.report.add(Finding.NOT_READY, f"{head.name}: {NEVER_READY}")
+            return False
+        except AssertionError:
+            self.report.add(Finding.CRASHED, f"{head.name} ended at its start")
+            return False
+        return True
+
+    async def end(self, head: SoakHead, process: asyncio.subprocess.Process) -> None:
+        """End a process as planned: a series of signals, clients that come and stay, SIGKILL in time."""
+        self.report.ends += 1
+        self.knockers += 1
+        seconds = self.draws.uniform(*KNOCKING)
+        knocking = knock(100 + self.knockers, head, self.seed, self.history, seconds)
+        knocker = asyncio.create_task(knocking)
+        termed = await self.signal(process)
+        await self.wait_or_kill(head, process, termed)
+        await knocker
+
+    async def signal(self, process: asyncio.subprocess.Process) -> float:
+        """Send a series of signals; the time of the first SIGTERM."""
+        began, termed = time.monotonic(), 0.0
+        for signalled in draw_series(self.draws):
+            await asyncio.sleep(max(0.0, began + signalled.after - time.monotonic()))
+            if process.returncode is None:
+                process.send_signal(signalled.sign)
+            if signalled.sign is TERM and not termed:
+                termed = time.monotonic()
+        return termed
+
+    async def wait_or_kill(self, head: SoakHead, process: asyncio.subprocess.Process, termed: float) -> None:
+        """Wait for the end of a process, and kill it at the page's earliest."""
+        left = termed + KILL_AFTER - time.monotonic()
+        try:
+            await asyncio.wait_for(process.wait(), max(0.0, left))
+        except TimeoutError:
+            self.report.killed_at_the_end += 1
+            process.kill()  # no excuse for what is lost: it is not written into the history
+            await process.wait()
+        else:
+            self.judge_exit(head, process.returncode)
+        self.report.slowest_end = max(self.report.slowest_end, time.monotonic() - termed)
+
+    def judge_exit(self, head: SoakHead, status: int | None) -> None:
+        """A process that was told to end does so with 0, or by the signal where its loop did not run yet."""
+        if status not in (0, -signal.SIGTERM, -signal.SIGHUP):
+            self.report.add(Finding.CRASHED, f"{head.name} ended with {status}")
+
+    async def end_early(self, head: SoakHead) -> None:
+        """Start a process and signal it within moments, its loop running or not."""
+        process = await head.spawn(head.write_configuration(self.heads))
+        await asyncio.sleep(self.draws.uniform(0.0, EARLY))
+        self.report.ends += 1
+        termed = await self.signal(process)
+        await self.wait_or_kill(head, process, termed)
+
+    async def kill(self, head: SoakHead) -> None:
+        """Kill a process outright, which excuses what it held."""
+        assert head.process is not None
+        self.history.write("killed", head=head.name)
+        head.process.kill()
+        await head.process.wait()
+
+    async def upgrade(self, head: SoakHead) -> None:
+        """Start a new process beside the present one, and end that one at some moment of the handover."""
+        old = head.process
+        assert old is not None
+        new = await head.spawn(head.write_configuration(self.heads))
+        ready = asyncio.create_task(self.until_managed_ready(head, new))
+        if self.draws.random() < 0.5:
+            await asyncio.wait([ready])
+        else:
+            await asyncio.sleep(self.draws.uniform(0.0, 2 * EARLY))
+        await self.end(head, old)
+        await ready
+        head.process = new
+
+    async def until_managed_ready(self, head: SoakHead, process: asyncio.subprocess.Process) -> None:
+        """Wait until the new process serves."""
+        try:
+            async with asyncio.timeout(READY_WITHIN):
+                while not await head.is_managed_ready():
+                    if process.returncode is not None:
+                        self.report.add(Finding.CRASHED, f"{head.name} ended with {process.returncode}")
+                        return
+                    await asyncio.sleep(0.02)
+        except TimeoutError:
+            self.report.add(Finding.NOT_READY, f"{head.name}: {NEVER_READY}")
+
+
+def stop_all(heads: list[SoakHead]) -> None:
+    """Kill what still runs and close the sockets; for a story that failed, too."""
+    for head in heads:
+        if head.process is not None and head.process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(head.process.pid, signal.SIGKILL)
+        head.close()
--- /dev/null
+++ b/tests/soak/report.py
@@ -0,0 +1,130 @@
+"""What a seed of the soak has shown, in one line, and the sum of all seeds."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import StrEnum
+from pathlib import Path
+
+from tests.soak.plan import Kind
+
+MEGABYTE = 1 << 20
+
+
+class Finding(StrEnum):
+    """What a head must not do."""
+
+    LOST = "lost"
+    RUN_TWICE = "run twice"
+    SENT_TO_DRAINED = "sent to a drained node"
+    SENT_FOR_NOBODY = "sent for a client that had gone"
+    ANOTHERS_ANSWER = "another's answer"
+    UNCHARGED = "served uncharged"
+    CREDIT = "another promise of heads that know each other"
+    TRACEBACK = "traceback"
+    CRASHED = "crashed"
+    NOT_READY = "not ready"
+    UNKNOWN = "another rule"
+
+
+# texts of the judges' violations, and what they are counted as
+BY_TEXT = {
+    "lost by": Finding.LOST,
+    "never answered": Finding.LOST,
+    " answers": Finding.LOST,
+    "an answer after": Finding.LOST,
+    "may not run twice": Finding.RUN_TWICE,
+    "outside its window": Finding.RUN_TWICE,
+    "in another cell": Finding.RUN_TWICE,
+    "two attempts at once": Finding.RUN_TWICE,
+    "told as leaving": Finding.SENT_TO_DRAINED,
+    "after its client had gone": Finding.SENT_FOR_NOBODY,
+    "answered with the answer to": Finding.ANOTHERS_ANSWER,
+}
+
+
+def classify(violation: str) -> Finding:
+    """What a violation of the requests' judge is counted as."""
+    return next((found for text, found in BY_TEXT.items() if text in violation), Finding.UNKNOWN)
+
+
+@dataclass(slots=True, frozen=True)
+class Usage:
+    """What a process holds."""
+
+    memory: int  # bytes, resident
+    descriptors: int
+
+    @staticmethod
+    def of(process: int) -> Usage:
+        """Read it from the system; zeros where the process has ended."""
+        try:
+            pages = int(Path(f"/proc/{process}/statm").read_text().split()[1])
+            return Usage(pages * 4096, len(list(Path(f"/proc/{process}/fd").iterdir())))
+        except OSError:
+            return Usage(0, 0)
+
+
+@dataclass(slots=True)
+class SeedReport:
+    """What one seed has shown."""
+
+    seed: int
+    kind: Kind
+    answers: Counter[str] = field(default_factory=Counter)
+    findings: list[tuple[Finding, str]] = field(default_factory=list)
+    ends: int = 0  # of processes
+    killed_at_the_end: int = 0  # of these, that had not ended by the kill that the page allows
+    slowest_end: float = 0.0  # seconds from the first SIGTERM
+    second_answers: int = 0  # that nodes wrote
+    before: list[Usage] = field(default_factory=list)  # of each head, once it is ready
+    after: list[Usage] = field(default_factory=list)  # of those that run at the end
+    most_descriptors: int = 0  # of a head, as disturbances began
+
+    def add(self, finding: Finding, text: str) -> None:
+        """Add a finding."""
+        self.findings.append((finding, text))
+
+    def line(self) -> str:
+        """The report in one line."""
+        found = ", ".join(f"{count} {name}" for name, count in self.found().items()) or "nothing found"
+        return (
+            f"seed {self.seed} {self.kind}: {self.ends} ends (slowest {self.slowest_end:.1f} s, "
+            f"{self.killed_at_the_end} killed), {sum(self.answers.values())} answers "
+            f"{dict(sorted(self.answers.items()))}, {self.second_answers} second answers, "
+            f"{usage_text(self.before)} before, {self.most_descriptors} descriptors between, "
+            f"{usage_text(self.after)} after: {found}"
+        )
+
+    def found(self) -> Counter[str]:
+        """Findings by what they are."""
+        return Counter(str(finding) for finding, _ in self.findings)
+
+
+def usage_text(usages: Iterable[Usage]) -> str:
+    """The most that a process holds, in words."""
+    held = list(usages) or [Usage(0, 0)]
+    memory = max(usage.memory for usage in held) // MEGABYTE
+    return f"{memory} MB and {max(usage.descriptors for usage in held)} descriptors"
+
+
+def summary(reports: list[SeedReport]) -> str:
+    """All seeds in a few lines."""
+    answers, found, kinds = Counter[str](), Counter[str](), Counter[str]()
+    for report in reports:
+        answers += report.answers
+        found += report.found()
+        kinds[report.kind] += 1
+    lines = [
+        f"{len(reports)} seeds {dict(kinds)}, {sum(report.ends for report in reports)} ends, "
+        f"slowest {max((report.slowest_end for report in reports), default=0.0):.2f} s, "
+        f"{sum(report.killed_at_the_end for report in reports)} killed at the page's earliest",
+        f"requests by answer {dict(sorted(answers.items()))}; "
+        f"{sum(report.second_answers for report in reports)} second answers",
+        f"most held by a head: {usage_text(u for r in reports for u in r.before)} before, "
+        f"{max((r.most_descriptors for r in reports), default=0)} descriptors between, "
+        f"{usage_text(u for r in reports for u in r.after)} after",
+    ]
+    return "\n".join([*lines, *(f"{finding}: {found[finding]}" for finding in Finding)])
--- /dev/null
+++ b/tests/soak/stand_ins.py
@@ -0,0 +1,156 @@
+"""Nodes and clients of the soak: answers name their requests, and some come a second time."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import time
+
+from tests.fleet_stand_ins import History, RoughNode
+from tests.fleet_story import CLASSES_BY_NAME, DEADLINE, Answer, Client, StoryHead, read_answer
+
+SECOND_ANSWERS = 0.03  # of all answers
+LATEST_SECOND_ANSWER = 0.05  # seconds
+PATIENCE = DEADLINE + 5.0  # seconds; an answer that takes longer never came
+RESEND_PAUSE = 0.02  # seconds
+
+
+class SoakNode(RoughNode):
+    """A rough node whose answers name their requests; some it writes a second time, 0 to 50 ms later."""
+
+    def __init__(self, name: str, cell: int, seed: int, history: History) -> None:
+        super().__init__(name, cell, seed, history)
+        self.second_draws = random.Random(f"second/{seed}/{name}")
+        self.second_answers = 0
+
+    def body_for(self, request: str) -> bytes:
+        """The body of a good answer."""
+        return request.encode()
+
+    def send(self, writer: asyncio.StreamWriter, answer: bytes) -> None:
+        """Write a whole answer, now and then twice."""
+        writer.write(answer)
+        if self.second_draws.random() < SECOND_ANSWERS:
+            late = self.second_draws.choice((0.0, self.second_draws.uniform(0.0, LATEST_SECOND_ANSWER)))
+            loop, written = asyncio.get_running_loop(), time.monotonic()
+            loop.call_later(late, self.send_again, writer, answer, written)
+
+    def send_again(self, writer: asyncio.StreamWriter, answer: bytes, written: float) -> None:
+        """Write an answer a second time, unless this loop is too late for that."""
+        if time.monotonic() - written <= LATEST_SECOND_ANSWER and not writer.is_closing():
+            self.second_answers += 1
+            writer.write(answer)
+
+
+class SoakClient(Client):
+    """Sends requests as the platform's clients do: one that crossed a close is sent once more."""
+
+    async def run(self, over: asyncio.Event) -> None:
+        """Make one request after the other until the story is over."""
+        while not over.is_set():
+            with contextlib.suppress(OSError):
+                reader, writer = await asyncio.open_connection(self.head.host, self.head.port)
+                while not over.is_set() and await self.ask(reader, writer):
+                    await asyncio.sleep(self.draws.uniform(0, 0.02))
+                writer.close()
+            await asyncio.sleep(0.02)
+
+    async def ask(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
+        """Make one request; returns whether its connection goes on."""
+        self.count += 1
+        name, kind = f"c{self.number}-{self.count}", self.draws.choice(list(CLASSES_BY_NAME))
+        request = self.encode(name, kind)
+        was_closed = reader.at_eof()
+        self.history.write("sent", request=name, head=self.head.name, kind=kind)
+        writer.write(request)
+        if self.draws.random() < 0.1 and await self.leave_early(name, reader, writer):
+            return False
+        answer = await self.answer_of(name, reader)
+        if answer is not None:
+            return answer.goes_on
+        if self.history.reached_a_node(name) and not was_closed:
+            self.history.write("ended", request=name)
+        else:
+            await self.send_once_more(name, request)
+        return False
+
+    async def answer_of(self, name: str, reader: asyncio.StreamReader) -> Answer | None:
+        """Wait for an answer; None where the connection ended without one."""
+        try:
+            async with asyncio.timeout(PATIENCE):
+                answer = await read_answer(reader)
+        except TimeoutError:
+            return Answer(0, False, b"")  # the judge finds that none is there
+        except (OSError, asyncio.IncompleteReadError):
+            return None
+        named = {"of": answer.body.decode()} if answer.status == 200 else {}
+        self.history.write("answered", request=name, status=answer.status, **named)
+        return answer
+
+    async def send_once_more(self, name: str, request: bytes) -> None:
+        """Send a request that crossed the end of its connection on a new one; without one it is given up."""
+        await asyncio.sleep(RESEND_PAUSE)
+        try:
+            reader, writer = await asyncio.open_connection(self.head.host, self.head.port)
+        except OSError:
+            self.history.write("gone", request=name)
+            return
+        writer.write(request)
+        answer = await self.answer_of(name, reader)
+        writer.close()
+        if answer is None:
+            # a connection that is shut unread, as its head has none left or ends, has taken nothing
+            was_read = self.history.reached_a_node(name)
+            self.history.write("ended" if was_read else "gone", request=name)
+
+
+async def knock(number: int, head: StoryHead, seed: int, history: History, seconds: float) -> None:
+    """Open new connections to a head for a while, each for one request."""
+    client = SoakClient(number, head, seed, history)
+    ends = time.monotonic() + seconds
+    asking: list[asyncio.Task[None]] = []
+    while time.monotonic() < ends:
+        asking.append(asyncio.create_task(ask_once(client)))
+        await asyncio.sleep(client.draws.uniform(0.005, 0.03))
+    await asyncio.gather(*asking)
+
+
+async def ask_once(client: SoakClient) -> None:
+    """Make one request on a new connection."""
+    with contextlib.suppress(OSError):
+        reader, writer = await asyncio.open_connection(client.head.host, client.head.port)
+        await client.ask(reader, writer)
+        writer.close()
+
+
+class Crowd:
+    """Idle clients of a head: they connect and say nothing, and come again where they are ended."""
+
+    def __init__(self, head: StoryHead, size: int) -> None:
+        self.head, self.size = head, size
+        self.writers: list[asyncio.StreamWriter] = []
+
+    async def run(self, over: asyncio.Event) -> None:
+        """Keep so many connections open until the story is over."""
+        while not over.is_set():
+            self.writers = [writer for writer in self.writers if not self.has_ended(writer)]
+            missing = self.size - len(self.writers)
+            await asyncio.gather(*(self.connect() for _ in range(min(missing, 100))))
+            await asyncio.sleep(0.1)
+        for writer in self.writers:
+            writer.transport.abort()
+
+    async def connect(self) -> None:
+        """Open one more connection."""
+        with contextlib.suppress(OSError):
+            self.writers.append((await asyncio.open_connection(self.head.host, self.head.port))[1])
+
+    @staticmethod
+    def has_ended(writer: asyncio.StreamWriter) -> bool:
+        """Whether the head has ended a connection."""
+        protocol = writer.transport.get_protocol()
+        ended = writer.is_closing() or protocol._stream_reader.at_eof()  # type: ignore[attr-defined]
+        if ended:
+            writer.transport.abort()
+        return bool(ended)
--- /dev/null
+++ b/tests/soak/story.py
@@ -0,0 +1,145 @@
+"""One seed of the soak: heads of the real program, stand-ins, disturbances, ends; judged after the fact."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections import Counter
+from pathlib import Path
+
+from stoatrouter.lab.histories.requests import Terms, judge
+from tests.fleet_stand_ins import History
+from tests.fleet_story import CLASSES_BY_NAME, GRACE, stand_ins
+from tests.soak.ends import Ender, SoakHead, stop_all
+from tests.soak.plan import Disturbance, Kind, kind_of
+from tests.soak.report import Finding, SeedReport, Usage, classify
+from tests.soak.stand_ins import Crowd, SoakClient, SoakNode
+
+HEADS, NODES = 3, 6
+CLIENTS = 8  # of each head
+CROWD = 1_100  # idle clients of each head, which may hold 1,024 descriptors
+DRAINED_FOR = GRACE + 1.0  # seconds
+OUTAGE = 1.5  # seconds
+SLACK = 0.4  # seconds, of the judge: for a whole program on a busy machine
+QUIET = 1.0  # seconds at the end, without clients
+
+
+class Soak:
+    """One seed."""
+
+    def __init__(self, folder: Path, seed: int, seconds: float, prelude: str = "") -> None:
+        self.seed, self.seconds, self.folder = seed, seconds, folder
+        self.kind = kind_of(seed)
+        self.history, self.draws = History(), random.Random(f"soak/{seed}")
+        self.report = SeedReport(seed, self.kind)
+        self.nodes = [SoakNode(f"n{i}", i % 2, seed, self.history) for i in range(NODES)]
+        inherits = self.kind is Kind.UPGRADE
+        self.heads = [
+            SoakHead(f"h{i}", folder, self.nodes, self.history, prelude, inherits) for i in range(HEADS)
+        ]
+        self.ender = Ender(seed, self.history, self.report, HEADS)
+
+    async def play(self) -> SeedReport:
+        """Play the story and judge it."""
+        over = asyncio.Event()
+        try:
+            async with stand_ins(self.nodes, self.heads):
+                if all(await asyncio.gather(*(self.ender.start(head) for head in self.heads))):
+                    self.report.before = self.usage()
+                    await self.play_before(over)
+        finally:
+            over.set()
+            stop_all(self.heads)
+        self.judge()
+        return self.report
+
+    async def play_before(self, over: asyncio.Event) -> None:
+        """Run clients beside disturbances and ends; at the end clients finish what they have asked."""
+        numbers = range(CLIENTS * HEADS)
+        clients = [SoakClient(i, self.heads[i % HEADS], self.seed, self.history) for i in numbers]
+        tasks = [asyncio.create_task(client.run(over)) for client in clients]
+        if self.kind is Kind.CROWD:
+            tasks += [asyncio.create_task(Crowd(head, CROWD).run(over)) for head in self.heads]
+        ends = time.monotonic() + self.seconds
+        while time.monotonic() < ends and not self.report.found()[Finding.NOT_READY]:
+            await self.disturb_and_end()
+        over.set()
+        await asyncio.gather(*tasks)
+        await asyncio.sleep(QUIET)
+        self.report.after = self.usage()
+
+    def usage(self) -> list[Usage]:
+        """What the heads hold now."""
+        return [Usage.of(head.process.pid) for head in self.heads if head.process is not None]
+
+    # -- disturbances and ends ----------------------------------------------------------------------------
+    async def disturb_and_end(self) -> None:
+        """Disturb all heads, and end one of them."""
+        held = max(usage.descriptors for usage in self.usage())
+        self.report.most_descriptors = max(self.report.most_descriptors, held)
+        disturbance = self.draws.choice(list(Disturbance))
+        node = self.draws.choice(self.nodes)
+        agents = [head.agent for head in self.heads]
+        for agent in agents:
+            if disturbance is Disturbance.SILENT_WATCHES:
+                agent.fall_silent()
+            if disturbance in (Disturbance.RESET_WATCHES, Disturbance.OUTAGE):
+                agent.reset_watches()
+            agent.down = disturbance is Disturbance.OUTAGE
+        if disturbance is not Disturbance.OUTAGE:
+            node.phase = "DRAINING"
+            for agent in agents:
+                agent.push(node)
+        await asyncio.gather(
+            self.end_one(self.draws.choice(self.heads)), self.end_disturbance(disturbance, node)
+        )
+
+    async def end_disturbance(self, disturbance: Disturbance, node: SoakNode) -> None:
+        """Set right what was disturbed, after a while."""
+        await asyncio.sleep(OUTAGE if disturbance is Disturbance.OUTAGE else DRAINED_FOR)
+        node.phase = "SERVING"
+        for head in self.heads:
+            if head.agent.down:
+                head.agent.down = False
+            else:
+                head.agent.push(node)
+
+    async def end_one(self, head: SoakHead) -> None:
+        """End a head in one way or another, with requests at nodes, and start it again."""
+        assert head.process is not None
+        await self.until_busy(head)
+        if self.kind is Kind.UPGRADE:
+            return await self.ender.upgrade(head)
+        if self.draws.random() < 0.15:
+            await self.ender.kill(head)
+        else:
+            await self.ender.end(head, head.process)
+        if self.draws.random() < 0.3:
+            await self.ender.end_early(head)
+        await self.ender.start(head)
+
+    async def until_busy(self, head: SoakHead) -> None:
+        """Wait until requests of a head are at nodes, not for long."""
+        deadline = time.monotonic() + 2.0
+        while self.history.in_flight(head.name) < 2 and time.monotonic() < deadline:
+            await asyncio.sleep(0.005)
+
+    # -- the verdict --------------------------------------------------------------------------------------
+    def judge(self) -> None:
+        """Judge what clients, nodes and discovery saw, and what the logs say of errors in the program."""
+        terms = Terms(CLASSES_BY_NAME, {node.name: node.cell for node in self.nodes}, GRACE, slack=SLACK)
+        for violation in judge(self.history.lines, terms):
+            self.report.add(classify(violation), violation)
+        add_tracebacks(self.report, list(self.folder.glob("h*.log")))
+        answered = (line["status"] for line in self.history.lines if line["what"] == "answered")
+        self.report.answers = Counter(str(status) for status in answered)
+        self.report.second_answers = sum(node.second_answers for node in self.nodes)
+
+
+def add_tracebacks(report: SeedReport, logs: list[Path]) -> None:
+    """Count errors in the program as its logs show them."""
+    for log in logs:
+        count = log.read_text(errors="replace").count("Traceback (most recent call last)")
+        if count:
+            report.add(Finding.TRACEBACK, f"{count} in {log.name}")
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,116 @@
+"""A short soak of fixed seeds, and the soak itself, which must find what broken programs do.
+
+The long run is `python -m benchmarks.soak`; its figures are in docs/measurements/soak.md.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+
+from tests.heads.ledger_chaos import LEDGER_MORE, LedgerChaos
+from tests.soak import ends, story
+from tests.soak.credit_story import play_credit
+from tests.soak.plan import SIGNALS_WITHIN, TERM, Kind, draw_series, kind_of
+from tests.soak.report import BY_TEXT, Finding, SeedReport, classify, summary
+from tests.soak.story import Soak
+
+SECONDS = 10.0  # of a seed
+BROKEN_SECONDS = 6.0
+SEEDS = range(10, 14)  # one of each kind
+ENOUGH = 5  # seeds within which a broken program is caught
+
+
+def test_seeds_in_a_row_are_of_all_kinds():
+    kinds = [kind_of(seed) for seed in range(60)]
+    assert kinds.count(Kind.CROWD) == kinds.count(Kind.CREDIT) == 18
+    assert {kind_of(seed) for seed in SEEDS} == set(Kind)
+
+
+def test_each_series_has_its_sigterm_in_time():
+    draws = random.Random(1)
+    for _ in range(1_000):
+        series = draw_series(draws)
+        assert TERM in [signalled.sign for signalled in series]
+        assert all(0.0 <= signalled.after <= SIGNALS_WITHIN for signalled in series)
+
+
+def test_the_report_names_what_was_found():
+    report = SeedReport(3, Kind.PLAIN)
+    assert "nothing found" in report.line()
+    for text, finding in BY_TEXT.items():
+        assert classify(f"c1-2: {text} x") is finding
+    report.add(Finding.LOST, "text")
+    assert "1 lost" in report.line() and "lost: 1" in summary([report]).splitlines()
+    assert classify("something new") is Finding.UNKNOWN
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_heads_lose_nothing_whatever_ends_them(tmp_path, seed):
+    """Signals in series, crowds, upgrades, lost folders: each request gets its own answer, once."""
+    print("seed", seed)
+    if kind_of(seed) is Kind.CREDIT:
+        report = asyncio.run(play_credit(tmp_path, seed, SECONDS))
+    else:
+        report = asyncio.run(Soak(tmp_path, seed, SECONDS).play())
+    print(report.line())
+    assert report.findings == []
+    assert report.ends and report.answers["200"] > 50
+
+
+BROKEN = {
+    Finding.LOST: "from stoatrouter.head import Head\nasync def stop(self):\n    pass\nHead.stop = stop\n",
+    Finding.RUN_TWICE: "from stoatrouter.policy import scheduler, send_rules\n"
+    "scheduler.blocks_retry = send_rules.blocks_retry = lambda *_: False\n",
+    Finding.SENT_TO_DRAINED: "from stoatrouter.net import endpoint_list\n"
+    "endpoint_list.PHASES['DRAINING'] = endpoint_list.PHASES['SERVING']\n",
+    Finding.SENT_FOR_NOBODY: "from stoatrouter.core.reducer import Reducer\n"
+    "Reducer._client_left = lambda self, name: []\n"
+    "from stoatrouter.net import engine\nengine.has_disconnected = lambda client: False\n",
+    Finding.ANOTHERS_ANSWER: "from datetime import timedelta\n"
+    "from stoatrouter.net import answer_identity, rest_times\n"
+    "answer_identity.RecentAnswers.holds = lambda *_: False\n"
+    "rest_times.REUSE_AFTER = rest_times.SUSPECT_REUSE_AFTER = timedelta(0)\n",
+    Finding.TRACEBACK: "import threading\nthreading.Thread(target=lambda: 1 / 0).start()\n",
+    Finding.CRASHED: "import atexit, os\natexit.register(os._exit, 3)\n",
+}
+
+
+@pytest.mark.parametrize("finding", BROKEN)
+def test_a_broken_program_is_found(tmp_path, monkeypatch, finding):
+    # the slack of the page itself: the wider one is for a whole program on a busy machine
+    monkeypatch.setattr(story, "SLACK", 0.05)
+
+    def is_found(number: int) -> bool:
+        seed = 2 + 10 * number  # plain ones
+        print("seed", seed)
+        folder = tmp_path / str(seed)
+        folder.mkdir()
+        report = asyncio.run(Soak(folder, seed, BROKEN_SECONDS, BROKEN[finding]).play())
+        return any(found is finding for found, _ in report.findings)
+
+    assert any(is_found(number) for number in range(ENOUGH))
+
+
+def test_a_program_that_is_not_ready_in_time_is_found(tmp_path, monkeypatch):
+    monkeypatch.setattr(ends, "READY_WITHIN", 1.0)
+    report = asyncio.run(Soak(tmp_path, 2, BROKEN_SECONDS, "import time\ntime.sleep(60)\n").play())
+    assert {found for found, _ in report.findings} == {Finding.NOT_READY}
+
+
+def test_heads_that_serve_without_a_ledger_are_found(tmp_path, monkeypatch):
+    """The operator's setting that serves what cannot be charged stands for a program that does."""
+    monkeypatch.setattr(LedgerChaos, "faults_drawn", ["start_cut_off"])
+    serving = LEDGER_MORE.replace('lease: "2s"', 'lease: "2s", unknown_volumes: "serve"')
+    assert serving != LEDGER_MORE
+
+    def is_found(seed: int) -> bool:
+        print("seed", seed)
+        folder = tmp_path / str(seed)
+        folder.mkdir()
+        report = asyncio.run(play_credit(folder, seed, SECONDS, serving))
+        return any(found is Finding.UNCHARGED for found, _ in report.findings)
+
+    assert any(is_found(seed) for seed in range(1, 1 + ENOUGH))
