A front that stops to listen answers those who have connected

Callers saw: `Connection reset by peer` for a request on a new connection, in the moment in which a front closes its listening socket: in an upgrade at the HTTP and object fronts, and at the end of a stop. Cause: the system completes connections while the loop is at other work, and resets what waits at a socket that is closed.

Evidence: tests/test_front_crossings.py forces it, 20 clients that connect and send in the step in which the socket is closed.

Why it works: what waits is accepted right before the close, without the loop between; on an inherited socket it stays for the next process, as before.

--- a/stoatrouter/net/listener.py
+++ b/stoatrouter/net/listener.py
@@ -168,6 +168,8 @@
             serve, drain.clients, refuse, handler_cancellation=True, access_log=None, auto_decompress=False
         )
         self.acceptor: asyncio.Server | None = None
+        self.listening_socket: ListeningSocket | None = None
+        self.arriving: set[asyncio.Task[None]] = set()  # connections that were accepted last
 
     async def start(self, host: str, port: int, inherited: int | None = None) -> None:
         """Listen at an address, or on an inherited socket that all processes of this head share."""
@@ -179,6 +181,7 @@
             listening_socket = ListeningSocket(fileno=os.dup(inherited))  # closing ours leaves theirs
         listening_socket.keeps_backlog = inherited is not None
         listening_socket.setblocking(False)
+        self.listening_socket = listening_socket
         # Guards the descriptors: asyncio accepts as many at once as it believes the backlog to be.
         self.acceptor = await asyncio.get_running_loop().create_server(
             self.server, sock=listening_socket, backlog=ACCEPT_AT_ONCE
@@ -186,9 +189,29 @@
 
     def stop_accepting(self) -> None:
         """Stop accepting; connections waiting at an inherited socket are left to the next process."""
-        if self.acceptor is not None:
-            self.acceptor.close()
-            self.acceptor = None
+        if self.acceptor is None or self.listening_socket is None:
+            return
+        # Guards clients that have connected, and maybe sent their request: the system would reset them.
+        if not self.listening_socket.keeps_backlog:
+            self._accept_waiting(self.listening_socket)
+        self.acceptor.close()
+        self.acceptor = self.listening_socket = None
+
+    def _accept_waiting(self, listening_socket: ListeningSocket) -> None:
+        """Accept what waits at the socket, as many as its backlog holds."""
+        for _ in range(BACKLOG):
+            try:
+                connection, _ = listening_socket.accept()
+            except OSError:
+                return  # none waits, or no descriptor is left
+            connection.setblocking(False)
+            task = asyncio.get_running_loop().create_task(self._serve_accepted(connection))
+            self.arriving.add(task)
+            task.add_done_callback(self.arriving.discard)
+
+    async def _serve_accepted(self, connection: socket.socket) -> None:
+        with contextlib.suppress(OSError):  # its client has gone
+            await asyncio.get_running_loop().connect_accepted_socket(self.server, connection)
 
     @property
     def port(self) -> int:
@@ -208,7 +231,7 @@
             await asyncio.sleep(RESEND_WINDOW.total_seconds())
         self.stop_accepting()
         clients.end_idle()
-        while busy() or clients.open or clients.any_just_connected():
+        while busy() or clients.open or clients.any_just_connected() or self.arriving:
             await asyncio.sleep(0.01)
             clients.end_idle()
         logger.info("stop: all that was taken is answered", event="stop.answered")
