An advice of 0 at a rejection for want of time is forced, and right by the page (test)

What is unsent at half its time is rejected by the decision module, with 0 where its node is full and nobody knows until when. The wire's page: 0 or absent means no advice; the protocol's: trying again is harmless.

--- a/tests/test_rejection_in_time.py
+++ b/tests/test_rejection_in_time.py
@@ -32,6 +32,14 @@
     assert isinstance(final, api.Reject) and answered - began < SECOND
 
 
+def test_a_rejection_for_want_of_time_gives_no_advice_where_none_is_known():
+    """Forced: nobody knows when the node opens, so the advice is 0 (docs/incidents/0004)."""
+    driver = blocked()
+    driver.request("r", left=2 * SECOND)
+    driver.wait(2 * SECOND)
+    assert driver.finals("r") == [api.Reject("r", 0)]
+
+
 def test_what_is_out_at_half_its_time_is_waited_for():
     driver = SchedulerDriver()
     driver.request("r", left=2 * SECOND)
