A background task that fails is logged at once, and starts again

Cause: the head keeps such tasks in a list and looks at them as it ends, with return_exceptions. Found by looking for tasks that nobody awaits, as a test of a voter had one. Change: keep_running (net/background.py) logs the fault (`background.fault`) and starts the task again after a second, for all tasks of head, watch, fleet, credit and rules. Why this holds: each is a loop over state that is kept elsewhere.

--- a/stoatrouter/head.py
+++ b/stoatrouter/head.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Awaitable, Callable, Mapping
+from functools import partial
 from typing import TYPE_CHECKING
 
 from loguru import logger
@@ -15,6 +16,7 @@
 from stoatrouter.core.spans import span
 from stoatrouter.fronts.platform import PlatformFront
 from stoatrouter.management.calls import MAX_CALLERS, Management
+from stoatrouter.net.background import keep_running
 from stoatrouter.net.bodies import SMALL, BodyCapacity
 from stoatrouter.net.client_table import ClientTable
 from stoatrouter.net.clock import Clock
@@ -217,24 +219,25 @@
         """Take the node list over from the previous process, or restore it and wait for discovery."""
         loop = asyncio.get_running_loop()
         if await self.handover.take_over():
-            self.background.append(loop.create_task(self.watch.run()))
+            self.background.append(loop.create_task(keep_running("discovery", self.watch.run)))
             return
         self.engine.reducer.administrative_state = self.engine.state_file.read()
         self.watch.restore()
-        self.background.append(loop.create_task(self.watch.run()))
+        self.background.append(loop.create_task(keep_running("discovery", self.watch.run)))
         await self.watch.wait_for_first_answer()
 
     def _start_background_tasks(self) -> None:
         loop = asyncio.get_running_loop()
-        self.background += [
-            loop.create_task(self.clients.sweep_periodically()),
-            loop.create_task(self.handover.follow()),
-            loop.create_task(self.management_clients.sweep_periodically()),
-            loop.create_task(monitor_loop(self.engine, self.clients)),
-            *(loop.create_task(service.log_periodically()) for service in self.tables),
+        tasks: list[tuple[str, Callable[[], Awaitable[None]]]] = [
+            ("clients", self.clients.sweep_periodically),
+            ("handover", self.handover.follow),
+            ("operators' clients", self.management_clients.sweep_periodically),
+            ("loop monitor", partial(monitor_loop, self.engine, self.clients)),
+            *(("rule tables", service.log_periodically) for service in self.tables),
         ]
         if self.recorder is not None:
-            self.background.append(loop.create_task(self.recorder.run()))
+            tasks.append(("recorder", self.recorder.run))
+        self.background += [loop.create_task(keep_running(name, run)) for name, run in tasks]
 
     async def accept(self) -> None:
         """Accept clients at all fronts."""
--- a/stoatrouter/peering/fleet.py
+++ b/stoatrouter/peering/fleet.py
@@ -15,6 +15,7 @@
 from stoatrouter.agreement.records import AnyMessage, Voter
 from stoatrouter.membership.detector import Detector
 from stoatrouter.membership.roster import Status
+from stoatrouter.net.background import keep_running
 from stoatrouter.peering.availability import AvailabilityMonitor
 from stoatrouter.peering.bootstrap import FleetBootstrap
 from stoatrouter.peering.counters import MessageCounters
@@ -149,14 +150,14 @@
         loop = asyncio.get_running_loop()
         if self.datagrams is not None and settings.peer_listen is not None:
             await self.datagrams.start(*config.parse_address(settings.peer_listen))
-            self.tasks.append(loop.create_task(self.datagrams.run_for_ever()))
+            self.tasks.append(loop.create_task(keep_running("datagrams", self.datagrams.run_for_ever)))
         self.tasks += [
-            loop.create_task(work)
-            for work in (
-                self.replication.run_for_ever(),
-                self.follower.run_for_ever(),
-                self.bootstrap.found_fleet(),
-                self.monitor.run_for_ever(),
+            loop.create_task(keep_running(name, run))
+            for name, run in (
+                ("replication", self.replication.run_for_ever),
+                ("follower", self.follower.run_for_ever),
+                ("founding", self.bootstrap.found_fleet),
+                ("availability", self.monitor.run_for_ever),
             )
         ]
         logger.info(
--- a/stoatrouter/peering/heads.py
+++ b/stoatrouter/peering/heads.py
@@ -14,6 +14,7 @@
 from aiohttp import web
 
 from stoatrouter.config import Config
+from stoatrouter.net.background import keep_running
 from stoatrouter.peering.fleet import Fleet
 from stoatrouter.peering.head_calls import HeadCalls
 from stoatrouter.peering.services import Call, ServingHead, add_credit, add_rules, persisted_version
@@ -69,9 +70,9 @@
         await self.fleet.start()
         loop = asyncio.get_running_loop()
         if self.credit is not None:
-            self.tasks.append(loop.create_task(self.credit.run()))
+            self.tasks.append(loop.create_task(keep_running("credit", self.credit.run)))
         if self.rules is not None:
-            self.tasks.append(loop.create_task(self.rules.run()))
+            self.tasks.append(loop.create_task(keep_running("rules", self.rules.run)))
         await poll_until(lambda: self.fleet.availability.serves)
         # A head that comes back decides by what is in force, however long its table takes to compile.
         await poll_until(lambda: self.rules is None or self.rules.caught_up)
