Connections that came up while the head was held up are used

Callers saw: 503 for requests with most of their time left, after the head's process had stood for longer than a connection may take to open. Cause: the loop finds the timer due and the connection up in the same step, and the timer cancels the dial; all dials under way fail at once, each counted against its node.

Change: a dial whose time is over gets ten more turns of the loop before it is given up (net/dial.py); the pool bounds it, no longer the session. Why it works: a turn looks at all sockets first, and opening takes at most six once the system has the connection.

--- a/stoatrouter/net/nodes.py
+++ b/stoatrouter/net/nodes.py
@@ -47,7 +47,7 @@
             max_connections: How many connections to nodes may be open at once, idle ones included.
             rest_within: How long the rest of an answer may take once it has begun.
         """
-        self.pool = NodePool(max_connections, conn_idle * IDLE_FRACTION, rest_within)
+        self.pool = NodePool(max_connections, connect_timeout, conn_idle * IDLE_FRACTION, rest_within)
         self.session = aiohttp.ClientSession(
             connector=self.pool,
             request_class=TrackedRequest,
@@ -57,7 +57,7 @@
             trust_env=False,
             skip_auto_headers=SKIPPED,
             read_bufsize=READ_AHEAD,
-            timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_timeout.total_seconds()),
+            timeout=aiohttp.ClientTimeout(total=None),  # the pool bounds how long a connection takes to open
         )
 
     async def close(self) -> None:
--- a/stoatrouter/net/pool.py
+++ b/stoatrouter/net/pool.py
@@ -13,6 +13,7 @@
 
 from stoatrouter.net.answer_identity import AnswerFingerprints, RequestKind
 from stoatrouter.net.connection_counters import ConnectionCounters
+from stoatrouter.net.dial import open_in_time
 from stoatrouter.net.errors import NotBegun
 from stoatrouter.net.node_connection import NodeConnection
 from stoatrouter.net.pool_waiters import PoolWaiters
@@ -28,11 +29,14 @@
 class NodePool(aiohttp.TCPConnector):
     """Connections to all nodes; idle ones count against the bound as well."""
 
-    def __init__(self, max_connections: int, keep: timedelta, rest_within: timedelta) -> None:
+    def __init__(
+        self, max_connections: int, connect_timeout: timedelta, keep: timedelta, rest_within: timedelta
+    ) -> None:
         """Set up an empty pool.
 
         Args:
             max_connections: How many connections may be open at once, idle ones included.
+            connect_timeout: How long a connection may take to open.
             keep: How long an idle connection is kept.
             rest_within: How long the rest of an answer may take once it has begun.
         """
@@ -40,6 +44,7 @@
         # the one that was waited for is another request's meanwhile
         super().__init__(limit=0, keepalive_timeout=keep.total_seconds(), use_dns_cache=False)
         self.max_connections = max_connections
+        self.connect_timeout = connect_timeout.total_seconds()
         self.keep = keep.total_seconds()
         self.reuse_within = self.keep  # seconds that a connection may have been idle to be reused
         self.alive: set[NodeConnection] = set()
@@ -123,7 +128,8 @@
         self.counters.dials_beside_resting += bool(self._conns.get(req.connection_key))
         self._dialling += 1
         try:
-            return await super()._create_connection(req, traces, timeout)
+            opening = super()._create_connection(req, traces, timeout)
+            return await open_in_time(opening, self.connect_timeout)
         finally:
             self._dialling -= 1
             self._waiters_at_bound.wake(None)
