Customers made during faults pay, spend, lose volumes and are deleted (test)

Cause: they never got money, so that a history could show free service of them, but no overspending. Change: LedgerChaos pays in to them, gives their volumes to new customers that have paid nothing, and deletes some; all are settled at the end. The judge's table has a broken history of each: more spent than paid, spent by who lost the volume to an empty account, charged after deletion for nothing.

--- a/tests/heads/ledger_chaos.py
+++ b/tests/heads/ledger_chaos.py
@@ -1,4 +1,4 @@
-"""Random faults while customers are made and volumes move: what a head knows of the ledger matters.
+"""Random faults while customers are made, pay, lose volumes and are deleted: what a head knows matters.
 
 Beside the faults of `chaos`, heads without a vote lose their folders, and heads start while they are cut off.
 """
@@ -8,6 +8,7 @@
 import asyncio
 import shutil
 import time
+from collections import Counter
 from typing import Any
 
 from tests.heads.chaos import FAULTS, MORE, Chaos
@@ -20,7 +21,10 @@
 LONGEST_BEHIND = max(CUT_OFF_AFTER, LEASE) * 1.05 + 0.1  # clocks that drift, and what a loop may lag
 MOVING = "00000003b4d60030"
 MADE = [f"00000003b4d600{number}" for number in range(40, 52)]  # nobody's until a customer is made
-CHANGE_INTERVAL = (0.3, 1.5)  # seconds
+CHANGE_INTERVAL = (0.2, 0.9)  # seconds
+PAYMENTS = (5, 20, 60)  # of customers that are made, in units
+NOT_FOUND = 404
+UNKNOWN = 0  # the status of a call whose effect comes at a time that nobody knows
 
 
 class LedgerChaos(Chaos):
@@ -31,7 +35,8 @@
     def __init__(self, *of_chaos: Any) -> None:
         super().__init__(*of_chaos)
         self.made = 0  # customers, of MADE
-        self.lost: dict[str, int] = dict.fromkeys(VOLUMES, 0)  # what lost folders may have held, by customer
+        self.customers = list(VOLUMES)  # all that were ever asked for
+        self.lost: Counter[str] = Counter()  # what lost folders may have held, by customer
         self.changes: asyncio.Task[None] | None = None
 
     async def put_customers(self) -> None:
@@ -44,21 +49,47 @@
 
     # -- customers ----------------------------------------------------------------------------------------
     async def change_owners(self) -> None:
-        """Make customers of free volumes, and move a volume to and fro."""
+        """Make customers of free volumes, let them pay, lose volumes and be deleted, and move a volume."""
         while not self.over:
             await asyncio.sleep(self.draws.uniform(*CHANGE_INTERVAL))
             head = self.some()
             if head is None:
                 continue
-            if self.made < len(MADE) and self.draws.random() < 0.6:
+            draw = self.draws.random()
+            if self.made < len(MADE) and (draw < 0.35 or not self.made):
                 self.made += 1
                 await self.put(head, f"made{self.made}", MADE[self.made - 1])
+                await self.pay_in(head, f"made{self.made}")
+            elif draw < 0.65:
+                await self.pay_in(head, self.draws.choice(self.customers[len(VOLUMES) :]))
+            elif draw < 0.8:
+                await self.take_volume(head)
+            elif draw < 0.87:
+                await self.delete(head, self.draws.choice(self.customers[len(VOLUMES) :]))
             else:
                 customer = self.draws.choice(["acme", "other"])
                 await self.put(head, customer, VOLUMES[customer], MOVING)
 
+    async def pay_in(self, head: HeadProcess, customer: str) -> None:
+        """Top a customer up, once: it may be deleted meanwhile."""
+        amount = self.draws.choice(PAYMENTS) * PRICE
+        await self.top_up(head, customer, self.name("t"), amount)
+
+    async def take_volume(self, head: HeadProcess) -> None:
+        """Give a volume of a customer that was made to a new one, which has paid nothing."""
+        number = self.draws.randrange(self.made)
+        await self.put(head, f"taker{len(self.customers)}", MADE[number])
+
+    async def delete(self, head: HeadProcess, customer: str) -> None:
+        """Delete a customer: its volumes are nobody's once all that is out is settled, whenever that is."""
+        at = time.time()
+        await head.call("DELETE", f"/control/credit/customers/{customer}", {"by": "chaos", "why": "run"})
+        self.write("customer", at, until=time.time(), customer=customer, volumes=[], status=UNKNOWN)
+
     async def put(self, head: HeadProcess, customer: str, *volumes: str) -> None:
         """Make a customer, or give it these volumes."""
+        if customer not in self.customers:
+            self.customers.append(customer)
         at = time.time()
         record = {"volumes": list(volumes), "by": "chaos", "why": "run", "low_water": 10 * PRICE}
         status, _ = await head.call("PUT", f"/control/credit/customers/{customer}", record)
@@ -124,20 +155,21 @@
     async def held_by(self, name: str) -> dict[str, int] | None:
         """What a dead head may have spent and not reported, by customer; None where nobody can say."""
         held = {}
-        for customer in VOLUMES:
+        for customer in self.customers:
             account = await self.read_account(customer)
             if account is None:
                 return None
-            out = [allotment for allotment in account["out"].values() if allotment["head"] == name]
+            allotments = account.get("out", {}).values()
+            out = [allotment for allotment in allotments if allotment["head"] == name]
             held[customer] = sum(allotment["amount"] - allotment["spent"] for allotment in out)
         return held
 
     async def read_account(self, customer: str) -> dict[str, Any] | None:
-        """An account, as the first head that can confirm it has it."""
+        """An account, as the first head that can confirm it has it; empty where there is none."""
         for head in self.fleet.up:
             status, account = await head.call("GET", f"/control/credit/customers/{customer}")
-            if status == OK:
-                return account
+            if status in (OK, NOT_FOUND):
+                return account if status == OK else {}
         return None
 
     # -- the end ------------------------------------------------------------------------------------------
@@ -146,8 +178,17 @@
         assert self.changes is not None
         await self.changes
         await super().settle(healed, in_touch)
-        for number in range(1, self.made + 1):
-            account = await self.read_account(f"made{number}")
-            if account is not None:
+        for customer in self.customers[len(VOLUMES) :]:
+            account = await self.fleet.until(
+                lambda customer=customer: self.settled_or_deleted(customer), f"{customer} settled"
+            )
+            if "paid" in account:
                 figures = {key: account[key] for key in ("paid", "charged", "balance")}
-                self.write("settled", time.time(), customer=f"made{number}", **figures)
+                self.write("settled", time.time(), customer=customer, lost=self.lost[customer], **figures)
+
+    async def settled_or_deleted(self, customer: str) -> dict[str, Any] | None:
+        """An account of which nothing is out, or that there is none; None where it is neither yet."""
+        account = await self.read_account(customer)
+        if account is None or account.get("out"):
+            return None
+        return account or {"deleted": True}
--- a/tests/heads/test_histories.py
+++ b/tests/heads/test_histories.py
@@ -232,6 +232,7 @@
 
 
 BEHIND = {"what": "ledger_behind", "at": 0.0, "seconds": 2.0}
+DELETED = put("x", 4.0, status=0, volumes=())  # it takes effect at a time that nobody knows
 
 
 @pytest.mark.parametrize(
@@ -259,6 +260,15 @@
         ),
         # x is put again without the volume
         ([put("x", 1.0), put("x", 2.0, volumes=()), of_volume("1", 5.0), settled(0, 0)], ""),
+        # made and paid in during the faults: what was paid is served, and no more
+        ([put("x", 1.0), pay("t", 15), of_volume("1", 5.0), settled(15, 10)], ""),
+        ([put("x", 1.0), pay("t", 15), of_volume("1", 5.0), of_volume("2", 6.0)], "x was served 5 more"),
+        # the volume is lost to a customer that has paid nothing
+        ([put("x", 1.0), pay("t", 100), put("y", 4.0), of_volume("1", 7.0)], "y was served 10 more"),
+        # deleted: free or charged from then on, whenever it is settled; but not charged for nothing
+        ([put("x", 1.0), pay("t", 100), DELETED, of_volume("1", 7.0), settled(100, 0)], ""),
+        ([put("x", 1.0), pay("t", 100), DELETED, of_volume("1", 7.0), settled(100, 10)], ""),
+        ([put("x", 1.0), pay("t", 100), DELETED, of_volume("1", 7.0), settled(100, 20)], "clients say 0"),
     ],
 )
 def test_the_judge_knows_whose_a_volume_may_have_been(lines, words):
