A call that makes a customer answers once no head serves its volumes free

Callers saw: the call answered 200, and a head that had been cut off a moment before served the volume free of charge, for up to cut_off_after (3 s). Cause: it answered once the change was committed, while a head counts its copy as current for that long after it last followed a voter.

Change: the call waits until no head can decide by what was before (peering/propagation.py): all voters have applied the change, and all processes that polled them within the span, or the span is over, with a twentieth for clocks. Why this holds: a copy without the change is current only if its head followed a voter within the span, and that voter remembers it. The judge of histories is stricter for it: free only while the call has not answered.

--- a/stoatrouter/lab/histories/credit.py
+++ b/stoatrouter/lab/histories/credit.py
@@ -53,8 +53,8 @@
 
     A served request is charged for sure; one that was rejected is not, unless an attempt may have run; one
     without an answer may be. A top-up counts from its invocation, as it may take effect from then on. Where a
-    volume may have been another customer's, or nobody's, at some moment that the head may have decided by,
-    each of them may be charged and none must be.
+    volume may have been another customer's at some moment that the head may have decided by, or nobody's at
+    some moment of the request, each of them may be charged and none must be.
     """
     requests = history.of(Request)
     owners = Owners(ownership_of(history.of(CustomerPut)), longest_behind(history))
@@ -79,7 +79,10 @@
         if not request.volume:
             return {request.customer}
         since = request.at - self.behind
-        return self.ownership.possible_owners(request.volume, since, request.until)
+        possible = self.ownership.possible_owners(request.volume, since, request.until)
+        # a call that gives a volume its customer answers once no head serves it free of charge any more
+        free = NOBODY in self.ownership.possible_owners(request.volume, request.at, request.until)
+        return possible if free else possible - {NOBODY}
 
 
 def longest_behind(history: History) -> float:
--- a/stoatrouter/peering/calls.py
+++ b/stoatrouter/peering/calls.py
@@ -18,6 +18,7 @@
 COMMAND = "command"  # a command for the log, answered with Answer
 READ = "read"  # up to which index a read must have applied, answered with Answer
 PROMISE = "promise"  # a founder's request, answered with agreement.founding.Promised
+PROGRESS = "progress"  # how far a head and its followers are, answered with Progress
 FOUND = "found"  # agreement.founding.Founded, not answered
 
 Batch = list[tuple[str, AnyMessage]]  # each message with the identity of the head that it is for
@@ -47,6 +48,13 @@
     behind: int = 0  # how many more entries were committed at that contact than the answering head holds
 
 
+class Progress(msgspec.Struct, frozen=True, array_like=True):
+    """What a head has applied, and what those had that have polled it lately."""
+
+    applied: int
+    polls: tuple[tuple[str, int, int], ...] | None  # name, incarnation, applied; None: not all are known
+
+
 class Answer(msgspec.Struct, frozen=True, array_like=True):
     """The leader's answer to a command or a read, or a refusal by a head that does not lead."""
 
--- a/stoatrouter/peering/credit_calls.py
+++ b/stoatrouter/peering/credit_calls.py
@@ -252,7 +252,11 @@
         )
 
     async def put_customer(self, name: str, request: CustomerRequest) -> BookedAnswer:
-        """Make a customer, or change its volumes and limits."""
+        """Make a customer, or change its volumes and limits.
+
+        It answers once no head serves the volumes as before: each has applied the change, or has been out of
+        touch for so long that it rejects what it cannot know.
+        """
         check_customer(name)
         check_signature(request)
         check_volumes(request.volumes)
@@ -269,7 +273,9 @@
             request.why,
             utc_timestamp(),
         )
-        return await self._submit(command, secrets.token_hex(COMMAND_ID_SIZE))
+        answer = await self._submit(command, secrets.token_hex(COMMAND_ID_SIZE))
+        await self.service.fleet.wait_until_known(TIMEOUT)
+        return answer
 
     async def drop_customer(self, name: str, request: DropRequest) -> BookedAnswer:
         """Let heads draw no more of a customer's credit; what is out is still settled."""
--- a/stoatrouter/peering/fleet.py
+++ b/stoatrouter/peering/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 import time
 from datetime import timedelta
@@ -21,11 +22,13 @@
 from stoatrouter.peering.counters import MessageCounters
 from stoatrouter.peering.datagrams import Datagrams
 from stoatrouter.peering.envelope import Envelope, EnvelopeSealer
+from stoatrouter.peering.errors import ReplicationError
 from stoatrouter.peering.follower import Follower
 from stoatrouter.peering.follower_feed import FollowerFeed
 from stoatrouter.peering.handlers import MessageHandlers
 from stoatrouter.peering.leader_client import LeaderClient
 from stoatrouter.peering.leader_service import LeaderService
+from stoatrouter.peering.propagation import ChangePropagation
 from stoatrouter.peering.replication import Replication
 from stoatrouter.peering.settings import HeadsSettings
 from stoatrouter.peering.storage import Storage, StoredState
@@ -84,12 +87,22 @@
         self.follower_feed = FollowerFeed(self.replication, self.bootstrap, self.monitor, self.now)
         self.datagrams = self._make_datagrams(seed)
         self.tasks: list[asyncio.Task[None]] = []
+        self.propagation = ChangePropagation(
+            settings.name, settings.cut_off_after, self.replication, self.streams, self.now
+        )
         service = LeaderService(self.replication)
         self._leader_client = LeaderClient(
             settings, self.replication, self.streams, self.follower, service, self.now, draws
         )
         self._message_handlers = MessageHandlers(
-            self.me, self.replication, self.bootstrap, self.monitor, self.follower_feed, service
+            self.me,
+            self.replication,
+            self.bootstrap,
+            self.monitor,
+            self.follower_feed,
+            service,
+            self.propagation,
+            self.now,
         )
         self.handlers = self._message_handlers.by_kind
 
@@ -228,6 +241,21 @@
         """
         await self._leader_client.read(within)
 
+    async def wait_until_known(self, within: timedelta) -> bool:
+        """Wait until no head decides any more by what was before the last commit.
+
+        Args:
+            within: How long it may take to learn what is committed.
+
+        Returns:
+            Whether all heads have applied it; else the others must have noticed that they are cut off.
+        """
+        index: int | None = None
+        with contextlib.suppress(ReplicationError):
+            await self.read(within)
+            index = self.replication.machine.index
+        return await self.propagation.wait_until_known(index)
+
     # -- between the parts --------------------------------------------------------------------------------
     def _send(self, receiver: Voter, message: AnyMessage) -> None:
         self.streams.enqueue(receiver, message)
--- a/stoatrouter/peering/handlers.py
+++ b/stoatrouter/peering/handlers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
+from datetime import timedelta
 
 import msgspec
 
@@ -15,6 +16,7 @@
 from stoatrouter.peering.envelope import Envelope
 from stoatrouter.peering.follower_feed import FollowerFeed
 from stoatrouter.peering.leader_service import LeaderService
+from stoatrouter.peering.propagation import ChangePropagation
 from stoatrouter.peering.replication import Replication
 
 MessageHandler = Callable[[Envelope], Awaitable[bytes | None]]
@@ -35,6 +37,8 @@
         monitor: AvailabilityMonitor,
         feed: FollowerFeed,
         service: LeaderService,
+        propagation: ChangePropagation,
+        now: Callable[[], timedelta],
     ) -> None:
         """Set up the handlers of the kinds in `calls`.
 
@@ -45,6 +49,8 @@
             monitor: Notified of majorities that a leader was connected to.
             feed: Answers the polls of followers.
             service: Answers commands and reads, as the leader.
+            propagation: Notes who polls, and answers how far they are.
+            now: This head's monotonic time.
         """
         self._me = me
         self._replication = replication
@@ -52,11 +58,14 @@
         self._monitor = monitor
         self._feed = feed
         self._service = service
+        self._propagation = propagation
+        self._now = now
         self.by_kind: dict[str, MessageHandler] = {
             calls.AGREE: self._receive_batch,
             calls.FETCH: self._answer_fetch,
             calls.COMMAND: self._answer_command,
             calls.READ: self._answer_read,
+            calls.PROGRESS: propagation.answer,
             calls.PROMISE: self._promise,
             calls.FOUND: self._adopt,
         }
@@ -87,7 +96,13 @@
             self._monitor.note_contact(raft.contact, message.leader_commit)
 
     async def _answer_fetch(self, envelope: Envelope) -> bytes:
-        return await self._feed.answer(msgspec.msgpack.decode(envelope.body, type=calls.Fetch))
+        fetch = msgspec.msgpack.decode(envelope.body, type=calls.Fetch)
+        name, incarnation = envelope.sender.name, envelope.incarnation
+        self._propagation.polls.note(name, incarnation, fetch.after, self._now())
+        answer = await self._feed.answer(fetch)
+        # the answer is worth as much as one to a poll that came now
+        self._propagation.polls.note(name, incarnation, fetch.after, self._now())
+        return answer
 
     async def _answer_command(self, envelope: Envelope) -> bytes:
         return await self._service.answer_command(msgspec.msgpack.decode(envelope.body, type=Command))
--- a/tests/heads/test_call_answers.py
+++ b/tests/heads/test_call_answers.py
@@ -61,6 +61,7 @@
             datagrams=SimpleNamespace(detector=SimpleNamespace(roster=SimpleNamespace(members=members))),
             now=lambda: 100 * SECOND,
             read=self.read,
+            wait_until_known=self.known,
         )
         self.history, self.ledger, self.status = RuleHistory(), Ledger(), None
         self.escrow = HeadEscrow(2 * SECOND, CreditDisk())
@@ -78,6 +79,9 @@
             fleet=self.fleet, ledger=self.ledger, escrow=self.escrow, submit_command=self.put_credit
         )
 
+    async def known(self, timeout) -> bool:
+        return True
+
     async def read(self, timeout) -> None:
         """All is applied."""
 
--- a/tests/heads/test_call_bounds.py
+++ b/tests/heads/test_call_bounds.py
@@ -36,13 +36,18 @@
         self.commands: list[object] = []
         self.settings = SimpleNamespace(largest=1_000)
         raft = SimpleNamespace(leads=True, voters=(), leader=None)
-        self.fleet = SimpleNamespace(read=self.read, replication=SimpleNamespace(raft=raft))
+        self.fleet = SimpleNamespace(
+            read=self.read, wait_until_known=self.known, replication=SimpleNamespace(raft=raft)
+        )
         self.history = SimpleNamespace(
             abandoned={}, find_by_id=lambda id: None, find_version=lambda number: None, versions=[]
         )
         self.rollout = SimpleNamespace(submit_command=self.submit_command)
         self.ledger = SimpleNamespace(accounts={}, entries={})
 
+    async def known(self, within) -> bool:
+        return True
+
     async def read(self, within) -> None:
         self.commands.append("read")
 
--- a/tests/heads/test_credit_cut_off.py
+++ b/tests/heads/test_credit_cut_off.py
@@ -182,3 +182,27 @@
             assert gaps[0]["served"] == ATTEMPTS and gaps[0]["rejected"] == 0, gaps
 
     run(story(), 120.0)
+
+
+# What happened: a call that made a customer answered as soon as it was committed; for `cut_off_after` from
+# then on a head that had been cut off a moment before served the volume free of charge.
+@pytest.mark.parametrize("name", ["h2", "h3"], ids=["voter", "follower"])
+def test_once_a_call_has_made_a_customer_no_head_serves_its_volume_free(tmp_path, name):
+    async def story():
+        async with heads_up(tmp_path, count=4, more=MORE) as fleet:
+            await fleet.all_in_touch()
+            assert (await fleet[name].read("free", VOLUME))[0] == OK  # nobody's yet
+            await cut_off(fleet, name)
+            asking = asyncio.create_task(put_customer(fleet["h0"], "acme", VOLUME))
+            before = [(await fleet[name].read(f"before-{n}", VOLUME))[0] for n in range(3)]
+            assert OK in before, "it has not noticed yet that it is cut off"
+            await asking
+            assert set(await answers(fleet[name])) == {UNAVAILABLE}
+            fleet.relay.heal()
+            await fleet.all_in_touch()
+            # all in touch: the call waits for each of them to apply it
+            await put_customer(fleet["h1"], "other", OTHER_VOLUME)
+            statuses = [(await head.read(f"{head.name}-now", OTHER_VOLUME))[0] for head in fleet]
+            assert set(statuses) == {UNAVAILABLE}
+
+    run(story(), 120.0)
--- a/tests/heads/test_histories.py
+++ b/tests/heads/test_histories.py
@@ -243,9 +243,11 @@
         # a customer's for longer than any ledger may be old, and served without a charge
         ([put("x", 1.0), pay("t", 100), of_volume("1", 5.0), settled(100, 0)], "clients say 10"),
         ([put("x", 1.0), of_volume("1", 5.0)], "more than was paid in"),
-        # a moment behind: charged or not, both may be
-        ([put("x", 4.0), pay("t", 100), of_volume("1", 5.0), settled(100, 0)], ""),
+        # a moment behind: charged all the same once the call has answered; before, both may be
+        ([put("x", 4.0), pay("t", 100), of_volume("1", 5.0), settled(100, 0)], "clients say 10"),
         ([put("x", 4.0), pay("t", 100), of_volume("1", 5.0), settled(100, 10)], ""),
+        ([put("x", 4.0, 6.0), pay("t", 100), of_volume("1", 5.0), settled(100, 0)], ""),
+        ([put("x", 4.0, 6.0), pay("t", 100), of_volume("1", 5.0), settled(100, 10)], ""),
         # asked before the customer was there, answered long after
         ([put("x", 4.0), pay("t", 100), of_volume("1", 3.0, until=9.0), settled(100, 0)], ""),
         # the call's caller never knew; it may come at any time, but not before it was made
