Followers go back to a voter that returned

Seen on the roadmap, as a limit: nothing brings followers back to a voter that was down. With three voters two have all followers from then on, and beyond 256 open questions a voter refuses. Cause: a follower changes its voter where one fails, and stays with one that serves. Change: every 30 s one that is away from its first voter asks it how far it is, for 0.3 s at most, and goes back once it has applied what the follower has.

--- a/stoatrouter/peering/follower.py
+++ b/stoatrouter/peering/follower.py
@@ -27,6 +27,8 @@
 IDLE_INTERVAL = timedelta(milliseconds=500)  # between two looks whether this head has to poll
 FIRST_BACKOFF = timedelta(milliseconds=50)
 LONGEST_BACKOFF = timedelta(seconds=1)
+RETURN_INTERVAL = timedelta(seconds=30)  # between two looks whether the first voter is back
+RETURN_TIMEOUT = timedelta(milliseconds=300)  # of such a look: polls wait for it
 
 
 class Follower:
@@ -59,6 +61,7 @@
         """
         self.leader: str | None = None
         self._turn = 0  # counts the voters chosen, so that the next one differs
+        self._away_since: timedelta | None = None  # since when another voter than the first one is polled
         self._settings = settings
         self._replication = replication
         self._streams = streams
@@ -74,6 +77,7 @@
                 await asyncio.sleep(IDLE_INTERVAL.total_seconds())
             elif await self._poll(self.next_voter()):
                 self._backoff.reset()
+                await self._return_if_due()
             else:
                 await asyncio.sleep(self._backoff.next_pause())
 
@@ -84,13 +88,43 @@
 
     def next_voter(self) -> str:
         """Choose a voter to poll; those of the settings until others are known."""
+        names = self._voters()
+        self._turn += 1
+        return names[(self._turn + voter_offset(self._settings.name)) % len(names)]
+
+    def _voters(self) -> list[str]:
+        """The voters that may be polled, in the order that is the same at all heads."""
         me = self._settings.name
         addresses = self._settings.streams
         voters = [voter.name for voter in self._replication.raft.voters] or list(self._settings.voters)
         names = [name for name in voters if name in addresses and name != me]
-        names = names or [name for name in addresses if name != me] or [me]
-        self._turn += 1
-        return names[(self._turn + voter_offset(me)) % len(names)]
+        return names or [name for name in addresses if name != me] or [me]
+
+    async def _return_if_due(self) -> None:
+        """Go back to the first voter once it answers again, so that followers stay spread over all."""
+        if self._turn % len(self._voters()) == 0:
+            self._away_since = None  # the next turn is the first voter's
+            return
+        now = self._now()
+        if self._away_since is None:
+            self._away_since = now
+        if now - self._away_since < RETURN_INTERVAL:
+            return
+        self._away_since = now
+        names = self._voters()
+        first = names[(1 + voter_offset(self._settings.name)) % len(names)]
+        # Guards the contact with a majority: a poll of a voter that hangs would last longer than that counts.
+        if await self._answers(first):
+            self._turn = 0
+
+    async def _answers(self, name: str) -> bool:
+        """Whether a voter answers at once, and has applied what was committed here."""
+        try:
+            reply = await self._streams.request(name, calls.PROGRESS, b"", RETURN_TIMEOUT)
+            progress = msgspec.msgpack.decode(reply.body, type=calls.Progress)
+        except (PeerUnreachable, msgspec.MsgspecError):
+            return False
+        return progress.applied >= self._replication.machine.index
 
     def forget_leader(self) -> None:
         """Give up the leader that is known, and choose another voter than the next one."""
