--- a/tests/fleet_story.py
+++ b/tests/fleet_story.py
@@ -132,6 +132,8 @@
 class Client:
     """Sends requests to one head, on a persistent connection; now and then it leaves early."""
 
+    leaves = 0.15  # of its requests
+
     def __init__(self, number: int, head: StoryHead, seed: int, history: History) -> None:
         self.number, self.head, self.history = number, head, history
         self.draws, self.count = random.Random(f"client/{seed}/{number}"), 0
@@ -147,28 +149,38 @@
             await asyncio.sleep(0.02)
 
     async def ask(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
-        """Make one request; returns whether its connection goes on.
-
-        One whose connection had ended before it was read may be sent once more, under a new name here.
-        """
+        """Make one request; returns whether its connection goes on."""
         self.count += 1
         name, kind = f"c{self.number}-{self.count}", self.draws.choice(list(CLASSES_BY_NAME))
         request = self.encode(name, kind)
         was_closed = reader.at_eof()
         self.history.write("sent", request=name, head=self.head.name, kind=kind)
         writer.write(request)
-        if self.draws.random() < 0.15 and await self.leave_early(name, reader, writer):
+        if self.draws.random() < self.leaves and await self.leave_early(name, reader, writer):
             return False
+        answer = await self.answer_of(name, reader)
+        if answer is None:
+            await self.end_without_answer(name, request, was_closed)
+            return False
+        return answer.goes_on
+
+    async def answer_of(self, name: str, reader: asyncio.StreamReader) -> Answer | None:
+        """Wait for an answer; None where the connection ended without one."""
         try:
             answer = await read_answer(reader)
         except (OSError, asyncio.IncompleteReadError):
-            # a close that crossed a request which the head has not read: it is sent once more, so it counts
-            # as gone
-            was_read = self.history.reached_a_node(name) and not was_closed
-            self.history.write("ended" if was_read else "gone", request=name)
-            return False
+            return None
         self.history.write("answered", request=name, status=answer.status)
-        return answer.goes_on
+        return answer
+
+    async def end_without_answer(self, name: str, request: bytes, was_closed: bool) -> None:
+        """Write what became of a request whose connection ended.
+
+        A close that crossed a request which the head has not read: it is sent once more, under a new name
+        here, so it counts as gone.
+        """
+        was_read = self.history.reached_a_node(name) and not was_closed
+        self.history.write("ended" if was_read else "gone", request=name)
 
     def encode(self, name: str, kind: str) -> bytes:
         """A request of a class; only those that change nothing have no body."""
--- a/tests/soak/stand_ins.py
+++ b/tests/soak/stand_ins.py
@@ -8,7 +8,7 @@
 import time
 
 from tests.fleet_stand_ins import History, RoughNode
-from tests.fleet_story import CLASSES_BY_NAME, DEADLINE, Answer, Client, StoryHead, read_answer
+from tests.fleet_story import DEADLINE, Answer, Client, StoryHead, read_answer
 
 SECOND_ANSWERS = 0.03  # of all answers
 LATEST_SECOND_ANSWER = 0.05  # seconds
@@ -46,34 +46,7 @@
 class SoakClient(Client):
     """Sends requests as the platform's clients do: one that crossed a close is sent once more."""
 
-    async def run(self, over: asyncio.Event) -> None:
-        """Make one request after the other until the story is over."""
-        while not over.is_set():
-            with contextlib.suppress(OSError):
-                reader, writer = await asyncio.open_connection(self.head.host, self.head.port)
-                while not over.is_set() and await self.ask(reader, writer):
-                    await asyncio.sleep(self.draws.uniform(0, 0.02))
-                writer.close()
-            await asyncio.sleep(0.02)
-
-    async def ask(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
-        """Make one request; returns whether its connection goes on."""
-        self.count += 1
-        name, kind = f"c{self.number}-{self.count}", self.draws.choice(list(CLASSES_BY_NAME))
-        request = self.encode(name, kind)
-        was_closed = reader.at_eof()
-        self.history.write("sent", request=name, head=self.head.name, kind=kind)
-        writer.write(request)
-        if self.draws.random() < 0.1 and await self.leave_early(name, reader, writer):
-            return False
-        answer = await self.answer_of(name, reader)
-        if answer is not None:
-            return answer.goes_on
-        if self.history.reached_a_node(name) and not was_closed:
-            self.history.write("ended", request=name)
-        else:
-            await self.send_once_more(name, request)
-        return False
+    leaves = 0.1
 
     async def answer_of(self, name: str, reader: asyncio.StreamReader) -> Answer | None:
         """Wait for an answer; None where the connection ended without one."""
@@ -88,6 +61,13 @@
         self.history.write("answered", request=name, status=answer.status, **named)
         return answer
 
+    async def end_without_answer(self, name: str, request: bytes, was_closed: bool) -> None:
+        """Write that a request was lost, or send one that crossed the end of its connection once more."""
+        if self.history.reached_a_node(name) and not was_closed:
+            self.history.write("ended", request=name)
+        else:
+            await self.send_once_more(name, request)
+
     async def send_once_more(self, name: str, request: bytes) -> None:
         """Send a request that crossed the end of its connection on a new one; without one it is given up."""
         await asyncio.sleep(RESEND_PAUSE)
