A story's wait ends with the error of a task that nobody awaits (tests)

Cause: an assertion that failed in a task which nobody awaited was hidden by the story's limit, as in the crowd of a voter; the same held for every `until` in tests/. Change: a story's loop keeps the tasks that run coroutines of tests/ in view, and each wait raises the error of one that has failed and that nobody has looked at.

--- a/tests/heads/processes.py
+++ b/tests/heads/processes.py
@@ -18,6 +18,7 @@
 from tests.heads.relay import Relay
 from tests.peers import Discovery, Node, config_data, listening, node_list, nodes_up
 from tests.program_process import program_environ, start_program
+from tests.story_tasks import raise_failed
 
 STATE_TIMEOUT = 40.0  # seconds that a story waits for a state; it only ends what would never come
 LOG_TAIL = 8  # lines
@@ -250,6 +251,7 @@
         """Wait for a state, and return what `holds` returned; fails with the name of the state."""
         deadline = time.monotonic() + timeout
         while True:
+            raise_failed()
             result = holds()
             if asyncio.iscoroutine(result):
                 result = await result
--- a/tests/heads/test_capacity_control.py
+++ b/tests/heads/test_capacity_control.py
@@ -276,7 +276,7 @@
             asking += [asyncio.create_task(ask(asker, first)) for asker in askers[begin : begin + AT_ONCE]]
             await stall_loop(stall if not begin else NO_STALL)
             begun = len(asking)
-            await until(lambda begun=begun: first.held + first.refused == begun, asking)
+            await until(lambda begun=begun: first.held + first.refused == begun)
         release.set()
         served = await asyncio.gather(*asking)
         now = again
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -6,13 +6,14 @@
 import contextlib
 import json
 from collections import Counter, deque
-from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any
 
 from aiohttp import web
 
 from stoatrouter import config
 from stoatrouter.net.listener import Handler
+from tests.story_tasks import raise_failed, watch_tasks
 
 HOST = "127.0.0.1"
 SETTINGS: dict[str, Any] = {
@@ -245,15 +246,13 @@
     return config.parse(config_data(node_list(1, *(n.entry() for n in nodes)), **more))
 
 
-async def until(holds: Callable[[], bool], tasks: Iterable[asyncio.Task[Any]] = ()) -> None:
+async def until(holds: Callable[[], bool]) -> None:
     """Wait until something holds; the test's own time limit ends it where it never does.
 
-    A task of `tasks` that has failed, and may be what it waits for, ends the wait at once with its own error.
+    A task of the story that has failed, and may be what it waits for, ends the wait with its own error.
     """
     while not holds():
-        for task in tasks:
-            if task.done():
-                task.result()
+        raise_failed()
         await asyncio.sleep(0.005)
 
 
@@ -261,6 +260,7 @@
     """Play one story; the limit only guards against a hang."""
 
     async def bounded() -> Any:
+        watch_tasks(asyncio.get_running_loop())
         async with asyncio.timeout(limit):
             return await story
 
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -328,12 +328,12 @@
                         await asyncio.sleep(0.002)
 
             asking = [asyncio.create_task(client()) for _ in range(4)]
-            await until(lambda: len(answers) > 20, asking)
+            await until(lambda: len(answers) > 20)
             new = await (await platform.start(**http)).ready()
             old.process.send_signal(signal.SIGTERM)
             assert await old.process.wait() == 0
             count = len(answers)
-            await until(lambda: len(answers) > count + 20, asking)
+            await until(lambda: len(answers) > count + 20)
             done.set()
             await asyncio.gather(*asking)
             assert {status for status, _ in answers} == {200} and new.process.returncode is None
