Background tasks have the names of what they run

Cause: since each task runs keep_running, and the lab names a dead head's loop by its coroutine: "keep_running ended".

--- a/stoatrouter/head.py
+++ b/stoatrouter/head.py
@@ -16,7 +16,7 @@
 from stoatrouter.core.spans import span
 from stoatrouter.fronts.platform import PlatformFront
 from stoatrouter.management.calls import MAX_CALLERS, Management
-from stoatrouter.net.background import keep_running
+from stoatrouter.net.background import start_task
 from stoatrouter.net.bodies import SMALL, BodyCapacity
 from stoatrouter.net.client_table import ClientTable
 from stoatrouter.net.clock import Clock
@@ -217,17 +217,15 @@
 
     async def _start_watch(self) -> None:
         """Take the node list over from the previous process, or restore it and wait for discovery."""
-        loop = asyncio.get_running_loop()
         if await self.handover.take_over():
-            self.background.append(loop.create_task(keep_running("discovery", self.watch.run)))
+            self.background.append(start_task("discovery", self.watch.run))
             return
         self.engine.reducer.administrative_state = self.engine.state_file.read()
         self.watch.restore()
-        self.background.append(loop.create_task(keep_running("discovery", self.watch.run)))
+        self.background.append(start_task("discovery", self.watch.run))
         await self.watch.wait_for_first_answer()
 
     def _start_background_tasks(self) -> None:
-        loop = asyncio.get_running_loop()
         tasks: list[tuple[str, Callable[[], Awaitable[None]]]] = [
             ("clients", self.clients.sweep_periodically),
             ("handover", self.handover.follow),
@@ -237,7 +235,7 @@
         ]
         if self.recorder is not None:
             tasks.append(("recorder", self.recorder.run))
-        self.background += [loop.create_task(keep_running(name, run)) for name, run in tasks]
+        self.background += [start_task(name, run) for name, run in tasks]
 
     async def accept(self) -> None:
         """Accept clients at all fronts."""
--- a/stoatrouter/lab/hollow/head.py
+++ b/stoatrouter/lab/hollow/head.py
@@ -185,8 +185,7 @@
             return
         error = "it was cancelled" if task.cancelled() else task.exception()
         if error is not None:
-            coroutine = getattr(task.get_coro(), "__qualname__", "a task")
-            self.die(f"{coroutine} ended: {error!r}")
+            self.die(f"{task.get_name()} ended: {error!r}")
 
     def die(self, reason: str) -> None:
         """Count this head as dead; it is named with the reason in every report from now on."""
--- a/stoatrouter/net/background.py
+++ b/stoatrouter/net/background.py
@@ -11,6 +11,11 @@
 RESTART_PAUSE = timedelta(seconds=1)
 
 
+def start_task(name: str, run: Callable[[], Awaitable[None]]) -> asyncio.Task[None]:
+    """Start a task that is kept running; the task's own name is that of what it runs."""
+    return asyncio.create_task(keep_running(name, run), name=getattr(run, "__qualname__", name))
+
+
 async def keep_running(name: str, run: Callable[[], Awaitable[None]]) -> None:
     """Run a task to its end, however often it fails before; until cancelled.
 
--- a/stoatrouter/net/discovery.py
+++ b/stoatrouter/net/discovery.py
@@ -16,7 +16,7 @@
 
 from stoatrouter.core.list_times import ListTimes, list_times
 from stoatrouter.core.model import NodeInfo
-from stoatrouter.net.background import keep_running
+from stoatrouter.net.background import start_task
 from stoatrouter.net.endpoint_list import read_list
 from stoatrouter.net.errors import Broken, MalformedList
 from stoatrouter.net.tracked_request import only_once
@@ -151,7 +151,7 @@
         """Watch until cancelled, at whatever address is current."""
         while True:
             self.address_changed.clear()
-            following = asyncio.create_task(keep_running("discovery's watch", self.follow))
+            following = start_task("discovery's watch", self.follow)
             try:
                 await self.address_changed.wait()
             finally:
--- a/stoatrouter/peering/fleet.py
+++ b/stoatrouter/peering/fleet.py
@@ -16,7 +16,7 @@
 from stoatrouter.agreement.records import AnyMessage, Voter
 from stoatrouter.membership.detector import Detector
 from stoatrouter.membership.roster import Status
-from stoatrouter.net.background import keep_running
+from stoatrouter.net.background import start_task
 from stoatrouter.peering.availability import AvailabilityMonitor
 from stoatrouter.peering.bootstrap import FleetBootstrap
 from stoatrouter.peering.counters import MessageCounters
@@ -160,12 +160,11 @@
         """Listen, then take part; raises OSError where an address cannot be listened on."""
         settings = self.settings
         await self.streams.start(config.parse_address(settings.listen) if settings.listen else None)
-        loop = asyncio.get_running_loop()
         if self.datagrams is not None and settings.peer_listen is not None:
             await self.datagrams.start(*config.parse_address(settings.peer_listen))
-            self.tasks.append(loop.create_task(keep_running("datagrams", self.datagrams.run_for_ever)))
+            self.tasks.append(start_task("datagrams", self.datagrams.run_for_ever))
         self.tasks += [
-            loop.create_task(keep_running(name, run))
+            start_task(name, run)
             for name, run in (
                 ("replication", self.replication.run_for_ever),
                 ("follower", self.follower.run_for_ever),
--- a/stoatrouter/peering/heads.py
+++ b/stoatrouter/peering/heads.py
@@ -14,7 +14,7 @@
 from aiohttp import web
 
 from stoatrouter.config import Config
-from stoatrouter.net.background import keep_running
+from stoatrouter.net.background import start_task
 from stoatrouter.peering.fleet import Fleet
 from stoatrouter.peering.head_calls import HeadCalls
 from stoatrouter.peering.services import Call, ServingHead, add_credit, add_rules, persisted_version
@@ -68,11 +68,10 @@
             OSError: An address cannot be listened on.
         """
         await self.fleet.start()
-        loop = asyncio.get_running_loop()
         if self.credit is not None:
-            self.tasks.append(loop.create_task(keep_running("credit", self.credit.run)))
+            self.tasks.append(start_task("credit", self.credit.run))
         if self.rules is not None:
-            self.tasks.append(loop.create_task(keep_running("rules", self.rules.run)))
+            self.tasks.append(start_task("rules", self.rules.run))
         await poll_until(lambda: self.fleet.availability.serves)
         # A head that comes back decides by what is in force, however long its table takes to compile.
         await poll_until(lambda: self.rules is None or self.rules.caught_up)
