A node holds the ids of its requests, not the requests: no circle of types in policy

Cause: a request held its node and the index of nodes held requests, so `node`, `node_index` and `request` knew each other's types in a circle, two of them through imports for the type checker alone. Change: what waits at a node is filed by id; the dispatcher, which alone reads it, takes the requests from the scheduler's table. The two imports for the type checker are plain ones now.

--- a/stoatrouter/policy/dispatch.py
+++ b/stoatrouter/policy/dispatch.py
@@ -36,9 +36,14 @@
             return
         if node.has_capacity(now):  # else what waits need not be ordered
             self._send_by_priority(node, now)
-        for request in [r for r in node.pending.values() if self.should_shed(r, node, now)]:
+        for request in [r for r in self._waiting(node) if self.should_shed(r, node, now)]:
             self.lifecycle.finish(request, now)
 
+    def _waiting(self, node: Node) -> list[Request]:
+        """The requests that wait at a node, in the order in which they came."""
+        requests = self.state.requests
+        return [requests[id] for id in node.pending]
+
     def should_shed(self, request: Request, node: Node, now: int) -> bool:
         """Whether a waiting request will not be sent any more, as far as is known.
 
@@ -58,8 +63,8 @@
 
     def _send_by_priority(self, node: Node, now: int) -> None:
         """Send the highest priority first, as long as the node has capacity."""
-        waiting = node.pending.values()
-        fair = excess_per_weight(list(waiting))
+        waiting = self._waiting(node)
+        fair = excess_per_weight(waiting)
         for request in sorted(waiting, key=lambda r: self.priority(r, node, fair, now), reverse=True):
             if not node.has_capacity(now):
                 break
--- a/stoatrouter/policy/node_index.py
+++ b/stoatrouter/policy/node_index.py
@@ -12,13 +12,10 @@
 from collections.abc import Callable, Hashable, Iterable
 from heapq import heappop, heappush
 from math import inf
-from typing import TYPE_CHECKING, Any, Generic, TypeVar
+from typing import Any, Generic, TypeVar
 
 from stoatrouter.policy.interface import NodeEntry, Phase
 
-if TYPE_CHECKING:
-    from stoatrouter.policy.request import Request
-
 Key = TypeVar("Key")
 Value = TypeVar("Value")
 N = TypeVar("N", bound="IndexedNode")
@@ -68,7 +65,7 @@
         self.number = -1  # in the order in which nodes came into the index
         self._up_since = entry.up_since
         self._window = 0.0
-        self.pending: Tracked[str, Request] = Tracked(self)  # requests that wait here, by id
+        self.pending: Tracked[str, None] = Tracked(self)  # the ids of requests that wait here, in order
         # When attempts in flight were sent, by request and number of the attempt.
         self.in_flight: Tracked[tuple[str, int], int] = Tracked(self)
         self.write_rates: dict[str, float] = {}
--- a/stoatrouter/policy/placement.py
+++ b/stoatrouter/policy/placement.py
@@ -34,7 +34,7 @@
             node = self.state.nodes.least_loaded(now, self.warmth, self.state.random.random())
         request.node = node or self._least_loaded_of(shard, zone, now)
         if request.node is not None:
-            request.node.pending[request.id] = request
+            request.node.pending[request.id] = None
 
     def _allowed_place(self, request: Request) -> tuple[int, int | None]:
         """The shard, and the zone if only one will do.
--- a/stoatrouter/policy/request.py
+++ b/stoatrouter/policy/request.py
@@ -3,13 +3,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
 
 from stoatrouter.policy.interface import Outcome, RequestClass
-
-if TYPE_CHECKING:
-    from stoatrouter.policy.node import Node
-    from stoatrouter.policy.volume import Volume
+from stoatrouter.policy.node import Node
+from stoatrouter.policy.volume import Volume
 
 # Outcomes of attempts of which no byte, or no whole request, can have arrived at a node.
 NOT_ARRIVED = (Outcome.CONNECT_FAILED, Outcome.NOT_BEGUN)
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -49,10 +49,10 @@
     return {id(inner) for block in blocks for statement in block.body for inner in ast.walk(statement)}
 
 
-def imported_modules(path: Path) -> set[str]:
-    """The project's modules that a file imports when it is run, by their dotted names."""
+def imported_modules(path: Path, for_types: bool = False) -> set[str]:
+    """The project's modules that a file imports when it is run, or for types too, by their dotted names."""
     tree = ast.parse(path.read_text())
-    skipped = type_checker_only(tree)
+    skipped = set() if for_types else type_checker_only(tree)
     found: set[str] = set()
     for node in ast.walk(tree):
         if id(node) in skipped:
@@ -98,12 +98,12 @@
     return faults
 
 
-def module_imports(root: Path) -> dict[str, set[str]]:
-    """For each module under `root`/stoatrouter, the project's modules that it imports."""
+def module_imports(root: Path, package: str = "", for_types: bool = False) -> dict[str, set[str]]:
+    """For each module under `root`/stoatrouter (`package` of it), the project's modules that it imports."""
     graph: dict[str, set[str]] = {}
-    for path in (root / "stoatrouter").rglob("*.py"):
+    for path in (root / "stoatrouter" / package).rglob("*.py"):
         name = ".".join(path.relative_to(root).with_suffix("").parts).removesuffix(".__init__")
-        graph[name] = imported_modules(path)
+        graph[name] = imported_modules(path, for_types)
     return graph
 
 
@@ -120,6 +120,11 @@
         TopologicalSorter(module_imports(tmp_path)).prepare()
 
 
+def test_no_types_of_the_decision_module_know_each_other_in_a_circle():
+    """Guards against a request that holds its node while the node holds its requests."""
+    TopologicalSorter(module_imports(ROOT, "policy", for_types=True)).prepare()
+
+
 def test_every_import_between_packages_points_down():
     assert upward_imports(ROOT) == []
 
