What a node holds of its sends is dropped by time, not with the next send

Callers saw nothing; a quiet head held it, and handed it on, for ever. Cause: state of a time window that is dropped only as the next entry is written, or when it is read: the last sends and keys of a node, the shards last asked for, the retry budget's arrivals, warm-ups that have ended. It goes up and down with each window; no leak. Change: `Scheduler._forget_old`, once a second, drops all five. Nodes that were sent to are kept in the order of their last sends (`policy/recently_sent.py`), and so are those that a handover brings. Decisions are the same: only what no longer counts is dropped, and keys after the 60 s for which volumes are retained.

--- a/stoatrouter/policy/dispatch.py
+++ b/stoatrouter/policy/dispatch.py
@@ -7,6 +7,7 @@
 from stoatrouter.policy import interface as api
 from stoatrouter.policy.lifecycle import RequestLifecycle
 from stoatrouter.policy.node import Node
+from stoatrouter.policy.recently_sent import RecentlySent
 from stoatrouter.policy.request import Attempt, Request
 from stoatrouter.policy.retry_budget import RetryBudget
 from stoatrouter.policy.send_rules import SendRules
@@ -22,13 +23,19 @@
     """Decides which of a node's waiting requests are sent now."""
 
     def __init__(
-        self, state: SchedulerState, rules: SendRules, lifecycle: RequestLifecycle, retry_budget: RetryBudget
+        self,
+        state: SchedulerState,
+        rules: SendRules,
+        lifecycle: RequestLifecycle,
+        retry_budget: RetryBudget,
+        recently_sent: RecentlySent,
     ) -> None:
         """Share the scheduler's state; every send meets `rules` first."""
         self.state = state
         self.rules = rules
         self.lifecycle = lifecycle
         self.retry_budget = retry_budget
+        self.recently_sent = recently_sent
 
     def dispatch(self, node: Node, now: int) -> None:
         """Send what the node's window lets through, and shed what waits in vain."""
@@ -114,6 +121,7 @@
         node.in_flight[(request.id, len(request.attempts))] = now
         request.attempts.append(Attempt(node, now))
         node.note_sent(now, request.units, request.key, self.state.rules.overload_window)
+        self.recently_sent.note(node, now)
         self.state.actions.append(api.Send(request.id, node.id, request.deadline - now))
 
 
--- a/stoatrouter/policy/handover.py
+++ b/stoatrouter/policy/handover.py
@@ -163,6 +163,14 @@
             entry = api.NodeEntry(name, state["shard"], state["zone"], api.Phase.GONE)
             node = scheduler.nodes[name] = scheduler.state.new_node(entry, state["known"])
         learn(node, state)
+    sent_to = [node for node in scheduler.nodes.values() if node.recent_sends or node.recent_keys]
+    for node in sorted(sent_to, key=last_send):
+        scheduler.recently_sent.note(node, last_send(node))
+
+
+def last_send(node: Node) -> int:
+    """When a node was last sent to, as far as the process before has handed it over (microseconds)."""
+    return node.recent_sends[-1][0] if node.recent_sends else node.last_sent_at
 
 
 def learn(node: Node, state: dict[str, Any]) -> None:
--- a/stoatrouter/policy/node_index.py
+++ b/stoatrouter/policy/node_index.py
@@ -254,12 +254,21 @@
         numbers = sorted(rank[2] for first, end in found for rank in self.ranked[first:end])
         return self.numbered[numbers[int(draw * len(numbers))]]
 
-    def _rank_again(self, now: int) -> None:
-        self._pass_on_changes()
+    def forget_old(self, now: int, is_idle: bool) -> None:
+        """Drop warm-ups that have ended; while no request is open, bring the order by load up to date too."""
+        self._note_warmed_up(now)
+        if is_idle:
+            self._rank_again(now)
+
+    def _note_warmed_up(self, now: int) -> None:
         while self.warming and self.warming[0][0] <= now:
             number = heappop(self.warming)[1]
             if number in self.numbered:
                 self.unranked.add(self.numbered[number])
+
+    def _rank_again(self, now: int) -> None:
+        self._pass_on_changes()
+        self._note_warmed_up(now)
         for node in self.unranked:
             self._unrank(node)
             if node.phase is Phase.ON:
@@ -295,6 +304,10 @@
 
     def count(self, now: int) -> int:
         """How many keys were met within the span."""
+        self.forget_old(now)
+        return len(self.times)
+
+    def forget_old(self, now: int) -> None:
+        """Drop the keys that were not met within the span."""
         while self.times and now - next(iter(self.times.values())) > self.span:
             self.times.popitem(last=False)
-        return len(self.times)
--- a/stoatrouter/policy/retry_budget.py
+++ b/stoatrouter/policy/retry_budget.py
@@ -41,6 +41,11 @@
         allowed = rules.retry_budget_min + rules.retry_budget_ratio * len(self.arrivals)
         return len(self.retries) + 1 <= allowed
 
+    def forget_old(self, now: int) -> None:
+        """Drop what has left the window by `now` (microseconds), whether or not anything arrives."""
+        if self.rules.retry_budget_window is not None:
+            self._drop_old(now, self.rules.retry_budget_window)
+
     def _drop_old(self, now: int, window: int) -> None:
         drop_before(self.retries, now - window)
         drop_before(self.arrivals, now - window + 1)
--- a/stoatrouter/policy/scheduler.py
+++ b/stoatrouter/policy/scheduler.py
@@ -13,6 +13,7 @@
 from stoatrouter.policy.node_index import NodeIndex
 from stoatrouter.policy.observation import Observer
 from stoatrouter.policy.placement import ANY_SHARD, Placement
+from stoatrouter.policy.recently_sent import RecentlySent
 from stoatrouter.policy.request import Request
 from stoatrouter.policy.retry_budget import RetryBudget
 from stoatrouter.policy.send_rules import SendRules, blocks_retry
@@ -47,7 +48,10 @@
         self.endpoints = EndpointFollower(state, self.placement)
         self.send_rules = SendRules(settings.max_attempts, self.slow_start, self.key_order, self.retry_budget)
         self.lifecycle = RequestLifecycle(state, self.key_order)
-        self.dispatcher = Dispatcher(state, self.send_rules, self.lifecycle, self.retry_budget)
+        self.recently_sent = RecentlySent(state.rules.overload_window, state.retention)
+        self.dispatcher = Dispatcher(
+            state, self.send_rules, self.lifecycle, self.retry_budget, self.recently_sent
+        )
 
     # -- what others may read -----------------------------------------------------------------------------
     @property
@@ -297,6 +301,10 @@
         self.key_order.forget_old(now)
         self.lifecycle.forget_old(now)
         self.placement.forget_old(now)
+        self.retry_budget.forget_old(now)
+        self.slow_start.requested_shards.forget_old(now)
+        self.recently_sent.forget_old(now)
+        state.nodes.forget_old(now, is_idle=not state.requests)
         state.volumes = {
             name: volume
             for name, volume in state.volumes.items()
--- a/tests/test_held_memory.py
+++ b/tests/test_held_memory.py
@@ -16,6 +16,8 @@
 from stoatrouter.core import model, nodes
 from stoatrouter.core.nodes import BACK_HELD_FOR
 from stoatrouter.policy import interface as api
+from stoatrouter.policy.handover import hand_over, take_over
+from stoatrouter.policy.placement import ANY_SHARD
 from stoatrouter.policy.retry_budget import RetryBudget
 from tests.held import held
 from tests.scheduler_driver import EXPORT, MS, PLAN, READ, SECOND, WRITE, SchedulerDriver, answer_after
@@ -26,6 +28,7 @@
 QUIET = 70 * SECOND  # longer than anything is retained
 # Each round meets other volumes, keys and shards: what is held of them has to go.
 MOST_GROWTH = 20
+RESTARTS_AT, GOES_AT = (20, 80), 110  # at which requests a node restarts, and another one is no longer listed
 
 ORDERED = api.RequestClass(
     "ordered", priority_weight=3, latency_objective=400 * MS, deadline=2 * SECOND, ordered_by_key=True
@@ -87,6 +90,81 @@
     assert after_two <= after_one + MOST_GROWTH, (after_one, after_two)
 
 
+def play_a_while(rules, more, plan, outcome, meets_requests: bool) -> SchedulerDriver:
+    """A scheduler whose nodes restart and go while requests come, or none do; then quiet."""
+    nodes = [api.NodeEntry(f"n{i}", i) for i in range(3)]
+    classes = (READ, WRITE, EXPORT, ORDERED)
+    driver = SchedulerDriver(classes=classes, plans=(plan,), rules=rules, nodes=nodes, **more)
+    reply = answer_after(10 * MS, outcome)
+    for i in range(REQUESTS):
+        if i in RESTARTS_AT:
+            driver.listed(api.NodeEntry("n1", 1, up_since=driver.now))
+        if i == GOES_AT:
+            driver.listed(api.NodeEntry("n2", 2, phase=api.Phase.GONE))
+        if meets_requests:
+            shard = (ANY_SHARD, i % 3, i)[i % 3]  # any, that of a node, or nobody's
+            driver.request(f"r{i}", i % 4, volume=f"v{i}", shard=shard, key=f"k{i}")
+        driver.wait(INTERVAL, reply)
+    driver.wait(QUIET, reply)
+    return driver
+
+
+def without_figures(data):
+    """The data handed over with each number as its type: averages and last times of a node stay."""
+    if isinstance(data, dict):
+        return {key: without_figures(value) for key, value in data.items()}
+    if isinstance(data, list):
+        return [without_figures(value) for value in data]
+    return "a number" if isinstance(data, int | float) else data
+
+
+def assert_nothing_is_left(rules, more, plan, outcome) -> None:
+    met, none = (play_a_while(rules, more, plan, outcome, meets_requests) for meets_requests in (True, False))
+    assert met.attempts and not none.attempts
+    assert held(met.scheduler) == held(none.scheduler)
+    handed, handed_of_none = (hand_over(driver.scheduler, driver.now) for driver in (met, none))
+    assert without_figures(handed) == without_figures(handed_of_none)
+
+
+@given(optional, general, plans, outcomes)
+@settings(max_examples=8, deadline=None, phases=[Phase.generate])
+def test_after_quiet_nothing_is_held_of_requests(rules, more, plan, outcome):
+    """Guards against state of a time window that is dropped only as the next request comes."""
+    assert_nothing_is_left(rules, more, plan, outcome)
+
+
+def test_after_quiet_nothing_is_held_of_sends_that_timed_out():
+    """Guards against sends that a node holds for ever: the drawn example that first showed it."""
+    rules = {
+        "retry_budget_ratio": 0.2,
+        "retry_budget_min": 2.0,
+        "overload_window": 500 * MS,
+        "warm_up_time": 3 * SECOND,
+        "key_hold_down": 300 * MS,
+        "charged_on_arrival": True,
+    }
+    more = {"max_attempts": 3, "parallel_attempts": False}
+    assert_nothing_is_left(rules, more, PLAN, api.Outcome.TIMEOUT)
+
+
+def test_what_was_handed_over_is_dropped_by_the_next_process():
+    """Guards against sends and keys that only the process that sent can drop."""
+    rules = {"overload_window": 500 * MS}
+    nodes = [api.NodeEntry("n0", 0)]
+    before, after, none = (SchedulerDriver(rules=rules, nodes=nodes) for _ in range(3))
+    for i in range(10):
+        before.request(f"r{i}", key=f"k{i}")
+        before.wait(INTERVAL, answer_after(10 * MS))
+    handed = hand_over(before.scheduler, before.now)
+    assert handed["nodes"]["n0"]["sent"] and handed["nodes"]["n0"]["keys"]
+    after.wait(before.now - after.now)
+    take_over(after.scheduler, handed)
+    none.wait(before.now - none.now)
+    for driver in (after, none):
+        driver.wait(QUIET)
+    assert held(after.scheduler) == held(none.scheduler)
+
+
 def test_arrivals_are_held_for_the_window_alone_though_nothing_is_retried():
     rules = api.Rules(retry_budget_window=SECOND, retry_budget_ratio=0.1)
     budget = RetryBudget(rules)
