A volume whose plan has no limit is forgotten whatever its bucket holds

Seen: nothing by callers. Cause: a volume is forgotten once its limit's bucket is full, so that forgetting refills nothing. Without a limit it never refills. Change: the bucket counts only where the plan has a limit; nothing else reads it then. Test: tests/test_held_memory.py::test_a_volume_without_a_limit_is_forgotten_whatever_its_bucket, both cases failed before (20 of 20 held).

--- a/stoatrouter/policy/volume.py
+++ b/stoatrouter/policy/volume.py
@@ -75,8 +75,10 @@
         return now + math.ceil(lack * self.hosts / self.plan.limit * SECOND)
 
     def may_be_forgotten(self, now: int, span: int) -> bool:
-        """Whether it is unused for `span` and its limit's part is full again: forgetting refills nothing."""
-        return now - self.refilled_at > span and self.refill(now).limit_tokens >= self.plan.burst / self.hosts
+        """Whether it is unused for `span` and a limit's part is full again: forgetting refills nothing."""
+        if now - self.refilled_at <= span:
+            return False
+        return not self.plan.limit or self.refill(now).limit_tokens >= self.plan.burst / self.hosts
 
     def charge(self, units: float) -> None:
         """Take a request's units from both buckets."""
--- a/tests/test_held_memory.py
+++ b/tests/test_held_memory.py
@@ -10,6 +10,7 @@
 
 from datetime import timedelta
 
+import pytest
 from hypothesis import Phase, given, settings
 from hypothesis import strategies as st
 
@@ -165,6 +166,18 @@
     assert held(after.scheduler) == held(none.scheduler)
 
 
+@pytest.mark.parametrize("figures", [{"burst": 5.0}, {"tolerance": 5.0}])
+def test_a_volume_without_a_limit_is_forgotten_whatever_its_bucket(figures):
+    """Guards against volumes held for ever, as a bucket without a limit never refills."""
+    driver = SchedulerDriver(plans=(api.Plan("unlimited", 50, **figures),))
+    for i in range(20):
+        driver.request(f"r{i}", volume=f"v{i}")
+        driver.wait(INTERVAL, answer_after(10 * MS))
+    assert len(driver.scheduler.volumes) == 20
+    driver.wait(QUIET)
+    assert not driver.scheduler.volumes
+
+
 def test_arrivals_are_held_for_the_window_alone_though_nothing_is_retried():
     rules = api.Rules(retry_budget_window=SECOND, retry_budget_ratio=0.1)
     budget = RetryBudget(rules)
