--- /dev/null
+++ b/tests/test_held_state.py
@@ -0,0 +1,188 @@
+"""After quiet, the core and credit hold what they hold without requests: no state outlives its use.
+
+The decision module's own state has its test in tests/test_held_memory.py.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable
+from datetime import timedelta
+from itertools import count
+
+import pytest
+
+from stoatrouter.core import model
+from stoatrouter.core.reducer import Reducer
+from stoatrouter.credit.accounts import HeadRegistration
+from stoatrouter.credit.allotment_ages import AllotmentAges
+from stoatrouter.credit.escrow import HeadEscrow
+from stoatrouter.credit.gate import Gate, ranks
+from stoatrouter.credit.ledger import Ledger
+from stoatrouter.credit.ledger_knowledge import LedgerKnowledge
+from stoatrouter.credit.records import BookEntry, CreditReport, Expired, PutCustomer
+from stoatrouter.peering.spent_journal import SpentJournal
+from stoatrouter.policy.interface import ListKind, Outcome
+from tests.held import held
+from tests.test_core import MS, SETTINGS, START, node
+
+SECOND = 1000 * MS
+LEASE = 2 * SECOND
+REQUESTS = 150
+QUIET = 70 * SECOND  # longer than anything is held but what operators have said
+OUTCOMES = (Outcome.OK, Outcome.TIMEOUT, Outcome.FULL, Outcome.RESET)
+
+
+class CoreDriver:
+    """Feeds events to a reducer: timers come when due, and each attempt ends after 10 ms."""
+
+    def __init__(self, outcome: Outcome, streamed: bool = False) -> None:
+        self.outcome, self.stream = outcome, object() if streamed else None
+        self.now = START
+        self.reducer = Reducer(SETTINGS, seed=1)
+        self.due: list[tuple[timedelta, int, Callable[[], model.Event]]] = []
+        self.numbers, self.names = count(), count()
+        nodes = (node("n0"), node("n1"))
+        self.put(model.EndpointListReceived(START, ListKind.FULL, nodes))
+
+    def later(self, after: timedelta, make: Callable[[], model.Event]) -> None:
+        heapq.heappush(self.due, (self.now + after, next(self.numbers), make))
+
+    def put(self, event: model.Event) -> None:
+        for effect in self.reducer.reduce(event):
+            self.run(effect)
+
+    def run(self, effect: model.Effect) -> None:
+        match effect:
+            case model.SetTimer(after, token):
+                self.later(after, lambda: model.TimerDue(self.now, token))
+            case model.WatchOverdue(after, name):
+                self.later(after, lambda: model.Overdue(self.now, name))
+            case model.SendAttempt(request, number):
+                self.later(10 * MS, lambda: self.ended(request.id, number, self.outcome))
+            case model.CancelAttempt(name, number):
+                self.later(MS, lambda: self.ended(name, number, Outcome.CANCELLED))
+            case model.GiveAnswer(name, model.Served(stream=stream)) if stream is not None:
+                self.later(10 * MS, lambda: model.StreamEnded(self.now, name, True))
+
+    def ended(self, name: str, number: int, outcome: Outcome) -> model.Event:
+        stream = self.stream if outcome is Outcome.OK else None
+        return model.AttemptEnded(self.now, name, number, outcome, b"", stream=stream)
+
+    def wait(self, span: timedelta) -> None:
+        until = self.now + span
+        while self.due and self.due[0][0] <= until:
+            at, _, make = heapq.heappop(self.due)
+            self.now = max(self.now, at)
+            self.put(make())
+        self.now = until
+
+    def play(self, requests: int) -> None:
+        for i in range(requests):
+            name = f"r{next(self.names)}"  # no id is used twice
+            sent = model.Request(name, i % 3, 0, f"v{i}", f"k{i}", 0, 1.0, 1, 2 * SECOND, i % 3 == 1)
+            self.put(model.Arrived(self.now, sent))
+            if i % 7 == 0:
+                self.put(model.ClientLeft(self.now, name))
+            self.wait(20 * MS)
+
+    def rest(self) -> None:
+        self.wait(QUIET)
+        self.reducer.tally.take()  # as the log does, every few seconds
+
+
+def held_beside_module(driver: CoreDriver) -> int:
+    """What a core holds, without the decision module and credit, which are counted by themselves."""
+    parts = vars(driver.reducer).items()
+    return held({name: value for name, value in parts if name not in ("scheduler", "gate")})
+
+
+@pytest.mark.parametrize("streamed", [False, True])
+@pytest.mark.parametrize("outcome", OUTCOMES)
+def test_the_core_holds_after_quiet_what_it_holds_without_requests(outcome, streamed):
+    """Guards memory: records, streams, attempts or counts by name that outlive the requests they are of."""
+    met, idle = CoreDriver(outcome, streamed), CoreDriver(outcome, streamed)
+    met.play(REQUESTS)
+    assert len(met.reducer.tally.counts) > 1
+    idle.wait(met.now - START)
+    met.rest(), idle.rest()
+    assert held_beside_module(met) == held_beside_module(idle)
+    assert not met.reducer.open and not met.reducer.nodes_in_flight()
+
+
+# -- credit -----------------------------------------------------------------------------------------------
+def new_ledger() -> Ledger:
+    ledger = Ledger()
+    for name, paid in (("rich", 10**9), ("poor", 3_000)):
+        volumes = tuple(f"v{i}" for i in range(REQUESTS) if (i % 5 == 0) == (name == "poor"))
+        assert ledger.put_customer(PutCustomer(name, volumes, low_water=1_000)).ok
+        assert ledger.book_entry(1, BookEntry(f"paid by {name}", name, paid, "top-up", "", "", "")).ok
+    return ledger
+
+
+class CreditDriver(CoreDriver):
+    """A core whose requests are charged, and which exchanges with the account every 50 ms."""
+
+    def __init__(self, outcome: Outcome) -> None:
+        super().__init__(outcome)
+        self.ledger, self.journal, self.ages = new_ledger(), SpentJournal(None), AllotmentAges(LEASE)
+        self.escrow = HeadEscrow(LEASE, self.journal)
+        settings, background = self.reducer.scheduler.settings, self.reducer.scheduler.background_classes
+        self.reducer.gate = self.gate = Gate(
+            self.escrow,
+            self.ledger.customer_of,
+            (100, 200, 300),
+            ranks(settings.classes, background),
+            lambda: LedgerKnowledge.CURRENT,
+        )
+        self.number = 0
+
+    def put(self, event: model.Event) -> None:
+        if isinstance(event, model.Arrived) and self.gate.may_wait(event.request, self.now):
+            with self.gate.waiting(event.request):
+                self.gate.request_allotment(event.request, self.now)
+                self.exchange()
+        super().put(event)
+
+    def exchange(self) -> None:
+        reports = self.escrow.due_reports(self.now) if self.escrow.reachable else []
+        if reports:
+            self.number += 1
+            command = CreditReport("h", "disk", self.number, tuple(reports))
+            grants = self.ledger.apply_report(100 + self.number, command).grants
+            for report, grant in zip(reports, grants, strict=True):
+                self.escrow.apply_grant(report, grant, self.now, self.now)
+        self.ages.observe(self.ledger.customer_by_allotment.keys(), self.now)
+        self.ledger.mark_expired(Expired(tuple(self.ages.overdue(self.now))))
+
+    def wait(self, span: timedelta) -> None:
+        until = self.now + span
+        while self.now < until:
+            super().wait(min(50 * MS, until - self.now))
+            self.exchange()
+
+
+@pytest.mark.parametrize("cut_off", [False, True])
+@pytest.mark.parametrize("outcome", OUTCOMES)
+def test_credit_holds_after_quiet_what_it_holds_without_requests(outcome, cut_off):
+    """Guards the sum and memory: an allotment, reservation, slot or local account that stays behind."""
+    driver = CreditDriver(outcome)
+    driver.play(REQUESTS // 2)
+    assert driver.ledger.customer_by_allotment and driver.ages._known_since and driver.journal._slots
+    driver.escrow.reachable = not cut_off
+    driver.play(REQUESTS)
+    driver.escrow.reachable = True
+    driver.rest()
+    idle = CoreDriver(outcome)
+    idle.rest()
+    assert held_beside_module(driver) == held_beside_module(idle)
+    assert held(driver.escrow) == held(HeadEscrow(LEASE, SpentJournal(None)))
+    assert held(driver.ages) == held(AllotmentAges(LEASE))
+    assert not driver.escrow.accounts and not driver.escrow.reservations and not driver.journal._slots
+    # what stays: what customers were charged, and the number of this head's latest report
+    expected = new_ledger()
+    for name, account in expected.accounts.items():
+        account.charged = driver.ledger.accounts[name].charged
+    expected.heads["h"] = HeadRegistration("disk", driver.number)
+    assert driver.ledger == expected
+    assert driver.escrow.charged == sum(a.charged for a in expected.accounts.values())
