A node that was put back by hand keeps what was learnt of it when the record goes

What callers saw: an hour or more after operators had put a node back, this head forgot the node's latencies and its window, and sent it as many requests at once as to one of which nothing is known. Forced: put back, three hours, a rejection halves the window to 8, an operator's call about another node, the next complete list: the window is 16.

Cause: a listed node that was put back counts as started then, in case it was restarted while it was out. The next call after an hour drops the record; the list's own older start holds again, and the decision module takes a start other than the known one for a restart.

The record now stays while the list shows a start from before the node was taken out, and goes as before once the node has left the list or has started since. So the start that the decision module is given changes only with the list's own entry; what stays is bounded by the list. forget_old is two functions now, as the bound on nodes that are out has nothing to do with it.

--- a/stoatrouter/core/nodes.py
+++ b/stoatrouter/core/nodes.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Container
+from collections.abc import Container, Mapping
 from dataclasses import dataclass, field, replace
 from datetime import timedelta
 
@@ -42,19 +42,24 @@
         if (since := self.out.pop(node, None)) is not None:
             self.back[node] = (since, now)
 
-    def forget_old(self, listed: Container[str], now: timedelta) -> list[str]:
-        """Forget what has no effect any more, and what is beyond the bound.
+    def forget_back(self, listed: Mapping[str, NodeInfo], now: timedelta) -> None:
+        """Forget which nodes were put back long ago, except where the list still shows an older start.
 
-        Args:
-            listed: The nodes of the list: these are never forgotten while they are out.
-            now: The present time.
+        Such a node has started for the decision module when it was put back: forgotten, it would count as
+        restarted, and all that was learnt of it would be lost.
+        """
+        old = [node for node, (_, back) in self.back.items() if now - back > BACK_HELD_FOR]
+        for node in old:
+            entry = listed.get(node)
+            if entry is None or entry.started >= self.back[node][0]:
+                del self.back[node]
+
+    def forget_surplus(self, listed: Container[str]) -> list[str]:
+        """Forget nodes that are out, beyond the bound; those of the list never.
 
         Returns:
             Nodes that were out, and count as never taken out from now on.
         """
-        old = [node for node, (_, back) in self.back.items() if now - back > BACK_HELD_FOR]
-        for node in old:
-            del self.back[node]
         surplus = len(self.out) - MOST_OUT
         unlisted = [node for node in self.out if node not in listed] if surplus > 0 else []
         forgotten = unlisted[: max(0, surplus)]
--- a/stoatrouter/core/reducer.py
+++ b/stoatrouter/core/reducer.py
@@ -301,7 +301,8 @@
             self.administrative_state.take_out(event.node, self.now)
         else:
             self.administrative_state.put_back(event.node, self.now)
-        for forgotten in self.administrative_state.forget_old(self.nodes, self.now):
+        self.administrative_state.forget_back(self.nodes, self.now)
+        for forgotten in self.administrative_state.forget_surplus(self.nodes):
             logger.warning(
                 "bricks: {node} is forgotten, it is not listed and too many are out by hand",
                 event="bricks.forgotten",
--- a/tests/test_administrative_state.py
+++ b/tests/test_administrative_state.py
@@ -3,14 +3,16 @@
 from __future__ import annotations
 
 import json
+from dataclasses import replace
 from datetime import timedelta
 
 import pytest
 
 from stoatrouter.core import model
+from stoatrouter.core.nodes import BACK_HELD_FOR
 from stoatrouter.core.spans import micros
 from stoatrouter.net.state_file import AdministrativeStateFile
-from stoatrouter.policy.interface import ListKind, Phase
+from stoatrouter.policy.interface import ListKind, Outcome, Phase
 from tests.test_core import MS, START, node, only, reducer, request
 
 SECOND = 1000 * MS
@@ -100,3 +102,24 @@
 
 def test_a_file_that_cannot_be_written_is_told(tmp_path):
     assert not AdministrativeStateFile(str(tmp_path / "absent")).write(model.AdministrativeState())
+
+
+def test_what_was_learnt_of_a_node_outlives_the_record_that_it_was_put_back():
+    """Guards nodes: an hour after one was put back it counted as restarted, its window as never cut."""
+    listed = (node("n1"), replace(node("n2"), shard=1))
+    r = reducer(*listed)
+    put(r, True), put(r, False, START + SECOND)
+    late = START + 3 * BACK_HELD_FOR
+    r.reduce(model.Arrived(late, request()))
+    r.reduce(model.AttemptEnded(late + MS, "r", 0, Outcome.FULL))
+    known = r.scheduler.nodes["n1"]
+    cut = known.window
+    assert cut < known.window_quota
+    put(r, True, late, "n2")  # a call forgets what is old
+    r.reduce(model.EndpointListReceived(late, ListKind.FULL, listed))
+    assert known.window == cut
+    # restarted, as the list shows: the record has no use any more
+    restarted = replace(node("n1"), started=late)
+    r.reduce(model.EndpointListReceived(late, ListKind.CHANGES, (restarted,)))
+    put(r, False, late, "n2")
+    assert list(r.administrative_state.back) == ["n2"] and known.window == known.window_quota
