Nodes put back by hand are forgotten in time, not by an operator's next call

Cause: records expire after an hour, and were dropped only where others were written. The core looks now at most once a minute, with a timer of the decision module, which come every 100 ms: one comparison each.

The file is not written for it: it is replaced with the next call, and what a start reads from it goes within a minute.

--- a/stoatrouter/core/reducer.py
+++ b/stoatrouter/core/reducer.py
@@ -19,6 +19,7 @@
 
 # Longest wait past the client's deadline before the core answers by itself, should a decision be missing.
 OVERDUE_AFTER = timedelta(milliseconds=15)
+FORGET_EVERY = timedelta(seconds=60)  # how often nodes that were put back long ago are forgotten
 
 
 class Reducer:
@@ -47,6 +48,7 @@
         classes = len(settings.classes)
         self.counters = model.Counters(ok=[0] * classes, shed=[0] * classes, errors=[0] * classes)
         self.now = NO_TIME
+        self.forgotten_at = NO_TIME  # when what is old was last forgotten
 
     def reduce(self, event: model.Event) -> list[model.Effect]:
         """Take one event and return the effects to run, in order."""
@@ -62,6 +64,7 @@
             case model.StreamEnded():
                 return self._stream_ended(event)
             case model.TimerDue():
+                self._forget_old()
                 return self._decide(api.TimerFired(event.token))
             case model.EndpointListReceived():
                 return self._list_received(event)
@@ -311,6 +314,12 @@
         effects: list[model.Effect] = [model.SaveAdministrativeState()]
         return effects + (self._pass_on_nodes(api.ListKind.CHANGES, (node,)) if node is not None else [])
 
+    def _forget_old(self) -> None:
+        """Forget nodes that were put back long ago, without waiting for an operator's next call."""
+        if self.now - self.forgotten_at >= FORGET_EVERY:
+            self.forgotten_at = self.now
+            self.administrative_state.forget_back(self.nodes, self.now)
+
     # -- the decision module ------------------------------------------------------------------------------
     def _decide(self, event: api.Event) -> list[model.Effect]:
         """Put an event to the decision module and turn its actions into effects."""
--- a/tests/test_held_state.py
+++ b/tests/test_held_state.py
@@ -13,6 +13,7 @@
 import pytest
 
 from stoatrouter.core import model
+from stoatrouter.core.nodes import BACK_HELD_FOR
 from stoatrouter.core.reducer import Reducer
 from stoatrouter.credit.accounts import HeadRegistration
 from stoatrouter.credit.allotment_ages import AllotmentAges
@@ -110,6 +111,24 @@
     assert not met.reducer.open and not met.reducer.nodes_in_flight()
 
 
+def test_nodes_that_were_put_back_are_forgotten_without_another_call():
+    """Guards memory and handovers: a record was dropped by an operator's next call alone."""
+    driver = CoreDriver(Outcome.OK)
+    for name in ("n0", "n1"):
+        driver.put(model.SetAdministrativeState(driver.now, name, True))
+        driver.put(model.SetAdministrativeState(driver.now, name, False))
+    driver.put(model.EndpointListReceived(driver.now, ListKind.FULL, (node("n2"),)))
+    driver.wait(QUIET)
+    assert list(driver.reducer.administrative_state.back) == ["n0", "n1"]
+    driver.now += BACK_HELD_FOR
+    driver.rest()
+    assert not driver.reducer.administrative_state.back
+    idle = CoreDriver(Outcome.OK)
+    idle.put(model.EndpointListReceived(idle.now, ListKind.FULL, (node("n2"),)))
+    idle.rest()
+    assert held_beside_module(driver) == held_beside_module(idle)
+
+
 # -- credit -----------------------------------------------------------------------------------------------
 def new_ledger() -> Ledger:
     ledger = Ledger()
