A request is not failed by the watch of an earlier request of its id

What callers saw: a request whose id a client had used within the last seconds was failed, or its attempts were cancelled, at the deadline of the earlier request of that id, though that one was long answered. The protocol asks for a fresh Req-Id each time, so only clients that break it were hit.

Cause: the watch of each request is a timer that runs to 15 ms past its deadline, answered or not, and names it by the id alone: state that outlives its use. Under -O the core answered the later request with a failure and counted a broken invariant (forced on the code before); without -O it raised.

The core keeps each open request's deadline; a watch that comes before it is another request's. The own one comes 15 ms past it at the earliest, by the same clock, so none is missed.

--- a/stoatrouter/core/records.py
+++ b/stoatrouter/core/records.py
@@ -24,6 +24,7 @@
     """A request that is not yet answered or has an attempt open."""
 
     request: Request
+    deadline: timedelta  # by when it is owed an answer
     answered: bool = False
     attempts: list[Attempt] = field(default_factory=list)
 
--- a/stoatrouter/core/reducer.py
+++ b/stoatrouter/core/reducer.py
@@ -129,7 +129,7 @@
             return self._reject(request.request_class, model.Refused(self.advice), "over_max_open")
         if self.gate is not None and (rejection := self.gate.take(request, self.now)) is not None:
             return self._reject(request.request_class, rejection.answer, rejection.counter)
-        self.records[request.id] = model.Record(request)
+        self.records[request.id] = model.Record(request, self.now + request.time_left)
         self.tally.add("taken")
         self.counters.active += 1
         effects: list[model.Effect] = [model.WatchOverdue(request.time_left + OVERDUE_AFTER, request.id)]
@@ -157,7 +157,8 @@
 
     def _overdue(self, request_id: str) -> list[model.Effect]:
         record = self.records.get(request_id)
-        if record is None:
+        # Guards a request against the watch of an earlier one of its id, which ended before its deadline.
+        if record is None or self.now < record.deadline:
             return []
         effects: list[model.Effect] = []
         # Guards against a missing decision (the module failed on it): no request goes unanswered.
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -115,6 +115,18 @@
     assert 300 * MS < watch.after < 358 * MS  # after the module's own word, within the slack of the rule
 
 
+def test_the_watch_of_an_answered_request_ends_no_later_one_of_its_id():
+    """Guards clients that use an id again: their request failed at the deadline of the earlier one."""
+    r = reducer(node())
+    (first,) = only(r.reduce(model.Arrived(START, request())), model.WatchOverdue)
+    r.reduce(model.AttemptEnded(START + MS, "r", 0, Outcome.OK))
+    (second,) = only(r.reduce(model.Arrived(START + 1500 * MS, request())), model.WatchOverdue)
+    assert r.reduce(model.Overdue(START + first.after, "r")) == [] and r.open == 1
+    ended = r.reduce(model.AttemptEnded(START + 3000 * MS, "r", 0, Outcome.OK))
+    assert only(ended, model.GiveAnswer)[0].answer == model.Served(b"", shard=0)
+    assert r.reduce(model.Overdue(START + 1500 * MS + second.after, "r")) == []
+
+
 def test_under_minus_o_a_failing_decision_is_survived_and_its_request_answered():
     code = """
 from tests.test_core import *
