--- a/stoatrouter/peering/rules.py
+++ b/stoatrouter/peering/rules.py
@@ -74,6 +74,7 @@
     async def step(self) -> None:
         """Activate, compile and report what is due, and decide where this head leads."""
         self.activate_newest()
+        self.compiler.retain({version.digest for version in self._current_versions()})
         self.compiler.start_next(self._missing_versions())
         await self.rollout.send_report()
         await self.rollout.lead()
@@ -82,11 +83,14 @@
         """The version in force; None before the first."""
         return self.history.versions[-1] if self.history.versions else None
 
+    def _current_versions(self) -> list[Version]:
+        """The version in force and the pending one, as far as there are any."""
+        pending = [self.history.pending] if self.history.pending is not None else []
+        return [*self.history.versions[-1:], *pending]
+
     def _missing_versions(self) -> list[Version]:
         """Versions whose tables this head needs, the one in force first."""
-        newest = self.history.versions[-1:]
-        pending = [self.history.pending] if self.history.pending is not None else []
-        return [version for version in (*newest, *pending) if version.number > self.active_version]
+        return [version for version in self._current_versions() if version.number > self.active_version]
 
     def activate_newest(self) -> None:
         """Decide by the version in force from now on, once its table is compiled. Numbers only go up."""
@@ -106,7 +110,6 @@
             digest=newest.digest,
         )
         self.store.save_in_background(newest, self.history.packed_rule_sets[newest.digest])
-        self.compiler.retain({newest.digest, *(version.digest for version in self._missing_versions())})
 
     def make_report(self) -> HeadReport:
         """What this head reports of itself to the leader."""
