Nodes suspected of surplus bytes are forgotten when the suspicion is over

What callers saw: nothing. A suspicion holds for 30 s and was dropped only as 4,096 other nodes were suspected; until then it was held, though no use of a connection asked for it any more.

The loop's monitor drops those that are over every 10 s, after the tally, the first that was suspected first: all last as long, and a node that is suspected again goes to the end.

--- a/stoatrouter/net/loop_monitor.py
+++ b/stoatrouter/net/loop_monitor.py
@@ -1,4 +1,4 @@
-"""Measures the event loop's lag, sheds load while it is late, and logs the core's tally."""
+"""Measures the event loop's lag, sheds load while it is late, logs the core's tally, forgets old suspects."""
 
 from __future__ import annotations
 
@@ -22,7 +22,8 @@
     """Check the event loop's lag every CHECK_INTERVAL, until cancelled.
 
     Args:
-        engine: Its tally is logged every CHECKS_PER_TALLY checks, with the worst lag since the last time.
+        engine: Its tally is logged every CHECKS_PER_TALLY checks, with the worst lag since the last time;
+            then nodes that are suspected no more are forgotten.
         clients: Their table admits fewer open requests for a while after a lag above TIGHTENING_LAG.
     """
     loop = asyncio.get_running_loop()
@@ -40,6 +41,7 @@
             logger.warning("loop: lagged by {lag_ms:.0f} ms", event="loop.lagged", lag_ms=lag * 1000)
         if checks % CHECKS_PER_TALLY == 0:
             log_tally(engine, worst_lag)
+            engine.nodes.pool.rest_times.forget_old(loop.time())
             worst_lag = 0.0
 
 
--- a/stoatrouter/net/rest_times.py
+++ b/stoatrouter/net/rest_times.py
@@ -40,6 +40,11 @@
             self._suspect_until.popitem(last=False)
         return is_new
 
+    def forget_old(self, now: float) -> None:
+        """Forget the nodes that are suspected no more; the first that was suspected goes first."""
+        while self._suspect_until and next(iter(self._suspect_until.values())) <= now:
+            self._suspect_until.popitem(last=False)
+
     def rest_of(self, node: Address, now: float, is_alike: bool) -> float:
         """How long a connection to a node has to rest, in seconds.
 
--- a/tests/test_held_state.py
+++ b/tests/test_held_state.py
@@ -5,10 +5,12 @@
 
 from __future__ import annotations
 
+import asyncio
 import heapq
 from collections.abc import Callable
 from datetime import timedelta
 from itertools import count
+from types import SimpleNamespace
 
 import pytest
 
@@ -22,9 +24,14 @@
 from stoatrouter.credit.ledger import Ledger
 from stoatrouter.credit.ledger_knowledge import LedgerKnowledge
 from stoatrouter.credit.records import BookEntry, CreditReport, Expired, PutCustomer
+from stoatrouter.net import loop_monitor
+from stoatrouter.net.client_table import ClientTable
+from stoatrouter.net.loop_monitor import monitor_loop
+from stoatrouter.net.rest_times import SUSPECT_FOR, SUSPECT_REUSE_AFTER, Address, RestTimes
 from stoatrouter.peering.spent_journal import SpentJournal
 from stoatrouter.policy.interface import ListKind, Outcome
 from tests.held import held
+from tests.peers import run, until
 from tests.test_core import MS, SETTINGS, START, node
 
 SECOND = 1000 * MS
@@ -205,3 +212,26 @@
     expected.heads["h"] = HeadRegistration("disk", driver.number)
     assert driver.ledger == expected
     assert driver.escrow.charged == sum(a.charged for a in expected.accounts.values())
+
+
+# -- the network ------------------------------------------------------------------------------------------
+def test_nodes_are_forgotten_as_suspects_though_no_connection_is_used(monkeypatch):
+    """Guards memory: a suspicion of 30 s was held until 4,096 other nodes were suspected."""
+
+    async def story():
+        now = asyncio.get_running_loop().time()
+        rest_times = RestTimes()
+        for number in range(100):
+            rest_times.record_surplus(Address("n", number), now - SUSPECT_FOR.total_seconds())
+        rest_times.record_surplus(Address("late", 1), now)
+        engine = SimpleNamespace(
+            reducer=Reducer(SETTINGS, seed=1),
+            nodes=SimpleNamespace(pool=SimpleNamespace(rest_times=rest_times)),
+        )
+        monitoring = asyncio.create_task(monitor_loop(engine, ClientTable(1, 1, 1)))
+        await until(lambda: len(rest_times._suspect_until) == 1)
+        monitoring.cancel()
+        assert rest_times.rest_of(Address("late", 1), now, False) == SUSPECT_REUSE_AFTER.total_seconds()
+
+    monkeypatch.setattr(loop_monitor, "CHECKS_PER_TALLY", 1)
+    run(story())
