What the previous process handed over is dropped once it is applied

What callers saw: nothing. After each upgrade the new process held all that the old one had handed over (nodes, volumes, sends) a second time, as JSON data, for as long as it ran.

The state is taken out of the record as it is applied; the record of the process before goes with its end.

The test failed on the code before.

--- a/stoatrouter/net/handover.py
+++ b/stoatrouter/net/handover.py
@@ -82,7 +82,7 @@
         self.predecessor = await self.socket.take_over()
         if self.predecessor is None:
             return False
-        state = self.predecessor.state
+        state = self.predecessor.take_state()
         try:
             self.apply_state(state)
         except (KeyError, TypeError, ValueError, AttributeError) as error:
@@ -118,6 +118,7 @@
         """Follow the holdings of the previous process to its end; returns at once where there is none."""
         if self.predecessor is not None:
             await self.predecessor.follow(self.apply_holdings)
+            self.predecessor = None
 
     def apply_holdings(self, holdings: Holdings) -> None:
         """Reduce this process's limits by the holdings of the previous one, as both count as one head."""
--- a/stoatrouter/net/handover_socket.py
+++ b/stoatrouter/net/handover_socket.py
@@ -42,7 +42,12 @@
         """
         self.reader = reader
         self.writer = writer
-        self.state = state
+        self._state = state
+
+    def take_state(self) -> JsonObject:
+        """What the previous process handed over; it is held no longer, as it may be large."""
+        state, self._state = self._state, {}
+        return state
 
     async def follow(self, on_holdings: Callable[[Holdings], None]) -> None:
         """Report the holdings of the previous process, and at its end that it has none."""
--- a/tests/test_held_state.py
+++ b/tests/test_held_state.py
@@ -11,6 +11,7 @@
 from datetime import timedelta
 from itertools import count
 from types import SimpleNamespace
+from unittest.mock import AsyncMock
 
 import pytest
 
@@ -26,6 +27,9 @@
 from stoatrouter.credit.records import BookEntry, CreditReport, Expired, PutCustomer
 from stoatrouter.net import loop_monitor
 from stoatrouter.net.client_table import ClientTable
+from stoatrouter.net.handover import Handover
+from stoatrouter.net.handover_socket import Predecessor
+from stoatrouter.net.listener import Drain
 from stoatrouter.net.loop_monitor import monitor_loop
 from stoatrouter.net.rest_times import SUSPECT_FOR, SUSPECT_REUSE_AFTER, Address, RestTimes
 from stoatrouter.peering.spent_journal import SpentJournal
@@ -235,3 +239,27 @@
 
     monkeypatch.setattr(loop_monitor, "CHECKS_PER_TALLY", 1)
     run(story())
+
+
+def test_what_the_previous_process_handed_over_is_not_held_on():
+    """Guards memory: all of it stayed as JSON data for as long as the new process ran."""
+
+    async def story():
+        reader = asyncio.StreamReader()
+        reader.feed_eof()
+        clients = SimpleNamespace(max_connections=9, tighten_busy_limit=lambda span: None)
+        pool = SimpleNamespace(max_connections=9, set_limit=lambda limit: None)
+        engine = SimpleNamespace(
+            nodes=SimpleNamespace(pool=pool), put=lambda event: None, clock=SimpleNamespace(now=lambda: START)
+        )
+        handover = Handover(engine, SimpleNamespace(), clients, Drain(clients), None, run, run)
+        state = {"generation": 1, "out_of_service": False, "nodes": [], "holds": {}}
+        state |= {"by_hand": {"out": {}, "back": {}}, "module": {"nodes": dict.fromkeys(range(1000))}}
+        predecessor = Predecessor(reader, SimpleNamespace(close=lambda: None), state)
+        handover.socket.take_over = AsyncMock(return_value=predecessor)
+        assert await handover.take_over()
+        assert not any(held(value) for value in vars(predecessor).values() if isinstance(value, dict))
+        await handover.follow()
+        assert handover.predecessor is None
+
+    run(story())
