A voter forgets old polls though nobody polls or asks it any more

What callers saw: nothing. Polls matter for a span, and were dropped with the next poll or question alone; those of followers that have gone to other voters stayed, 16,384 at most.

A loop of its own drops them once a span, as nothing else that runs at each voter knows of them.

The test failed on the code before, which had no such loop.

--- a/stoatrouter/peering/fleet.py
+++ b/stoatrouter/peering/fleet.py
@@ -170,6 +170,7 @@
                 ("follower", self.follower.run_for_ever),
                 ("founding", self.bootstrap.found_fleet),
                 ("availability", self.monitor.run_for_ever),
+                ("polls", self.propagation.run_for_ever),
             )
         ]
         logger.info(
--- a/stoatrouter/peering/propagation.py
+++ b/stoatrouter/peering/propagation.py
@@ -46,19 +46,20 @@
         _, known = self._polls.get(process, (now, 0))
         self._polls[process] = (now, max(known, applied))
         self._polls.move_to_end(process)
-        self._drop_old(now)
+        self.forget_old(now)
         if len(self._polls) > MAX_POLLERS:
             self._polls.popitem(last=False)
             self._forgot_at = now
 
     def progress(self, now: timedelta) -> tuple[tuple[str, int, int], ...] | None:
         """The name, incarnation and applied index of each; None where one that matters was forgotten."""
-        self._drop_old(now)
+        self.forget_old(now)
         if self._forgot_at is not None and now - self._forgot_at <= self._remembered_for:
             return None
         return tuple((*process, applied) for process, (_, applied) in self._polls.items())
 
-    def _drop_old(self, now: timedelta) -> None:
+    def forget_old(self, now: timedelta) -> None:
+        """Forget the polls that matter no more."""
         while self._polls:
             process, (at, _) = next(iter(self._polls.items()))
             if now - at <= self._remembered_for:
@@ -93,6 +94,12 @@
         self._streams = streams
         self._now = now
 
+    async def run_for_ever(self) -> None:
+        """Forget old polls now and then: it may be long until another poll or question comes."""
+        while True:
+            await asyncio.sleep(self.span.total_seconds())
+            self.polls.forget_old(self._now())
+
     async def wait_until_known(self, index: int | None) -> bool:
         """Wait until no head can decide any more by what was before an index.
 
--- a/tests/heads/test_propagation.py
+++ b/tests/heads/test_propagation.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from datetime import timedelta
 from types import SimpleNamespace
 
@@ -12,7 +13,8 @@
 from stoatrouter.peering import calls, propagation
 from stoatrouter.peering.errors import PeerUnreachable
 from stoatrouter.peering.propagation import ChangePropagation, RecentPolls
-from tests.peers import run
+from tests.held import held
+from tests.peers import run, until
 
 SECOND = timedelta(seconds=1)
 CUT_OFF_AFTER = timedelta(milliseconds=200)
@@ -92,3 +94,20 @@
         assert await voters.propagation.wait_until_known(None) is False and not voters.asked
 
     run(story())
+
+
+def test_polls_are_forgotten_though_nobody_polls_or_asks_any_more():
+    """Guards memory: those of followers that have gone elsewhere stayed until the next poll or question."""
+
+    async def story():
+        voters = Voters(KNOWS, KNOWS)
+        polls = voters.propagation.polls
+        for number in range(100):
+            polls.note(f"f{number}", 1, 5, voters.now())
+        forgetting = asyncio.create_task(voters.propagation.run_for_ever())
+        voters.time += CUT_OFF_AFTER
+        await until(lambda: not polls._polls)
+        forgetting.cancel()
+        assert held(polls) == held(RecentPolls(voters.propagation.span))
+
+    run(story())
