Pings for other heads are forgotten once nobody waits for their ack

What callers saw: nothing. A ping that was sent for another head's ping-req and got no ack was held until 256 others had come.

A tick drops those whose requester's health check is over: no check lasts longer than the longest period. An ack that comes later is not passed on, as the requester would not take it.

The test failed on the code before.

--- a/stoatrouter/membership/detector.py
+++ b/stoatrouter/membership/detector.py
@@ -71,6 +71,7 @@
 
     number: int  # the ping-req's sequence number, named in the relayed ack
     requester: str  # the address of the head that sent the ping-req
+    useless_at: timedelta  # from when on that head waits for no ack any more
 
 
 @dataclass(slots=True)
@@ -128,6 +129,7 @@
     def _tick(self, now: timedelta) -> list[Effect]:
         if self.has_left:
             return []
+        self._forget_relayed_pings(now)
         effects = self._fail_overdue_suspects(now)
         check = self.health_check
         if check is not None and check.needs_ping_reqs(now):
@@ -139,6 +141,14 @@
             effects += self._begin_period(now)
         return effects
 
+    def _forget_relayed_pings(self, now: timedelta) -> None:
+        """Forget the pings whose ack would come too late; all wait for as long, so the first go first."""
+        while self.relayed_pings:
+            number, oldest = next(iter(self.relayed_pings.items()))
+            if now < oldest.useless_at:
+                return
+            del self.relayed_pings[number]
+
     def _fail_overdue_suspects(self, now: timedelta) -> list[Effect]:
         effects: list[Effect] = []
         for name in [name for name, fails_at in self.suspects.items() if fails_at <= now]:
@@ -214,7 +224,7 @@
         self.roster.record_address(message.sender, event.address)
         effects = self._apply_updates_of(message, event.at)
         if not self.has_left:
-            effects += self._answer(message, event.address)
+            effects += self._answer(message, event.address, event.at)
         return effects
 
     def _apply_updates_of(self, message: Datagram, now: timedelta) -> list[Effect]:
@@ -227,23 +237,25 @@
             effects += self._apply_update(update, now)
         return effects
 
-    def _answer(self, message: Datagram, address: str) -> list[Effect]:
+    def _answer(self, message: Datagram, address: str, now: timedelta) -> list[Effect]:
         match message.kind:
             case Kind.PING:
                 return [self._send(address, Kind.ACK, message.number, recipient=message.sender)]
             case Kind.PING_FOR:
-                return self._relay_ping_req(message, address)
+                return self._relay_ping_req(message, address, now)
             case Kind.ACK:
                 return self._receive_ack(message)
 
-    def _relay_ping_req(self, message: Datagram, requester: str) -> list[Effect]:
+    def _relay_ping_req(self, message: Datagram, requester: str, now: timedelta) -> list[Effect]:
         if message.target not in self.roster.addresses:
             return []
         number = self._next_sequence_number()
         if len(self.relayed_pings) >= MOST_RELAYED:
             oldest = next(iter(self.relayed_pings))
             del self.relayed_pings[oldest]
-        self.relayed_pings[number] = RelayedPing(message.number, requester)
+        # no head's health check lasts longer than its longest period
+        useless_at = now + self.timing.period * (1 + self.timing.local_health)
+        self.relayed_pings[number] = RelayedPing(message.number, requester, useless_at)
         return [self._ping(message.target, number)]
 
     def _receive_ack(self, message: Datagram) -> list[Effect]:
--- a/tests/heads/test_detector.py
+++ b/tests/heads/test_detector.py
@@ -15,7 +15,7 @@
 from stoatrouter.lab.fleet.world import World
 from stoatrouter.membership.datagram import LARGEST_DATAGRAM, MAC_BYTES, Datagram, Kind, decode, encode, seal
 from stoatrouter.membership.detector import Detector
-from stoatrouter.membership.detector_records import DatagramReceived, SendTo
+from stoatrouter.membership.detector_records import DatagramReceived, SendTo, Tick
 from stoatrouter.membership.errors import (
     DatagramTooLong,
     DatagramTooShort,
@@ -284,3 +284,17 @@
     for i in range(3000):
         here.reduce(DatagramReceived(SECOND, "p", Datagram(Kind.PING, i, f"x{draws.randrange(10**9)}", 1)))
     assert len(here.roster.members) <= 1024
+
+
+def test_relayed_pings_that_nobody_waits_for_are_forgotten():
+    """Guards memory: one without an ack was held until 256 others had come."""
+    here = Detector("a", 1, ("b", "c"), 1)
+    for name in "bc":
+        here.reduce(DatagramReceived(SECOND, name, Datagram(Kind.PING, 1, name, 1)))
+    for number in range(100):
+        here.reduce(DatagramReceived(SECOND, "b", Datagram(Kind.PING_FOR, number, "b", 1, "c")))
+    waits = here.timing.period * (1 + here.timing.local_health)
+    here.reduce(Tick(SECOND + waits - SECOND / 100))
+    assert len(here.relayed_pings) == 100  # the slowest head still waits
+    here.reduce(Tick(SECOND + waits))
+    assert not here.relayed_pings
