A head that leads no more holds no starts of rounds

What callers saw: nothing. Up to 1,024 starts of a leader's rounds were held until the head led again; they are of use to a leader alone.

The test failed on the code before.

--- a/stoatrouter/agreement/state.py
+++ b/stoatrouter/agreement/state.py
@@ -177,6 +177,7 @@
         self.leader = leader
         self.votes.clear()
         self.peers.clear()
+        self.round_starts.starts.clear()  # they are of a leader alone
         self._reset_election_timer()
 
     def _reject_pending_reads(self, reason: RejectReason) -> list[Effect]:
--- a/tests/heads/test_contact.py
+++ b/tests/heads/test_contact.py
@@ -9,8 +9,11 @@
 
 from stoatrouter.agreement import state
 from stoatrouter.agreement.contact import MOST_ROUNDS, MajorityContact, RoundStarts
+from stoatrouter.agreement.raft import Raft
+from stoatrouter.agreement.records import Tick
 from stoatrouter.lab.fleet.contact_stories import LOSSES, run_majority_loss
 from stoatrouter.lab.fleet.errors import InvariantViolated
+from tests.heads.test_agreement import GENESIS, elected, voter
 
 MS = timedelta(milliseconds=1)
 
@@ -84,3 +87,11 @@
     for number in range(100, 100 + 2 * MOST_ROUNDS):
         starts.record(number, number * 10 * MS)
     assert len(starts.starts) == MOST_ROUNDS and starts.start_of(101) is None
+
+
+def test_a_head_that_leads_no_more_holds_no_rounds():
+    """Guards memory: up to 1,024 starts of rounds were held until the head led again."""
+    raft = elected(Raft(voter(0), GENESIS, 1))
+    assert raft.round_starts.starts
+    raft.reduce(Tick(raft.now + 5000 * MS))  # no majority was heard
+    assert not raft.leads and not raft.round_starts.starts
