--- a/stoatrouter/agreement/log.py
+++ b/stoatrouter/agreement/log.py
@@ -103,6 +103,7 @@
         """
         retained_from = max(self.first, snapshot.index + 1 - keep)
         self.entries = self.entries[retained_from - self.first :]
+        self.voter_changes = [entry for entry in self.voter_changes if entry.index > snapshot.index]
         self.snapshot = snapshot
         return retained_from
 
--- a/tests/heads/test_agreement.py
+++ b/tests/heads/test_agreement.py
@@ -8,9 +8,10 @@
 
 from stoatrouter.agreement.availability import Facts, HeadState, availability_of
 from stoatrouter.agreement.founding import Founded, Founding
-from stoatrouter.agreement.log import encode_voters
+from stoatrouter.agreement.log import Log, VoterSet, encode_voters
 from stoatrouter.agreement.raft import Raft
 from stoatrouter.agreement.records import (
+    VOTERS,
     Accepted,
     AppendEntries,
     AppendEntriesReply,
@@ -375,3 +376,13 @@
     flags = ("serves", "changes", "draws", "votes", "ready")
     assert availability.state is state
     assert [f for f in flags if getattr(availability, f)] == may.split()
+
+
+def test_changes_of_voters_before_a_snapshot_are_not_held():
+    """Guards memory: each change of the voters was held for as long as the process ran."""
+    log = Log(Snapshot(0, 0, THREE, b""))
+    for index in range(1, 101):
+        log.append([Entry(index, 1, VOTERS, encode_voters(THREE[: 1 + index % 3]))])
+    log.compact(Snapshot(99, 1, log.voter_set(99).voters, b""), keep=512)
+    assert log.voter_set() == VoterSet(100, THREE[:2]) and log.voter_set(99) == VoterSet(99, THREE[:1])
+    assert [entry.index for entry in log.voter_changes] == [100]
