Credit is not asked for in the size of a request that was rejected long ago

What callers saw: at a head that was connected again after a cut, small requests of a customer with little credit left were rejected for some 250 ms more, though the credit would have paid for them.

Cause: the largest charge that found no allotment is held for the next report and was dropped with an answer alone. While cut off none comes; the first report then asked for the charge of a request of long ago at the least, and the account grants nothing rather than less than what is of use.

Such a charge is good for two seconds now, as recent use is; reports, every 50 ms, forget it.

--- a/stoatrouter/credit/escrow.py
+++ b/stoatrouter/credit/escrow.py
@@ -92,7 +92,7 @@
         allotment = self._find(account, charge, now)
         if allotment is None:
             self.rejected += 1
-            account.largest_unmet = max(account.largest_unmet, charge)
+            account.count_unmet(charge, now)
             return self._reject_for_lack(account)
         if (rejection := account.pace(rank)) is not None:
             self.rejected += 1
@@ -150,7 +150,7 @@
     def request_allotment(self, customer: str, charge: int, now: timedelta) -> None:
         """Ask, with the next report, for an allotment that is large enough for a charge."""
         account = self._account_of(customer)
-        account.largest_unmet = max(account.largest_unmet, charge)
+        account.count_unmet(charge, now)
         account.used_at = max(account.used_at, now)
 
     def add_waiting(self, customer: str, charge: int) -> None:
@@ -186,6 +186,7 @@
 
     def _report(self, account: LocalAccount, now: timedelta) -> CustomerReport | None:
         """The report on one customer; None where there is nothing to report yet."""
+        account.forget_unmet(now)
         idle = now - account.used_at > self.lease / 2
         settlements = account.close_allotments(now, idle)
         wanted = 0 if idle else self._wanted(account, now)
--- a/stoatrouter/credit/local_account.py
+++ b/stoatrouter/credit/local_account.py
@@ -87,7 +87,8 @@
     answered_at: timedelta | None = None  # when the account last answered
     exhausted_at: timedelta | None = None  # when the account last had nothing to grant
     report_pending: bool = False  # a report is sent and not answered
-    largest_unmet: int = 0  # the largest charge that found no allotment
+    largest_unmet: int = 0  # the largest charge that lately found no allotment
+    unmet_at: timedelta = NO_TIME  # when it found none
     waiting: int = 0  # the charges of all requests that wait for an allotment now
     use_per_second: float = 0.0  # millionths, averaged over USE_OVER
     used_at: timedelta = NO_TIME
@@ -116,6 +117,17 @@
         self.request_rates[rank] += 1 / averaged_over
         self.used_at = now
 
+    def count_unmet(self, charge: int, now: timedelta) -> None:
+        """Count a charge that finds no allotment: what is asked for next is enough for the largest."""
+        self.forget_unmet(now)
+        if charge >= self.largest_unmet:
+            self.largest_unmet, self.unmet_at = charge, now
+
+    def forget_unmet(self, now: timedelta) -> None:
+        """Forget a charge that found no allotment long ago: nobody waits for one any more."""
+        if now - self.unmet_at > USE_OVER:
+            self.largest_unmet = 0
+
     def pace(self, rank: int) -> Rejection | None:
         """Admit a request by its rank's quota, evenly spread; None where it is admitted."""
         quota = self.quota(rank)
--- a/tests/heads/test_credit_escrow.py
+++ b/tests/heads/test_credit_escrow.py
@@ -12,10 +12,14 @@
 from stoatrouter.core.reducer import Reducer
 from stoatrouter.credit.escrow import HeadEscrow
 from stoatrouter.credit.gate import Gate, ranks
+from stoatrouter.credit.ledger import Ledger
 from stoatrouter.credit.ledger_knowledge import LedgerKnowledge
 from stoatrouter.credit.local_account import LocalAccount
 from stoatrouter.credit.records import (
+    BookEntry,
+    CreditReport,
     Grant,
+    PutCustomer,
     Settlement,
     charge_of,
 )
@@ -216,3 +220,22 @@
     assert float(printed) > 0
     assert abs(float(printed) - microseconds / 1e6) <= 0.001
     assert retry_after_field(timedelta(0)) == {"Retry-After": "0.000"}  # at once
+
+
+def test_a_large_request_of_long_ago_keeps_nothing_from_small_ones():
+    """Guards a poor customer: a head that was cut off asked for a charge that nobody waited for any more."""
+    ledger, escrow = Ledger(), HeadEscrow(5 * SECOND, CreditDisk())
+    ledger.put_customer(PutCustomer("x", ("v",)))
+    ledger.book_entry(1, BookEntry("paid", "x", 20, "top-up", "", "", ""))
+    escrow.reachable = False
+    now = SECOND
+    assert escrow.reserve("large", "x", 100, 2, now) is not None
+    while now < 10 * SECOND:
+        now += SECOND / 2
+        assert escrow.reserve("small", "x", 1, 2, now) is not None
+    escrow.reachable = True
+    (report,) = escrow.due_reports(now)
+    assert report.least == 1
+    (grant,) = ledger.apply_report(2, CreditReport("h", "disk", 1, (report,))).grants
+    escrow.apply_grant(report, grant, now, now)
+    assert escrow.reserve("small", "x", 1, 2, now) is None
