A request's end takes out its own waiter, not that of a later one of its id

What callers saw: a client that used an id again in the moment in which its first request was answered got no answer to the second, not even at its deadline. The protocol asks for a fresh Req-Id each time.

Cause: waiters are held by id. The core admits the id again once the first request is answered and its attempts have ended; the first one's task, a turn of the loop later, took out the waiter of the second, or reported the second one's client as left where the first one's had.

--- a/stoatrouter/net/engine.py
+++ b/stoatrouter/net/engine.py
@@ -76,11 +76,14 @@
         except asyncio.CancelledError:
             if waiter.done() and not waiter.cancelled():
                 self.discard_answer(request.id, waiter.result())
-            self.put(model.ClientLeft(self.clock.now(), request.id))
+            else:
+                self.put(model.ClientLeft(self.clock.now(), request.id))
             raise
         finally:
-            self.waiters.pop(request.id, None)
-            self.client_transports.pop(request.id, None)
+            # Guards a request that was admitted under this id once the answer was given: it has a waiter too.
+            if self.waiters.get(request.id) is waiter:
+                del self.waiters[request.id]
+                del self.client_transports[request.id]
 
     async def prepared(self, request: model.Request) -> model.Request:
         """Wait for what a request needs before it is admitted, such as credit.
--- a/tests/test_race_conditions.py
+++ b/tests/test_race_conditions.py
@@ -10,23 +10,28 @@
 import socket
 from dataclasses import replace
 from datetime import timedelta
+from types import SimpleNamespace
 
 import aiohttp
 import pytest
 from aiohttp.http_writer import StreamWriter
 
 from stoatrouter import config
+from stoatrouter.core import model
 from stoatrouter.core.list_times import MS
 from stoatrouter.head import Head
 from stoatrouter.net import disconnects
 from stoatrouter.net.client_table import State
+from stoatrouter.net.engine import Engine
 from stoatrouter.net.nodes import NodeClient
+from stoatrouter.net.state_file import AdministrativeStateFile
 from stoatrouter.policy import interface as api
 from stoatrouter.policy.interface import Outcome
 from tests.peers import HOST, SETTINGS, Node, config_data, head_config, node_list, nodes_up, run, until
 from tests.platform_client import HEADERS, PATH, WRITE, attempt, started
 from tests.scheduler_driver import MS as MS_
 from tests.scheduler_driver import SECOND, SchedulerDriver
+from tests.test_core import START, node, reducer, request
 from tests.test_program import program, read
 
 
@@ -287,3 +292,28 @@
     kept = config.adapt_to_sockets(settings, timedelta(milliseconds=350)).plans[0].tolerance
     assert kept == pytest.approx(8.0 - 10.0 * 0.2)
     assert config.adapt_to_sockets(settings, timedelta(milliseconds=100)).plans[0].tolerance == 8.0
+
+
+# -- an id that is used again ----------------------------------------------------------------------------
+@pytest.mark.parametrize("first_leaves", [False, True])
+def test_a_request_admitted_as_another_one_of_its_id_is_answered_gets_its_own_answer(first_leaves):
+    """Guards clients that use an id again: the end of the first one took the waiter of the second."""
+
+    async def story():
+        clock = SimpleNamespace(now=lambda: START + timedelta(seconds=asyncio.get_running_loop().time()))
+        never = SimpleNamespace(attempt=lambda effect, may_begin: asyncio.Event().wait())
+        engine = Engine(reducer(node()), clock, never, AdministrativeStateFile(None))
+        first = asyncio.create_task(engine.serve(request()))
+        await asyncio.sleep(0)
+        second = asyncio.create_task(engine.serve(request()))  # its first step comes before the first's last
+        engine.put(model.AttemptEnded(clock.now(), "r", 0, Outcome.OK, b"1"))
+        if first_leaves:
+            first.cancel()
+        await asyncio.wait([first])
+        engine.put(model.AttemptEnded(clock.now(), "r", 0, Outcome.OK, b"2"))
+        assert await asyncio.wait_for(second, 1) == model.Served(b"2", 0)
+        assert not engine.waiters and not engine.client_transports
+        for left in engine.attempts.values():
+            left.cancel()
+
+    run(story())
