Faults of the stories end between two of them, and all heads have to be up then

Cause: Chaos.run cancelled the task of the faults wherever it was. kill, lose_folder and start_cut_off wait for the process that they have killed, and only then note that it is to start again: cancelled in that wait, the head stays dead. all_in_touch looks at heads that are up alone, and the allotments of the dead one are never settled.

Mend: the faults end by an event, between two; what has begun is awaited, as is each start that is owed. From then on each wait ends with HeadsDownError and the names of those that are not up. A wait of `resolve` without a limit has the usual one.

The faults end up to some seconds later now, since a pause lasts as long as it was drawn for.

--- a/tests/heads/chaos.py
+++ b/tests/heads/chaos.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import signal
 import time
 from pathlib import Path
@@ -11,6 +10,7 @@
 from stoatrouter.lab.histories.history import History, read_history
 from tests.heads.history_clients import PRICE, VOLUMES, HistoryClients
 from tests.heads.processes import HeadProcess, Processes
+from tests.story_tasks import set_within
 
 MORE = (
     'credit: {prices: {"score-read": 1000, "event-write": 1000, "stats-export": 1000}, lease: "2s"}\n'
@@ -29,13 +29,17 @@
     def __init__(self, fleet: Processes, seed: int, file: Path) -> None:
         super().__init__(fleet, seed, file)
         self.faults: list[str] = []  # for the report
-        self.restarts: list[asyncio.Task[None]] = []
+        self.restarts: list[asyncio.Task[None]] = []  # the starts that are owed to heads that were killed
+        self.faults_over = asyncio.Event()
+        self.breaking: asyncio.Task[None] | None = None
 
     # -- faults -------------------------------------------------------------------------------------------
     async def break_things(self) -> None:
-        """Inject one fault after the other, some on top of others; most heads come back at once."""
-        while not self.over:
-            await asyncio.sleep(self.draws.uniform(0.3, 2.0))
+        """Inject one fault after the other, some on top of others; most heads come back at once.
+
+        It ends between two faults: a task that is cancelled within one leaves the head that it killed dead.
+        """
+        while not await set_within(self.faults_over, self.draws.uniform(0.3, 2.0)):
             fault = self.draws.choice(self.faults_drawn)
             duration = self.draws.uniform(0.2, 5.0)
             self.faults.append(f"{time.time():.2f} {fault}")
@@ -83,12 +87,7 @@
         if len(self.fleet.up) > 2:
             head.signal(signal.SIGSTOP)
             await asyncio.sleep(duration)
-            self.resume(head)
-
-    def resume(self, head: HeadProcess) -> None:
-        """Let a paused head go on."""
-        head.signal(signal.SIGCONT)
-        head.paused = False
+            head.signal(signal.SIGCONT)
 
     async def start_after(self, delay: float, head: HeadProcess) -> None:
         """Start a head again after a delay."""
@@ -103,11 +102,8 @@
         askers = [self.client() for _ in range(CLIENTS)]
         askers += [self.payer(), self.payer(), self.editor("ann"), self.editor("bob")]
         tasks = [asyncio.create_task(asker) for asker in askers]
-        breaking = asyncio.create_task(self.break_things())
+        self.begin_faults()
         await asyncio.sleep(seconds)
-        breaking.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await breaking
         await self.end_faults()
         healed = time.time()
         await self.fleet.all_in_touch()
@@ -128,13 +124,23 @@
             status, answer = await self.fleet["h0"].call("PUT", f"/control/credit/customers/{name}", customer)
             assert status == 200, answer
 
+    def begin_faults(self) -> None:
+        """Begin to inject faults."""
+        self.breaking = asyncio.create_task(self.break_things())
+
     async def end_faults(self) -> None:
-        """Let paused heads go on, heal the network, and wait for heads that start again."""
-        for head in self.fleet:
-            if head.paused:
-                self.resume(head)
+        """Wait for the fault that has begun, heal the network, and wait for heads that start again.
+
+        Raises:
+            HeadsDownError: A head is not up, now or at a later wait.
+        """
+        assert self.breaking is not None
+        self.faults_over.set()
+        await self.breaking
         self.fleet.relay.heal()
         await asyncio.gather(*self.restarts)
+        self.fleet.required = self.fleet.names
+        self.fleet.check_required()
 
     async def detect(self) -> None:
         """Write a span without faults, then kill one head, for the judge of what the detectors saw."""
@@ -142,6 +148,7 @@
         began = time.time()
         await asyncio.sleep(4)
         self.write("calm", began, until=time.time())
+        self.fleet.required = []
         victim = self.fleet[self.fleet.names[-1]]
         witnesses = [head.name for head in self.fleet if head is not victim]
         await victim.kill()
--- a/tests/heads/history_clients.py
+++ b/tests/heads/history_clients.py
@@ -179,14 +179,19 @@
             await self.write_contents(state["newest_known"])
             self.write_restored(state["versions"])
 
-    async def settled_account(self, name: str) -> dict[str, Any] | None:
-        """A customer's account, as the first head that answers has it; None while any of it is out."""
+    async def read_account(self, customer: str) -> dict[str, Any] | None:
+        """An account, as the first head that can confirm it has it; empty where there is none."""
         for head in self.fleet.up:
-            status, account = await head.call("GET", f"/control/credit/customers/{name}")
-            if status == OK:
-                return account if not account["out"] else None
+            status, account = await head.call("GET", f"/control/credit/customers/{customer}")
+            if status in (OK, NOT_FOUND):
+                return account if status == OK else {}
         return None
 
+    async def settled_account(self, name: str) -> dict[str, Any] | None:
+        """A customer's account; None while any of it is out, or nobody can say."""
+        account = await self.read_account(name)
+        return account if account and not account["out"] else None
+
     async def equal_rules(self) -> dict[str, Any] | None:
         """Each head's state of the rules, once all decide by the newest version."""
         states = {head.name: (await head.call("GET", "/control/rules"))[1] for head in self.fleet}
@@ -203,14 +208,17 @@
         One that is known to nobody never did, and no later call can make it.
         """
         for change in self.unresolved:
-            status, answer = 0, None
-            while status not in (OK, NOT_FOUND):
-                path = f"/control/rules/edits/{change.line['id']}"
-                status, answer = await self.fleet["h0"].call("GET", path)
-            if status == OK and answer["state"] in ("in force", "everywhere"):
+            id = change.line["id"]
+            answer = await self.fleet.until(lambda id=id: self.state_of_change(id), f"the state of {id}")
+            if answer["state"] in ("in force", "everywhere"):
                 outcome = ("ok", answer["number"])
                 self.write("register", change.at, until=time.time(), **change.line, answer=outcome)
 
+    async def state_of_change(self, id: str) -> dict[str, Any] | None:
+        """What the first head knows of a change; None where it gives no answer."""
+        status, answer = await self.fleet["h0"].call("GET", f"/control/rules/edits/{id}")
+        return {"state": "unknown"} if status == NOT_FOUND else answer if status == OK else None
+
     async def write_contents(self, version: int) -> None:
         """Write what each head has as the newest version."""
         digests = {}
--- a/tests/heads/ledger_chaos.py
+++ b/tests/heads/ledger_chaos.py
@@ -23,7 +23,6 @@
 MADE = [f"00000003b4d600{number}" for number in range(40, 52)]  # nobody's until a customer is made
 CHANGE_INTERVAL = (0.2, 0.9)  # seconds
 PAYMENTS = (5, 20, 60)  # of customers that are made, in units
-NOT_FOUND = 404
 UNKNOWN = 0  # the status of a call whose effect comes at a time that nobody knows
 
 
@@ -127,7 +126,7 @@
             return
         await head.kill()
         self.cut_off(head)
-        # a task of its own: the faults may end before the accounts have answered
+        # a task of its own: the next fault does not wait for the accounts' answers
         self.restarts.append(asyncio.create_task(self.start_without_folder(min(duration, 1.0), head)))
 
     async def start_without_folder(self, delay: float, head: HeadProcess) -> None:
@@ -164,14 +163,6 @@
             held[customer] = sum(allotment["amount"] - allotment["spent"] for allotment in out)
         return held
 
-    async def read_account(self, customer: str) -> dict[str, Any] | None:
-        """An account, as the first head that can confirm it has it; empty where there is none."""
-        for head in self.fleet.up:
-            status, account = await head.call("GET", f"/control/credit/customers/{customer}")
-            if status in (OK, NOT_FOUND):
-                return account if status == OK else {}
-        return None
-
     # -- the end ------------------------------------------------------------------------------------------
     async def settle(self, healed: float, in_touch: float) -> None:
         """As in every run; the customers that were made are settled too."""
--- a/tests/heads/processes.py
+++ b/tests/heads/processes.py
@@ -25,6 +25,10 @@
 SECRET = "s" * 40
 
 
+class HeadsDownError(AssertionError):
+    """Heads that have to be up are not."""
+
+
 class HeadProcess:
     """One head: its files, its process, and calls to it."""
 
@@ -233,6 +237,7 @@
         self.class_deadline = class_deadline
         self.relay = Relay(self.names, seed)
         self.heads: dict[str, HeadProcess] = {}
+        self.required: list[str] = []  # heads that have to be up whenever a state is waited for
         self.nodes: list[Node] = []
         self.discovery = 0
         self.session: aiohttp.ClientSession
@@ -247,11 +252,19 @@
     def up(self) -> list[HeadProcess]:
         return [h for h in self if h.process is not None and h.process.returncode is None and not h.paused]
 
+    def check_required(self) -> None:
+        """Raise HeadsDownError where a head that has to be up is not: what is waited for may never come."""
+        down = [head for head in self if head.name in self.required and head not in self.up]
+        if down:
+            ends = [f"{head.name} ({head.process and head.process.returncode})" for head in down]
+            raise HeadsDownError(f"not up: {', '.join(ends)}\n{self.log_tails()}")
+
     async def until(self, holds: Callable[[], Any], what: str, timeout: float = STATE_TIMEOUT) -> Any:
         """Wait for a state, and return what `holds` returned; fails with the name of the state."""
         deadline = time.monotonic() + timeout
         while True:
             raise_failed()
+            self.check_required()
             result = holds()
             if asyncio.iscoroutine(result):
                 result = await result
--- /dev/null
+++ b/tests/heads/test_chaos.py
@@ -0,0 +1,116 @@
+"""Faults that end while one of them is halfway, and what a story says of a head that is not up after them."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import time
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from tests.heads.history_clients import NOT_FOUND, OK, PRICE, VOLUMES
+from tests.heads.ledger_chaos import LEDGER_MORE, LedgerChaos
+from tests.heads.processes import HeadProcess, HeadsDownError, Processes, heads_up
+from tests.heads.rules_clients import rules
+from tests.peers import run
+
+HALF_STEP = 0.02  # seconds that a stand-in takes to end or to start
+
+
+class StandInHead(HeadProcess):
+    """A head without a process, whose end and start take their time."""
+
+    halfway: asyncio.Event
+
+    async def start(self, ready: bool = True) -> None:
+        await asyncio.sleep(HALF_STEP)
+        self.disk.mkdir(parents=True, exist_ok=True)
+        self.process = SimpleNamespace(returncode=None)
+
+    async def kill(self) -> None:
+        self.process.returncode = -9  # it dies whether or not somebody waits for it
+        self.halfway.set()
+        await asyncio.sleep(HALF_STEP)
+
+    def signal(self, sign: signal.Signals) -> None:
+        self.paused = sign is signal.SIGSTOP
+        self.halfway.set()
+
+    async def call(self, method: str, path: str, *more: Any) -> tuple[int, Any]:
+        return (200, {"leader": "h0"}) if path == "/control/heads" else (NOT_FOUND, {})
+
+
+async def stand_in_chaos(folder, fault: str) -> LedgerChaos:
+    """Faults of one kind on five stand-ins that run."""
+    fleet = Processes(folder, 5, 3, 1, "", "", {})
+    await fleet.relay.start()
+    fleet.heads = {name: StandInHead(fleet, name) for name in fleet.names}
+    StandInHead.halfway = asyncio.Event()
+    for head in fleet:
+        await head.start()
+    chaos = LedgerChaos(fleet, 1, folder / "history.jsonl")
+    chaos.draws.uniform, chaos.faults_drawn = min, [fault]  # the shortest of all times
+    return chaos
+
+
+@pytest.mark.parametrize("fault", ["kill", "kill_leader", "lose_folder", "start_cut_off", "pause"])
+def test_faults_that_end_while_one_is_halfway_leave_all_heads_up(tmp_path, fault):
+    # Guards the story against a head that stays dead: its credit is never settled, and the wait never ends.
+    async def story():
+        chaos = await stand_in_chaos(tmp_path, fault)
+        chaos.begin_faults()
+        await StandInHead.halfway.wait()
+        await chaos.end_faults()
+        assert [head.name for head in chaos.fleet.up] == chaos.fleet.names
+        await chaos.fleet.relay.close()
+
+    run(story(), 20.0)
+
+
+def test_a_head_that_is_not_up_after_the_faults_is_the_error_by_name(tmp_path):
+    # Guards the report: what is waited for then never comes, and its name says nothing of the dead head.
+    async def story():
+        chaos = await stand_in_chaos(tmp_path, "heal")
+        chaos.begin_faults()
+        await chaos.end_faults()
+        chaos.fleet["h2"].process.returncode = 1
+        for wait in (chaos.fleet.until(lambda: False, "what never comes"), chaos.end_faults()):
+            with pytest.raises(HeadsDownError, match=r"not up: h2 \(1\)"):
+                await wait
+        await chaos.fleet.relay.close()
+
+    run(story(), 20.0)
+
+
+@pytest.mark.parametrize("fault", ["kill", "lose_folder"])
+def test_credit_is_settled_after_faults_that_end_within_a_kill(tmp_path, monkeypatch, fault):
+    # Guards the ledger's story on the real program: it waited for the credit of a head that nobody started.
+    halfway, kill = asyncio.Event(), HeadProcess.kill
+
+    async def kill_halfway(head: HeadProcess) -> None:
+        head.process.kill()
+        halfway.set()
+        await asyncio.sleep(HALF_STEP)  # the faults end now
+        await kill(head)
+
+    async def is_served(head: HeadProcess) -> bool:
+        return (await head.read("first", VOLUMES["acme"]))[0] == OK
+
+    async def story():
+        async with heads_up(tmp_path, seed=4, more=LEDGER_MORE, http=rules("own")) as fleet:
+            chaos = LedgerChaos(fleet, 4, tmp_path / "history.jsonl")
+            chaos.draws.uniform, chaos.faults_drawn = min, [fault]  # the shortest of all times
+            await chaos.put_customers()
+            assert await chaos.top_up(fleet["h0"], "acme", "first", 1000 * PRICE) == OK
+            # each head has an allotment
+            await asyncio.gather(*(fleet.until(lambda of=head: is_served(of), head.name) for head in fleet))
+            monkeypatch.setattr(HeadProcess, "kill", kill_halfway)
+            chaos.begin_faults()
+            await halfway.wait()
+            await chaos.end_faults()
+            chaos.over = True
+            await chaos.settle(time.time(), time.time())
+
+    run(story(), 100.0)
--- a/tests/heads/test_histories.py
+++ b/tests/heads/test_histories.py
@@ -196,22 +196,28 @@
     assert judge(History([DOWN], {"a": [seen("failed")]})) == []
 
 
+async def play_and_judge(chaos: Chaos, detect: bool) -> History:
+    """Play faults for a while: all promises are kept, and there was enough to judge."""
+    history = await chaos.run(14, detect)
+    wrong = judge(history)
+    assert not wrong, describe(wrong) + "\n" + "\n".join(chaos.faults)
+    statuses = [request.status for request in history.of(Request)]
+    print(
+        f"{len(statuses)} requests, {statuses.count(200)} served, {len(history.of(Payment))} top-ups, "
+        f"{len(history.of(RegisterLine))} edits and reads, {len(history.of(CustomerPut))} puts, "
+        f"{len(chaos.faults)} faults"
+    )
+    assert statuses.count(200) > 50
+    return history
+
+
 @pytest.mark.parametrize("seed", [1, 2])
 def test_random_faults_on_the_real_program(tmp_path, seed):
     """A short one of each; benchmarks/heads_history.py plays ten minutes."""
 
     async def story():
         async with heads_up(tmp_path, seed=seed, more=MORE, http=rules("own")) as fleet:
-            chaos = Chaos(fleet, seed, tmp_path / "history.jsonl")
-            history = await chaos.run(14, detect=seed == 1)
-            wrong = judge(history)
-            assert not wrong, describe(wrong) + "\n" + "\n".join(chaos.faults)
-            done = [request.status for request in history.of(Request)]
-            print(
-                f"{len(done)} requests, {done.count(200)} served, {len(history.of(Payment))} top-ups, "
-                f"{len(history.of(RegisterLine))} edits and reads, {len(chaos.faults)} faults"
-            )
-            assert done.count(200) > 50
+            await play_and_judge(Chaos(fleet, seed, tmp_path / "history.jsonl"), detect=seed == 1)
 
     run(story(), 170.0)
 
@@ -285,13 +291,7 @@
     async def story():
         async with heads_up(tmp_path, seed=seed, more=LEDGER_MORE, http=rules("own")) as fleet:
             chaos = LedgerChaos(fleet, seed, tmp_path / "history.jsonl")
-            history = await chaos.run(14, detect=False)
-            wrong = judge(history)
-            assert not wrong, describe(wrong) + "\n" + "\n".join(chaos.faults)
-            statuses = [request.status for request in history.of(Request)]
-            print(
-                f"{len(statuses)} requests, {statuses.count(200)} served, {len(history.of(CustomerPut))} puts"
-            )
-            assert statuses.count(200) > 50 and len(history.of(CustomerPut)) > 3
+            history = await play_and_judge(chaos, detect=False)
+            assert len(history.of(CustomerPut)) > 3
 
     run(story(), 170.0)
--- a/tests/story_tasks.py
+++ b/tests/story_tasks.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import weakref
 from collections.abc import Coroutine
 from pathlib import Path
@@ -32,6 +33,17 @@
     loop.set_task_factory(make)
 
 
+async def set_within(event: asyncio.Event, seconds: float) -> bool:
+    """Wait for so long, or until an event is set; returns whether it is.
+
+    So a task of a story ends between two of its steps; one that is cancelled may be within a step.
+    """
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(seconds):
+            await event.wait()
+    return event.is_set()
+
+
 def raise_failed() -> None:
     """Raise the error of a task that has failed, unless somebody has had it already."""
     for task in list(started):
