The scenes' story lets its calls end, and no call is cancelled halfway

Cause: finish() waited 30 s for each of those who ask and then cancelled it, in silence.

Mend: the pauses end with the story, by an event, so that calls alone are waited for; one that does not end within 30 s is an error. The story also ends sooner.

--- a/benchmarks/capacity/story.py
+++ b/benchmarks/capacity/story.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import random
 import time
 from collections import Counter
@@ -23,10 +22,12 @@
 from stoatrouter.lab.hollow.logs import read_events
 from tests.heads.history_clients import VOLUMES, HistoryClients
 from tests.heads.processes import HeadProcess
+from tests.story_tasks import set_within
 
 PRICE = 1_000  # of a unit of the first class, as the fleet's file has it (fleet.py)
 FUNDS = 2_000_000_000  # paid in at the start: no scene is about an empty account
 READ_EVERY, PAY_EVERY = 4.0, 4.0  # seconds
+CALLS_END_WITHIN = 30.0  # seconds: an error beyond
 SETTLES_WITHIN = 90.0  # seconds
 
 
@@ -38,6 +39,7 @@
         self.capacity, self.edit_every = fleet, edit_every
         self.editors: dict[str, list[str]] = {"ann": [], "bob": []}  # who asks which heads; none: any
         self.tasks: list[asyncio.Task[None]] = []
+        self.ends = asyncio.Event()
         self.accepted = 0  # edits
         self.lost: Counter[str] = Counter()  # by customer, what a machine that is lost for good held
         self.gone: dict[str, Path] = {}  # logs of heads that never come back
@@ -85,25 +87,26 @@
 
     async def pay_now_and_then(self) -> None:
         """Top-ups at any head."""
-        while not self.over:
+        ends = False
+        while not ends:
             if (head := self.some()) is not None:
                 await self.pay(head, self.draws.choice(["acme", "other"]), 5 * PRICE)
-            await asyncio.sleep(self.draws.expovariate(1 / PAY_EVERY))
+            ends = await set_within(self.ends, self.draws.expovariate(1 / PAY_EVERY))
 
     async def read_now_and_then(self) -> None:
         """Reads of the newest version at any head."""
-        while not self.over:
+        ends = False
+        while not ends:
             if (head := self.some()) is not None:
                 await self.read_newest(head)
-            await asyncio.sleep(self.draws.expovariate(1 / READ_EVERY))
+            ends = await set_within(self.ends, self.draws.expovariate(1 / READ_EVERY))
 
     async def edit_now_and_then(self, who: str) -> None:
         """Edits of one editor, at the heads that it asks."""
         draws = random.Random(f"editor/{self.seed}/{who}")
-        while not self.over:
-            await asyncio.sleep(draws.expovariate(1 / (self.edit_every * len(self.editors))))
+        while not await set_within(self.ends, draws.expovariate(1 / (self.edit_every * len(self.editors)))):
             head = self.at(self.editors[who])
-            if head is not None and not self.over:
+            if head is not None:
                 await self.change(head, "edit", who)
 
     # -- the end ------------------------------------------------------------------------------------------
@@ -112,9 +115,9 @@
         healed = time.time()
         await self.capacity.hollow.spend((), 0.0, self.seed)
         self.over = True
-        for task in self.tasks:
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(task, 30)
+        self.ends.set()
+        async with asyncio.timeout(CALLS_END_WITHIN):  # the history has to have the answer of each call
+            await asyncio.gather(*self.tasks)
         async with asyncio.timeout(SETTLES_WITHIN):
             await self.settle(healed, healed)
         self.out.close()
