Tests: signals leave a process's exit status to asyncio

The soak reported "crashed: h2 ended with 255" of heads that had ended well, beside asyncio's "Unknown child process": `Process.send_signal` polls first and takes the status of a process that has just ended, before the thread that waits for it.

A Popen that nobody else waits for may poll by itself.

A real 255 stays a finding.

--- a/benchmarks/capacity/followers.py
+++ b/benchmarks/capacity/followers.py
@@ -31,6 +31,7 @@
 from stoatrouter.peering.rule_rollout import PART as RULES
 from stoatrouter.peering.rule_rollout import HeadReport
 from stoatrouter.peering.streams import Streams
+from tests.process_signals import kill
 
 ROOT = Path(__file__).parent.parent.parent
 MOST_IN_PROCESS = 93  # followers; more of them would make the measuring process the bottleneck
@@ -222,7 +223,7 @@
         try:
             await asyncio.wait_for(self.process.wait(), 5)
         except TimeoutError:
-            self.process.kill()
+            kill(self.process)
             await self.process.wait()
 
 
--- a/benchmarks/capacity/mixed.py
+++ b/benchmarks/capacity/mixed.py
@@ -20,6 +20,7 @@
 from stoatrouter.lab.hollow.places import Place, spread, spread_voters
 from stoatrouter.lab.hollow.worker import end_with_parent
 from tests.heads.rules_clients import RULES
+from tests.process_signals import kill
 from tests.program_process import ROOT
 
 MOST_PROCESSES = 200
@@ -181,7 +182,7 @@
         assert process.stdout is not None
         yield int(await process.stdout.readline())
     finally:
-        process.kill()
+        kill(process)
         await process.wait()
 
 
--- a/benchmarks/capacity/one_head.py
+++ b/benchmarks/capacity/one_head.py
@@ -13,6 +13,7 @@
 from benchmarks.capacity.head_processes import FLEET, Usage, usage_of
 from tests.addresses import free_ports, own_host
 from tests.peers import config_data, node_list
+from tests.process_signals import kill
 from tests.program_process import program_environ, start_program
 
 SECRET = "s" * 40  # as tests/heads/processes.py writes it
@@ -116,6 +117,6 @@
     async def end(self) -> None:
         """Kill it: what it would say at its end is not measured."""
         if self.process is not None and self.process.returncode is None:
-            self.process.kill()
+            kill(self.process)
         if self.process is not None:
             await self.process.wait()
--- a/benchmarks/capacity/times_processes.py
+++ b/benchmarks/capacity/times_processes.py
@@ -5,6 +5,7 @@
 import argparse
 import asyncio
 import json
+import signal
 import time
 from collections.abc import Iterable
 
@@ -25,6 +26,7 @@
 from stoatrouter.credit.records import BookEntry
 from tests.heads.processes import HeadProcess, Processes
 from tests.heads.rules_clients import edit
+from tests.process_signals import send_signal
 
 SETTLE_S = 2.0
 FOLLOWERS_WITHIN_S = 12.0  # for all followers to hear of a new leader; those that do not are counted
@@ -80,7 +82,7 @@
         await old.kill()
     else:
         assert old.process is not None
-        old.process.terminate()
+        send_signal(old.process, signal.SIGTERM)
     took = await acknowledged_again(fleet, sender, old, began)
     new = await fleet.leader([name for name in fleet.voters if name != old.name])
     heard: list[float] = []
--- a/tests/departure_story.py
+++ b/tests/departure_story.py
@@ -12,6 +12,7 @@
 from tests.fleet_stand_ins import History, RoughNode
 from tests.fleet_story import CLASSES_BY_NAME, GRACE, Client, StoryHead, stand_ins
 from tests.peers import until
+from tests.process_signals import kill
 
 DEPARTURES = 4
 DECLINED_AFTER = 0.6  # seconds after the client has gone: later than the judge lets an attempt begin
@@ -61,7 +62,7 @@
                 for number in range(DEPARTURES):
                     await depart(Client(number, head, 0, history), f"d{number}", nodes)
         finally:
-            head.process.kill()
+            kill(head.process)
             await head.process.wait()
         now = time.monotonic()
     lines = [line for line in history.lines if line["at"] <= now]
--- a/tests/fleet_story.py
+++ b/tests/fleet_story.py
@@ -18,6 +18,7 @@
 from tests.addresses import free_ports, own_host
 from tests.fleet_stand_ins import History, PushingAgent, RoughNode
 from tests.peers import SETTINGS, node_list, until
+from tests.process_signals import kill, send_signal
 from tests.program_process import ROOT, end_with_parent
 
 DEADLINE, WINDOW, GRACE = 1.2, 0.5, 0.5
@@ -125,7 +126,7 @@
         assert self.process is not None
         if sign is signal.SIGKILL:
             self.history.write("killed", head=self.name)
-        self.process.send_signal(sign)
+        send_signal(self.process, sign)
         await self.process.wait()
 
 
@@ -273,7 +274,7 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         for head in fleet:
             if head.process is not None and head.process.returncode is None:
-                head.process.kill()
+                kill(head.process)
                 await head.process.wait()
 
 
--- a/tests/heads/processes.py
+++ b/tests/heads/processes.py
@@ -17,6 +17,7 @@
 from tests.addresses import free_ports, own_host
 from tests.heads.relay import Relay
 from tests.peers import Discovery, Node, config_data, listening, node_list, nodes_up
+from tests.process_signals import kill, send_signal
 from tests.program_process import program_environ, start_program
 from tests.story_tasks import raise_failed
 
@@ -178,18 +179,18 @@
 
     def signal(self, sign: signal.Signals) -> None:
         assert self.process is not None
-        self.process.send_signal(sign)
+        send_signal(self.process, sign)
         self.paused = sign is signal.SIGSTOP
 
     async def kill(self) -> None:
         assert self.process is not None
         if self.process.returncode is None:
-            self.process.kill()
+            kill(self.process)
         await self.process.wait()
 
     async def stop(self) -> int:
         assert self.process is not None
-        self.process.terminate()
+        send_signal(self.process, signal.SIGTERM)
         return await self.process.wait()
 
     @property
@@ -275,7 +276,7 @@
         started = [head.process for head in self if head.process is not None]
         for process in started:
             if process.returncode is None:
-                process.kill()
+                kill(process)
         for process in started:
             await process.wait()
 
--- a/tests/heads/test_hollow.py
+++ b/tests/heads/test_hollow.py
@@ -43,6 +43,7 @@
 from tests.addresses import free_port
 from tests.heads.rules_clients import RULES
 from tests.peers import config_data, node_list, run
+from tests.process_signals import kill
 from tests.program_process import ROOT
 
 LIMIT = 170.0
@@ -314,7 +315,7 @@
         async with fleet_up(tmp_path, SMALL, seed=3) as fleet:
             before = await fleet.hollow.report()
             worker = fleet.hollow.workers[0]
-            worker.process.kill()
+            kill(worker.process)
             await worker.process.wait()
             after = await fleet.hollow.report()
             assert set(after.died) == set(worker.names) and "worker 0" in after.died[worker.names[0]]
--- a/tests/soak/ends.py
+++ b/tests/soak/ends.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import os
 import random
 import signal
 import socket
@@ -15,6 +14,7 @@
 from tests.addresses import free_port
 from tests.fleet_stand_ins import History
 from tests.fleet_story import DEADLINE, StoryHead
+from tests.process_signals import kill, send_signal
 from tests.soak.plan import TERM, draw_series
 from tests.soak.report import Finding, SeedReport
 from tests.soak.stand_ins import SoakNode, knock
@@ -106,7 +106,7 @@
         for signalled in draw_series(self.draws):
             await asyncio.sleep(max(0.0, began + signalled.after - time.monotonic()))
             if process.returncode is None:
-                process.send_signal(signalled.sign)
+                send_signal(process, signalled.sign)
             if signalled.sign is TERM and not termed:
                 termed = time.monotonic()
         return termed
@@ -118,7 +118,7 @@
             await asyncio.wait_for(process.wait(), max(0.0, left))
         if process.returncode is None:
             self.report.killed_at_the_end += 1
-            process.kill()  # no excuse for what is lost: it is not written into the history
+            kill(process)  # no excuse for what is lost: it is not written into the history
             await process.wait()
         else:
             self.judge_exit(head, process.returncode)
@@ -140,8 +140,10 @@
     async def kill(self, head: SoakHead) -> None:
         """Kill a process outright, which excuses what it held."""
         assert head.process is not None
+        if head.process.returncode is not None:
+            return self.judge_exit(head, head.process.returncode)
         self.history.write("killed", head=head.name)
-        head.process.kill()
+        kill(head.process)
         await head.process.wait()
 
     async def upgrade(self, head: SoakHead) -> None:
@@ -176,6 +178,5 @@
     for head in heads:
         for process in head.spawned:
             if process.returncode is None:
-                with contextlib.suppress(ProcessLookupError):
-                    os.kill(process.pid, signal.SIGKILL)
+                kill(process)
         head.close()
--- a/tests/test_endpoint_list_and_descriptors.py
+++ b/tests/test_endpoint_list_and_descriptors.py
@@ -37,6 +37,7 @@
     until,
 )
 from tests.platform_client import HEADERS, PATH
+from tests.process_signals import kill
 from tests.program_process import end_with_parent, program_environ, start_program
 from tests.test_program import ready
 
@@ -207,7 +208,7 @@
             finally:
                 for _, writer in clients:
                     writer.close()
-                process.kill()
+                kill(process)
                 await process.wait()
 
     run(story())
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -16,6 +16,7 @@
 from stoatrouter.net.sighup import HangupSignal
 from tests.addresses import free_port
 from tests.peers import HOST, Discovery, Node, config_data, listening, node_list, nodes_up, run, until
+from tests.process_signals import kill, send_signal
 from tests.program_process import ROOT, program_environ, start_program
 
 PATH = "/score-read/00000003b4d60021/7f3a9c21e0b4d655"
@@ -44,7 +45,7 @@
                 yield process, session, base, f"http://{HOST}:{object_port}"
         finally:
             if process.returncode is None:
-                process.kill()
+                kill(process)
             await process.communicate()
 
 
@@ -80,7 +81,7 @@
             assert await read(session, base, "one") == (200, b"the score")
             held = asyncio.create_task(read(session, base, "held"))
             await taken.wait()
-            process.send_signal(signal.SIGTERM)
+            send_signal(process, signal.SIGTERM)
             # asked to stop, it goes on taking what still comes, on old connections and new ones
             assert await read(session, base, "two") == (200, b"the score")
             async with aiohttp.ClientSession() as fresh:
@@ -119,7 +120,7 @@
                 )
             )
             await taken.wait()
-            process.send_signal(signal.SIGTERM)
+            send_signal(process, signal.SIGTERM)
             assert await reader.read() == b""  # ended, though an answer is still owed elsewhere
             assert not held.done()
             writer.close()
@@ -144,19 +145,19 @@
             file = tmp_path / "config.json"
             good = json.loads(file.read_text())
             file.write_text('{"name": "n0", "settings": ')
-            process.send_signal(signal.SIGHUP)
+            send_signal(process, signal.SIGHUP)
             while b"reload: the configuration in force stays" not in await process.stderr.readline():
                 pass
             assert (await read(session, base, "one"))[0] == 200 and len(a.seen) == 1
             file.write_text(json.dumps(good | {"discovery": f"{HOST}:{port}"}))
-            process.send_signal(signal.SIGHUP)
+            send_signal(process, signal.SIGHUP)
             await until(lambda: bool(second.calls))
             assert "from=1&" in second.calls[0][1]  # the list that is held still counts
             second.script.put_nowait(node_list(2, b.entry()))
             await until(lambda: len(second.calls) == 2)
             assert await read(session, base, "two") == (200, b"the other")
-            process.send_signal(signal.SIGHUP)
-            process.send_signal(signal.SIGTERM)
+            send_signal(process, signal.SIGHUP)
+            send_signal(process, signal.SIGTERM)
             assert await process.wait() == 0
 
     run(story())
@@ -179,7 +180,7 @@
         node = Node("a", 0)
         async with program(tmp_path, node) as (process, session, base, _):
             assert (await read(session, base, "r0"))[0] == 200
-            process.send_signal(signal.SIGTERM)
+            send_signal(process, signal.SIGTERM)
             began = asyncio.get_running_loop().time()
             with contextlib.suppress(aiohttp.ClientConnectionError):
                 for i in range(1, 100):
@@ -211,7 +212,7 @@
                 base + "/match-footage/derby.mp4", headers={"Range": "bytes=70000-"}
             ) as response:
                 assert response.status == 206 and await response.read() == body[70000:]
-            process.terminate()
+            send_signal(process, signal.SIGTERM)
             assert await process.wait() == 0
 
     run(story())
@@ -275,11 +276,11 @@
 
             assert [await ask("/feed/x"), await ask("/new/x")] == [200, 404]
             (tmp_path / "http-rules.cue").write_text(rules.replace("/feed/", "/new/"))
-            process.send_signal(signal.SIGHUP)
+            send_signal(process, signal.SIGHUP)
             while await ask("/new/x") != 200:
                 await asyncio.sleep(0.02)
             assert await ask("/feed/x") == 404
-            process.send_signal(signal.SIGTERM)
+            send_signal(process, signal.SIGTERM)
             assert await process.wait() == 0
 
     run(story())
--- a/tests/test_race_conditions.py
+++ b/tests/test_race_conditions.py
@@ -25,6 +25,7 @@
 from stoatrouter.policy.interface import Outcome
 from tests.peers import HOST, SETTINGS, Node, config_data, head_config, node_list, nodes_up, run, until
 from tests.platform_client import HEADERS, PATH, WRITE, attempt, started
+from tests.process_signals import send_signal
 from tests.scheduler_driver import MS as MS_
 from tests.scheduler_driver import SECOND, SchedulerDriver
 from tests.test_program import program, read
@@ -250,8 +251,8 @@
         a = Node("a", 0)
         async with program(tmp_path, a) as (process, session, base, _):
             assert (await read(session, base, "one"))[0] == 200
-            process.send_signal(signal.SIGTERM)
-            process.send_signal(signal.SIGTERM)
+            send_signal(process, signal.SIGTERM)
+            send_signal(process, signal.SIGTERM)
             assert (await read(session, base, "two"))[0] == 200
             assert await process.wait() == 0
 
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -16,6 +16,7 @@
 from tests.object_client import BODY, gateway
 from tests.peers import HOST, Node, config_data, node_list, nodes_up, run, until
 from tests.platform_client import HEADERS, PATH
+from tests.process_signals import send_signal
 from tests.program_process import program_environ, start_program
 from tests.test_program import program, read
 
@@ -31,7 +32,7 @@
             environ = program_environ(tmp_path / "config.json")
             process = await start_program(tmp_path, environ, stderr=asyncio.subprocess.PIPE)
             await until(lambda: agent.calls)
-            process.send_signal(signal.SIGTERM)
+            send_signal(process, signal.SIGTERM)
             _, said = await process.communicate()
             assert process.returncode == 0 and b"stop: all that was taken is answered" in said
 
@@ -56,7 +57,7 @@
             async with session.get(base + PATH, headers=HEADERS) as response:
                 first = await response.content.read(1000)
                 await node.halfway.wait()
-                process.send_signal(signal.SIGTERM)
+                send_signal(process, signal.SIGTERM)
                 await asyncio.sleep(0)
                 node.go.set()
                 assert len(first) + len(await response.read()) == LARGE
@@ -81,7 +82,7 @@
             await taken.wait()
             async with session.post(f"http://{management}/control/out-of-service") as answer:
                 assert answer.status == 200
-            process.send_signal(signal.SIGTERM)
+            send_signal(process, signal.SIGTERM)
             go.set()
             assert (await held)[0] == 200
             assert await process.wait() == 0
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -21,6 +21,7 @@
 from tests.addresses import free_port
 from tests.peers import HOST, Discovery, Node, config_data, listening, node_list, nodes_up, run, until
 from tests.platform_client import started
+from tests.process_signals import kill, send_signal
 from tests.program_process import ROOT, program_environ, start_program
 from tests.scheduler_driver import CLASSES, PLAN, READ
 from tests.test_program import PATH, read
@@ -73,7 +74,7 @@
 
         async def end():
             if process.returncode is None:
-                process.kill()
+                kill(process)
             await process.wait()
 
         self.stack.push_async_callback(end)
@@ -106,7 +107,7 @@
             await until(lambda: node.ran["zero"] == 1 and len(node.seen) == 2)
             new = await (await there.start()).ready()
             assert (await old.call("ready"))[0] == 503
-            old.process.send_signal(signal.SIGTERM)
+            send_signal(old.process, signal.SIGTERM)
             for i in range(5):
                 async with aiohttp.ClientSession() as fresh:
                     assert (await read(fresh, there.base, f"new{i}"))[0] == 200
@@ -129,7 +130,7 @@
             old = await (await there.start()).ready()
             new = await (await there.start()).ready()
             gone, left = (old, new) if dies == "old" else (new, old)
-            gone.process.kill()
+            kill(gone.process)
             await gone.process.wait()
             await left.ready()
             async with aiohttp.ClientSession() as session:
@@ -330,7 +331,7 @@
             asking = [asyncio.create_task(client()) for _ in range(4)]
             await until(lambda: len(answers) > 20)
             new = await (await platform.start(**http)).ready()
-            old.process.send_signal(signal.SIGTERM)
+            send_signal(old.process, signal.SIGTERM)
             assert await old.process.wait() == 0
             count = len(answers)
             await until(lambda: len(answers) > count + 20)
