--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -8,6 +8,7 @@
 from enum import StrEnum
 
 TERM, HUP = signal.SIGTERM, signal.SIGHUP
+SLACK = 0.4  # seconds, of the judge: for a whole program on a busy machine
 SIGNALS_WITHIN = 0.2  # seconds, from the first signal of a series to its last
 
 
