--- a/tests/soak/stand_ins.py
+++ b/tests/soak/stand_ins.py
@@ -102,35 +102,3 @@
         reader, writer = await asyncio.open_connection(client.head.host, client.head.port)
         await client.ask(reader, writer)
         writer.close()
-
-
-class Crowd:
-    """Idle clients of a head: they connect and say nothing, and come again where they are ended."""
-
-    def __init__(self, head: StoryHead, size: int) -> None:
-        self.head, self.size = head, size
-        self.writers: list[asyncio.StreamWriter] = []
-
-    async def run(self, over: asyncio.Event) -> None:
-        """Keep so many connections open until the story is over."""
-        while not over.is_set():
-            self.writers = [writer for writer in self.writers if not self.has_ended(writer)]
-            missing = self.size - len(self.writers)
-            await asyncio.gather(*(self.connect() for _ in range(min(missing, 100))))
-            await asyncio.sleep(0.1)
-        for writer in self.writers:
-            writer.transport.abort()
-
-    async def connect(self) -> None:
-        """Open one more connection."""
-        with contextlib.suppress(OSError):
-            self.writers.append((await asyncio.open_connection(self.head.host, self.head.port))[1])
-
-    @staticmethod
-    def has_ended(writer: asyncio.StreamWriter) -> bool:
-        """Whether the head has ended a connection."""
-        protocol = writer.transport.get_protocol()
-        ended = writer.is_closing() or protocol._stream_reader.at_eof()  # type: ignore[attr-defined]
-        if ended:
-            writer.transport.abort()
-        return bool(ended)
--- a/tests/soak/story.py
+++ b/tests/soak/story.py
@@ -11,11 +11,12 @@
 from stoatrouter.lab.histories.requests import Terms, judge
 from tests.fleet_stand_ins import History
 from tests.fleet_story import CLASSES_BY_NAME, GRACE, stand_ins
+from tests.soak.children import Child
 from tests.soak.ends import Ender, SoakHead, stop_all
 from tests.soak.lag import measured
 from tests.soak.plan import SLACK, Disturbance, Kind
 from tests.soak.report import Finding, SeedReport, Usage
-from tests.soak.stand_ins import Crowd, SoakClient, SoakNode
+from tests.soak.stand_ins import SoakClient, SoakNode
 
 HEADS, NODES = 3, 6
 CLIENTS = 8  # of each head
@@ -38,6 +39,7 @@
         self.heads = [
             SoakHead(f"h{i}", folder, self.nodes, self.history, prelude, inherits) for i in range(HEADS)
         ]
+        self.children: list[Child] = []
         self.ender = Ender(seed, self.history, self.report, HEADS)
 
     async def play(self) -> None:
@@ -51,6 +53,8 @@
         finally:
             over.set()
             stop_all(self.heads)
+            for child in self.children:
+                child.stop()
         self.judge()
 
     async def play_before(self, over: asyncio.Event) -> None:
@@ -59,15 +63,22 @@
         clients = [SoakClient(i, self.heads[i % HEADS], self.seed, self.history) for i in numbers]
         tasks = [asyncio.create_task(client.run(over)) for client in clients]
         if self.kind is Kind.CROWD:
-            tasks += [asyncio.create_task(Crowd(head, CROWD).run(over)) for head in self.heads]
+            addresses = [(head.host, head.port) for head in self.heads]
+            crowd = await self.child("tests.soak.crowd_process")
+            await crowd.begin(heads=addresses, size=CROWD)
         ends = time.monotonic() + self.seconds
         while time.monotonic() < ends and not self.report.found()[Finding.NOT_READY]:
             await self.disturb_and_end()
         over.set()
-        await asyncio.gather(*tasks)
+        await asyncio.gather(*tasks, *(child.end() for child in self.children))
         await asyncio.sleep(QUIET)
         self.report.after = self.usage()
 
+    async def child(self, module: str) -> Child:
+        """Start a process beside this one, which ends with the story."""
+        self.children.append(await Child.start(module))
+        return self.children[-1]
+
     def usage(self) -> list[Usage]:
         """What the heads hold now."""
         return [Usage.of(head.process.pid) for head in self.heads if head.process is not None]
