An answer equal to one about the same is no repetition, and is passed on

Cause: an answer that equals an earlier one of its connection was taken for that one written again, whatever the two requests asked.

Change: each recent answer is kept with what was asked (net/questions.py: target, body, method and all forwarded fields; the id and the time left are not part of it). Only an answer equal to one about something else is dropped, or to one that names the other request in its body. A read that asks for exactly the same goes out at once; where the earlier answer may still come again, the equal one is passed on and the connection rests after it. A write, or a read of the same target that asks otherwise, waits until that connection has rested. Equal answers about the same no longer count as alike either. GET /control/connections has two lines more, repetitions_without_another and equal_answers_passed; the test that counts its lines counts 9 in place of 7.

Why it works: whatever comes within the rest is dropped, ends an idle connection, or is the content that was asked for.

--- a/stoatrouter/net/answer_identity.py
+++ b/stoatrouter/net/answer_identity.py
@@ -1,17 +1,20 @@
 """Tells a node's answer to a request from one that the node has written a second time.
 
-Answers name no request, but most of them name their content: two requests then never get the same bytes, and
-an answer that equals an earlier one of its connection is that one again. Where answers are alike by nature
-(errors, acknowledgements, empty bodies, objects that are read often) nothing can be told from their bytes.
+Answers name no request, but most of them name their content: two requests for different things then never
+get the same bytes, and an answer that equals an earlier one of its connection to something else is that one
+again. Where answers are alike by nature (errors, acknowledgements, empty bodies), or the same was asked,
+nothing can be told from their bytes, but for those that name their request.
 """
 
 from __future__ import annotations
 
-from collections import OrderedDict, deque
+from collections import OrderedDict
 from datetime import timedelta
 from enum import Enum, auto
+from typing import NamedTuple
 
 from stoatrouter.net import rest_times
+from stoatrouter.net.questions import Question, names_request
 
 # The loop may read late what has come in time.
 HELD_UP = timedelta(milliseconds=150)
@@ -35,64 +38,137 @@
 
     def __init__(self) -> None:
         """Remember nothing, and take no answer for distinctive yet."""
-        self._seen: OrderedDict[int, None] = OrderedDict()
+        self._seen: OrderedDict[int, int | None] = OrderedDict()  # subjects by fingerprint
         self._distinct_in_a_row = dict.fromkeys(RequestKind, 0)
 
-    def record(self, fingerprint: int, kind: RequestKind) -> bool:
-        """Record the answer to a request; whether it is distinctive: no other request would get the same."""
+    def record(self, fingerprint: int, kind: RequestKind, subject: int | None = None) -> bool:
+        """Record the answer to a request; whether it is distinctive.
+
+        Then no request for something else would get the same.
+
+        Args:
+            fingerprint: The answer's.
+            kind: What the request is to its node.
+            subject: What it is about (`Question.subject`); None: not known, and so different each time.
+        """
         if kind is RequestKind.HEALTH_CHECK:
             return False
         is_new = fingerprint not in self._seen
-        self._seen[fingerprint] = None
+        # equal answers about one subject prove nothing
+        is_same = not is_new and subject is not None and self._seen[fingerprint] == subject
+        self._seen[fingerprint] = subject
         self._seen.move_to_end(fingerprint)
         if len(self._seen) > MOST_FINGERPRINTS:
             self._seen.popitem(last=False)
-        in_a_row = self._distinct_in_a_row[kind] + 1 if is_new else 0
-        self._distinct_in_a_row[kind] = in_a_row
+        in_a_row = self._distinct_in_a_row[kind]
+        if not is_same:
+            in_a_row = self._distinct_in_a_row[kind] = in_a_row + 1 if is_new else 0
         return in_a_row > DISTINCT_IN_A_ROW
 
 
+class RecentAnswer(NamedTuple):
+    """A distinctive answer that a connection has brought lately."""
+
+    ended: float
+    fingerprint: int
+    question: Question | None  # None: not known, so different from all others
+    names_request: bool
+
+    def is_for_another(self, question: Question | None) -> bool:
+        """Whether it would be no right answer to a request."""
+        if question is None or self.question is None or question.subject != self.question.subject:
+            return True
+        return self.names_request and question.request_id != self.question.request_id
+
+
 class RecentAnswers:
     """The distinctive answers that a connection has brought lately; times are in seconds of the loop."""
 
     def __init__(self) -> None:
         """Hold none."""
-        self._answers: deque[tuple[float, int]] = deque(maxlen=MOST_RECENT)
-
-    def add(self, fingerprint: int, now: float) -> bool:
+        self._by_fingerprint: dict[int, RecentAnswer] = {}  # the oldest first
+        self._by_subject: dict[int, RecentAnswer] = {}  # of these, the last about each subject
+
+    def add(
+        self,
+        fingerprint: int,
+        now: float,
+        question: Question | None = None,
+        names_request: bool = False,
+    ) -> bool:
         """Add an answer that has just ended; False where there is no room for it."""
         self._drop_older(now)
-        if len(self._answers) == MOST_RECENT:
+        if fingerprint in self._by_fingerprint:
+            self._remove(fingerprint)
+        elif len(self._by_fingerprint) == MOST_RECENT:
             return False
-        self._answers.append((now, fingerprint))
+        answer = RecentAnswer(now, fingerprint, question, names_request)
+        self._by_fingerprint[fingerprint] = answer
+        if question is not None:
+            self._by_subject[question.subject] = answer
         return True
 
     def any(self, now: float) -> bool:
         """Whether there is any that may still come a second time."""
         self._drop_older(now)
-        return bool(self._answers)
-
-    def holds(self, fingerprint: int) -> bool:
-        """Whether an answer equals one of them."""
-        return any(known == fingerprint for _, known in self._answers)
+        return bool(self._by_fingerprint)
+
+    def holds(self, fingerprint: int, question: Question | None = None) -> bool:
+        """Whether an answer equals one of them that would be no right answer to the request."""
+        known = self._by_fingerprint.get(fingerprint)
+        return known is not None and known.is_for_another(question)
+
+    def equals_one(self, fingerprint: int) -> bool:
+        """Whether an answer equals one of them, whatever it was the answer to."""
+        return fingerprint in self._by_fingerprint
+
+    def rest_left(self, question: Question, now: float) -> float:
+        """How many seconds the connection has to rest before the request, so that it gets its own answer."""
+        known = self._unrested(question, now)
+        if known is None or known.question is None or question.is_served_by(known.question):
+            return 0.0
+        return known.ended + rest_times.REUSE_AFTER.total_seconds() - now
+
+    def may_serve_again(self, question: Question, now: float) -> bool:
+        """Whether one that may still come a second time would serve a request that is written now."""
+        return self._unrested(question, now) is not None
+
+    def _unrested(self, question: Question, now: float) -> RecentAnswer | None:
+        """The last about a request's subject, where it cannot be told from the request's own."""
+        known = self._by_subject.get(question.subject)
+        if known is None or now - known.ended >= rest_times.REUSE_AFTER.total_seconds():
+            return None
+        return None if known.is_for_another(question) else known
 
     def _drop_older(self, now: float) -> None:
         oldest = now - (rest_times.REUSE_AFTER + HELD_UP).total_seconds()
-        while self._answers and self._answers[0][0] < oldest:
-            self._answers.popleft()
+        while self._by_fingerprint:
+            first = next(iter(self._by_fingerprint.values()))
+            if first.ended >= oldest:
+                return
+            self._remove(first.fingerprint)
+
+    def _remove(self, fingerprint: int) -> None:
+        answer = self._by_fingerprint.pop(fingerprint)
+        if answer.question is not None and self._by_subject.get(answer.question.subject) is answer:
+            del self._by_subject[answer.question.subject]
 
 
 class AnswerInspection:
     """One answer of a stated length, which is withheld until it is known not to be an earlier one again."""
 
-    def __init__(self, status: bytes, length: int, recent: RecentAnswers | None) -> None:
+    def __init__(
+        self, status: bytes, length: int, recent: RecentAnswers | None, question: Question | None = None
+    ) -> None:
         """Begin to inspect an answer.
 
         Args:
             status: Its three digits.
             length: The bytes of its body.
             recent: The answers that it may be a repetition of; None: it is not withheld.
+            question: What the present request asks for; None: not known.
         """
+        self._question = question
         self._compares = status == SUCCESS and length > 0
         self._length = length
         self._prefix = b""
@@ -100,6 +176,11 @@
         self._recent = recent if self._compares else None
         self.fingerprint: int | None = None  # None: not known yet, or nothing to tell it by
         self.is_repetition = False
+        self.equals_recent = False  # and is none: it would be a right answer either way
+
+    def names_request(self) -> bool:
+        """Whether the answer names its request, as far as that is known."""
+        return self._question is not None and names_request(self._prefix, self._question.request_id)
 
     def take(self, head: bytes, body: bytes) -> bytes:
         """Take a part of the answer, and return what of it may be passed on."""
@@ -116,5 +197,6 @@
         if self.fingerprint is None:
             return b""
         withheld, self._withheld = self._withheld, b""
-        self.is_repetition = self._recent.holds(self.fingerprint)
+        self.is_repetition = self._recent.holds(self.fingerprint, self._question)
+        self.equals_recent = not self.is_repetition and self._recent.equals_one(self.fingerprint)
         return b"" if self.is_repetition else withheld
--- a/stoatrouter/net/connection_counters.py
+++ b/stoatrouter/net/connection_counters.py
@@ -15,3 +15,6 @@
     waits_for_rest: int = 0  # at the bound, for a connection that had to rest
     ended_for_room: int = 0  # idle connections to other nodes, ended at the bound
     repetitions_dropped: int = 0  # answers that came a second time, under a later request
+    # of these, those after which no other answer came: the node failed, or it was the request's own
+    repetitions_without_another: int = 0
+    equal_answers_passed: int = 0  # equal to an earlier one of the connection, about the same: no repetitions
--- a/stoatrouter/net/node_connection.py
+++ b/stoatrouter/net/node_connection.py
@@ -24,6 +24,7 @@
 from stoatrouter.net.connection_counters import ConnectionCounters
 from stoatrouter.net.errors import MalformedAnswer
 from stoatrouter.net.framing import CHUNKED, HEAD_END, UNTIL_CLOSE, body_length
+from stoatrouter.net.questions import Question
 from stoatrouter.net.rest_times import Address, RestTimes
 
 LARGEST_HEAD = 16 * 1024
@@ -90,6 +91,10 @@
         self.idle_for = 0.0  # seconds before the present request
         self.node: Address | None = None  # set once the connection is open
         self.request_kind = RequestKind.HEALTH_CHECK  # of the present request
+        self.question: Question | None = None  # of the present request; None: not known
+        # whether an answer that came before it may come again, and would serve it
+        self.may_get_earlier = False
+        self.awaits_another = False  # a repetition was dropped, and no other answer has begun
         self.rests = False  # whether its last answer may be brought again and not be known
         self.inspection: AnswerInspection | None = None  # of the present answer
         self.recent_answers = RecentAnswers()
@@ -104,6 +109,8 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """End the exchange; a body without a stated length is complete only after a clean end."""
         self.pool.record_end(self)
+        self.pool.counters.repetitions_without_another += self.awaits_another
+        self.awaits_another = False
         by_peer = self.transport is not None  # an end of our own has dropped it already
         if by_peer and self.awaiting_answer and not self.head and not self.in_body:
             self.pool.record_break(self.idle_for)
@@ -119,6 +126,19 @@
         self._exchange_done()
         super().connection_lost(exc)
 
+    def assign(self, node: Address, kind: RequestKind, question: Question | None) -> None:
+        """Assign the connection to a request, of which nothing is written yet.
+
+        Args:
+            node: Where the connection leads to.
+            kind: What the request is to the node.
+            question: What it asks for; None: not known.
+        """
+        self.node, self.request_kind, self.question = node, kind, question
+        self.may_get_earlier = question is not None and self.recent_answers.may_serve_again(
+            question, self._loop.time()
+        )
+
     def set_response_params(self, **params: Any) -> None:
         """Begin an exchange: a request is about to be written."""
         self.awaiting_answer = True
@@ -139,12 +159,13 @@
             self.awaiting_answer or not self._idle_too_long() and not self._unread()
         )
 
-    def rest_left(self, now: float) -> float:
-        """How many seconds it has to rest still, before it is used again."""
+    def rest_left(self, now: float, question: Question | None = None) -> float:
+        """How many seconds it has to rest still, before it is used again for what a request asks."""
         if self.idle_since is None or self.node is None:
             return 0.0  # it has brought no answer yet
         rest = self.pool.rest_times.rest_of(self.node, now, self.rests)
-        return max(0.0, self.idle_since + rest - now)
+        left = max(0.0, self.idle_since + rest - now)
+        return left if question is None else max(left, self.recent_answers.rest_left(question, now))
 
     def _idle_too_long(self) -> bool:
         idle = 0.0 if self.idle_since is None else self._loop.time() - self.idle_since
@@ -198,6 +219,7 @@
         # Guards memory: it may pin the large block that it was read into, as long as the connection lives.
         self.head = b""
         self.in_body = True
+        self.awaits_another = False
         self.chunked = length == CHUNKED
         self.ends_with_connection = length == UNTIL_CLOSE
         self.body_left = max(0, length)
@@ -212,7 +234,7 @@
             return None
         # a connection that has brought an answer again is not compared any more: the next one is the own
         compares = not self.should_close and self.recent_answers.any(self._loop.time())
-        return AnswerInspection(status, length, self.recent_answers if compares else None)
+        return AnswerInspection(status, length, self.recent_answers if compares else None, self.question)
 
     def _take_body(self, data: bytes, head: bytes = b"") -> None:
         assert self.inspection is not None
@@ -233,16 +255,21 @@
 
     def _remember_answer(self, inspection: AnswerInspection) -> None:
         """Decide whether the connection rests before it is used again."""
-        fingerprint = inspection.fingerprint
-        self.rests = (
-            fingerprint is None
-            or not self.pool.fingerprints.record(fingerprint, self.request_kind)
-            or not self.recent_answers.add(fingerprint, self._loop.time())
-        )
+        fingerprint, question = inspection.fingerprint, self.question
+        subject = None if question is None else question.subject
+        if fingerprint is None or not self.pool.fingerprints.record(fingerprint, self.request_kind, subject):
+            self.rests = True
+            return
+        self.pool.counters.equal_answers_passed += inspection.equals_recent
+        names_request = inspection.names_request()
+        is_added = self.recent_answers.add(fingerprint, self._loop.time(), question, names_request)
+        # Guards the next request: this may be the earlier answer again, and the own one still to come.
+        self.rests = not is_added or self.may_get_earlier and inspection.equals_recent
 
     def _drop_repetition(self, surplus: bytes) -> None:
         """Drop an answer that an earlier request has had, and wait for that of the present one."""
         self.pool.counters.repetitions_dropped += 1
+        self.awaits_another = True
         self._record_surplus()
         self.force_close()  # once this exchange is over
         self.in_body = False
--- a/stoatrouter/net/nodes.py
+++ b/stoatrouter/net/nodes.py
@@ -16,6 +16,7 @@
 from stoatrouter.net.bodies import StoredBody
 from stoatrouter.net.errors import Broken, NotBegun
 from stoatrouter.net.pool import NodePool
+from stoatrouter.net.questions import Question, question_of
 from stoatrouter.net.replies import Reply, read_load, read_reply, read_small
 from stoatrouter.net.tracked_request import TrackedRequest, only_once
 from stoatrouter.policy.interface import Outcome
@@ -85,7 +86,7 @@
                     headers=headers,
                     data=data,
                     allow_redirects=False,
-                    middlewares=(once_if(may_begin),),
+                    middlewares=(once_if(may_begin, question_of(request)),),
                 )
                 reply = await read_reply(response, request.passes)
             if reply.stream is not None:
@@ -115,12 +116,16 @@
             return Reply(Outcome.RESET)
 
 
-def once_if(may_begin: Callable[[], bool] | None) -> ClientMiddlewareType:
-    """The middleware of one attempt: sent once, and only if `may_begin` allows it (NodePool.connect)."""
+def once_if(may_begin: Callable[[], bool] | None, question: Question) -> ClientMiddlewareType:
+    """The middleware of one attempt, which asks `question`.
+
+    It is sent once, and only if `may_begin` allows it (NodePool.connect).
+    """
 
     async def send_once(request: aiohttp.ClientRequest, handler: ClientHandlerType) -> aiohttp.ClientResponse:
         assert isinstance(request, TrackedRequest)
         request.may_begin = may_begin
+        request.question = question
         return await only_once(request, handler)
 
     return send_once
--- a/stoatrouter/net/pool.py
+++ b/stoatrouter/net/pool.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections import deque
+from contextvars import ContextVar
 from datetime import timedelta
 from functools import partial
 from typing import Any
@@ -17,13 +18,15 @@
 from stoatrouter.net.errors import NotBegun
 from stoatrouter.net.node_connection import NodeConnection
 from stoatrouter.net.pool_waiters import PoolWaiters
+from stoatrouter.net.questions import READS, Question
 from stoatrouter.net.rest_times import Address, RestTimes
 
 # How long an idle connection may be reused adapts to what becomes of those that are reused.
 LEAST_REUSE_WITHIN = 0.05  # seconds
 SHORTEN = 0.8  # by a break
 LENGTHEN = 1.05  # by a success near the bound
-READS = ("GET", "HEAD")
+# What the request asks for that a connection is sought for: aiohttp hands _get the node alone.
+asked: ContextVar[Question | None] = ContextVar("asked", default=None)
 
 
 class NodePool(aiohttp.TCPConnector):
@@ -91,6 +94,8 @@
 
     async def connect(self, req: Any, traces: Any, timeout: Any) -> Any:
         """A connection for a request; raises NotBegun where the decision to send it no longer holds."""
+        question = getattr(req, "question", None)
+        asked.set(question)
         connection = await super().connect(req, traces, timeout)
         protocol = connection.protocol
         may_begin = getattr(req, "may_begin", None)
@@ -101,8 +106,7 @@
             connection.release()
             raise NotBegun
         if isinstance(protocol, NodeConnection):
-            protocol.node = Address(req.url.host, req.url.port)
-            protocol.request_kind = kind_of(req)
+            protocol.assign(Address(req.url.host, req.url.port), kind_of(req), question)
         return connection
 
     async def _get(self, key: Any, traces: Any) -> Any:
@@ -137,11 +141,12 @@
     def _take_idle(self, key: Any) -> Connection | None:
         """The connection that was released first, of those that are whole and need not rest."""
         idle, now = self._conns.get(key, deque()), asyncio.get_running_loop().time()
+        question = asked.get()
         position = 0
         while position < len(idle):
             protocol = idle[position][0]
             # Guards a client against another one's answer.
-            if isinstance(protocol, NodeConnection) and protocol.rest_left(now):
+            if isinstance(protocol, NodeConnection) and protocol.rest_left(now, question):
                 position += 1
                 continue
             del idle[position]
@@ -154,11 +159,18 @@
         return None
 
     def _shortest_rest(self, key: Any) -> float | None:
-        """How many seconds the idle connections of a node have to rest at least; None: there are none."""
-        now = asyncio.get_running_loop().time()
-        idle = (protocol for protocol, _ in self._conns.get(key, ()))
-        rests = (protocol.rest_left(now) for protocol in idle if isinstance(protocol, NodeConnection))
-        return min(rests, default=None)
+        """How many seconds the idle connections of a node have to rest at least; None: there are none.
+
+        The one that is used first rests for all requests until then.
+        """
+        now, question = asyncio.get_running_loop().time(), asked.get()
+        idle = [protocol for protocol, _ in self._conns.get(key, ()) if isinstance(protocol, NodeConnection)]
+        if not idle:
+            return None
+        first = min(idle, key=lambda protocol: protocol.rest_left(now, question))
+        # Guards a write's turn: reads of its object in the meantime would put it off again and again.
+        first.rests = True
+        return first.rest_left(now, question)
 
     def _end_oldest_idle(self) -> bool:
         """End the connection that has been idle for longest; False where none is idle."""
--- /dev/null
+++ b/stoatrouter/net/questions.py
@@ -0,0 +1,56 @@
+"""What a request asks its node for, by digests: whether two requests may rightly get the same answer.
+
+Answers name no request. A request's id and time left differ for each, and choose no content; all else that
+is forwarded may: target, method, header fields, and a body.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from stoatrouter.core import model
+
+READS = ("GET", "HEAD")
+TARGET_WRITES = ("PUT", "PATCH", "DELETE")  # change what their target names, whatever their body
+UNMISTAKABLE = 16  # bytes of an id that stands in no answer by accident
+LEAST_ID = 4  # bytes of an id that no answer begins with by accident
+
+
+class Question(NamedTuple):
+    """What a request asks for."""
+
+    subject: int  # digest of what it is about: answers about different subjects differ, or say nothing
+    # digest of all that chooses the content of a read: where it is equal, each answer serves both;
+    # None: a write, whose answer says that this very request has run
+    content: int | None
+    request_id: bytes
+
+    def is_served_by(self, other: Question) -> bool:
+        """Whether the answer to another request of this subject serves this one too."""
+        return self.content is not None and self.content == other.content
+
+
+def question_of(request: model.Request) -> Question:
+    """What a request asks for."""
+    body = request.body
+    if request.method in TARGET_WRITES:
+        part: bytes | int = b""
+    else:
+        part = body if isinstance(body, bytes) else len(body)  # a stored body is not read for this
+    subject = hash((request.target, part))
+    content = None
+    if request.method in READS and isinstance(body, bytes):
+        content = hash((subject, request.method, request.fields))
+    return Question(subject, content, request.id.encode())
+
+
+def names_request(body_start: bytes, request_id: bytes) -> bool:
+    """Whether an answer's body names the request: then it answers that one alone.
+
+    Args:
+        body_start: The first bytes of the body.
+        request_id: The request's id.
+    """
+    if len(request_id) >= UNMISTAKABLE:
+        return request_id in body_start
+    return len(request_id) >= LEAST_ID and body_start.startswith(request_id)
--- a/stoatrouter/net/tracked_request.py
+++ b/stoatrouter/net/tracked_request.py
@@ -10,6 +10,7 @@
 
 from stoatrouter.net.errors import Broken
 from stoatrouter.net.node_connection import NodeConnection
+from stoatrouter.net.questions import Question
 
 
 class TrackedRequest(aiohttp.ClientRequest):
@@ -21,6 +22,7 @@
 
     written = False
     may_begin: Callable[[], bool] | None = None  # called with a connection in hand, before the first byte
+    question: Question | None = None  # what it asks for; None: not known, as of health checks
 
     def mark_written(self, written: bool, conn: aiohttp.connector.Connection) -> None:
         """Note whether the last byte was handed to the system; such an attempt is counted."""
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -124,7 +124,7 @@
     async def story():
         async with managed(Node("a", 0)) as (head, session):
             start = figures((await call(head, "GET", "/control/connections"))[1])
-            assert start == dict.fromkeys(start, 0) and len(start) == 7
+            assert start == dict.fromkeys(start, 0) and len(start) == 9
             async with session.get(PATH, headers=HEADERS) as response:
                 assert response.status == 200
             held = figures((await call(head, "GET", "/control/connections"))[1])
