--- a/tests/test_same_question.py
+++ b/tests/test_same_question.py
@@ -17,6 +17,7 @@
 from stoatrouter.net import rest_times
 from stoatrouter.net.answer_identity import DISTINCT_IN_A_ROW, RequestKind
 from stoatrouter.net.nodes import NodeClient
+from stoatrouter.net.questions import names_request
 from stoatrouter.policy.interface import Outcome
 from tests.peers import HOST, run
 from tests.platform_client import attempt
@@ -159,3 +160,10 @@
         assert [repr(result) for result in results if result is not None] == []
 
     run(stories(), 60.0)
+
+
+def test_an_id_that_stands_in_an_answer_by_accident_names_no_request():
+    """Guards right answers: one that seems to name another request is dropped."""
+    long = b"9b1f03aa5c7e2d41"
+    assert names_request(b"stored for " + long, long) and names_request(b"10001 is stored", b"10001")
+    assert not names_request(b"price 10001", b"10001") and not names_request(b"77 pieces", b"77")
