--- a/stoatrouter/net/answer_identity.py
+++ b/stoatrouter/net/answer_identity.py
@@ -97,11 +97,12 @@
         names_request: bool = False,
     ) -> bool:
         """Add an answer that has just ended; False where there is no room for it."""
-        self._drop_older(now)
         if fingerprint in self._by_fingerprint:
             self._remove(fingerprint)
         elif len(self._by_fingerprint) == MOST_RECENT:
-            return False
+            self._drop_older(now)
+            if len(self._by_fingerprint) == MOST_RECENT:
+                return False
         answer = RecentAnswer(now, fingerprint, question, names_request)
         self._by_fingerprint[fingerprint] = answer
         if question is not None:
--- a/stoatrouter/net/questions.py
+++ b/stoatrouter/net/questions.py
@@ -13,6 +13,7 @@
 READS = ("GET", "HEAD")
 TARGET_WRITES = ("PUT", "PATCH", "DELETE")  # change what their target names, whatever their body
 UNMISTAKABLE = 16  # bytes of an id that stands in no answer by accident
+NAMED_WITHIN = 512  # bytes of a body in which an id is looked for
 LEAST_ID = 4  # bytes of an id that no answer begins with by accident
 
 
@@ -52,5 +53,5 @@
         request_id: The request's id.
     """
     if len(request_id) >= UNMISTAKABLE:
-        return request_id in body_start
+        return body_start.find(request_id, 0, NAMED_WITHIN) >= 0
     return len(request_id) >= LEAST_ID and body_start.startswith(request_id)
