--- a/tests/heads/test_chaos.py
+++ b/tests/heads/test_chaos.py
@@ -15,6 +15,7 @@
 from tests.heads.processes import HeadProcess, HeadsDownError, Processes, heads_up
 from tests.heads.rules_clients import rules
 from tests.peers import run
+from tests.process_signals import kill as kill_process
 
 HALF_STEP = 0.02  # seconds that a stand-in takes to end or to start
 
@@ -89,7 +90,7 @@
     halfway, kill = asyncio.Event(), HeadProcess.kill
 
     async def kill_halfway(head: HeadProcess) -> None:
-        head.process.kill()
+        kill_process(head.process)
         halfway.set()
         await asyncio.sleep(HALF_STEP)  # the faults end now
         await kill(head)
