Heads record when attempts were written; the judge tells them from late reads

"Repeated outside its window" was found once, beside load, and not traced: whether the head wrote late or the node's stand-in read late was not known.

A debug record (off; no setting switches it on, tests' heads do) notes request, attempt number, node, and the system's monotonic clock just before and just after the first byte went to the system. It is written at once, so that a killed head leaves it. A byte that the system has not accepted yet has no record.

The judge compares: for the window, for drained nodes and for clients that had gone the head's record decides where there is one, and "read late, written in time" is named with both times. Without a record of both attempts the node's times decide, as before; a write that no node saw counts as the later one; an attempt seen before it was written is a finding of its own.

--- a/stoatrouter/lab/histories/requests.py
+++ b/stoatrouter/lab/histories/requests.py
@@ -1,8 +1,9 @@
 """Judges requests as clients, nodes and discovery wrote them down, by the rules of the platform's pages.
 
-It knows nothing of the program: it imports no code of a head and reads nothing that one logs. A line is a
-dict with "what" and "at" (seconds, one clock for all) and the fields of the record of that tag; the records
-below say what each line means.
+It knows nothing of the program: it imports no code of a head and reads nothing that one logs, but for the
+debug record of when attempts were written, which tells a head that wrote late from a node that read late. A
+line is a dict with "what" and "at" (seconds, one clock for all) and the fields of the record of that tag; the
+records of `request_lines` say what each line means.
 """
 
 from __future__ import annotations
@@ -15,6 +16,16 @@
 
 import msgspec
 
+from stoatrouter.lab.histories.request_lines import (
+    AnyLine,
+    Killed,
+    LeavingNotified,
+    RequestHistory,
+    RequestLine,
+    ServingNotified,
+)
+from stoatrouter.lab.histories.written_times import Delay, TimedAttempt, check_order, timed_attempts
+
 NEVER = float("inf")
 KILL_MARGIN = 1.0  # seconds; a request is lost by a kill that is at most so far from it
 
@@ -47,118 +58,30 @@
     slack: float = 0.05  # every limit is so much longer
 
 
-# -- lines of the history ---------------------------------------------------------------------------------
-class Line(msgspec.Struct, frozen=True, tag_field="what"):
-    """A line of the history."""
-
-    at: float
-
-
-class Sent(Line, frozen=True, tag="sent"):
-    """A client sent the last byte of its request."""
-
-    request: str
-    head: str
-    kind: str  # the name of its class
-
-
-class Answered(Line, frozen=True, tag="answered"):
-    """A client got its one final answer, complete."""
-
-    request: str
-    status: int
-    of: str | None = None  # the request that the body names; None: it names none
-
-
-class Ended(Line, frozen=True, tag="ended"):
-    """A request's connection ended without a complete answer."""
-
-    request: str
-
-
-class ClientGone(Line, frozen=True, tag="gone"):
-    """A client closed its connection before any answer."""
-
-    request: str
-
-
-class Attempt(Line, frozen=True, tag="attempt"):
-    """A node got a request."""
-
-    request: str
-    node: str
-    first: float  # when its first byte came; `at` is that of the last
-
-
-class AttemptEnded(Line, frozen=True, tag="over"):
-    """An attempt ended at its node."""
-
-    request: str
-    node: str
-    ran: bool  # whether it may have run
-
-
-class LeavingNotified(Line, frozen=True, tag="told"):
-    """From now on a head counts as notified that a node is draining."""
-
-    head: str
-    node: str
-
-
-class ServingNotified(Line, frozen=True, tag="back"):
-    """From now on a head counts as notified that a node serves."""
-
-    head: str
-    node: str
-
-
-class Killed(Line, frozen=True, tag="killed"):
-    """A head was killed outright."""
-
-    head: str
-
-
-RequestLine = Sent | Answered | Ended | ClientGone | Attempt | AttemptEnded
-AnyLine = RequestLine | LeavingNotified | ServingNotified | Killed
+@dataclass(slots=True)
+class Verdict:
+    """What was found in a history."""
 
+    violations: list[str] = field(default_factory=list)
+    read_late: list[str] = field(default_factory=list)  # attempts written in time that nodes saw too late
 
-@dataclass(slots=True)
-class RequestHistory:
-    """All lines of one request, in order."""
-
-    id: str
-    sent: list[Sent] = field(default_factory=list)
-    answers: list[Answered] = field(default_factory=list)
-    ends: list[Ended] = field(default_factory=list)
-    clients_gone: list[ClientGone] = field(default_factory=list)
-    attempts: list[Attempt] = field(default_factory=list)
-    attempt_ends: list[AttemptEnded] = field(default_factory=list)
-
-    def add(self, line: RequestLine) -> None:
-        """Add the next line."""
-        match line:
-            case Sent():
-                self.sent.append(line)
-            case Answered():
-                self.answers.append(line)
-            case Ended():
-                self.ends.append(line)
-            case ClientGone():
-                self.clients_gone.append(line)
-            case Attempt():
-                self.attempts.append(line)
-            case AttemptEnded():
-                self.attempt_ends.append(line)
-
-    def end_of(self, attempt: Attempt) -> AttemptEnded | None:
-        """Return the end of an attempt at its node; None where it never ended."""
-        ends = (end for end in self.attempt_ends if end.node == attempt.node and end.at >= attempt.at)
-        return next(ends, None)
+    def add(self, findings: Iterable[str | Delay]) -> None:
+        """Add violations, and delays that may be one."""
+        for finding in findings:
+            if isinstance(finding, str) or finding.is_violation:
+                self.violations.append(str(finding))
+            elif finding.is_read_late:
+                self.read_late.append(f"read late, written in time: {finding}")
 
 
 # -- the rules --------------------------------------------------------------------------------------------
 def judge(lines: Iterable[dict[str, Any]], terms: Terms) -> list[str]:
-    """Return all violations of a history; none where every rule is kept.
+    """Return all violations of a history, as `examine` does; none where every rule is kept."""
+    return examine(lines, terms).violations
+
+
+def examine(lines: Iterable[dict[str, Any]], terms: Terms) -> Verdict:
+    """Return all violations of a history, and what was no violation as its node alone was late.
 
     Args:
         lines: The history, in any order.
@@ -173,12 +96,16 @@
         if isinstance(line, RequestLine):
             requests.setdefault(line.request, RequestHistory(line.request)).add(line)
     kills = [line for line in ordered if isinstance(line, Killed)]
-    violations: list[str] = []
+    verdict = Verdict()
+    notifications = Notifications(ordered)
     for request in requests.values():
-        violations += check_answers(request, kills)
-        violations += check_cancellation(request, terms)
-        violations += check_retries(request, terms)
-    return [*violations, *check_draining(ordered, terms)]
+        attempts = timed_attempts(request)
+        verdict.add(check_answers(request, kills))
+        verdict.add(check_order(request))
+        verdict.add(check_cancellation(request, attempts, terms))
+        verdict.add(check_retries(request, attempts, terms))
+        verdict.add(check_draining(request, attempts, notifications, terms))
+    return verdict
 
 
 def check_answers(request: RequestHistory, kills: list[Killed]) -> Iterator[str]:
@@ -200,62 +127,91 @@
         yield f"{request.id}: never answered"
 
 
-def check_cancellation(request: RequestHistory, terms: Terms) -> Iterator[str]:
+def check_cancellation(
+    request: RequestHistory, attempts: list[TimedAttempt], terms: Terms
+) -> Iterator[Delay]:
     """Check that no attempt begins once the client has gone."""
     for gone in request.clients_gone:
-        for attempt in request.attempts:
-            late = attempt.first - gone.at
-            if late > terms.cancel_within + terms.slack:
-                yield f"{request.id}: an attempt {late:.3f} s after its client had gone"
-
-
-def check_retries(request: RequestHistory, terms: Terms) -> Iterator[str]:
+        for attempt in attempts:
+            yield Delay(
+                f"{request.id}: an attempt after its client had gone",
+                terms.cancel_within + terms.slack,
+                attempt.seen.first - gone.at,
+                attempt.record.at - gone.at if attempt.record else None,
+            )
+
+
+def check_retries(
+    request: RequestHistory, attempts: list[TimedAttempt], terms: Terms
+) -> Iterator[str | Delay]:
     """Check that no two attempts run at once, and that retries are as the class allows."""
     if not request.sent:
-        if request.attempts:
+        if attempts:
             yield f"{request.id}: an attempt of what no client sent"
         return
     request_class = terms.classes[request.sent[0].kind]
-    first_that_may_have_run: Attempt | None = None
-    for number, attempt in enumerate(request.attempts):
-        for earlier in request.attempts[:number]:
-            end = request.end_of(earlier)
-            if (end.at if end else NEVER) > attempt.first + terms.slack:
+    first_that_may_have_run: TimedAttempt | None = None
+    for number, attempt in enumerate(attempts):
+        for earlier in attempts[:number]:
+            end = request.end_of(earlier.seen)
+            if (end.at if end else NEVER) > attempt.seen.first + terms.slack:
                 yield f"{request.id}: two attempts at once"
         if first_that_may_have_run is not None:
             yield from check_retry(attempt, first_that_may_have_run, request_class, terms)
             continue
-        end = request.end_of(attempt)
+        end = request.end_of(attempt.seen)
         if end is None or end.ran:
             first_that_may_have_run = attempt
 
 
-def check_retry(attempt: Attempt, first: Attempt, request_class: RequestClass, terms: Terms) -> Iterator[str]:
+def check_retry(
+    attempt: TimedAttempt, first: TimedAttempt, request_class: RequestClass, terms: Terms
+) -> Iterator[str | Delay]:
     """Check an attempt after one that may have run."""
+    request = attempt.seen.request
     if request_class.effect is Effect.UNSAFE:
-        yield f"{attempt.request}: repeated, though it may have run and may not run twice"
+        yield f"{request}: repeated, though it may have run and may not run twice"
     if request_class.effect is not Effect.IDEMPOTENT:
         return
-    if attempt.first - first.first > request_class.window + terms.slack:
-        yield f"{attempt.request}: repeated outside its window"
-    if request_class.group == "cell" and terms.cells[attempt.node] != terms.cells[first.node]:
-        yield f"{attempt.request}: repeated in another cell"
+    recorded = attempt.record is not None and first.record is not None
+    yield Delay(
+        f"{request}: repeated outside its window",
+        request_class.window + terms.slack,
+        attempt.seen.first - first.seen.first,
+        attempt.last_moment - first.first_moment if recorded else None,
+    )
+    if request_class.group == "cell" and terms.cells[attempt.seen.node] != terms.cells[first.seen.node]:
+        yield f"{request}: repeated in another cell"
+
+
+class Notifications:
+    """When heads were notified that nodes drain, or serve again."""
+
+    def __init__(self, lines: list[AnyLine]) -> None:
+        """Take the notifications out of a history that is in order."""
+        self.by_head: dict[tuple[str, str], list[LeavingNotified | ServingNotified]] = defaultdict(list)
+        for line in lines:
+            if isinstance(line, LeavingNotified | ServingNotified):
+                self.by_head[line.head, line.node].append(line)
+
+    def draining_for(self, head: str, node: str, at: float) -> float:
+        """For how many seconds a head had been notified at some moment that a node drains; 0: it serves."""
+        before = [line for line in self.by_head[head, node] if line.at <= at]
+        if not before or isinstance(before[-1], ServingNotified):
+            return 0.0
+        return at - before[-1].at
 
 
-def check_draining(lines: list[AnyLine], terms: Terms) -> Iterator[str]:
+def check_draining(
+    request: RequestHistory, attempts: list[TimedAttempt], notifications: Notifications, terms: Terms
+) -> Iterator[Delay]:
     """Check that nothing goes to a draining node once the grace after its head's notification is over."""
-    heads = {line.request: line.head for line in lines if isinstance(line, Sent)}
-    notifications: dict[tuple[str, str], list[LeavingNotified | ServingNotified]] = defaultdict(list)
-    for line in lines:
-        if isinstance(line, LeavingNotified | ServingNotified):
-            notifications[line.head, line.node].append(line)
-    for attempt in lines:
-        if not isinstance(attempt, Attempt):
-            continue
-        about = notifications[heads.get(attempt.request, ""), attempt.node]
-        before = [line for line in about if line.at <= attempt.first]
-        if not before or isinstance(before[-1], ServingNotified):
-            continue
-        late = attempt.first - before[-1].at
-        if late > terms.drain_grace + terms.slack:
-            yield f"{attempt.request}: sent to {attempt.node} {late:.3f} s after it was told as leaving"
+    head = request.sent[0].head if request.sent else ""
+    for attempt in attempts:
+        node = attempt.seen.node
+        yield Delay(
+            f"{request.id}: sent to {node} after it was told as leaving",
+            terms.drain_grace + terms.slack,
+            notifications.draining_for(head, node, attempt.seen.first),
+            notifications.draining_for(head, node, attempt.record.at) if attempt.record else None,
+        )
--- /dev/null
+++ b/stoatrouter/net/attempt_record.py
@@ -0,0 +1,39 @@
+"""The debug record of attempts: when the first byte of each was handed to the system.
+
+It is off unless `TrackedRequest.attempt_record` is set, which no setting does: the tests' heads set it before
+they start (tests/attempt_times.py). Times are those of the system's monotonic clock, which all processes of a
+machine share, so that they can be compared with what a node saw.
+"""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+
+import msgspec
+
+APPEND = os.O_WRONLY | os.O_CREAT | os.O_APPEND
+PRIVATE = 0o600
+
+
+class WrittenAttempt(msgspec.Struct, frozen=True):
+    """One attempt whose first byte the system has accepted; times in seconds of the monotonic clock."""
+
+    request: str
+    attempt: int
+    node: str  # its address
+    began: float  # just before the byte was handed over
+    written: float  # just after
+
+
+class AttemptRecord:
+    """Appends attempts to a file, a line of JSON each, at once: a killed process leaves them there."""
+
+    def __init__(self, file: Path) -> None:
+        """Open the file, which the processes of one head may share; raises OSError."""
+        self._descriptor = os.open(file, APPEND, PRIVATE)
+        self._encoder = msgspec.json.Encoder()
+
+    def append(self, attempt: WrittenAttempt) -> None:
+        """Append one attempt; raises OSError."""
+        os.write(self._descriptor, self._encoder.encode(attempt) + b"\n")
--- a/stoatrouter/net/nodes.py
+++ b/stoatrouter/net/nodes.py
@@ -85,7 +85,7 @@
                     headers=headers,
                     data=data,
                     allow_redirects=False,
-                    middlewares=(once_if(may_begin),),
+                    middlewares=(once_if(may_begin, effect.attempt),),
                 )
                 reply = await read_reply(response, request.passes)
             if reply.stream is not None:
@@ -115,12 +115,13 @@
             return Reply(Outcome.RESET)
 
 
-def once_if(may_begin: Callable[[], bool] | None) -> ClientMiddlewareType:
+def once_if(may_begin: Callable[[], bool] | None, attempt_number: int) -> ClientMiddlewareType:
     """The middleware of one attempt: sent once, and only if `may_begin` allows it (NodePool.connect)."""
 
     async def send_once(request: aiohttp.ClientRequest, handler: ClientHandlerType) -> aiohttp.ClientResponse:
         assert isinstance(request, TrackedRequest)
         request.may_begin = may_begin
+        request.attempt_number = attempt_number
         return await only_once(request, handler)
 
     return send_once
--- a/tests/departure_story.py
+++ b/tests/departure_story.py
@@ -10,7 +10,7 @@
 
 from stoatrouter.lab.histories.requests import Terms
 from tests.fleet_stand_ins import History, RoughNode
-from tests.fleet_story import CLASSES_BY_NAME, GRACE, Client, StoryHead, stand_ins
+from tests.fleet_story import CLASSES_BY_NAME, GRACE, Client, StoryHead, recorded, stand_ins
 from tests.peers import until
 from tests.process_signals import kill
 
@@ -65,7 +65,7 @@
             kill(head.process)
             await head.process.wait()
         now = time.monotonic()
-    lines = [line for line in history.lines if line["at"] <= now]
+    lines = [line for line in history.lines if line["at"] <= now] + recorded([head])
     return lines, Terms(CLASSES_BY_NAME, {node.name: node.cell for node in nodes}, GRACE, slack=0.4)
 
 
--- a/tests/fleet_story.py
+++ b/tests/fleet_story.py
@@ -10,12 +10,13 @@
 import signal
 import sys
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 from pathlib import Path
 from typing import Any, NamedTuple
 
 from stoatrouter.lab.histories.requests import Effect, RequestClass, Terms
 from tests.addresses import free_ports, own_host
+from tests.attempt_times import lines_written, recording
 from tests.fleet_stand_ins import History, PushingAgent, RoughNode
 from tests.peers import SETTINGS, node_list, until
 from tests.process_signals import kill, send_signal
@@ -103,7 +104,7 @@
                 sys.executable,
                 "-B",
                 "-c",
-                self.prelude + START,
+                recording(self.folder, self.name) + self.prelude + START,
                 cwd=ROOT,
                 env=environ,
                 stderr=log,
@@ -245,9 +246,17 @@
             await faults(fleet, nodes, draws, turns, history)
         now = time.monotonic()
     lines = [line for line in history.lines if line["at"] <= now]
+    lines += recorded(fleet)
     return lines, Terms(CLASSES_BY_NAME, {node.name: node.cell for node in nodes}, GRACE, slack=0.4)
 
 
+def recorded(fleet: Sequence[StoryHead]) -> list[dict[str, Any]]:
+    """When heads that have ended wrote their attempts, as lines of the history."""
+    names = [head.name for head in fleet]
+    nodes = {node.address: node.name for node in fleet[0].nodes}
+    return lines_written(fleet[0].folder, names, nodes)
+
+
 @contextlib.asynccontextmanager
 async def stand_ins(nodes: list[RoughNode], fleet: list[StoryHead]) -> AsyncIterator[None]:
     """Serve all nodes, and the agent of each head."""
--- a/tests/soak/report.py
+++ b/tests/soak/report.py
@@ -28,6 +28,7 @@
     TRACEBACK = "traceback"
     CRASHED = "crashed"
     NOT_READY = "not ready"
+    MISRECORDED = "seen before it was written"
     UNKNOWN = "another rule"
     STORY_FAILED = "the story failed"
 
@@ -45,11 +46,14 @@
     "told as leaving": Finding.SENT_TO_DRAINED,
     "after its client had gone": Finding.SENT_FOR_NOBODY,
     "answered with the answer to": Finding.ANOTHERS_ANSWER,
+    "before its head began to write it": Finding.MISRECORDED,
 }
 
 
 # of these, what compares times that the stand-ins noted: one that ran late shows it of a good program
 BY_CLOCK = ("outside its window", "two attempts at once", "told as leaving", "after its client had gone")
+# but for this one: both of its times are of the head's own record
+BY_RECORD = "outside its window (written"
 
 
 def classify(violation: str) -> Finding:
@@ -91,6 +95,7 @@
     most_descriptors: int = 0  # of a head, as disturbances began
     lags: dict[str, Lag] = field(default_factory=dict)  # of the loops by whose clock is judged
     withheld: list[str] = field(default_factory=list)  # violations by a clock that ran late
+    read_late: list[str] = field(default_factory=list)  # that nodes saw late, by the heads' records
 
     def add(self, finding: Finding, text: str) -> None:
         """Add a finding."""
@@ -98,7 +103,8 @@
 
     def add_violation(self, text: str) -> None:
         """Add a violation of the requests' judge; it is withheld where it hangs on a clock that ran late."""
-        if not self.was_judged and any(part in text for part in BY_CLOCK):
+        by_clock = BY_RECORD not in text and any(part in text for part in BY_CLOCK)
+        if not self.was_judged and by_clock:
             self.withheld.append(text)
         else:
             self.add(classify(text), text)
@@ -132,7 +138,8 @@
             f"{dict(sorted(self.answers.items()))}, {self.second_answers} second answers, "
             f"{usage_text(self.before)} before, {self.most_descriptors} descriptors between, "
             f"{usage_text(self.after)} after, lag {self.worst_lag:.2f} s "
-            f"({sum(lag.long for lag in self.lags.values())} over 50 ms): {self.verdict()}"
+            f"({sum(lag.long for lag in self.lags.values())} over 50 ms), "
+            f"{len(self.read_late)} read late: {self.verdict()}"
         )
 
     def found(self) -> Counter[str]:
--- a/tests/soak/story.py
+++ b/tests/soak/story.py
@@ -8,9 +8,9 @@
 from collections import Counter
 from pathlib import Path
 
-from stoatrouter.lab.histories.requests import Terms, judge
+from stoatrouter.lab.histories.requests import Terms, examine
 from tests.fleet_stand_ins import History
-from tests.fleet_story import CLASSES_BY_NAME, GRACE, stand_ins
+from tests.fleet_story import CLASSES_BY_NAME, GRACE, recorded, stand_ins
 from tests.soak.children import Child
 from tests.soak.ends import Ender, SoakHead, stop_all
 from tests.soak.lag import measured
@@ -139,7 +139,9 @@
     def judge(self) -> None:
         """Judge what clients, nodes and discovery saw, and what the logs say of errors in the program."""
         terms = Terms(CLASSES_BY_NAME, {node.name: node.cell for node in self.nodes}, GRACE, slack=SLACK)
-        for violation in judge(self.history.lines, terms):
+        verdict = examine([*self.history.lines, *recorded(self.heads)], terms)
+        self.report.read_late = verdict.read_late
+        for violation in verdict.violations:
             self.report.add_violation(violation)
         add_tracebacks(self.report, list(self.folder.glob("h*.log")))
         answered = (line["status"] for line in self.history.lines if line["what"] == "answered")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,6 +12,7 @@
 import pytest
 
 from benchmarks.soak import FOUND, NOT_ALL_JUDGED, exit_status, play_all
+from stoatrouter.lab.histories.requests import Verdict
 from tests.fleet_stand_ins import History
 from tests.heads.ledger_chaos import LEDGER_MORE, LedgerChaos
 from tests.soak import ends, story
@@ -85,19 +86,22 @@
     async def stall(soak: Soak, over: asyncio.Event) -> None:
         time.sleep(0.8)
 
-    def judge_something(*_: object) -> list[str]:
-        return ["c1-2: repeated outside its window", "c1-3: lost by h1"]
+    late = "c1-2: repeated outside its window (with no record, seen after 0.950 s, limit 0.900 s)"
+    wrote_late = "c1-4: repeated outside its window (written after 0.950 s, seen after 0.951 s)"
+
+    def judge_something(*_: object) -> Verdict:
+        return Verdict([late, "c1-3: lost by h1", wrote_late])
 
     monkeypatch.setattr(Soak, "play_before", stall)
     lagged = play_seed(tmp_path, 2, 1.0)
     assert not lagged.findings and "NOT JUDGED" in lagged.line() and "nothing found" not in lagged.line()
     assert exit_status([lagged]) == NOT_ALL_JUDGED and "judged: 0, NOT JUDGED: 1" in summary([lagged])
-    monkeypatch.setattr(story, "judge", judge_something)
+    monkeypatch.setattr(story, "examine", judge_something)
     folder = tmp_path / "found"
     folder.mkdir()
     found = play_seed(folder, 2, 1.0)
-    assert found.findings == [(Finding.LOST, "c1-3: lost by h1")]
-    assert found.withheld == ["c1-2: repeated outside its window"]
+    assert found.findings == [(Finding.LOST, "c1-3: lost by h1"), (Finding.RUN_TWICE, wrote_late)]
+    assert found.withheld == [late]
     assert exit_status([lagged, found]) == FOUND
 
 
