--- a/stoatrouter/net/nodes.py
+++ b/stoatrouter/net/nodes.py
@@ -86,7 +86,7 @@
                     headers=headers,
                     data=data,
                     allow_redirects=False,
-                    middlewares=(once_if(may_begin, question_of(request)),),
+                    middlewares=(once_if(may_begin, question_of(request), effect.attempt),),
                 )
                 reply = await read_reply(response, request.passes)
             if reply.stream is not None:
@@ -116,7 +116,9 @@
             return Reply(Outcome.RESET)
 
 
-def once_if(may_begin: Callable[[], bool] | None, question: Question) -> ClientMiddlewareType:
+def once_if(
+    may_begin: Callable[[], bool] | None, question: Question, attempt_number: int
+) -> ClientMiddlewareType:
     """The middleware of one attempt, which asks `question`.
 
     It is sent once, and only if `may_begin` allows it (NodePool.connect).
@@ -126,6 +128,7 @@
         assert isinstance(request, TrackedRequest)
         request.may_begin = may_begin
         request.question = question
+        request.attempt_number = attempt_number
         return await only_once(request, handler)
 
     return send_once
