--- a/tests/stall_story.py
+++ b/tests/stall_story.py
@@ -11,6 +11,7 @@
 from stoatrouter.lab.histories.requests import Terms
 from tests.fleet_stand_ins import History, RoughNode
 from tests.fleet_story import CLASSES_BY_NAME, GRACE, Client, StoryHead, read_answer, recorded, stand_ins
+from tests.process_signals import kill
 
 REQUESTS = 4
 LIMIT = 60.0  # seconds, for what would never end
@@ -88,7 +89,7 @@
                     await asyncio.to_thread(asyncio.run, ask(client, f"s{number}", stall))
         finally:
             assert head.process is not None
-            head.process.kill()
+            kill(head.process)
             await head.process.wait()
     lines = [*history.lines, *recorded([head])]
     return lines, Terms(CLASSES_BY_NAME, {node.name: node.cell for node in nodes}, GRACE, slack=slack)
