--- a/tests/test_held_state.py
+++ b/tests/test_held_state.py
@@ -1,6 +1,6 @@
 """After quiet, the core and credit hold what they hold without requests: no state outlives its use.
 
-The decision module's own state has its test in tests/test_held_memory.py.
+The decision module under drawn rules has its test in tests/test_held_memory.py.
 """
 
 from __future__ import annotations
@@ -103,10 +103,9 @@
         self.reducer.tally.take()  # as the log does, every few seconds
 
 
-def held_beside_module(driver: CoreDriver) -> int:
-    """What a core holds, without the decision module and credit, which are counted by themselves."""
-    parts = vars(driver.reducer).items()
-    return held({name: value for name, value in parts if name not in ("scheduler", "gate")})
+def held_without_credit(driver: CoreDriver) -> int:
+    """What a core holds, the decision module with it; credit is counted by itself."""
+    return held({name: value for name, value in vars(driver.reducer).items() if name != "gate"})
 
 
 @pytest.mark.parametrize("streamed", [False, True])
@@ -118,7 +117,7 @@
     assert len(met.reducer.tally.counts) > 1
     idle.wait(met.now - START)
     met.rest(), idle.rest()
-    assert held_beside_module(met) == held_beside_module(idle)
+    assert held_without_credit(met) == held_without_credit(idle)
     assert not met.reducer.open and not met.reducer.nodes_in_flight()
 
 
@@ -137,7 +136,7 @@
     idle = CoreDriver(Outcome.OK)
     idle.put(model.EndpointListReceived(idle.now, ListKind.FULL, (node("n2"),)))
     idle.rest()
-    assert held_beside_module(driver) == held_beside_module(idle)
+    assert held_without_credit(driver) == held_without_credit(idle)
 
 
 # -- credit -----------------------------------------------------------------------------------------------
@@ -205,7 +204,7 @@
     driver.rest()
     idle = CoreDriver(outcome)
     idle.rest()
-    assert held_beside_module(driver) == held_beside_module(idle)
+    assert held_without_credit(driver) == held_without_credit(idle)
     assert held(driver.escrow) == held(HeadEscrow(LEASE, SpentJournal(None)))
     assert held(driver.ages) == held(AllotmentAges(LEASE))
     assert not driver.escrow.accounts and not driver.escrow.reservations and not driver.journal._slots
