The debug record of attempts needs no package that the platform's build lacks

Cause: the record's module, which the node client imports, imported msgspec; `build` installs requirements.txt, the tests' environment more, so no test saw it. Change: the record is written by the standard library's json. A test imports what `run` and `sim` load with those packages absent.

--- a/stoatrouter/net/attempt_record.py
+++ b/stoatrouter/net/attempt_record.py
@@ -7,16 +7,17 @@
 
 from __future__ import annotations
 
+import json
 import os
+from dataclasses import asdict, dataclass
 from pathlib import Path
 
-import msgspec
-
 APPEND = os.O_WRONLY | os.O_CREAT | os.O_APPEND
 PRIVATE = 0o600
 
 
-class WrittenAttempt(msgspec.Struct, frozen=True):
+@dataclass(slots=True, frozen=True)
+class WrittenAttempt:
     """One attempt whose first byte the system has accepted; times in seconds of the monotonic clock."""
 
     request: str
@@ -32,8 +33,7 @@
     def __init__(self, file: Path) -> None:
         """Open the file, which the processes of one head may share; raises OSError."""
         self._descriptor = os.open(file, APPEND, PRIVATE)
-        self._encoder = msgspec.json.Encoder()
 
     def append(self, attempt: WrittenAttempt) -> None:
         """Append one attempt; raises OSError."""
-        os.write(self._descriptor, self._encoder.encode(attempt) + b"\n")
+        os.write(self._descriptor, json.dumps(asdict(attempt)).encode() + b"\n")
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -7,6 +7,7 @@
 import json
 import os
 import signal
+import subprocess
 import sys
 from pathlib import Path
 
@@ -255,6 +256,21 @@
     run(story())
 
 
+def test_a_start_on_the_platform_imports_nothing_that_its_build_does_not_install():
+    """Guards against heads that end at once on the platform: the tests' own environment has more packages."""
+    code = (
+        "import sys\n"
+        "class Absent:\n"
+        "    def find_spec(self, name, path=None, target=None):\n"
+        "        if name in ('msgspec', 'xxhash', 'lark', 're2'):\n"
+        "            raise ModuleNotFoundError(name)\n"
+        "sys.meta_path.insert(0, Absent())\n"
+        "import stoatrouter.__main__, stoatrouter.head, stoatrouter.policy.simhost\n"
+    )
+    done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True)
+    assert done.returncode == 0, done.stderr
+
+
 def test_a_signal_swaps_the_rules_of_the_http_front(tmp_path):
     async def story():
         node, port = Node("a", 0), free_port()
