Plain words out of names and comments of policy, net, peering and hollow heads

Cause: lines with the withdrawn words (told, room, share, claimed, probe, ...) had grown again. Change: names (`_for_capacity`, `is_consumed`, `CompiledOnce`), doc comments, and two log texts (events unchanged; `docs/on-call.md`). Tests of pool, discovery, bodies pass.

--- a/stoatrouter/lab/hollow/tables.py
+++ b/stoatrouter/lab/hollow/tables.py
@@ -1,7 +1,7 @@
 """Rule tables of hollow heads: each set of files is compiled once for each process, not once for each head.
 
 A real head compiles each set beside its requests. A hundred hollow heads in one process would compile the
-same set a hundred times over one interpreter lock, so they share the result. What one head spends on
+same set a hundred times over one interpreter lock, so they use one result. What one head spends on
 compiling an edit is therefore to be measured at real heads.
 """
 
@@ -16,7 +16,7 @@
 MAX_CACHED = 8  # compiled sets; beyond, the oldest is evicted and compiled again when it is needed
 
 
-class SharedTables:
+class CompiledOnce:
     """The cache of compiled tables of all hollow heads in one process."""
 
     def __init__(self, service: TableService) -> None:
@@ -40,13 +40,13 @@
 class HollowTables:
     """One hollow head's tables, as the history of rules needs them (net/tables.py)."""
 
-    shared: SharedTables
+    compiled_once: CompiledOnce
     managed: bool = False
     in_force: CompiledTable | None = field(default=None, repr=False)
 
     async def compile(self, path: Path) -> CompiledTable:
         """Compile a table of other files without putting it in force; raises SettingsError."""
-        return await self.shared.compile(path)
+        return await self.compiled_once.compile(path)
 
     def put(self, compiled: CompiledTable) -> None:
         """Put a compiled table in force."""
--- a/stoatrouter/net/answer_identity.py
+++ b/stoatrouter/net/answer_identity.py
@@ -3,7 +3,7 @@
 Answers name no request, but most of them name their content: two requests for different things then never
 get the same bytes, and an answer that equals an earlier one of its connection to something else is that one
 again. Where answers are alike by nature (errors, acknowledgements, empty bodies), or the same was asked,
-nothing can be told from their bytes, but for those that name their request.
+their bytes distinguish nothing, but for those that name their request.
 """
 
 from __future__ import annotations
@@ -96,7 +96,7 @@
         question: Question | None = None,
         names_request: bool = False,
     ) -> bool:
-        """Add an answer that has just ended; False where there is no room for it."""
+        """Add an answer that has just ended; False where the table is full."""
         if fingerprint in self._by_fingerprint:
             self._remove(fingerprint)
         elif len(self._by_fingerprint) == MOST_RECENT:
@@ -135,7 +135,7 @@
         return self._unrested(question, now) is not None
 
     def _unrested(self, question: Question, now: float) -> RecentAnswer | None:
-        """The last about a request's subject, where it cannot be told from the request's own."""
+        """The last about a request's subject, where it cannot be distinguished from the request's own."""
         known = self._by_subject.get(question.subject)
         if known is None or now - known.ended >= rest_times.REUSE_AFTER.total_seconds():
             return None
--- a/stoatrouter/net/answer_stream.py
+++ b/stoatrouter/net/answer_stream.py
@@ -29,7 +29,7 @@
         self.response = response
         self.first = first
         self.length = length
-        self.claimed = False  # by whoever passes it on
+        self.is_consumed = False  # by whoever passes it on
 
     async def pieces(self) -> AsyncIterator[bytes]:
         """The whole answer in pieces.
@@ -72,5 +72,5 @@
 
     def close(self) -> None:
         """Release the answer; a connection with some of it unread is closed."""
-        self.claimed = True
+        self.is_consumed = True
         self.response.close()
--- a/stoatrouter/net/attempt_record.py
+++ b/stoatrouter/net/attempt_record.py
@@ -2,7 +2,7 @@
 
 It is off unless `TrackedRequest.attempt_record` is set, which no setting does: the tests' heads set it before
 they start (tests/attempt_times.py). Times are those of the system's monotonic clock, which all processes of a
-machine share, so that they can be compared with what a node saw.
+machine have in common, so that they can be compared with what a node saw.
 """
 
 from __future__ import annotations
@@ -30,7 +30,7 @@
     """Appends attempts to a file, a line of JSON each, at once: a killed process leaves them there."""
 
     def __init__(self, file: Path) -> None:
-        """Open the file, which the processes of one head may share; raises OSError."""
+        """Open the file, which the processes of one head may all append to; raises OSError."""
         self._descriptor = os.open(file, APPEND, PRIVATE)
         self._encoder = msgspec.json.Encoder()
 
--- a/stoatrouter/net/discovery.py
+++ b/stoatrouter/net/discovery.py
@@ -184,7 +184,7 @@
                     await asyncio.sleep(self.backoff().total_seconds())
                 except Exception:
                     # Guards against a list that sets off a fault elsewhere: the watch must outlive it.
-                    logger.exception("discovery: what was told could not be taken", event="discovery.fault")
+                    logger.exception("discovery: a list could not be applied", event="discovery.fault")
                     self.failures += 1
                     await asyncio.sleep(self.backoff().total_seconds())
 
--- a/stoatrouter/net/engine.py
+++ b/stoatrouter/net/engine.py
@@ -222,7 +222,7 @@
         waiter = self.waiters.get(effect.request)
         if waiter is not None and not waiter.done():
             if isinstance(effect.answer, model.Served) and effect.answer.stream is not None:
-                effect.answer.stream.claimed = True
+                effect.answer.stream.is_consumed = True
             waiter.set_result(effect.answer)
 
     def may_begin(self, effect: model.SendAttempt) -> bool:
@@ -272,7 +272,7 @@
             )
         )
         # Guards a connection against an answer that arrived after the one that was given.
-        if reply.stream is not None and not reply.stream.claimed:
+        if reply.stream is not None and not reply.stream.is_consumed:
             reply.stream.close()
             self.stream_ended(effect.request.id, None)
 
--- a/stoatrouter/net/handover.py
+++ b/stoatrouter/net/handover.py
@@ -87,7 +87,7 @@
             self.apply_state(state)
         except (KeyError, TypeError, ValueError, AttributeError) as error:
             logger.error(
-                "upgrade: what the old process told cannot be read: {error}",
+                "upgrade: what the old process handed over cannot be read: {error}",
                 event="upgrade.unreadable",
                 error=repr(error),
             )
--- a/stoatrouter/net/listener.py
+++ b/stoatrouter/net/listener.py
@@ -172,7 +172,7 @@
         self.arriving: set[asyncio.Task[None]] = set()  # connections that were accepted last
 
     async def start(self, host: str, port: int, inherited: int | None = None) -> None:
-        """Listen at an address, or on an inherited socket that all processes of this head share."""
+        """Listen at an address, or on an inherited socket of all processes of this head."""
         if inherited is None:
             family = socket.AF_INET6 if ":" in host else socket.AF_INET
             with contextlib.closing(socket.create_server((host, port), family=family)) as bound:
--- a/stoatrouter/net/pool.py
+++ b/stoatrouter/net/pool.py
@@ -71,7 +71,7 @@
         self._waiters_at_bound.wake_all()
 
     def record_end(self, connection: NodeConnection) -> None:
-        """Record that a connection has ended: there is room for another one."""
+        """Record that a connection has ended: another one may open."""
         self.alive.discard(connection)
         self._waiters_at_bound.wake(None)
 
@@ -110,7 +110,7 @@
         return connection
 
     async def _get(self, key: Any, traces: Any) -> Any:
-        """An idle connection that may be used; None: there is none, and there is room to open one."""
+        """An idle connection that may be used; None: there is none, and one may be opened."""
         while (connection := self._take_idle(key)) is None:
             if len(self.alive) + self._dialling < self.max_connections:
                 return None
@@ -183,7 +183,7 @@
             del self._conns[key]
         self.counters.ended_for_room += 1
         if isinstance(connection, NodeConnection):
-            self.alive.discard(connection)  # there is room at once, though its end is told later
+            self.alive.discard(connection)  # another one may open at once, though its end comes later
         connection.close()
         return True
 
--- a/stoatrouter/net/pool_waiters.py
+++ b/stoatrouter/net/pool_waiters.py
@@ -15,7 +15,7 @@
         """Set up with nobody waiting."""
         self._by_node: OrderedDict[Hashable, deque[asyncio.Future[None]]] = OrderedDict()
         # of these, who waits without a time of its own, as its node has no idle connection
-        self._for_room: OrderedDict[asyncio.Future[None], Hashable] = OrderedDict()
+        self._for_capacity: OrderedDict[asyncio.Future[None], Hashable] = OrderedDict()
 
     def __len__(self) -> int:
         """How many wait."""
@@ -31,7 +31,7 @@
         waiter: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._by_node.setdefault(node, deque()).append(waiter)
         if at_most is None:
-            self._for_room[waiter] = node
+            self._for_capacity[waiter] = node
         try:
             await asyncio.wait((waiter,), timeout=at_most)
         except asyncio.CancelledError:
@@ -44,13 +44,13 @@
     def wake(self, node: Hashable) -> None:
         """Wake the first that waits for a connection of a node.
 
-        Where there is none, the first that waits for room, then the first of any node.
+        Where there is none, the first that waits for capacity, then the first of any node.
         """
         if not self._by_node:
             return
         first = node
         if node not in self._by_node:
-            first = next(iter(self._for_room.values()), next(iter(self._by_node)))
+            first = next(iter(self._for_capacity.values()), next(iter(self._by_node)))
         self._by_node.move_to_end(first)  # nodes take turns
         waiter = self._by_node[first][0]
         self._remove(first, waiter)
@@ -63,7 +63,7 @@
             self.wake(None)
 
     def _remove(self, node: Hashable, waiter: asyncio.Future[None]) -> None:
-        self._for_room.pop(waiter, None)
+        self._for_capacity.pop(waiter, None)
         waiters = self._by_node.get(node)
         if waiters is None:
             return
--- a/stoatrouter/net/rest_times.py
+++ b/stoatrouter/net/rest_times.py
@@ -2,7 +2,7 @@
 
 An answer names no request: one that a node writes twice would be given to whoever uses the connection next,
 and that request's own answer to the one after it. Bytes that come while a connection rests belong to nobody,
-and end it (`node_connection`). What comes later, once the next request is written, cannot be told apart.
+and end it (`node_connection`). What comes later, once the next request is written, cannot be distinguished.
 """
 
 from __future__ import annotations
@@ -11,7 +11,7 @@
 from datetime import timedelta
 from typing import NamedTuple
 
-REUSE_AFTER = timedelta(milliseconds=50)  # where an answer cannot be told from an earlier one
+REUSE_AFTER = timedelta(milliseconds=50)  # where an answer cannot be distinguished from an earlier one
 SUSPECT_REUSE_AFTER = timedelta(milliseconds=100)  # at a node that has lately sent too much
 SUSPECT_FOR = timedelta(seconds=30)
 MOST_SUSPECTS = 4_096  # beyond, the first that was suspected is forgotten
@@ -51,7 +51,7 @@
         Args:
             node: Where it leads to.
             now: The present time.
-            is_alike: Whether its last answer could not be told from a second one of the same.
+            is_alike: Whether its last answer could not be distinguished from a second one of the same.
         """
         if self._suspect_until and now < self._suspect_until.get(node, 0.0):
             return SUSPECT_REUSE_AFTER.total_seconds()
--- a/stoatrouter/peering/handlers.py
+++ b/stoatrouter/peering/handlers.py
@@ -100,7 +100,7 @@
         name, incarnation = envelope.sender.name, envelope.incarnation
         self._propagation.polls.note(name, incarnation, fetch.after, self._now())
         answer = await self._feed.answer(fetch)
-        # the answer is worth as much as one to a poll that came now
+        # the answer counts as much as one to a poll that came now
         self._propagation.polls.note(name, incarnation, fetch.after, self._now())
         return answer
 
--- a/stoatrouter/policy/dispatch.py
+++ b/stoatrouter/policy/dispatch.py
@@ -30,7 +30,7 @@
         retry_budget: RetryBudget,
         recently_sent: RecentlySent,
     ) -> None:
-        """Share the scheduler's state; every send meets `rules` first."""
+        """Work on the scheduler's state; every send meets `rules` first."""
         self.state = state
         self.rules = rules
         self.lifecycle = lifecycle
--- a/stoatrouter/policy/endpoints.py
+++ b/stoatrouter/policy/endpoints.py
@@ -16,7 +16,7 @@
     """Keeps the nodes as the endpoint list has them."""
 
     def __init__(self, state: SchedulerState, placement: Placement) -> None:
-        """Share the scheduler's state; nothing is subscribed to yet."""
+        """Work on the scheduler's state; nothing is subscribed to yet."""
         self.state = state
         self.placement = placement
         self.subscribed = False
--- a/stoatrouter/policy/health_checks.py
+++ b/stoatrouter/policy/health_checks.py
@@ -13,7 +13,7 @@
     """Decides when a node is asked for its load report, and takes what it answers."""
 
     def __init__(self, state: SchedulerState) -> None:
-        """Share the scheduler's state; checks are sent only where the settings allow and reports help."""
+        """Work on the scheduler's state; checks are sent only where the settings allow and reports help."""
         self.state = state
         self.enabled = state.settings.health_checks and QUEUE in state.settings.report_fields
 
--- a/stoatrouter/policy/interface.py
+++ b/stoatrouter/policy/interface.py
@@ -1,6 +1,6 @@
 """What goes into and comes out of the decision module: settings, events and actions.
 
-All times are whole microseconds. Settings are fixed for the life of a scheduler; events come in, actions
+All times are whole microseconds. Settings are fixed for each scheduler; events come in, actions
 go out. Nothing in this file decides anything.
 """
 
@@ -159,7 +159,7 @@
     classes: tuple[RequestClass, ...]
     plans: tuple[Plan, ...]
     rules: Rules = field(default_factory=Rules)
-    hosts: int = 1  # that share the nodes
+    hosts: int = 1  # that use the nodes
     host_index: int = 0  # of this host among them, from 0
     zone: int = 0
     tick: int = 1000  # microseconds: the clock's resolution
--- a/stoatrouter/policy/lifecycle.py
+++ b/stoatrouter/policy/lifecycle.py
@@ -16,7 +16,7 @@
     """Sets requests' timers, answers requests, and closes them."""
 
     def __init__(self, state: SchedulerState, key_order: KeyOrder) -> None:
-        """Share the scheduler's state; no timer is set yet."""
+        """Work on the scheduler's state; no timer is set yet."""
         settings = state.settings
         self.state = state
         self.key_order = key_order
--- a/stoatrouter/policy/node.py
+++ b/stoatrouter/policy/node.py
@@ -47,7 +47,7 @@
 
         Args:
             entry: the node's entry in the endpoint list.
-            hosts: how many hosts share the node's capacity (`ALL_WINDOWS`).
+            hosts: how many hosts use the node's capacity (`ALL_WINDOWS`).
             tightest_objective: of all classes' latency objectives, in microseconds.
             known_since: from when (microseconds) what this host sent to it is known.
         """
--- a/stoatrouter/policy/observation.py
+++ b/stoatrouter/policy/observation.py
@@ -24,10 +24,10 @@
 
 
 class Observer:
-    """Learns from outcomes; a loss (no answer, and no overload either) is told from an overload."""
+    """Learns from outcomes; a loss (no answer, and no overload either) is distinguished from an overload."""
 
     def __init__(self, state: SchedulerState, placement: Placement) -> None:
-        """Share the scheduler's state; no loss has been seen yet."""
+        """Work on the scheduler's state; no loss has been seen yet."""
         self.state = state
         self.placement = placement
         self.loss_rate = 0.0  # moving average over all nodes
--- a/stoatrouter/policy/placement.py
+++ b/stoatrouter/policy/placement.py
@@ -16,7 +16,7 @@
     """Files requests at the least loaded node that may serve them."""
 
     def __init__(self, state: SchedulerState, slow_start: SlowStart) -> None:
-        """Share the scheduler's state; no data has been put anywhere yet."""
+        """Work on the scheduler's state; no data has been put anywhere yet."""
         self.state = state
         self.warmth = slow_start.warmth
         # The shard where this host lately put new data, and when (microseconds), by volume and key.
--- a/stoatrouter/policy/slow_start.py
+++ b/stoatrouter/policy/slow_start.py
@@ -17,7 +17,7 @@
     """What a node bears while it warms up, and which part of that is this host's."""
 
     def __init__(self, state: SchedulerState) -> None:
-        """Share the scheduler's state; no shard has been asked for yet."""
+        """Work on the scheduler's state; no shard has been asked for yet."""
         self.state = state
         self.rules = state.rules
         self.requested_shards = RecentKeys(state.rules.overload_window)
--- a/stoatrouter/policy/state.py
+++ b/stoatrouter/policy/state.py
@@ -1,4 +1,4 @@
-"""What the parts of one host's scheduler share: settings, nodes, requests, volumes. Terms: interface.py."""
+"""What the parts of one host's scheduler have in common: settings, nodes, requests. Terms: interface.py."""
 
 from __future__ import annotations
 
