The ledger's story counts what a lost folder held once

Cause: where a head lost its folder twice while it was cut off between, the account knew nothing of the second folder, and what the first had held was added a second time to what heads may charge without a request. The judge would have passed over charges of up to that sum. Found by reading, after the story's error with a missing folder.

--- a/tests/heads/ledger_chaos.py
+++ b/tests/heads/ledger_chaos.py
@@ -36,6 +36,7 @@
         self.made = 0  # customers, of MADE
         self.customers = list(VOLUMES)  # all that were ever asked for
         self.lost: Counter[str] = Counter()  # what lost folders may have held, by customer
+        self.lost_allotments: set[str] = set()
         self.changes: asyncio.Task[None] | None = None
 
     async def put_customers(self) -> None:
@@ -136,8 +137,9 @@
         """
         held = await self.held_by(head.name)
         if held is not None and head.disk.exists():
-            for customer, amount in held.items():
-                self.lost[customer] += amount
+            for customer, allotments in held.items():
+                self.lost[customer] += sum(allotments[id] for id in allotments.keys() - self.lost_allotments)
+                self.lost_allotments.update(allotments)
             shutil.rmtree(head.disk)
             self.write("folder_lost", time.time(), head=head.name)
         await self.start_after(delay, head)
@@ -154,16 +156,15 @@
         others = [name for name in self.fleet.names if name != head.name]
         self.fleet.relay.split([head.name], others)
 
-    async def held_by(self, name: str) -> dict[str, int] | None:
-        """What a dead head may have spent and not reported, by customer; None where nobody can say."""
+    async def held_by(self, name: str) -> dict[str, dict[str, int]] | None:
+        """What a dead head may have spent and not reported, by customer and allotment; None: not known."""
         held = {}
         for customer in self.customers:
             account = await self.read_account(customer)
             if account is None:
                 return None
-            allotments = account.get("out", {}).values()
-            out = [allotment for allotment in allotments if allotment["head"] == name]
-            held[customer] = sum(allotment["amount"] - allotment["spent"] for allotment in out)
+            out = {id: each for id, each in account.get("out", {}).items() if each["head"] == name}
+            held[customer] = {id: each["amount"] - each["spent"] for id, each in out.items()}
         return held
 
     # -- the end ------------------------------------------------------------------------------------------
--- a/tests/heads/test_chaos.py
+++ b/tests/heads/test_chaos.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from tests.heads.history_clients import NOT_FOUND, OK, PRICE, VOLUMES
+from tests.heads.history_clients import OK, PRICE, VOLUMES
 from tests.heads.ledger_chaos import LEDGER_MORE, LedgerChaos
 from tests.heads.processes import HeadProcess, HeadsDownError, Processes, heads_up
 from tests.heads.rules_clients import rules
@@ -38,7 +38,10 @@
         self.halfway.set()
 
     async def call(self, method: str, path: str, *more: Any) -> tuple[int, Any]:
-        return (200, {"leader": "h0"}) if path == "/control/heads" else (NOT_FOUND, {})
+        if path == "/control/heads":
+            return OK, {"leader": "h0"}
+        out = {f"of {path}": {"head": "h4", "amount": 10, "spent": 3}}
+        return OK, {"out": out}
 
 
 async def stand_in_chaos(folder, fault: str) -> LedgerChaos:
@@ -83,6 +86,20 @@
     run(story(), 20.0)
 
 
+def test_what_a_head_held_is_lost_once_with_two_folders(tmp_path):
+    # Guards the judge: heads may charge without a request what it takes for lost a second time.
+    async def story():
+        chaos = await stand_in_chaos(tmp_path, "heal")
+        for _ in range(2):  # cut off between: the account knows the first folder's allotments alone
+            chaos.fleet["h4"].disk.mkdir(parents=True)
+            await chaos.lose_folder(chaos.fleet["h4"], 0.0)
+            await asyncio.gather(*chaos.restarts)
+        assert chaos.lost == dict.fromkeys(VOLUMES, 7)
+        await chaos.fleet.relay.close()
+
+    run(story(), 20.0)
+
+
 @pytest.mark.parametrize("fault", ["kill", "lose_folder"])
 def test_credit_is_settled_after_faults_that_end_within_a_kill(tmp_path, monkeypatch, fault):
     # Guards the ledger's story on the real program: it waited for the credit of a head that nobody started.
