Soak: two heads end at once, an upgrade's new process ends too, and heads with credit get series of signals

Three ends that the soak did not play: in three turns of ten two heads end at once; in four upgrades of ten the new process ends, alone (the old one has to serve again) or with the old one; heads with credit are ended by series of signals beside the other faults, with SIGKILL 0.7 s after the longest deadline that the story asks for.

--- a/tests/soak/credit_story.py
+++ b/tests/soak/credit_story.py
@@ -2,29 +2,56 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections import Counter
 from pathlib import Path
 
 from stoatrouter.lab.histories.history import Request
 from stoatrouter.lab.histories.judge import judge
 from tests.heads.ledger_chaos import LEDGER_MORE, LedgerChaos
-from tests.heads.processes import Processes, heads_up
+from tests.heads.processes import HeadProcess, Processes, heads_up
 from tests.heads.rules_clients import rules
+from tests.soak.ends import Signaller
 from tests.soak.lag import measured
+from tests.soak.plan import Way
 from tests.soak.report import Finding, SeedReport, Usage
 from tests.soak.story import add_tracebacks
 
 HEADS = 5
-ENDS = ("kill", "kill_leader", "lose_folder", "start_cut_off")  # faults that end a process
+ENDS = ("kill", "kill_leader", "lose_folder", "start_cut_off")  # faults that end a process outright
+SERIES = "series"
+KILL_AFTER = 2.7  # seconds after SIGTERM: 0.7 after the longest deadline of what the story asks
 UNCHARGED = ("served", "paid in", "charged")  # in the judge's words
 
 
+class SeriesChaos(LedgerChaos):
+    """Faults, among them heads that are told to end by a series of signals."""
+
+    faults_drawn = [*LedgerChaos.faults_drawn, SERIES, SERIES, SERIES]
+    signaller: Signaller  # of the seed
+
+    async def inject(self, fault: str, head: HeadProcess | None, duration: float) -> None:
+        """Inject one fault."""
+        if fault != SERIES:
+            return await super().inject(fault, head, duration)
+        if head in self.fleet.up and len(self.fleet.up) > 2 and head.process is not None:
+            self.restarts.append(asyncio.create_task(self.end_and_start(head, head.process, duration)))
+
+    async def end_and_start(
+        self, head: HeadProcess, process: asyncio.subprocess.Process, duration: float
+    ) -> None:
+        """End a head by signals, beside the faults that follow, and start it again later."""
+        await self.signaller.end_process(head.name, process, Way.SERIES)
+        await self.start_after(duration, head)
+
+
 async def play_credit(folder: Path, report: SeedReport, seconds: float, settings: str = LEDGER_MORE) -> None:
     """Play and judge one seed."""
     up = heads_up(folder, count=HEADS, seed=report.seed, more=settings, http=rules("own"))
     async with measured(report.lag_of("stand-ins")), up as fleet:
         report.before = usage(fleet)
-        chaos = LedgerChaos(fleet, report.seed, folder / "history.jsonl")
+        chaos = SeriesChaos(fleet, report.seed, folder / "history.jsonl")
+        chaos.signaller = Signaller(report.seed, report, KILL_AFTER)
         history = await chaos.run(seconds, detect=False)
         report.after = usage(fleet)
     for violation in judge(history):
@@ -33,7 +60,7 @@
         report.add(Finding.UNCHARGED if uncharged else Finding.CREDIT, text)
     add_tracebacks(report, [head.logs for head in fleet])
     report.answers = Counter(str(request.status) for request in history.of(Request))
-    report.ends = sum(fault.split()[1] in ENDS for fault in chaos.faults)
+    report.ends += sum(fault.split()[1] in ENDS for fault in chaos.faults)
 
 
 def usage(fleet: Processes) -> list[Usage]:
--- a/tests/soak/ends.py
+++ b/tests/soak/ends.py
@@ -24,6 +24,7 @@
 KNOCKING = (0.2, 0.4)  # seconds in which new connections go on to come
 READY_WITHIN = 30.0  # seconds
 FIRST_KNOCKER = 10_000  # clients have numbers below
+NEW_ENDS = 0.4  # of the upgrades end the new process
 EARLY = 0.4  # seconds after its start in which a process is signalled, running its loop or not
 NEVER_READY = "not ready within 30 s"
 
@@ -75,39 +76,18 @@
             self.socket.close()
 
 
-class Ender:
-    """Ends the heads of one seed, and starts them again."""
+class Signaller:
+    """Ends processes of one seed by series of signals, and by SIGKILL where they have not ended in time."""
 
-    def __init__(self, seed: int, history: History, report: SeedReport, heads: int) -> None:
-        self.seed, self.history, self.report, self.heads = seed, history, report, heads
+    def __init__(self, seed: int, report: SeedReport, kill_after: float = KILL_AFTER) -> None:
+        self.report, self.kill_after = report, kill_after
         self.draws = random.Random(f"ends/{seed}")
-        self.knockers = 0
-        self.questions: NodeQuestions  # once the nodes run
 
-    async def start(self, head: SoakHead) -> bool:
-        """Start a head; whether it got ready."""
-        try:
-            async with asyncio.timeout(READY_WITHIN):
-                await head.start(self.heads)
-        except TimeoutError:
-            self.report.add(Finding.NOT_READY, f"{head.name}: {NEVER_READY}")
-            return False
-        except AssertionError:
-            self.report.add(Finding.CRASHED, f"{head.name} ended at its start")
-            return False
-        return True
-
-    async def end(self, head: SoakHead, process: asyncio.subprocess.Process, way: Way = Way.SERIES) -> None:
-        """End a process as planned: a series of signals, clients that come and stay, SIGKILL in time."""
+    async def end_process(self, name: str, process: asyncio.subprocess.Process, way: Way) -> None:
+        """End a process of a head of this name."""
         self.report.ends += 1
-        self.knockers += 1
-        seconds = self.draws.uniform(*KNOCKING)
-        number = FIRST_KNOCKER + self.knockers
-        client = SoakClient(number, head.address, self.seed, self.history, self.questions)
-        knocker = asyncio.create_task(knock(client, seconds))
         termed = await self.signal(process)
-        await self.wait_or_kill(head, process, termed, way)
-        await knocker
+        await self.wait_or_kill(name, process, termed, way)
 
     async def signal(self, process: asyncio.subprocess.Process) -> float:
         """Send a series of signals; the time of the first SIGTERM."""
@@ -121,10 +101,10 @@
         return termed
 
     async def wait_or_kill(
-        self, head: SoakHead, process: asyncio.subprocess.Process, termed: float, way: Way
+        self, name: str, process: asyncio.subprocess.Process, termed: float, way: Way
     ) -> None:
         """Wait for the end of a process, and kill it at the page's earliest."""
-        left = termed + KILL_AFTER - time.monotonic()
+        left = termed + self.kill_after - time.monotonic()
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(process.wait(), max(0.0, left))
         if process.returncode is None:
@@ -132,34 +112,68 @@
             kill(process)  # no excuse for what is lost: it is not written into the history
             await process.wait()
         else:
-            self.judge_exit(head, process.returncode)
+            self.judge_exit(name, process.returncode)
         self.report.add_end(way, time.monotonic() - termed)
 
-    def judge_exit(self, head: SoakHead, status: int | None) -> None:
+    def judge_exit(self, name: str, status: int | None) -> None:
         """A process that was told to end does so with 0, or by the signal where its loop did not run yet."""
         if status not in (0, -signal.SIGTERM, -signal.SIGHUP):
-            self.report.add(Finding.CRASHED, f"{head.name} ended with {status}")
+            self.report.add(Finding.CRASHED, f"{name} ended with {status}")
+
+
+class Ender(Signaller):
+    """Ends the heads of one seed, and starts them again."""
+
+    def __init__(self, seed: int, history: History, report: SeedReport, heads: int) -> None:
+        super().__init__(seed, report)
+        self.seed, self.history, self.heads = seed, history, heads
+        self.knockers = 0
+        self.questions: NodeQuestions  # once the nodes run
+
+    async def start(self, head: SoakHead) -> bool:
+        """Start a head; whether it got ready."""
+        try:
+            async with asyncio.timeout(READY_WITHIN):
+                await head.start(self.heads)
+        except TimeoutError:
+            self.report.add(Finding.NOT_READY, f"{head.name}: {NEVER_READY}")
+            return False
+        except AssertionError:
+            self.report.add(Finding.CRASHED, f"{head.name} ended at its start")
+            return False
+        return True
+
+    async def end(self, head: SoakHead, process: asyncio.subprocess.Process, way: Way = Way.SERIES) -> None:
+        """End a process as planned: a series of signals, clients that come and stay, SIGKILL in time."""
+        self.knockers += 1
+        seconds = self.draws.uniform(*KNOCKING)
+        number = FIRST_KNOCKER + self.knockers
+        client = SoakClient(number, head.address, self.seed, self.history, self.questions)
+        knocker = asyncio.create_task(knock(client, seconds))
+        await self.end_process(head.name, process, way)
+        await knocker
 
     async def end_early(self, head: SoakHead) -> None:
         """Start a process and signal it within moments, its loop running or not."""
         process = await head.spawn(head.write_configuration(self.heads))
         await asyncio.sleep(self.draws.uniform(0.0, EARLY))
-        self.report.ends += 1
-        termed = await self.signal(process)
-        await self.wait_or_kill(head, process, termed, Way.EARLY)
+        await self.end_process(head.name, process, Way.EARLY)
 
     async def kill(self, head: SoakHead) -> None:
         """Kill a process outright, which excuses what it held."""
         assert head.process is not None
         if head.process.returncode is not None:
-            return self.judge_exit(head, head.process.returncode)
+            return self.judge_exit(head.name, head.process.returncode)
         self.history.write("killed", head=head.name)
         kill(head.process)
         await head.process.wait()
 
     async def upgrade(self, head: SoakHead) -> None:
-        """Start a new process beside the present one, and end that one at some moment of the handover."""
-        old = head.process
+        """Start a new process beside the present one; at some moment of the handover either ends, or both.
+
+        Where the new one alone ends, the old one serves on, or again; where both do, the next one is started.
+        """
+        old, old_management = head.process, head.management
         assert old is not None
         new = await head.spawn(head.write_configuration(self.heads))
         ready = asyncio.create_task(self.until_managed_ready(head, new))
@@ -167,6 +181,17 @@
             await asyncio.wait([ready])
         else:
             await asyncio.sleep(self.draws.uniform(0.0, 2 * EARLY))
+        if self.draws.random() < NEW_ENDS:
+            ready.cancel()
+            await asyncio.wait([ready])
+            if self.draws.random() < 0.5:
+                await asyncio.gather(self.end(head, old, Way.OLD), self.end(head, new, Way.NEW))
+                await self.start(head)
+            else:
+                await self.end(head, new, Way.NEW)
+                head.management = old_management
+                await self.until_managed_ready(head, old)
+            return
         await self.end(head, old, Way.OLD)
         await ready
         head.process = new
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -46,6 +46,7 @@
     SERIES = "by a series"
     EARLY = "within moments of its start"
     OLD = "as another takes over"
+    NEW = "as it takes over"
 
 
 @dataclass(slots=True, frozen=True)
--- a/tests/soak/story.py
+++ b/tests/soak/story.py
@@ -25,6 +25,7 @@
 
 HEADS, NODES = 3, 18
 DRAINED = 3  # nodes at once
+TWO_AT_ONCE = 0.3  # of the turns end two heads
 CLIENTS = 8  # of each head, where a story names no number
 CLIENT_PROCESSES = 2
 CROWD_NAME = "crowd"
@@ -129,7 +130,7 @@
 
     # -- disturbances and ends ----------------------------------------------------------------------------
     async def disturb_and_end(self) -> None:
-        """Disturb all heads, and end one of them."""
+        """Disturb all heads, and end one of them, or two at once."""
         held = max(usage.descriptors for usage in self.usage())
         self.report.most_descriptors = max(self.report.most_descriptors, held)
         disturbance = self.draws.choice(list(Disturbance))
@@ -146,8 +147,9 @@
                 node.phase = "DRAINING"
                 for agent in agents:
                     agent.push(node)
+        ended = self.draws.sample(self.heads, 2 if self.draws.random() < TWO_AT_ONCE else 1)
         await asyncio.gather(
-            self.end_one(self.draws.choice(self.heads)), self.end_disturbance(disturbance, drained)
+            *(self.end_one(head) for head in ended), self.end_disturbance(disturbance, drained)
         )
 
     async def end_disturbance(self, disturbance: Disturbance, drained: list[SoakNode]) -> None:
--- a/tests/test_process_signals.py
+++ b/tests/test_process_signals.py
@@ -10,10 +10,9 @@
 
 import pytest
 
-from tests.fleet_stand_ins import History
 from tests.process_signals import kill, send_signal
 from tests.program_process import ROOT
-from tests.soak.ends import Ender, SoakHead
+from tests.soak.ends import Signaller
 from tests.soak.plan import Kind
 from tests.soak.report import Finding, SeedReport
 
@@ -21,7 +20,7 @@
 
 
 @pytest.mark.parametrize("status", [0, 7, 255])
-def test_a_signal_in_the_moment_of_the_end_leaves_the_status(tmp_path, monkeypatch, status):
+def test_a_signal_in_the_moment_of_the_end_leaves_the_status(monkeypatch, status):
     # guards against "ended with 255" of a process that ended well, and against passing over a real 255
     may_wait, wait = threading.Event(), os.waitpid
 
@@ -41,8 +40,7 @@
         with pytest.raises(ProcessLookupError):
             kill(process)
         report = SeedReport(2, Kind.PLAIN)
-        head = SoakHead("h0", tmp_path, [], History(), "", inherits=False)
-        Ender(2, head.history, report, 1).judge_exit(head, process.returncode)
+        Signaller(2, report).judge_exit("h0", process.returncode)
         found = [(Finding.CRASHED, f"h0 ended with {status}")] if status else []
         assert report.findings == found
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,11 +13,10 @@
 
 from benchmarks.soak import FOUND, NOT_ALL_JUDGED, exit_status, play_all
 from stoatrouter.lab.histories.requests import Verdict
-from tests.fleet_stand_ins import History
-from tests.heads.ledger_chaos import LEDGER_MORE, LedgerChaos
+from tests.heads.ledger_chaos import LEDGER_MORE
 from tests.soak import ends, story
-from tests.soak.credit_story import play_credit
-from tests.soak.ends import Ender, SoakHead
+from tests.soak.credit_story import SeriesChaos, play_credit
+from tests.soak.ends import Signaller
 from tests.soak.plan import SIGNALS_WITHIN, TERM, Kind, Way, draw_series, kind_of
 from tests.soak.report import BY_TEXT, Finding, SeedReport, classify, summary
 from tests.soak.seed import play_seed
@@ -72,14 +71,13 @@
     assert "the story failed: Traceback" in capsys.readouterr().out and "in fail\n" in first.findings[0][1]
 
 
-def test_a_process_that_ends_as_its_time_is_over_was_not_killed(tmp_path):
+def test_a_process_that_ends_as_its_time_is_over_was_not_killed():
     # guards against a kill of what has ended, whose error ended the run
     async def story() -> None:
         report = SeedReport(2, Kind.PLAIN)
-        head = SoakHead("h0", tmp_path, [], History(), "", inherits=False)
         process = await asyncio.create_subprocess_exec("true")
         await process.wait()
-        await Ender(2, head.history, report, 1).wait_or_kill(head, process, 0.0, Way.SERIES)
+        await Signaller(2, report).wait_or_kill("h0", process, 0.0, Way.SERIES)
         assert (report.killed_at_the_end, report.findings) == (0, [])
 
     asyncio.run(story())
@@ -183,7 +181,7 @@
 
 def test_heads_that_serve_without_a_ledger_are_found(tmp_path, monkeypatch):
     """The operator's setting that serves what cannot be charged stands for a program that does."""
-    monkeypatch.setattr(LedgerChaos, "faults_drawn", ["start_cut_off"])
+    monkeypatch.setattr(SeriesChaos, "faults_drawn", ["start_cut_off"])
     serving = LEDGER_MORE.replace('lease: "2s"', 'lease: "2s", unknown_volumes: "serve"')
     assert serving != LEDGER_MORE
 
