--- a/tests/soak/story.py
+++ b/tests/soak/story.py
@@ -10,6 +10,8 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
+
 from stoatrouter.lab.histories.requests import Terms, examine
 from tests.fleet_stand_ins import History
 from tests.fleet_story import CLASSES_BY_NAME, GRACE, recorded, stand_ins
@@ -23,6 +25,7 @@
 
 HEADS, NODES = 3, 18
 DRAINED = 3  # nodes at once
+TWO_AT_ONCE = 0.3  # of the turns end two heads
 CLIENTS = 8  # of each head, where a story names no number
 CLIENT_PROCESSES = 2
 CROWD_NAME = "crowd"
@@ -127,7 +130,7 @@
 
     # -- disturbances and ends ----------------------------------------------------------------------------
     async def disturb_and_end(self) -> None:
-        """Disturb all heads, and end one of them."""
+        """Disturb all heads, and end one of them, or two at once."""
         held = max(usage.descriptors for usage in self.usage())
         self.report.most_descriptors = max(self.report.most_descriptors, held)
         disturbance = self.draws.choice(list(Disturbance))
@@ -144,8 +147,9 @@
                 node.phase = "DRAINING"
                 for agent in agents:
                     agent.push(node)
+        ended = self.draws.sample(self.heads, 2 if self.draws.random() < TWO_AT_ONCE else 1)
         await asyncio.gather(
-            self.end_one(self.draws.choice(self.heads)), self.end_disturbance(disturbance, drained)
+            *(self.end_one(head) for head in ended), self.end_disturbance(disturbance, drained)
         )
 
     async def end_disturbance(self, disturbance: Disturbance, drained: list[SoakNode]) -> None:
@@ -180,9 +184,16 @@
         while await self.ender.questions.in_flight(head.name) < 2 and time.monotonic() < deadline:
             await asyncio.sleep(0.005)
 
+    def write_history(self) -> None:
+        """Keep what was judged, in the order of time, for whoever traces a finding."""
+        ordered = sorted(self.history.lines, key=lambda line: line["at"])
+        lines = [msgspec.json.encode(line) + b"\n" for line in ordered]
+        (self.folder / "history.jsonl").write_bytes(b"".join(lines))
+
     # -- the verdict --------------------------------------------------------------------------------------
     def judge(self) -> None:
         """Judge what clients, nodes and discovery saw, and what the logs say of errors in the program."""
+        self.write_history()
         terms = Terms(CLASSES_BY_NAME, {node.name: node.cell for node in self.nodes}, GRACE, slack=SLACK)
         verdict = examine([*self.history.lines, *recorded(self.heads)], terms)
         self.report.read_late = verdict.read_late
