Soak: how long ends take, by kind and way; the judged history stays in a finding's folder

The sum now has the median, the 95th percentile and the slowest for each kind of seed and way of ending. The history that was judged is written into the seed's folder, so a finding can be traced.

--- a/tests/soak/ends.py
+++ b/tests/soak/ends.py
@@ -16,7 +16,7 @@
 from tests.fleet_story import DEADLINE, StoryHead
 from tests.process_signals import kill, send_signal
 from tests.soak.node_questions import NodeQuestions
-from tests.soak.plan import TERM, draw_series
+from tests.soak.plan import TERM, Way, draw_series
 from tests.soak.report import Finding, SeedReport
 from tests.soak.stand_ins import HeadAddress, SoakClient, SoakNode, knock
 
@@ -97,7 +97,7 @@
             return False
         return True
 
-    async def end(self, head: SoakHead, process: asyncio.subprocess.Process) -> None:
+    async def end(self, head: SoakHead, process: asyncio.subprocess.Process, way: Way = Way.SERIES) -> None:
         """End a process as planned: a series of signals, clients that come and stay, SIGKILL in time."""
         self.report.ends += 1
         self.knockers += 1
@@ -106,7 +106,7 @@
         client = SoakClient(number, head.address, self.seed, self.history, self.questions)
         knocker = asyncio.create_task(knock(client, seconds))
         termed = await self.signal(process)
-        await self.wait_or_kill(head, process, termed)
+        await self.wait_or_kill(head, process, termed, way)
         await knocker
 
     async def signal(self, process: asyncio.subprocess.Process) -> float:
@@ -120,7 +120,9 @@
                 termed = time.monotonic()
         return termed
 
-    async def wait_or_kill(self, head: SoakHead, process: asyncio.subprocess.Process, termed: float) -> None:
+    async def wait_or_kill(
+        self, head: SoakHead, process: asyncio.subprocess.Process, termed: float, way: Way
+    ) -> None:
         """Wait for the end of a process, and kill it at the page's earliest."""
         left = termed + KILL_AFTER - time.monotonic()
         with contextlib.suppress(TimeoutError):
@@ -131,7 +133,7 @@
             await process.wait()
         else:
             self.judge_exit(head, process.returncode)
-        self.report.slowest_end = max(self.report.slowest_end, time.monotonic() - termed)
+        self.report.add_end(way, time.monotonic() - termed)
 
     def judge_exit(self, head: SoakHead, status: int | None) -> None:
         """A process that was told to end does so with 0, or by the signal where its loop did not run yet."""
@@ -144,7 +146,7 @@
         await asyncio.sleep(self.draws.uniform(0.0, EARLY))
         self.report.ends += 1
         termed = await self.signal(process)
-        await self.wait_or_kill(head, process, termed)
+        await self.wait_or_kill(head, process, termed, Way.EARLY)
 
     async def kill(self, head: SoakHead) -> None:
         """Kill a process outright, which excuses what it held."""
@@ -165,7 +167,7 @@
             await asyncio.wait([ready])
         else:
             await asyncio.sleep(self.draws.uniform(0.0, 2 * EARLY))
-        await self.end(head, old)
+        await self.end(head, old, Way.OLD)
         await ready
         head.process = new
 
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -40,6 +40,14 @@
     OUTAGE = "outage"  # of discovery, into the start of the next process
 
 
+class Way(StrEnum):
+    """How a process came to be ended."""
+
+    SERIES = "by a series"
+    EARLY = "within moments of its start"
+    OLD = "as another takes over"
+
+
 @dataclass(slots=True, frozen=True)
 class Signalled:
     """A signal of a series, and how long after the first it is sent, in seconds."""
--- a/tests/soak/report.py
+++ b/tests/soak/report.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
-from collections import Counter
+import math
+from collections import Counter, defaultdict
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import StrEnum
 from pathlib import Path
 
 from tests.soak.lag import Lag
-from tests.soak.plan import SLACK, Kind
+from tests.soak.plan import SLACK, Kind, Way
 
 MEGABYTE = 1 << 20
 NOT_JUDGED = "NOT JUDGED (a loop of the soak lagged {:.2f} s, {} violations withheld)"
@@ -84,7 +85,7 @@
     findings: list[tuple[Finding, str]] = field(default_factory=list)
     ends: int = 0  # of processes
     killed_at_the_end: int = 0  # of these, that had not ended by the kill that the page allows
-    slowest_end: float = 0.0  # seconds from the first SIGTERM
+    took: dict[Way, list[float]] = field(default_factory=dict)  # seconds from the first SIGTERM to the end
     second_answers: int = 0  # that nodes wrote
     before: list[Usage] = field(default_factory=list)  # of each head, once it is ready
     after: list[Usage] = field(default_factory=list)  # of those that run at the end
@@ -103,6 +104,15 @@
         else:
             self.add(classify(text), text)
 
+    def add_end(self, way: Way, seconds: float) -> None:
+        """Add how long an end took."""
+        self.took.setdefault(way, []).append(seconds)
+
+    @property
+    def slowest_end(self) -> float:
+        """The longest that any end took, in seconds."""
+        return max((seconds for took in self.took.values() for seconds in took), default=0.0)
+
     def lag_of(self, loop: str) -> Lag:
         """The lag of a loop, to be measured."""
         return self.lags.setdefault(loop, Lag())
@@ -147,6 +157,22 @@
     return f"{memory} MB and {max(usage.descriptors for usage in held)} descriptors"
 
 
+def end_times(reports: list[SeedReport]) -> list[str]:
+    """How long ends took, by the kind of seed and the way, a line each."""
+    took: dict[tuple[str, str], list[float]] = defaultdict(list)
+    for report in reports:
+        for way, seconds in report.took.items():
+            took[report.kind, way] += seconds
+    return [f"ends, {kind}, {way}: {spread(seconds)}" for (kind, way), seconds in sorted(took.items())]
+
+
+def spread(seconds: list[float]) -> str:
+    """Median, 95th percentile (by nearest rank) and slowest."""
+    ordered = sorted(seconds)
+    median, percentile = (ordered[math.ceil(part * len(ordered)) - 1] for part in (0.5, 0.95))
+    return f"{len(ordered)}, median {median:.2f} s, 95th {percentile:.2f} s, slowest {ordered[-1]:.2f} s"
+
+
 def summary(reports: list[SeedReport]) -> str:
     """All seeds in a few lines."""
     answers, found, kinds = Counter[str](), Counter[str](), Counter[str]()
@@ -156,8 +182,9 @@
         kinds[report.kind] += 1
     withheld = sum(len(report.withheld) for report in reports)
     judged = sum(report.was_judged for report in reports)
+    played = ", ".join(f"{count} {kind}" for kind, count in kinds.items())
     lines = [
-        f"{len(reports)} seeds {dict(kinds)}, {sum(report.ends for report in reports)} ends, "
+        f"{len(reports)} seeds ({played}), {sum(report.ends for report in reports)} ends, "
         f"slowest {max((report.slowest_end for report in reports), default=0.0):.2f} s, "
         f"{sum(report.killed_at_the_end for report in reports)} killed at the page's earliest",
         f"judged: {judged}, NOT JUDGED: {len(reports) - judged}, of them {withheld} violations withheld; "
@@ -168,4 +195,4 @@
         f"{max((r.most_descriptors for r in reports), default=0)} descriptors between, "
         f"{usage_text(u for r in reports for u in r.after)} after",
     ]
-    return "\n".join([*lines, *(f"{finding}: {found[finding]}" for finding in Finding)])
+    return "\n".join([*lines, *end_times(reports), *(f"{finding}: {found[finding]}" for finding in Finding)])
--- a/tests/soak/story.py
+++ b/tests/soak/story.py
@@ -10,6 +10,8 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
+
 from stoatrouter.lab.histories.requests import Terms, judge
 from tests.fleet_stand_ins import History
 from tests.fleet_story import CLASSES_BY_NAME, GRACE, stand_ins
@@ -180,9 +182,16 @@
         while await self.ender.questions.in_flight(head.name) < 2 and time.monotonic() < deadline:
             await asyncio.sleep(0.005)
 
+    def write_history(self) -> None:
+        """Keep what was judged, in the order of time, for whoever traces a finding."""
+        ordered = sorted(self.history.lines, key=lambda line: line["at"])
+        lines = [msgspec.json.encode(line) + b"\n" for line in ordered]
+        (self.folder / "history.jsonl").write_bytes(b"".join(lines))
+
     # -- the verdict --------------------------------------------------------------------------------------
     def judge(self) -> None:
         """Judge what clients, nodes and discovery saw, and what the logs say of errors in the program."""
+        self.write_history()
         terms = Terms(CLASSES_BY_NAME, {node.name: node.cell for node in self.nodes}, GRACE, slack=SLACK)
         for violation in judge(self.history.lines, terms):
             self.report.add_violation(violation)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,7 +17,7 @@
 from tests.soak import ends, story
 from tests.soak.credit_story import play_credit
 from tests.soak.ends import Ender, SoakHead
-from tests.soak.plan import SIGNALS_WITHIN, TERM, Kind, draw_series, kind_of
+from tests.soak.plan import SIGNALS_WITHIN, TERM, Kind, Way, draw_series, kind_of
 from tests.soak.report import BY_TEXT, Finding, SeedReport, classify, summary
 from tests.soak.seed import play_seed
 from tests.soak.story import Soak
@@ -51,6 +51,10 @@
         assert classify(f"c1-2: {text} x") is finding
     report.add(Finding.LOST, "text")
     assert "1 lost" in report.line() and "lost: 1" in summary([report]).splitlines()
+    for hundredths in range(1, 101):
+        report.add_end(Way.EARLY, hundredths / 100)
+    spread = "ends, plain, within moments of its start: 100, median 0.50 s, 95th 0.95 s, slowest 1.00 s"
+    assert spread in summary([report]).splitlines() and "(slowest 1.0 s" in report.line()
     assert classify("something new") is Finding.UNKNOWN
 
 
@@ -74,7 +78,7 @@
         head = SoakHead("h0", tmp_path, [], History(), "", inherits=False)
         process = await asyncio.create_subprocess_exec("true")
         await process.wait()
-        await Ender(2, head.history, report, 1).wait_or_kill(head, process, termed=0.0)
+        await Ender(2, head.history, report, 1).wait_or_kill(head, process, 0.0, Way.SERIES)
         assert (report.killed_at_the_end, report.findings) == (0, [])
 
     asyncio.run(story())
