--- a/tests/soak/story.py
+++ b/tests/soak/story.py
@@ -193,9 +193,10 @@
     # -- the verdict --------------------------------------------------------------------------------------
     def judge(self) -> None:
         """Judge what clients, nodes and discovery saw, and what the logs say of errors in the program."""
+        self.history.lines += recorded(self.heads)
         self.write_history()
         terms = Terms(CLASSES_BY_NAME, {node.name: node.cell for node in self.nodes}, GRACE, slack=SLACK)
-        verdict = examine([*self.history.lines, *recorded(self.heads)], terms)
+        verdict = examine(self.history.lines, terms)
         self.report.read_late = verdict.read_late
         for violation in verdict.violations:
             self.report.add_violation(violation)
