--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -15,6 +15,7 @@
 FILE = Path(__file__).parent.parent / "KNOWN-RED.txt"
 PARTS = "test | failure | seen | issue"
 LEAST_FAILURE = 12  # characters: a shorter text would be in nearly every failure
+TEST_PREFIX = "test_"  # of the name of each test, which Hypothesis puts into each failure
 
 
 class KnownRedError(Exception):
@@ -68,6 +69,8 @@
             raise KnownRedError(
                 f"line {number}: {entry.failure!r} is shorter than {LEAST_FAILURE} characters"
             )
+        if TEST_PREFIX in entry.failure:
+            raise KnownRedError(f"line {number}: {entry.failure!r} names a test, not what failed")
         if entry.test in entries:
             raise KnownRedError(f"line {number}: {entry.test} is named twice")
         entries[entry.test] = entry
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -37,6 +37,7 @@
         ("tests/test_a.py::test_b | a failure | issue 1", "line 1: found"),
         ("tests/test_a.py::test_b | | seen | issue 1", "line 1: found"),
         (LINE.replace("was served more than paid in", "Error"), "shorter than 12 characters"),
+        (LINE.replace("was served more than paid in", "Failing test case: test_b"), "names a test"),
         (f"{LINE}\n{LINE}", "line 2: tests/test_a.py::test_b[1] is named twice"),
     ],
 )
