--- a/tests/heads/test_hollow.py
+++ b/tests/heads/test_hollow.py
@@ -1,7 +1,6 @@
 """Hollow heads: like real ones in what they count, named when they die, and bounded in what they ask.
 
-Nothing here is judged by a clock: spans only bound what a test waits for, and rates are held against the most
-that the heads' own timers allow in the time that passed.
+No span judges: it bounds a wait, and rates are held against the most that the heads' own timers allow.
 """
 
 from __future__ import annotations
