Drop sends learnt from a handover that cannot be read to its end

Callers saw nothing; memory of a process that took over, and each handover after it, kept sends and keys. take_over noted the nodes it had learnt for the pass that drops old sends only after all entries had been read. The core goes on after an entry that cannot be read (another version's), so the nodes before it, and that one's sends, were held until something more was sent to them.

They are noted whatever ends the reading.

--- a/stoatrouter/policy/handover.py
+++ b/stoatrouter/policy/handover.py
@@ -156,13 +156,25 @@
         for key, attribute in VOLUME_ATTRIBUTES.items():
             setattr(volume, attribute, state[key])
         scheduler.volumes[name] = volume
-    for name, state in data["nodes"].items():
+    try:
+        learn_nodes(scheduler, data["nodes"])
+    finally:  # of what was learnt before an entry that cannot be read, too
+        note_sends(scheduler)
+
+
+def learn_nodes(scheduler: Scheduler, nodes: dict[str, Any]) -> None:
+    """Read the handed-over nodes; one that is not listed here is taken as gone."""
+    for name, state in nodes.items():
         node = scheduler.nodes.get(name)
         if node is None:
             # it is gone from the list, yet what was sent to it counts should it come back
             entry = api.NodeEntry(name, state["shard"], state["zone"], api.Phase.GONE)
             node = scheduler.nodes[name] = scheduler.state.new_node(entry, state["known"])
         learn(node, state)
+
+
+def note_sends(scheduler: Scheduler) -> None:
+    """Have what nodes hold of handed-over sends dropped in time."""
     sent_to = [node for node in scheduler.nodes.values() if node.recent_sends or node.recent_keys]
     for node in sorted(sent_to, key=last_send):
         scheduler.recently_sent.note(node, last_send(node))
--- a/tests/test_held_memory.py
+++ b/tests/test_held_memory.py
@@ -166,6 +166,26 @@
     assert held(after.scheduler) == held(none.scheduler)
 
 
+def test_sends_learnt_from_a_handover_that_cannot_be_read_to_its_end_are_dropped():
+    """Guards against sends held for ever where a later node's entry is of another version."""
+    rules = {"overload_window": 500 * MS}
+    nodes = [api.NodeEntry("n0", 0), api.NodeEntry("n1", 1)]
+    before, after, none = (SchedulerDriver(rules=rules, nodes=nodes) for _ in range(3))
+    for i in range(10):
+        before.request(f"r{i}", shard=i % 2, key=f"k{i}")
+        before.wait(INTERVAL, answer_after(10 * MS))
+    handed = hand_over(before.scheduler, before.now)
+    del handed["nodes"]["n1"]["throttled"]
+    after.wait(before.now - after.now)
+    with pytest.raises(KeyError):
+        take_over(after.scheduler, handed)
+    assert all(node.recent_sends for node in after.scheduler.nodes.values())
+    none.wait(before.now - none.now)
+    for driver in (after, none):
+        driver.wait(QUIET)
+    assert held(after.scheduler) == held(none.scheduler)
+
+
 @pytest.mark.parametrize("figures", [{"burst": 5.0}, {"tolerance": 5.0}])
 def test_a_volume_without_a_limit_is_forgotten_whatever_its_bucket(figures):
     """Guards against volumes held for ever, as a bucket without a limit never refills."""
