Hold one entry a start of a node that warms up

Callers saw nothing; memory grew with each placement of new data while a node's listed start lay ahead of this host's clock, and less so while any node warmed up. Each time such a node was ranked by load, when its warm-up ends went into a heap again, and an entry leaves it only once that time is over.

An entry that is already there is not added. The new test ranks such a node 100 times: one entry is held, on the code before there were 100.

--- a/stoatrouter/policy/node_index.py
+++ b/stoatrouter/policy/node_index.py
@@ -130,6 +130,7 @@
         self.ranked: list[Rank] = []  # of the nodes that are on, in order
         self.ranks: dict[int, Rank] = {}
         self.warming: list[tuple[int, int]] = []  # when a node has warmed up, and its number
+        self.warm_ups: set[tuple[int, int]] = set()  # what is in `warming`
         self.resting: list[tuple[int, int]] = []  # after when a reading may change a node, and its number
         self.scheduled: set[int] = set()  # the numbers in `resting`
 
@@ -262,7 +263,9 @@
 
     def _note_warmed_up(self, now: int) -> None:
         while self.warming and self.warming[0][0] <= now:
-            number = heappop(self.warming)[1]
+            ended = heappop(self.warming)
+            self.warm_ups.discard(ended)
+            number = ended[1]
             if number in self.numbered:
                 self.unranked.add(self.numbered[number])
 
@@ -281,7 +284,14 @@
         self.ranks[node.number] = rank
         insort(self.ranked, rank)
         if is_warming:
-            heappush(self.warming, (node.up_since + self.warm_up_time, node.number))
+            self._note_warm_up(node)
+
+    def _note_warm_up(self, node: N) -> None:
+        """Have the node ranked again once it is warm; one entry a start, however often it is ranked."""
+        ends = (node.up_since + self.warm_up_time, node.number)
+        if ends not in self.warm_ups:
+            self.warm_ups.add(ends)
+            heappush(self.warming, ends)
 
     def _unrank(self, node: N) -> None:
         rank = self.ranks.pop(node.number, None)
--- a/tests/test_node_index.py
+++ b/tests/test_node_index.py
@@ -183,6 +183,18 @@
     assert sum(map(len, index.shards.values())) == 2 and not index.gone and not index.watched
 
 
+def test_a_start_ahead_of_this_clock_is_held_once_however_often_the_node_is_ranked():
+    """Guards memory: each placement added an entry until this clock had passed the start."""
+    index = NodeIndex(6 * SECOND, lambda node: 1.0)
+    node = index["n0"] = IndexedNode(api.NodeEntry("n0", 0, up_since=START + 3600 * SECOND))
+    for i in range(100):
+        node.mark()
+        assert index.least_loaded(START + i * SECOND, lambda node, at: 1.0, 0.5) is node
+    assert len(index.warming) == 1
+    index.forget_old(START + 3606 * SECOND, is_idle=True)
+    assert not index.warming and not index.warm_ups
+
+
 def test_equals_are_drawn_alike():
     index = NodeIndex(6 * SECOND, lambda node: 1.0)
     for i in range(4):
