Keep a volume's record while requests of it are open

Callers could be let through beyond a volume's limit: a plan of burst 5 let 10 requests go at once. A volume counts as used when its buckets are brought up to now, which arrivals do not do; one first seen, or seen again, after the retention was forgotten by the next pass though its requests waited for a node of their shard. They spent the forgotten bucket, and later requests a new one, full too.

Volumes of open requests are not forgotten.

--- a/stoatrouter/policy/scheduler.py
+++ b/stoatrouter/policy/scheduler.py
@@ -305,10 +305,12 @@
         self.slow_start.requested_shards.forget_old(now)
         self.recently_sent.forget_old(now)
         state.nodes.forget_old(now, is_idle=not state.requests)
+        # forgotten, they would have a bucket for the open requests and a full one for later ones
+        in_use = {request.volume for request in state.requests.values()}
         state.volumes = {
             name: volume
             for name, volume in state.volumes.items()
-            if not volume.may_be_forgotten(now, retention)
+            if volume in in_use or not volume.may_be_forgotten(now, retention)
         }
         state.nodes.forget_gone(
             lambda node: not (node.pending or node.in_flight or now - node.last_sent_at < retention)
--- a/tests/test_held_memory.py
+++ b/tests/test_held_memory.py
@@ -198,6 +198,21 @@
     assert not driver.scheduler.volumes
 
 
+def test_a_volume_with_open_requests_is_not_forgotten():
+    """Guards a limit: those who waited for a node and those who came later had a full bucket each."""
+    patient = api.RequestClass("patient", 3, latency_objective=2900 * MS, deadline=3 * SECOND)
+    limited = api.Plan("limited", 50, limit=1, burst=5)
+    driver = SchedulerDriver(classes=(patient,), plans=(limited,))
+    driver.wait(QUIET)
+    for group in ("early", "late"):
+        for i in range(5):
+            driver.request(f"{group}{i}", shard=1, left=3 * SECOND)
+        driver.wait(1100 * MS if group == "early" else 0)
+    driver.listed(api.NodeEntry("n2", 1))
+    driver.wait(200 * MS)
+    assert len(driver.sends()) == 5
+
+
 def test_arrivals_are_held_for_the_window_alone_though_nothing_is_retried():
     rules = api.Rules(retry_budget_window=SECOND, retry_budget_ratio=0.1)
     budget = RetryBudget(rules)
