The soak injects no other fault while signals end a head (test)

Cause: the head was being ended by a series of signals in a task of its own; another fault killed it meanwhile, both started it again, and the second process found the folder in use. Change: the series is awaited; only the start that is owed is a task, as after a kill. Result: tests/test_soak.py::test_no_fault_follows_while_signals_end_a_head failed before.

--- a/tests/soak/credit_story.py
+++ b/tests/soak/credit_story.py
@@ -35,14 +35,8 @@
         if fault != SERIES:
             return await super().inject(fault, head, duration)
         if head in self.fleet.up and len(self.fleet.up) > 2 and head.process is not None:
-            self.restarts.append(asyncio.create_task(self.end_and_start(head, head.process, duration)))
-
-    async def end_and_start(
-        self, head: HeadProcess, process: asyncio.subprocess.Process, duration: float
-    ) -> None:
-        """End a head by signals, beside the faults that follow, and start it again later."""
-        await self.signaller.end_process(head.name, process, Way.SERIES)
-        await self.start_after(duration, head)
+            await self.signaller.end_process(head.name, head.process, Way.SERIES)
+            self.restarts.append(asyncio.create_task(self.start_after(duration, head)))
 
 
 async def play_credit(folder: Path, report: SeedReport, seconds: float, settings: str = LEDGER_MORE) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,6 +8,8 @@
 import asyncio
 import random
 import time
+from types import SimpleNamespace
+from unittest.mock import AsyncMock
 
 import pytest
 
@@ -15,7 +17,7 @@
 from stoatrouter.lab.histories.requests import Verdict
 from tests.heads.ledger_chaos import LEDGER_MORE
 from tests.soak import ends, story
-from tests.soak.credit_story import SeriesChaos, play_credit
+from tests.soak.credit_story import SERIES, SeriesChaos, play_credit
 from tests.soak.ends import Signaller
 from tests.soak.plan import SIGNALS_WITHIN, TERM, Kind, Way, draw_series, kind_of
 from tests.soak.report import BY_TEXT, Finding, SeedReport, classify, summary
@@ -179,6 +181,26 @@
     assert {found for found, _ in report.findings} == {Finding.NOT_READY}
 
 
+def test_no_fault_follows_while_signals_end_a_head():
+    # guards against a head that is killed while signals end it, and then started twice
+    async def story() -> None:
+        head, ended = SimpleNamespace(name="h0", process=object()), []
+
+        async def end_process(name: str, *_: object) -> None:
+            await asyncio.sleep(0.01)
+            ended.append(name)
+
+        chaos = SeriesChaos.__new__(SeriesChaos)
+        chaos.fleet, chaos.restarts = SimpleNamespace(up=[head, 1, 2]), []
+        chaos.signaller, chaos.start_after = SimpleNamespace(end_process=end_process), AsyncMock()
+        await chaos.inject(SERIES, head, 0.0)
+        assert ended == ["h0"]
+        await asyncio.gather(*chaos.restarts)
+        chaos.start_after.assert_awaited_once_with(0.0, head)
+
+    asyncio.run(story())
+
+
 def test_heads_that_serve_without_a_ledger_are_found(tmp_path, monkeypatch):
     """The operator's setting that serves what cannot be charged stands for a program that does."""
     monkeypatch.setattr(SeriesChaos, "faults_drawn", ["start_cut_off"])
