--- a/stoatrouter/net/node_connection.py
+++ b/stoatrouter/net/node_connection.py
@@ -24,12 +24,13 @@
 from stoatrouter.net.connection_counters import ConnectionCounters
 from stoatrouter.net.errors import MalformedAnswer
 from stoatrouter.net.framing import CHUNKED, HEAD_END, UNTIL_CLOSE, body_length
+from stoatrouter.net.input_turns import DividedInput, InputTurns
 from stoatrouter.net.request_digest import RequestDigest
 from stoatrouter.net.reuse_delays import Address, ReuseDelays
 
 MAX_HEAD_BYTES = 16 * 1024
 SUCCESS_CLASS = b"2"  # the first digit of a success status
-MAX_RECEIVE_BYTES = 64 * 1024  # per read; with asyncio's default many large answers would use more memory
+MAX_RECEIVE_BYTES = 16 * 1024  # per read; with asyncio's default many large answers would use more memory
 
 
 class ConnectionOwner(Protocol):
@@ -38,6 +39,7 @@
     open_connections: set[NodeConnection]
     max_reuse_idle: float  # the maximum idle time in seconds after which a connection is reused
     attempts_written: int  # attempts that were written completely
+    turns: InputTurns  # of the connections' input
 
     def record_closed(self, connection: NodeConnection) -> None:
         """Record that a connection has closed."""
@@ -61,7 +63,7 @@
         """The counters of connections to nodes."""
 
 
-class NodeConnection(ResponseHandler):
+class NodeConnection(DividedInput, ResponseHandler):
     """A connection to a node, with at most one exchange at a time."""
 
     def __init__(
@@ -77,6 +79,8 @@
         """
         super().__init__(loop)
         self.pool = pool
+        self.turns = pool.turns
+        self.backlog = b""  # input that waits for its turn
         self.stall_timeout = stall_timeout
         self.awaiting_answer = False
         self.chunked = False
@@ -175,7 +179,14 @@
         """Pass on one complete, well-formed answer, and close the connection on anything else."""
         if not data:
             super().data_received(data)  # aiohttp continues with the bytes it has buffered
-        elif not self.awaiting_answer:
+        elif self.in_body and not self.backlog and not (self.chunked or self.ends_with_connection):
+            self.parse(data)  # the bytes of a body with a length cost no more for being lines
+        else:
+            self.receive(data)
+
+    def parse(self, data: bytes) -> None:
+        """Pass on a slice of an answer, as above."""
+        if not self.awaiting_answer:
             # Unsolicited bytes belong to no request, and must not reach the next one on the connection.
             self._close_for_unsolicited_bytes()
         elif not self.in_body:
@@ -345,7 +356,7 @@
 
     def _has_unread_bytes(self) -> bool:
         handle = self.transport.get_extra_info("socket") if self.transport is not None else None
-        if handle is None or handle.fileno() < 0:
+        if handle is None or handle.fileno() < 0 or self.backlog:
             return True
         poll = select.poll()
         poll.register(handle.fileno(), select.POLLIN)
--- a/stoatrouter/net/pool.py
+++ b/stoatrouter/net/pool.py
@@ -16,6 +16,7 @@
 from stoatrouter.net.connection_counters import ConnectionCounters
 from stoatrouter.net.dial import open_with_timeout
 from stoatrouter.net.errors import NotBegun
+from stoatrouter.net.input_turns import InputTurns
 from stoatrouter.net.node_connection import NodeConnection
 from stoatrouter.net.pool_waiters import PoolWaiters
 from stoatrouter.net.request_digest import READ_METHODS, RequestDigest
@@ -52,6 +53,7 @@
         self.max_reuse_idle = self.keepalive  # the maximum idle time in seconds after which one is reused
         self.open_connections: set[NodeConnection] = set()
         self.attempts_written = 0  # attempts that were written completely, since the start
+        self.turns = InputTurns()
         self.reuse_delays = ReuseDelays()
         self.fingerprints = AnswerFingerprints()
         self.counters = ConnectionCounters()
