A pause of an answer ends no attempt; it is hedged where settings and class allow it

Cause: build_engine passed the smallest objective of all classes as the longest pause of any answer. The span followed a class that the request does not have: 0.15 s with that objective set.

Change: a pause is reported to the decision module once. It places a second attempt beside the stalled one where ParallelTries and the class allow it; the first answer counts. Req-Deadline-Ms is written with the time left at the first byte; it was taken before a connection was waited for.

--- a/stoatrouter/core/events.py
+++ b/stoatrouter/core/events.py
@@ -62,6 +62,15 @@
     load: dict[str, float] | None = None
 
 
+@dataclass(slots=True, frozen=True)
+class AttemptStalled:
+    """The answer of an attempt has begun, and no more of it has come for a while."""
+
+    at: timedelta
+    request: str
+    attempt: int
+
+
 @dataclass(slots=True, frozen=True)
 class EndpointListReceived:
     """Discovery has sent the complete endpoint list, or changes to it."""
@@ -144,6 +153,7 @@
     Arrived
     | RejectedByFront
     | AttemptEnded
+    | AttemptStalled
     | StreamEnded
     | HealthCheckEnded
     | EndpointListReceived
--- a/stoatrouter/core/reducer.py
+++ b/stoatrouter/core/reducer.py
@@ -11,6 +11,7 @@
 from loguru import logger
 
 from stoatrouter.core import model
+from stoatrouter.core.conversions import node_entry, request_arrived
 from stoatrouter.core.durations import NO_TIME, from_microseconds, to_microseconds
 from stoatrouter.core.gate import Gate
 from stoatrouter.core.invariants import invariant
@@ -64,6 +65,8 @@
                 return self._reject(event.request_class, model.Refused(self.default_retry_after), "crowded")
             case model.AttemptEnded():
                 return self._attempt_ended(event)
+            case model.AttemptStalled():
+                return self._decide(api.AttemptStalled(event.request, event.attempt))
             case model.StreamEnded():
                 return self._stream_ended(event)
             case model.TimerDue():
@@ -236,6 +239,8 @@
                 load=event.load,
             )
         )
+        if ok:
+            effects += cancel_attempts(record)  # those beside it
         if event.request in self.records:
             self._forget(event.request)
         return effects
@@ -374,27 +379,3 @@
         for number, attempt in enumerate(record.attempts)
         if attempt.in_flight
     ]
-
-
-def request_arrived(request: model.Request) -> api.RequestArrived:
-    """Convert an admitted request to the decision module's event."""
-    return api.RequestArrived(
-        request=request.id,
-        volume=request.volume,
-        plan=request.plan,
-        request_class=request.request_class,
-        shard=request.shard,
-        time_left=to_microseconds(request.time_left),
-        units=request.units,
-        hosts=request.hosts,
-        key=request.key,
-        repeat=request.repeat,
-        write=request.write,
-    )
-
-
-def node_entry(node: model.NodeInfo) -> api.NodeEntry:
-    """Convert a listed node to the decision module's entry; start time in microseconds since the epoch."""
-    return api.NodeEntry(
-        node.id, node.shard, node.zone, node.phase, node.weight, to_microseconds(node.started)
-    )
--- a/stoatrouter/net/answer_stream.py
+++ b/stoatrouter/net/answer_stream.py
@@ -12,20 +12,25 @@
 from stoatrouter.net.bodies import MAX_BODY_BYTES, PIECE_BYTES
 from stoatrouter.net.errors import IncompleteAnswer
 
-STALL_TIMEOUT = timedelta(seconds=10)  # how long a streamed answer may go without new bytes
+# How long a streamed answer may go without new bytes once its client's time is over.
+STALL_TIMEOUT = timedelta(seconds=10)
 
 
 class AnswerStream:
     """A node's answer that is streamed to the client."""
 
-    def __init__(self, response: aiohttp.ClientResponse, first: bytes, length: int | None) -> None:
+    def __init__(
+        self, response: aiohttp.ClientResponse, first: bytes, length: int | None, deadline: float = 0.0
+    ) -> None:
         """Wrap a node's answer whose first bytes have already been read.
 
         Args:
             response: The node's answer, which stays open until its body is read.
             first: The bytes of its body read so far.
             length: The Content-Length that the node sent, in bytes; None: it sent none.
+            deadline: When the client's time is over, in the loop's time.
         """
+        self.deadline = deadline
         self.response = response
         self.first = first
         self.length = length
@@ -51,8 +56,9 @@
     async def next(self) -> bytes:
         """Return the next bytes, empty at the end; raises IncompleteAnswer if the answer breaks or stalls."""
         content = self.response.content
+        stalled_at = asyncio.get_running_loop().time() + STALL_TIMEOUT.total_seconds()
         try:
-            async with asyncio.timeout(STALL_TIMEOUT.total_seconds()):
+            async with asyncio.timeout_at(max(stalled_at, self.deadline)):
                 return await content.readany()
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             # pass on the bytes that arrived before the break; aiohttp has no public API to read them
--- a/stoatrouter/net/bodies.py
+++ b/stoatrouter/net/bodies.py
@@ -23,8 +23,9 @@
 SMALL_BODY_COST = 2  # bytes held for each byte of a body in memory: an attempt at a slow node copies it
 SMALL_STEP_BYTES = 8 * 1024  # growth of the memory charged for a body without Content-Length
 RESERVATION_STEP_BYTES = 1024 * 1024  # growth of the capacity reserved for a body without Content-Length
-# A body that stalls is rejected, and so is one much slower than those of real clients (64 kB a second).
-BODY_STALL_TIMEOUT = timedelta(seconds=1)
+# A body that stalls is rejected: clients that stop in the middle of a request are owed an answer within 3 s.
+BODY_STALL_TIMEOUT = timedelta(milliseconds=2500)
+# So is one much slower than those of real clients (64 kB a second).
 MIN_BYTES_PER_SECOND = 24 * 1024
 RATE_GRACE = timedelta(milliseconds=2500)  # waiting time after which the mean rate is enforced
 CAPACITY_TIMEOUT = timedelta(seconds=4)  # how long a body waits, unread, for capacity
--- a/stoatrouter/net/client_table.py
+++ b/stoatrouter/net/client_table.py
@@ -237,10 +237,11 @@
                 if state is not State.NEW or connection.seconds_in_state() > JUST_CONNECTED.total_seconds():
                     connection.close_unless_unread()
 
-    def close_receiving(self) -> None:
-        """Close all connections whose request is still missing a part of its body."""
+    def close_stale_receiving(self) -> None:
+        """Close connections of whose incomplete request nothing has arrived for STALE_AFTER."""
         for connection in list(self.by_state[State.RECEIVING]):
-            connection.close_unless_unread()
+            if if_stale(connection) is not None:
+                connection.close_unless_unread()
 
     def any_just_connected(self) -> bool:
         """Return whether any connection is so new that its first request may still be in transit."""
--- a/stoatrouter/net/engine.py
+++ b/stoatrouter/net/engine.py
@@ -215,7 +215,9 @@
 
     def start_attempt(self, effect: model.SendAttempt) -> None:
         """Start an attempt in a task of its own."""
-        task = self.loop.create_task(self.nodes.attempt(effect, partial(self.may_begin, effect)))
+        task = self.loop.create_task(
+            self.nodes.attempt(effect, partial(self.may_begin, effect), partial(self.attempt_stalled, effect))
+        )
         self.attempts[(effect.request.id, effect.attempt)] = task
         task.add_done_callback(partial(self.attempt_ended, effect))
 
@@ -252,6 +254,10 @@
         """Report that a request's deadline has passed."""
         self.dispatch(model.Overdue(self.clock.now(), request))
 
+    def attempt_stalled(self, effect: model.SendAttempt) -> None:
+        """Report that the answer of an attempt has begun and stalls."""
+        self.dispatch(model.AttemptStalled(self.clock.now(), effect.request.id, effect.attempt))
+
     def attempt_ended(self, effect: model.SendAttempt, task: asyncio.Task[Reply]) -> None:
         """Report the end of an attempt, exactly once.
 
--- a/stoatrouter/net/listener.py
+++ b/stoatrouter/net/listener.py
@@ -277,6 +277,7 @@
         while busy() or clients.open or clients.any_just_connected() or self.arriving:
             await asyncio.sleep(0.01)
             clients.close_idle()
+            clients.close_stale_receiving()
         logger.info("stop: all accepted requests are answered", event="stop.answered")
         await self.close()
 
--- a/stoatrouter/net/node_connection.py
+++ b/stoatrouter/net/node_connection.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import select
+from collections.abc import Callable
 from datetime import timedelta
 from typing import Any, Protocol
 
@@ -74,8 +75,8 @@
         Args:
             loop: The event loop that runs the connection.
             pool: The pool that the connection belongs to.
-            stall_timeout: How long a complete head may take to arrive from its first byte, and how long the
-                body may go without new bytes.
+            stall_timeout: After which time without new bytes an answer that has begun counts as stalled. That
+                is reported once; the answer goes on until the request's time is over.
         """
         super().__init__(loop)
         self.pool = pool
@@ -91,6 +92,7 @@
         self.in_body = False
         self.bodiless = False  # the answer to HEAD has no body, whatever its Content-Length
         self.stall_timer: asyncio.TimerHandle | None = None
+        self.on_stall: Callable[[], None] | None = None  # of the current request; None: not reported
         self.idle_since: float | None = None  # in the loop's time
         self.idle_before_request = 0.0  # seconds that it was idle before the current request
         self.node: Address | None = None  # set once the connection is open
@@ -130,15 +132,22 @@
         self._end_exchange()
         super().connection_lost(exc)
 
-    def assign(self, node: Address, kind: RequestKind, digest: RequestDigest | None) -> None:
+    def assign(
+        self,
+        node: Address,
+        kind: RequestKind,
+        digest: RequestDigest | None,
+        on_stall: Callable[[], None] | None = None,
+    ) -> None:
         """Assign the connection to a request of which nothing has been written.
 
         Args:
             node: The address of the node.
             kind: The kind of the request.
             digest: The digest of the request; None: not known.
+            on_stall: Called at most once, where the answer has begun and stalls; None: nothing is called.
         """
-        self.node, self.request_kind, self.digest = node, kind, digest
+        self.node, self.request_kind, self.digest, self.on_stall = node, kind, digest, on_stall
         self.may_get_valid_duplicate = digest is not None and self.recent_answers.may_get_valid_duplicate(
             digest, self._loop.time()
         )
@@ -197,7 +206,7 @@
             self._receive_body(data)
 
     def start_streaming(self) -> None:
-        """Cancel the stall timer, as the consumer of a streamed answer detects stalls itself."""
+        """Cancel the stall timer: the client has a part of the answer, so no other attempt could serve it."""
         self.streaming = True
         self._cancel_stall_timer()
 
@@ -296,16 +305,20 @@
             self._start_stall_timer(restart=True)
 
     def _start_stall_timer(self, restart: bool = False) -> None:
-        """Start the timer that fails an answer which stalls; `restart` restarts a running timer.
+        """Start the timer that reports an answer which stalls; `restart` restarts a running timer.
 
-        Without it, a client would wait for the rest of such an answer until the attempt times out.
+        The answer is not cut off: a slow node may be as sound as a hanging one, for all that can be seen.
         """
         if restart:
             self._cancel_stall_timer()
-        if self.stall_timer is None and self.awaiting_answer and not self.streaming:
-            self.stall_timer = self._loop.call_later(
-                self.stall_timeout.total_seconds(), self._fail_exchange, "answer stalled"
-            )
+        if self.stall_timer is None and self.awaiting_answer and not self.streaming and self.on_stall:
+            self.stall_timer = self._loop.call_later(self.stall_timeout.total_seconds(), self._report_stall)
+
+    def _report_stall(self) -> None:
+        self.stall_timer = None
+        on_stall, self.on_stall = self.on_stall, None
+        if on_stall is not None:
+            on_stall()
 
     def _end_exchange(self) -> None:
         """End the exchange: no more bytes are expected."""
--- a/stoatrouter/net/nodes.py
+++ b/stoatrouter/net/nodes.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass
 from datetime import timedelta
 
 import aiohttp
@@ -17,15 +18,15 @@
 from stoatrouter.net.errors import ExchangeBroken, NotBegun
 from stoatrouter.net.pool import NodePool
 from stoatrouter.net.replies import Reply, read_load, read_reply, read_small
-from stoatrouter.net.request_digest import RequestDigest, digest_request
-from stoatrouter.net.tracked_request import TrackedRequest, prevent_resend
+from stoatrouter.net.request_digest import digest_request
+from stoatrouter.net.tracked_request import DEADLINE_FIELD, TrackedRequest, prevent_resend
 from stoatrouter.policy.interface import Outcome
 
 HEALTH_CHECK_TIMEOUT = timedelta(milliseconds=400)
 # Idle connections are closed after this fraction of the time after which a node closes them: a request that
 # is written while the node closes would end with a reset.
 IDLE_FRACTION = 0.5
-ANSWER_STALL_TIMEOUT = timedelta(milliseconds=400)  # how long an answer that has begun may stall
+ANSWER_STALL_TIMEOUT = timedelta(milliseconds=400)  # without new bytes: then an answer counts as stalled
 READ_AHEAD_BYTES = 16 * 1024  # of an answer that is not passed on; reading pauses at twice as much
 SKIPPED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
@@ -46,7 +47,7 @@
             connect_timeout: How long opening a connection to a node may take.
             conn_idle: How long a node keeps an idle connection open; this head closes it after half of that.
             max_connections: The maximum number of open connections to nodes, idle ones included.
-            stall_timeout: How long an answer that has begun may stall.
+            stall_timeout: After which time without new bytes an answer that has begun counts as stalled.
         """
         self.pool = NodePool(max_connections, connect_timeout, conn_idle * IDLE_FRACTION, stall_timeout)
         self.session = aiohttp.ClientSession(
@@ -65,15 +66,22 @@
         """Close all connections to nodes."""
         await self.session.close()
 
-    async def attempt(self, effect: model.SendAttempt, may_begin: Callable[[], bool] | None = None) -> Reply:
+    async def attempt(
+        self,
+        effect: model.SendAttempt,
+        may_begin: Callable[[], bool] | None = None,
+        on_stall: Callable[[], None] | None = None,
+    ) -> Reply:
         """Make one attempt; every error becomes an outcome.
 
         Args:
             effect: The request, the node's address, and the timeout of the whole attempt.
             may_begin: Called with a connection, before the first byte: whether the decision to send is still
                 valid; None: it always is.
+            on_stall: Called at most once, where the answer has begun and stalls; None: nothing is called.
         """
         request = effect.request
+        deadline = asyncio.get_running_loop().time() + effect.timeout.total_seconds()
         url = URL(f"http://{effect.address}{request.target}", encoded=True)  # encoded: sent unchanged
         headers = attempt_headers(effect)
         data = attempt_data(request)
@@ -86,9 +94,9 @@
                     headers=headers,
                     data=data,
                     allow_redirects=False,
-                    middlewares=(send_once_if(may_begin, digest_request(request), effect.attempt),),
+                    middlewares=(send_once(SendTerms(may_begin, on_stall, deadline, effect)),),
                 )
-                reply = await read_reply(response, request.pass_through)
+                reply = await read_reply(response, request.pass_through, deadline)
             if reply.stream is not None:
                 response = None  # its consumer closes it
             return reply
@@ -116,29 +124,41 @@
             return Reply(Outcome.RESET)
 
 
-def send_once_if(
-    may_begin: Callable[[], bool] | None, digest: RequestDigest, attempt_number: int
-) -> ClientMiddlewareType:
-    """Return the middleware of one attempt, whose request has this digest.
+@dataclass(slots=True, frozen=True)
+class SendTerms:
+    """What an attempt needs to know beside its HTTP request; `deadline` is in the loop's time."""
+
+    may_begin: Callable[[], bool] | None
+    on_stall: Callable[[], None] | None
+    deadline: float
+    effect: model.SendAttempt
+
+
+def send_once(terms: SendTerms) -> ClientMiddlewareType:
+    """Return the middleware of one attempt.
 
     The request is sent only once, and only if `may_begin` allows it (NodePool.connect).
     """
 
-    async def send_once(request: aiohttp.ClientRequest, handler: ClientHandlerType) -> aiohttp.ClientResponse:
+    async def send(request: aiohttp.ClientRequest, handler: ClientHandlerType) -> aiohttp.ClientResponse:
         assert isinstance(request, TrackedRequest)
-        request.may_begin = may_begin
-        request.digest = digest
-        request.attempt_number = attempt_number
+        request.may_begin = terms.may_begin
+        request.on_stall = terms.on_stall
+        request.deadline = terms.deadline
+        request.digest = digest_request(terms.effect.request)
+        request.attempt_number = terms.effect.attempt
         return await prevent_resend(request, handler)
 
-    return send_once
+    return send
 
 
 def attempt_headers(effect: model.SendAttempt) -> CIMultiDict[str] | dict[str, str]:
-    """Return the header fields of an attempt: those of the node protocol, and those that the front adds."""
+    """Return the header fields of an attempt: those of the node protocol, and those that the front adds.
+
+    DEADLINE_FIELD gets its value before the first byte (TrackedRequest.send).
+    """
     request = effect.request
-    timeout_ms = max(1, effect.timeout // timedelta(milliseconds=1))
-    headers: CIMultiDict[str] | dict[str, str] = {"Req-Id": request.id, "Req-Deadline-Ms": str(timeout_ms)}
+    headers: CIMultiDict[str] | dict[str, str] = {"Req-Id": request.id, DEADLINE_FIELD: ""}
     if request.fields:
         headers = CIMultiDict((*headers.items(), *request.fields))
     if request.idempotency_key is not None:
--- a/stoatrouter/net/pool.py
+++ b/stoatrouter/net/pool.py
@@ -42,7 +42,7 @@
             max_connections: The maximum number of open connections, idle ones included.
             connect_timeout: How long opening a connection may take.
             keepalive: How long an idle connection is kept.
-            stall_timeout: How long an answer that has begun may stall.
+            stall_timeout: After which time without new bytes an answer that has begun counts as stalled.
         """
         # aiohttp's own limit is not used: it counts only connections in use, and is exceeded by one if
         # another request takes the connection that a request has waited for
@@ -109,7 +109,8 @@
             connection.release()
             raise NotBegun
         if isinstance(protocol, NodeConnection):
-            protocol.assign(Address(req.url.host, req.url.port), classify_request(req), digest)
+            node = Address(req.url.host, req.url.port)
+            protocol.assign(node, classify_request(req), digest, getattr(req, "on_stall", None))
         return connection
 
     async def _get(self, key: Any, traces: Any) -> Any:
--- a/stoatrouter/net/replies.py
+++ b/stoatrouter/net/replies.py
@@ -46,17 +46,18 @@
     head: model.Head | None = None  # set for a request whose front passes status and fields on
 
 
-async def read_reply(response: aiohttp.ClientResponse, passes: bool = False) -> Reply:
+async def read_reply(response: aiohttp.ClientResponse, passes: bool = False, deadline: float = 0.0) -> Reply:
     """Read an answer: a small one completely, of a large one the first part, with a stream for the rest.
 
-    With `passes` any answer below 500 is returned with its status and fields.
+    With `passes` any answer below 500 is returned with its status and fields. The client's time is over at
+    `deadline`, in the loop's time.
     """
     if passes and response.status < 500:
-        reply = await read_complete_reply(response)
+        reply = await read_complete_reply(response, deadline)
         return replace(reply, head=model.Head(response.status, end_to_end(response.headers)))
     if response.status != 200:
         return classify_answer(response.status, response.headers, await read_small(response))
-    return await read_complete_reply(response)
+    return await read_complete_reply(response, deadline)
 
 
 def end_to_end(headers: CIMultiDictProxy[str]) -> tuple[tuple[str, str], ...]:
@@ -69,7 +70,7 @@
     return tuple((name, value) for name, value in headers.items() if name.lower() not in omitted)
 
 
-async def read_complete_reply(response: aiohttp.ClientResponse) -> Reply:
+async def read_complete_reply(response: aiohttp.ClientResponse, deadline: float) -> Reply:
     """Read a successful answer; a large one is returned as an AnswerStream."""
     stated = response.content_length
     body = b""
@@ -80,7 +81,9 @@
         body += data
     if response.connection is not None and isinstance(response.connection.protocol, NodeConnection):
         response.connection.protocol.start_streaming()
-    return replace(classify_answer(200, response.headers, b""), stream=AnswerStream(response, body, stated))
+    return replace(
+        classify_answer(200, response.headers, b""), stream=AnswerStream(response, body, stated, deadline)
+    )
 
 
 async def read_small(response: aiohttp.ClientResponse) -> bytes:
--- a/stoatrouter/net/tracked_request.py
+++ b/stoatrouter/net/tracked_request.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 from collections.abc import Callable
 from functools import partial
@@ -16,6 +17,8 @@
 from stoatrouter.net.node_connection import NodeConnection
 from stoatrouter.net.request_digest import RequestDigest
 
+DEADLINE_FIELD = "Req-Deadline-Ms"  # tells a node how long this head will wait
+
 
 class TrackedRequest(aiohttp.ClientRequest):
     """A client request that tracks whether its last byte was passed to the kernel.
@@ -28,6 +31,8 @@
     attempt_number: int | None = None  # health checks have none
     written = False
     may_begin: Callable[[], bool] | None = None  # called with a connection, before the first byte
+    on_stall: Callable[[], None] | None = None  # called where the answer has begun and stalls
+    deadline: float | None = None  # of the attempt, in the loop's time; None: the node is not told of it
     digest: RequestDigest | None = None  # None: not known, as for health checks
 
     def mark_written(self, written: bool, conn: aiohttp.connector.Connection) -> None:
@@ -41,6 +46,7 @@
         transport = conn.transport
         if transport is not None:
             transport.set_write_buffer_limits(high=0)  # drain() then waits for the last byte
+        self._write_time_left()
         recorded = self.attempt_record is not None and not self.body and not is_paused(conn)
         began = time.monotonic() if recorded else 0.0
         response = await super().send(conn)
@@ -51,6 +57,12 @@
             self.mark_written(not transport.is_closing(), conn)
         return response
 
+    def _write_time_left(self) -> None:
+        """Tell the node how long this head will wait from now on; it may have waited for a connection."""
+        if self.deadline is not None:
+            left = self.deadline - asyncio.get_running_loop().time()
+            self.headers[DEADLINE_FIELD] = str(max(1, int(left * 1000)))
+
     async def write_bytes(
         self,
         writer: AbstractStreamWriter,
--- a/stoatrouter/policy/dispatch.py
+++ b/stoatrouter/policy/dispatch.py
@@ -45,7 +45,10 @@
         if node.has_capacity(now):  # otherwise nothing is sent, and sorting would be wasted
             self._send_by_priority(node, now)
         for request in [r for r in self._waiting(node) if self.should_shed(r, node, now)]:
-            self.lifecycle.finish(request, now)
+            if request.in_flight():
+                node.pending.pop(request.id)  # it was to be hedged; its attempt may still be answered
+            else:
+                self.lifecycle.finish(request, now)
 
     def _waiting(self, node: Node) -> list[Request]:
         """Return the requests pending at a node, in order of arrival."""
@@ -81,7 +84,8 @@
             # While the node is under pressure, a late request waits, and so does everything of lower
             # priority, which would add to the pressure.
             is_pressed = node.in_flight or now < node.window_cut_at + PRESSURE_PERIOD
-            if is_pressed and request.is_late(node, now):
+            # One that is hedged is late because its own attempt has stalled, which is no pressure.
+            if is_pressed and request.is_late(node, now) and not request.in_flight():
                 break
             self._send(request, node, now)
 
--- a/stoatrouter/policy/interface.py
+++ b/stoatrouter/policy/interface.py
@@ -245,6 +245,14 @@
     load: dict[str, float] | None = None
 
 
+@dataclass(slots=True, frozen=True)
+class AttemptStalled:
+    """The answer of an attempt has begun, and no more of it has come for a while; it may still end well."""
+
+    request: str
+    attempt: int
+
+
 @dataclass(slots=True, frozen=True)
 class StreamStarted:
     """The answer of an attempt has begun and is being streamed to the client."""
@@ -279,7 +287,14 @@
 
 
 Event = (
-    EndpointList | RequestArrived | AttemptEnded | StreamStarted | HealthCheckEnded | ClientGone | TimerFired
+    EndpointList
+    | RequestArrived
+    | AttemptEnded
+    | AttemptStalled
+    | StreamStarted
+    | HealthCheckEnded
+    | ClientGone
+    | TimerFired
 )
 
 
--- a/stoatrouter/policy/request.py
+++ b/stoatrouter/policy/request.py
@@ -20,6 +20,7 @@
     node: Node
     sent_at: int  # microseconds
     outcome: Outcome | None = None
+    stalled: bool = False  # its answer has begun, and no more of it has come for a while
 
     def may_have_run(self) -> bool:
         """Return whether this attempt can have had an effect."""
--- a/stoatrouter/policy/scheduler.py
+++ b/stoatrouter/policy/scheduler.py
@@ -29,6 +29,7 @@
 REJECTION_MARGIN = 20 * MS  # for a rejection to reach the client
 BACKOFF_DIVISOR = 10  # of the tightest objective: the base of the backoff, doubled with each attempt
 MIN_AVOIDED_PACE = SECOND  # a node that cannot be sent to for longer counts as avoided
+MAX_PARALLEL_ATTEMPTS = 2  # of one request
 UNKNOWN_OUTCOMES = (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED)  # the attempt may still be running
 
 
@@ -115,6 +116,8 @@
                 self._arrive(event, now)
             case api.AttemptEnded():
                 self._end_attempt(event, now)
+            case api.AttemptStalled():
+                self._hedge(event, now)
             case api.TimerFired():
                 self._handle_timer(event.token, now)
             case api.EndpointList():
@@ -232,6 +235,8 @@
 
     def _retry_or_finish(self, outcome: Outcome, request: Request, node: Node, now: int) -> None:
         """Place a request for a retry after its backoff if the rules may still allow one; else finish it."""
+        if request.in_flight():
+            return  # another attempt may still be answered
         is_misplaced = outcome is Outcome.MOOT and not self.placement.redirect_to_data(request, now)
         if is_misplaced or self.send_rules.blocked_until(request, node, now) >= NEVER:
             self.lifecycle.finish(request, now)
@@ -239,6 +244,25 @@
         self.placement.place(request, now)
         self.lifecycle.set_timer(request.wait_until, request, now)
 
+    def _hedge(self, event: api.AttemptStalled, now: int) -> None:
+        """Place a request beside a stalled attempt, where the settings and the rules allow a second one.
+
+        The stalled one is not given up: a slow answer may be the only one. Where none is allowed beside it,
+        it has all the time that the client has.
+        """
+        request = self.state.requests.get(event.request)
+        if request is None or request.done or not self.settings.parallel_attempts:
+            return
+        attempt = request.attempts[event.attempt]
+        attempt.stalled = attempt.outcome is None
+        if sum(attempt.outcome is None for attempt in request.attempts) >= MAX_PARALLEL_ATTEMPTS:
+            return
+        request.wait_until = now
+        if attempt.stalled and self.send_rules.blocked_until(request, attempt.node, now) < NEVER:
+            self.placement.place(request, now)
+            if request.node is not None:
+                self.dispatcher.dispatch(request.node, now)
+
     # -- timers -------------------------------------------------------------------------------------------
     def _handle_timer(self, token: int, now: int) -> None:
         """Handle an expired timer: the control cycle's for `CONTROL_TIMER`, otherwise a request's."""
--- a/stoatrouter/policy/send_rules.py
+++ b/stoatrouter/policy/send_rules.py
@@ -70,12 +70,13 @@
 def blocks_retry(request: Request, node: Node, at: int, earlier: list[Attempt]) -> bool:
     """Return whether earlier attempts block a retry of the request at `node` at `at` (microseconds).
 
-    A retry is blocked while any attempt is in flight. It is blocked for an unsafe request that may have run,
-    and for an idempotent one that may have run once its repeat window has passed or if the node's shard or
-    zone is outside the class's group.
+    A retry is blocked while any attempt is in flight whose answer has not stalled (`Scheduler` places none
+    beside a stalled one where attempts may not run side by side). It is blocked for an unsafe request that
+    may have run, and for an idempotent one that may have run once its repeat window has passed or if the
+    node's shard or zone is outside the class's group.
     """
     request_class = request.request_class
-    if any(attempt.outcome is None for attempt in earlier):
+    if any(attempt.outcome is None and not attempt.stalled for attempt in earlier):
         return True
     first = next((attempt for attempt in earlier if attempt.may_have_run()), None)
     if first is None or request_class.effect is Effect.SAFE:
