Handed-over times are carried to the next process's clock; a dead one is allowed for

Change: the old process says its time and the machine's monotonic time, and the new one carries all times over. No refill goes back in time. After a take-back limits of unseen volumes start at their lowest, and cold nodes get nothing for one overload window. A node's start in the future counts from when it was listed.

--- a/benchmarks/pressure/trial.py
+++ b/benchmarks/pressure/trial.py
@@ -119,25 +119,26 @@
 
 
 @contextmanager
-def running_head(config: dict[str, Any], prelude: str = "") -> Iterator[Head]:
+def running_head(config: dict[str, Any], prelude: str = "", folder: Path | None = None) -> Iterator[Head]:
     """Start a head with the flags of the deploy file, and wait until it serves.
 
     Args:
         config: its configuration.
         prelude: Python code that its process runs first, to inject faults.
+        folder: its temporary folder, which it shares with a process that it takes over from; None: its own.
     """
     with tempfile.TemporaryDirectory(prefix="pressure-") as name:
-        folder = Path(name)
-        (folder / "config.json").write_text(json.dumps(config))
+        own_folder = Path(name)
+        (own_folder / "config.json").write_text(json.dumps(config))
         environ = os.environ | {
-            "NODE_CONFIG": str(folder / "config.json"),
-            "TMPDIR": name,
+            "NODE_CONFIG": str(own_folder / "config.json"),
+            "TMPDIR": str(folder or own_folder),
             "PYTHONPATH": str(ROOT),
             "SSL_CERT_FILE": "/dev/null",
             "SSL_CERT_DIR": "/dev/null",
         }
         start = f"{prelude}\nimport runpy; runpy.run_module('stoatrouter', run_name='__main__')"
-        with (folder / "log").open("wb") as log:
+        with (own_folder / "log").open("wb") as log:
             process = subprocess.Popen(
                 [sys.executable, "-O", "-B", "-c", start], cwd=ROOT, env=environ, stdout=log, stderr=log
             )
@@ -145,7 +146,7 @@
             process,
             int(config["listen"].rpartition(":")[2]),
             int(config["management"].rpartition(":")[2]),
-            folder,
+            own_folder,
         )
         try:
             wait_until_ready(head)
--- a/stoatrouter/core/events.py
+++ b/stoatrouter/core/events.py
@@ -137,6 +137,7 @@
     nodes: tuple[NodeInfo, ...]
     administrative_state: AdministrativeState
     module: dict[str, Any]
+    clock_offset: timedelta = timedelta(0)  # what to add to the times in `module`
 
 
 @dataclass(slots=True, frozen=True)
--- a/stoatrouter/core/nodes.py
+++ b/stoatrouter/core/nodes.py
@@ -67,6 +67,13 @@
             del self.out[node]
         return forgotten
 
+    def shifted(self, offset: timedelta) -> AdministrativeState:
+        """Return the state with its times moved by `offset`, to another process's clock."""
+        return AdministrativeState(
+            {node: since + offset for node, since in self.out.items()},
+            {node: (since + offset, until + offset) for node, (since, until) in self.back.items()},
+        )
+
     def effective(self, node: NodeInfo) -> NodeInfo:
         """Return a listed node for the decision module, with phase or start time overridden by operators."""
         if node.id in self.out:
--- a/stoatrouter/core/reducer.py
+++ b/stoatrouter/core/reducer.py
@@ -294,7 +294,8 @@
             model.EndpointListReceived(event.at, api.ListKind.RESTORED, event.nodes)
         )
         try:
-            handover.take_over(self.scheduler, event.module)
+            offset = to_microseconds(event.clock_offset)
+            handover.take_over(self.scheduler, handover.shift_times(event.module, offset))
         except (KeyError, TypeError, ValueError, AttributeError, IndexError) as error:
             # Another version of the program may have written an unknown form: start without that state.
             logger.error(
--- a/stoatrouter/net/clock.py
+++ b/stoatrouter/net/clock.py
@@ -16,6 +16,11 @@
         """Set the clock to the current system time."""
         self._anchor = timedelta(seconds=time.time()) - timedelta(seconds=time.monotonic())
 
+    @staticmethod
+    def monotonic() -> timedelta:
+        """Return the machine's monotonic time, which all of its processes share."""
+        return timedelta(seconds=time.monotonic())
+
     def now(self) -> timedelta:
         """Return the time since the Unix epoch."""
         return self._anchor + timedelta(seconds=time.monotonic())
--- a/stoatrouter/net/handover.py
+++ b/stoatrouter/net/handover.py
@@ -11,6 +11,7 @@
 from loguru import logger
 
 from stoatrouter.core import model
+from stoatrouter.core.durations import from_microseconds, to_microseconds
 from stoatrouter.net.client_table import ClientTable
 from stoatrouter.net.discovery import Watch
 from stoatrouter.net.engine import Engine
@@ -106,15 +107,27 @@
         Raises KeyError, TypeError, ValueError or AttributeError if it was written by another version.
         """
         nodes = tuple(read_node(node) for node in state["nodes"])
-        administrative_state = read_administrative_state(state["by_hand"])
+        offset = self.clock_offset(state)
+        administrative_state = read_administrative_state(state["by_hand"]).shifted(offset)
         self.engine.dispatch(
-            model.TakenOver(self.engine.clock.now(), nodes, administrative_state, state["module"])
+            model.TakenOver(self.engine.clock.now(), nodes, administrative_state, state["module"], offset)
         )
         self.watch.generation = state["generation"]
         if state["out_of_service"]:
             self.drain.out_of_service()
         self.apply_open_resources(read_open_resources(state["holds"]))
 
+    def clock_offset(self, state: JsonObject) -> timedelta:
+        """Return what to add to the times of the previous process to have them on this one's clock.
+
+        The system's time may have been stepped between the starts of both. An older version does not say its
+        own time: its clock counts as this one's.
+        """
+        if "now" not in state:
+            return timedelta(0)
+        passed = self.engine.clock.monotonic() - from_microseconds(int(state["monotonic"]))
+        return self.engine.clock.now() - passed - from_microseconds(int(state["now"]))
+
     async def follow(self) -> None:
         """Apply the open resources of the previous process until it ends; returns at once without one."""
         if self.predecessor is not None:
@@ -182,6 +195,8 @@
         state = self.engine.hand_over()
         return {
             "v": PROTOCOL_VERSION,
+            "now": to_microseconds(self.engine.clock.now()),
+            "monotonic": to_microseconds(self.engine.clock.monotonic()),
             "generation": self.watch.generation,
             "out_of_service": self.drain.out,
             "nodes": [write_node(node) for node in state.nodes],
--- a/stoatrouter/policy/endpoints.py
+++ b/stoatrouter/policy/endpoints.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from stoatrouter.policy import interface as api
 from stoatrouter.policy.interface import ListKind, Phase
 from stoatrouter.policy.node import Node
@@ -21,6 +23,8 @@
         self.placement = placement
         self.subscribed = False
         self.next_subscribe_at = 0
+        # Listed start times that lay in the future when they were first listed, and when that was, by node.
+        self.future_starts: dict[str, tuple[int, int]] = {}
 
     def apply_update(self, event: api.EndpointList, now: int) -> None:
         """Apply the endpoint list or a watch event, and place again all requests that are not in flight."""
@@ -44,6 +48,7 @@
 
     def _update(self, entry: api.NodeEntry, now: int, since: int) -> None:
         """Apply one endpoint: a new node, a change of phase, or a restart."""
+        entry = replace(entry, up_since=self._start_of(entry, now))
         known_since = self._known_since(entry, now)
         node = self.state.nodes.get(entry.node)
         if node is None:
@@ -53,6 +58,20 @@
         if entry.up_since != node.up_since:
             node.restart(entry.up_since, known_since)
 
+    def _start_of(self, entry: api.NodeEntry, now: int) -> int:
+        """Return when a node started: one that is listed as starting in the future has just started.
+
+        Its machine's clock, or this one's, is off. By the listed time it would stay cold until then.
+        """
+        listed, first_seen = self.future_starts.get(entry.node, (entry.up_since, entry.up_since))
+        if listed == entry.up_since and first_seen <= now:
+            return first_seen
+        self.future_starts.pop(entry.node, None)
+        if entry.up_since <= now or entry.phase is Phase.GONE:
+            return entry.up_since
+        self.future_starts[entry.node] = entry.up_since, now
+        return now
+
     def _known_since(self, entry: api.NodeEntry, now: int) -> int:
         """Return from when this host knows what it sent to a new or restarted node (microseconds).
 
--- a/stoatrouter/policy/handover.py
+++ b/stoatrouter/policy/handover.py
@@ -4,6 +4,9 @@
 between them, and only the new process's share refills; only the new process sends to nodes that warm up; and
 its windows count the attempts that the old process still has in flight.
 
+Times are those of the process that writes them. It adds its own time, and the monotonic time of the machine,
+so that the next one can carry them over to its own clock: the system's time may have been stepped in between.
+
 The keys of the data are a stored form that a process of another version reads: an attribute may be renamed,
 its key may not.
 """
@@ -25,6 +28,10 @@
 # and its first sends arrive late.
 STARTUP_LOSS_SECONDS = 0.3
 
+# The keys whose values are times; 0 stands for never.
+VOLUME_TIMES = ("stamp",)
+NODE_TIMES = ("closes", "known", "cut_at", "last_sent", "heard", "read_at", "newest", "crowd_at")
+
 VOLUME_ATTRIBUTES = {  # by key of the data
     "hosts": "hosts",
     "stamp": "refilled_at",
@@ -128,12 +135,46 @@
 
 
 def take_back(scheduler: Scheduler, now: int) -> None:
-    """Resume after the next process has died: token buckets refill from the tokens left here."""
+    """Resume after the next process has died: token buckets refill from the tokens left here.
+
+    What that process has spent is not known. Volumes that are seen for the first time from now on may have
+    spent all of their limit there, and nodes that warm up may have been sent all of this host's share.
+    """
     scheduler.state.handed_over = False
+    scheduler.state.spending_known_since = now
     for volume in scheduler.volumes.values():
         volume.refill(now).limit_refills = True
 
 
+def shift_times(data: dict[str, Any], offset: int) -> dict[str, Any]:
+    """Return handed-over data with its times moved by `offset` microseconds, to another process's clock.
+
+    The start times of nodes are those of the endpoint list, and stay.
+
+    Raises:
+        KeyError, TypeError, ValueError, AttributeError: where the form of the data is unknown.
+    """
+    return data | {
+        "born": data["born"] + offset,
+        "rests": {key: until + offset for key, until in data["rests"].items()},
+        "asked": [[shard, at + offset] for shard, at in data.get("asked", ())],
+        "volumes": {
+            name: volume | shifted(volume, VOLUME_TIMES, offset) for name, volume in data["volumes"].items()
+        },
+        "nodes": {
+            name: node
+            | shifted(node, NODE_TIMES, offset)
+            | {"sent": [[at + offset, units] for at, units in node["sent"]]}
+            for name, node in data["nodes"].items()
+        },
+    }
+
+
+def shifted(state: dict[str, Any], keys: tuple[str, ...], offset: int) -> dict[str, Any]:
+    """Return the times under these keys moved by `offset` microseconds, where they are there and not 0."""
+    return {key: state[key] + offset for key in keys if state.get(key)}
+
+
 def take_over(scheduler: Scheduler, data: dict[str, Any]) -> None:
     """Restore the state of the previous process, once its endpoint list has been applied.
 
--- a/stoatrouter/policy/scheduler.py
+++ b/stoatrouter/policy/scheduler.py
@@ -187,7 +187,7 @@
         volume = state.volumes.get(event.volume)
         if volume is None:
             plan = state.settings.plans[event.plan]
-            volume = Volume(state.started_at, plan, event.hosts, state.settings.max_units)
+            volume = Volume(state.limits_since, plan, event.hosts, state.settings.max_units)
             state.volumes[event.volume] = volume
         volume.limit_refills = not state.handed_over
         volume.set_hosts(now, event.hosts)
--- a/stoatrouter/policy/slow_start.py
+++ b/stoatrouter/policy/slow_start.py
@@ -70,6 +70,9 @@
         """
         if self.state.handed_over:
             return False  # this host's whole share belongs to the next process
+        known_since = self.state.spending_known_since
+        if known_since >= 0 and at < known_since + self.rules.overload_window:
+            return False  # the next process may have used the whole share before it died
         share = self._share(request, node, at, now)
         sent = node.sent_since(at - self.rules.overload_window)
         if sent + request.units <= share * self.capacity_fraction(node, at):
--- a/stoatrouter/policy/state.py
+++ b/stoatrouter/policy/state.py
@@ -35,10 +35,18 @@
         self.requests: dict[str, Request] = {}
         self.volumes: dict[str, Volume] = {}
         self.started_at = -1  # the time of the first event; -1: none yet
+        # Since when this host knows what it spends and sends; -1: since the first event. What another process
+        # of it did before is not known after that one has died.
+        self.spending_known_since = -1
         self.resumed_at = 0  # when this host last resumed after a stall
         self.handed_over = False  # to this host's next process, while this one finishes its requests
         self.actions: list[api.Action] = []  # of the current event, in the order to take them
 
+    @property
+    def limits_since(self) -> int:
+        """From when the limits of volumes that are seen for the first time fill up (microseconds)."""
+        return max(self.started_at, self.spending_known_since)
+
     def jitter(self, span: float) -> int:
         """Return a time span (microseconds) scaled by a random factor from 0.5 to 1.5."""
         return int(span * (0.5 + self.random.random()))
--- a/stoatrouter/policy/volume.py
+++ b/stoatrouter/policy/volume.py
@@ -49,7 +49,7 @@
 
     def refill(self, now: int) -> Volume:
         """Refill the buckets up to `now` (microseconds) and return the volume itself."""
-        if now == self.refilled_at:
+        if now <= self.refilled_at:
             return self
         passed = (now - self.refilled_at) / SECOND
         plan = self.plan
