An accept or bind that fails for a moment is tried again

Cause: asyncio takes a listening socket out for 1 s after such an error; the accepting of all that wait ended at the first error; after a take-back the address was bound once, while the dead process may hold it for a moment (inferred).

Binding is tried for 3 s, after a take-back until it succeeds. Streams between heads use it too.

--- a/stoatrouter/net/handover.py
+++ b/stoatrouter/net/handover.py
@@ -34,6 +34,7 @@
     write_open_resources,
 )
 
+RESUME_INTERVAL = timedelta(seconds=1)  # between two tries to accept clients again
 # Fewer open requests are admitted for this time after each message of the other process: all clients move at
 # once, to a process that has to open all of its connections.
 SETTLING_TIME = timedelta(seconds=1)
@@ -223,7 +224,13 @@
         logger.warning("upgrade: the new process has ended; resuming service", event="upgrade.taken_back")
         self.engine.dispatch(model.TakenBack(self.engine.clock.now(), self.engine.state_file.read()))
         self.drain.handed_over = False
-        await self.resume_accepting()
+        while True:
+            try:
+                await self.resume_accepting()
+                break
+            except OSError as error:  # another program may have taken the address, or no descriptor is left
+                logger.error("upgrade: cannot accept again: {error}", event="upgrade.deaf", error=str(error))
+                await asyncio.sleep(RESUME_INTERVAL.total_seconds())
         await self.listen()
 
     def open_resources(self) -> OpenResources:
--- a/stoatrouter/net/listener.py
+++ b/stoatrouter/net/listener.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import os
 import socket
 from collections.abc import Awaitable, Callable
@@ -15,6 +14,7 @@
 from aiohttp.web_protocol import RequestHandler
 from loguru import logger
 
+from stoatrouter.net.acceptor import Acceptor
 from stoatrouter.net.client_table import ClientTable
 from stoatrouter.net.clients import READ_BUFFER_BYTES, ClientConnection, Refuse
 from stoatrouter.net.disconnects import CLIENT_TRANSPORT
@@ -22,12 +22,12 @@
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 Response = TypeVar("Response", bound=web.StreamResponse)
 BACKLOG = 1024
-# Connections accepted per loop iteration: connections that are evicted for new ones release their descriptors
-# only in the next iteration.
-MAX_ACCEPT_BATCH = 16
 # A stopping head is killed no sooner than this after the longest request deadline, which is capped at 3 s.
 KILL_DELAY = timedelta(milliseconds=700)
 MAX_DEADLINE = timedelta(seconds=3)
+# A process that has just been killed may hold its address for a moment longer than its other sockets.
+BIND_TIMEOUT = timedelta(seconds=3)
+BIND_INTERVAL = timedelta(milliseconds=20)
 ANSWER_MARGIN = timedelta(milliseconds=350)  # all accepted requests are answered this long before the kill
 # Requests are accepted until this long before that time; later ones would have too little time left.
 ACCEPT_MARGIN = timedelta(milliseconds=400)
@@ -176,16 +176,25 @@
         return ClientConnection(self, self.clients, self.refuse, self._loop, **self._kwargs)
 
 
-class ListeningSocket(socket.socket):
-    """A listening socket with a fixed backlog, whatever backlog asyncio passes."""
-
-    keeps_backlog = False
-
-    def listen(self, backlog: int = BACKLOG) -> None:
-        """Listen with BACKLOG; an inherited socket keeps its backlog."""
-        # Shrinking the backlog, even briefly, would leave connections in progress unanswered.
-        if not self.keeps_backlog:
-            super().listen(BACKLOG)
+async def bind(host: str, port: int) -> socket.socket:
+    """Return a socket that is bound to an address, once that is free; raises OSError after BIND_TIMEOUT."""
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    loop = asyncio.get_running_loop()
+    give_up_at = loop.time() + BIND_TIMEOUT.total_seconds()
+    while True:
+        try:
+            return socket.create_server((host, port), family=family)
+        except OSError as error:
+            if loop.time() >= give_up_at:
+                raise
+            logger.warning(
+                "listen: {host}:{port} is not free: {error}",
+                event="listen.busy",
+                host=host,
+                port=port,
+                error=str(error),
+            )
+            await asyncio.sleep(BIND_INTERVAL.total_seconds())
 
 
 class Listener:
@@ -209,58 +218,45 @@
         self.server = Server(
             serve, drain.clients, refuse, handler_cancellation=True, access_log=None, auto_decompress=False
         )
-        self.acceptor: asyncio.Server | None = None
-        self.listening_socket: ListeningSocket | None = None
-        self.arriving: set[asyncio.Task[None]] = set()  # setup of connections accepted by stop_accepting
+        self.acceptor: Acceptor | None = None
+        self.shares_backlog = False  # other processes of this head accept from the same socket
+        self.arriving: set[asyncio.Task[None]] = set()  # connections that are being set up
 
     async def start(self, host: str, port: int, inherited: int | None = None) -> None:
-        """Listen at an address, or on an inherited socket that all processes of this head share."""
+        """Listen at an address, or on an inherited socket that all processes of this head share.
+
+        Without effect if it listens already. Raises OSError if the address is not free for BIND_TIMEOUT.
+        """
+        if self.acceptor is not None:
+            return
         if inherited is None:
-            family = socket.AF_INET6 if ":" in host else socket.AF_INET
-            with contextlib.closing(socket.create_server((host, port), family=family)) as bound:
-                listening_socket = ListeningSocket(fileno=bound.detach())
+            listening_socket = await bind(host, port)
+            listening_socket.listen(BACKLOG)
         else:
-            # a duplicate: closing it leaves the inherited descriptor open
-            listening_socket = ListeningSocket(fileno=os.dup(inherited))
-        listening_socket.keeps_backlog = inherited is not None
+            # A duplicate: closing it leaves the inherited descriptor open. It listens already, and shrinking
+            # its backlog, even briefly, would leave connections in progress unanswered.
+            listening_socket = socket.socket(fileno=os.dup(inherited))
+        self.shares_backlog = inherited is not None
         listening_socket.setblocking(False)
-        self.listening_socket = listening_socket
-        # asyncio accepts up to `backlog` connections per iteration; each needs a descriptor.
-        self.acceptor = await asyncio.get_running_loop().create_server(
-            self.server, sock=listening_socket, backlog=MAX_ACCEPT_BATCH
-        )
+        self.acceptor = Acceptor(listening_socket, self.server)
+        self.arriving = self.acceptor.arriving
 
     def stop_accepting(self) -> None:
         """Stop accepting; pending connections of an inherited socket are left to the next process."""
-        if self.acceptor is None or self.listening_socket is None:
+        if self.acceptor is None:
             return
         # Closing the socket would reset its pending connections, whose requests may already have been sent.
-        if not self.listening_socket.keeps_backlog:
-            self._accept_waiting(self.listening_socket)
-        self.acceptor.close()
-        self.acceptor = self.listening_socket = None
-
-    def _accept_waiting(self, listening_socket: ListeningSocket) -> None:
-        """Accept the pending connections of the socket, at most as many as its backlog holds."""
-        for _ in range(BACKLOG):
-            try:
-                connection, _ = listening_socket.accept()
-            except OSError:
-                return  # none is pending, or no descriptor is left
-            connection.setblocking(False)
-            task = asyncio.get_running_loop().create_task(self._serve_accepted(connection))
-            self.arriving.add(task)
-            task.add_done_callback(self.arriving.discard)
-
-    async def _serve_accepted(self, connection: socket.socket) -> None:
-        with contextlib.suppress(OSError):  # its client has disconnected
-            await asyncio.get_running_loop().connect_accepted_socket(self.server, connection)
+        if not self.shares_backlog:
+            self.acceptor.accept_waiting(BACKLOG)
+        self.acceptor.stop()
+        self.acceptor.listening_socket.close()
+        self.acceptor = None
 
     @property
     def port(self) -> int:
         """The port it listens on."""
         assert self.acceptor is not None
-        return int(self.acceptor.sockets[0].getsockname()[1])
+        return int(self.acceptor.listening_socket.getsockname()[1])
 
     async def stop(self, busy: Callable[[], bool], accept_for: timedelta) -> None:
         """Serve for `accept_for`, finish all open requests, then close all connections."""
--- a/stoatrouter/peering/streams.py
+++ b/stoatrouter/peering/streams.py
@@ -20,7 +20,8 @@
 from loguru import logger
 
 from stoatrouter.agreement.records import AnyMessage, Voter
-from stoatrouter.net.listener import ListeningSocket
+from stoatrouter.net.acceptor import Acceptor
+from stoatrouter.net.listener import BACKLOG
 from stoatrouter.peering import calls
 from stoatrouter.peering.counters import Channel, MessageCounters
 from stoatrouter.peering.envelope import MAX_MESSAGE_SIZE, Envelope, EnvelopeSealer, OlderIncarnation
@@ -90,7 +91,7 @@
         self._last_request_id = 0
         self._session: aiohttp.ClientSession | None = None
         self._server: web.Server | None = None
-        self._listener: asyncio.Server | None = None
+        self._listener: Acceptor | None = None
         self._queues: dict[str, calls.Batch] = {}
         self._senders: dict[str, asyncio.Task[None]] = {}
 
@@ -112,17 +113,19 @@
         if listen is None:
             return
         self._server = web.Server(self._handle, access_log=None, handler_cancellation=True)
-        listening = ListeningSocket()
+        listening = socket.socket()
         listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listening.bind(listen)
+        listening.listen(BACKLOG)
         listening.setblocking(False)
-        self._listener = await asyncio.get_running_loop().create_server(self._server, sock=listening)
+        self._listener = Acceptor(listening, self._server)
 
     async def close(self) -> None:
         """Stop sending and listening; queued messages are dropped."""
         await cancel_tasks(self._senders.values())
         if self._listener is not None:
-            self._listener.close()
+            self._listener.stop()
+            self._listener.listening_socket.close()
         if self._server is not None:
             await self._server.shutdown(SHUTDOWN_TIMEOUT.total_seconds())
         if self._session is not None:
