An id that may have run is not run again, whoever sends it, at either process

Cause: the reducer forgot an id as its cancelled attempt ended, and the other process knew nothing of it.

Change: the first attempt of a request whose class is not `retryable` spends its id for the longest deadline and window. Again it is answered 502, or 503 where all nodes discard repeats. Ids are handed over with ages; while two processes serve, each tells the other of an id before a node is sent it.

--- a/stoatrouter/core/effects.py
+++ b/stoatrouter/core/effects.py
@@ -79,6 +79,7 @@
     nodes: tuple[NodeInfo, ...]
     administrative_state: AdministrativeState
     module: dict[str, Any]
+    spent: list[list[Any]]  # ids that may have run (core/spent_ids.py)
 
 
 Effect = (
--- a/stoatrouter/core/events.py
+++ b/stoatrouter/core/events.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 from typing import Any
 
@@ -138,6 +138,7 @@
     administrative_state: AdministrativeState
     module: dict[str, Any]
     clock_offset: timedelta = timedelta(0)  # what to add to the times in `module`
+    spent: list[list[Any]] = field(default_factory=list)  # ids (core/spent_ids.py)
 
 
 @dataclass(slots=True, frozen=True)
@@ -148,7 +149,17 @@
     counts: dict[str, int]
 
 
-ControlEvent = SetAdministrativeState | HandedOver | TakenBack | TakenOver | AttemptsElsewhere
+@dataclass(slots=True, frozen=True)
+class SpentElsewhere:
+    """The other process of an upgrade is about to send requests with these ids to nodes."""
+
+    at: timedelta
+    requests: tuple[str, ...]
+
+
+ControlEvent = (
+    SetAdministrativeState | HandedOver | TakenBack | TakenOver | AttemptsElsewhere | SpentElsewhere
+)
 
 Event = (
     Arrived
--- a/stoatrouter/core/memory.py
+++ b/stoatrouter/core/memory.py
@@ -26,6 +26,8 @@
 # Of the account, and of the connections to nodes: a stream occupies one until its client has read it.
 STREAMS_MEMORY_FRACTION = 0.6
 STREAMS_CONNECTIONS_FRACTION = 0.5
+SPENT_IDS_FRACTION = 0.05  # of what the program leaves
+SPENT_ID_BYTES = 220  # an id with its time
 MIN_LEFT_BYTES = 2_000_000  # beside the program; with less, nothing could be served
 
 
@@ -38,6 +40,7 @@
     max_clients: int  # the number of clients' connections
     max_nodes: int  # the number of connections to nodes
     max_streams: int  # the number of answers that are streamed at once
+    max_spent_ids: int  # the number of ids that are remembered (spent_ids.py)
 
 
 def divide_memory(memory_mb: int, descriptors: Descriptors) -> MemoryBudget:
@@ -45,8 +48,14 @@
     left = max(MIN_LEFT_BYTES, int(memory_mb * MEGABYTE * USABLE_FRACTION) - PROGRAM_BYTES)
     clients = max(1, min(descriptors.clients, int(left * MAX_CLIENTS_FRACTION / CLIENT_CONNECTION_BYTES)))
     nodes = max(1, min(descriptors.nodes, int(left * MAX_NODES_FRACTION / NODE_CONNECTION_BYTES)))
-    account = left - clients * CLIENT_CONNECTION_BYTES - nodes * NODE_CONNECTION_BYTES
+    spent_ids = int(left * SPENT_IDS_FRACTION)
+    account = left - spent_ids - clients * CLIENT_CONNECTION_BYTES - nodes * NODE_CONNECTION_BYTES
     streams = min(nodes * STREAMS_CONNECTIONS_FRACTION, account * STREAMS_MEMORY_FRACTION / REQUEST_BYTES)
     return MemoryBudget(
-        account, int(account * LARGE_BODIES_FRACTION), clients, nodes, max_streams=max(1, int(streams))
+        account,
+        int(account * LARGE_BODIES_FRACTION),
+        clients,
+        nodes,
+        max_streams=max(1, int(streams)),
+        max_spent_ids=spent_ids // SPENT_ID_BYTES,
     )
--- a/stoatrouter/core/records.py
+++ b/stoatrouter/core/records.py
@@ -34,6 +34,10 @@
             return None
         return self.attempts[number]
 
+    def in_flight(self) -> list[int]:
+        """Return the numbers of the attempts in flight."""
+        return [number for number, attempt in enumerate(self.attempts) if attempt.in_flight]
+
     def may_have_run(self) -> bool:
         """Return whether any node may have executed the request."""
         return any(not attempt.never_ran for attempt in self.attempts)
--- a/stoatrouter/core/reducer.py
+++ b/stoatrouter/core/reducer.py
@@ -15,6 +15,7 @@
 from stoatrouter.core.durations import NO_TIME, from_microseconds, to_microseconds
 from stoatrouter.core.gate import Gate
 from stoatrouter.core.invariants import invariant
+from stoatrouter.core.spent_ids import SpentIds, retention_of
 from stoatrouter.policy import Scheduler, handover
 from stoatrouter.policy import interface as api
 
@@ -26,7 +27,9 @@
 class Reducer:
     """The state of one head, which changes in `reduce` only."""
 
-    def __init__(self, settings: api.Settings, seed: int, max_open: int = 1 << 30) -> None:
+    def __init__(
+        self, settings: api.Settings, seed: int, max_open: int = 1 << 30, max_spent: int = 1 << 30
+    ) -> None:
         """Start with no nodes, no requests and a new scheduler.
 
         Args:
@@ -36,7 +39,9 @@
             seed: the decision module's random seed, which makes a run reproducible.
             max_open: the maximum number of unanswered requests; further ones are rejected before the
                 decision module sees them.
+            max_spent: the maximum number of ids that are remembered as spent.
         """
+        self.spent = SpentIds(retention_of(settings.classes), max_spent)
         self.gate: Gate | None = None  # asked before the decision module whether a request can be paid for
         self.scheduler = Scheduler(settings, seed)
         self.max_open = max_open
@@ -98,6 +103,9 @@
                 return self._taken_over(event)
             case model.AttemptsElsewhere():
                 return self._count_attempts_elsewhere(event)
+            case model.SpentElsewhere():
+                self.spent.add_all(event.requests, self.now)
+                return []
 
     @property
     def open(self) -> int:
@@ -134,6 +142,9 @@
         # The decision module drops a second request with the same id, so its client would never be answered.
         if request.id in self.records or request.id in self.streams:
             return self._reject(request.request_class, model.Failed(), "duplicate_id")
+        request_class = self.scheduler.settings.classes[request.request_class]
+        if (answer := self.spent.rejection(request.id, request_class, self.now)) is not None:
+            return self._reject(request.request_class, answer, "spent_id")
         # Overload protection: requests beyond the configured maximum do not reach the decision module.
         if len(self.records) >= self.max_open:
             return self._reject(
@@ -210,8 +221,11 @@
         return []
 
     def _forget(self, request_id: str) -> None:
-        if self.records[request_id].is_finished():
+        record = self.records[request_id]
+        if record.is_finished():
             del self.records[request_id]
+            if not record.may_have_run():
+                self.spent.discard(request_id)
 
     # -- attempts -----------------------------------------------------------------------------------------
     def _attempt_ended(self, event: model.AttemptEnded) -> list[model.Effect]:
@@ -255,6 +269,8 @@
         ):
             return []
         assert record is not None
+        if not self.is_safe(record.request.request_class):
+            self.spent.add(action.request, self.now)
         record.attempts.append(model.Attempt(action.node, node.shard if node else -1, self.now))
         number = len(record.attempts) - 1
         # The node may have left the list between the decision and the send; then the attempt never ran.
@@ -276,7 +292,8 @@
     # -- handover between processes ----------------------------------------------------------------------
     def _hand_over(self) -> list[model.Effect]:
         module = handover.hand_over(self.scheduler, to_microseconds(self.now))
-        return [model.HandoverState(tuple(self.nodes.values()), self.administrative_state, module)]
+        spent = self.spent.written(self.now)
+        return [model.HandoverState(tuple(self.nodes.values()), self.administrative_state, module, spent)]
 
     def _taken_back(self, event: model.TakenBack) -> list[model.Effect]:
         handover.take_back(self.scheduler, to_microseconds(self.now))
@@ -294,6 +311,7 @@
             model.EndpointListReceived(event.at, api.ListKind.RESTORED, event.nodes)
         )
         try:
+            self.spent.restore(event.spent, self.now)
             offset = to_microseconds(event.clock_offset)
             handover.take_over(self.scheduler, handover.shift_times(event.module, offset))
         except (KeyError, TypeError, ValueError, AttributeError, IndexError) as error:
@@ -337,6 +355,7 @@
         if self.now - self.forgotten_at >= CLEANUP_INTERVAL:
             self.forgotten_at = self.now
             self.administrative_state.forget_back(self.nodes, self.now)
+            self.spent.forget_old(self.now)
 
     # -- the decision module ------------------------------------------------------------------------------
     def _decide(self, event: api.Event) -> list[model.Effect]:
@@ -375,8 +394,4 @@
 
 def cancel_attempts(record: model.Record) -> list[model.Effect]:
     """Return the effects that cancel a request's attempts in flight."""
-    return [
-        model.CancelAttempt(record.request.id, number)
-        for number, attempt in enumerate(record.attempts)
-        if attempt.in_flight
-    ]
+    return [model.CancelAttempt(record.request.id, number) for number in record.in_flight()]
--- a/stoatrouter/head.py
+++ b/stoatrouter/head.py
@@ -70,21 +70,21 @@
     )
 
 
-def build_engine(conf: config.Config, max_node_connections: int) -> Engine:
+def build_engine(conf: config.Config, budget: MemoryBudget) -> Engine:
     """Build the engine with the core and the node client.
 
     Args:
         conf: the head's configuration.
-        max_node_connections: the maximum size of the connection pool for all nodes.
+        budget: the division of the head's memory.
     """
     nodes = NodeClient(
         conf.connect_timeout,
         conf.conn_idle,
-        max_node_connections,
+        budget.max_nodes,
         from_microseconds(min(request_class.latency_objective for request_class in conf.settings.classes)),
     )
     return Engine(
-        Reducer(conf.settings, conf.seed, conf.max_open),
+        Reducer(conf.settings, conf.seed, conf.max_open, budget.max_spent_ids),
         Clock(),
         nodes,
         AdministrativeStateFile(conf.folder),
@@ -152,7 +152,7 @@
         self.serving = False
         budget = divide_descriptors(conf.sockets)
         memory_budget = divide_memory(conf.memory_mb, budget)
-        self.engine = build_engine(conf, memory_budget.max_nodes)
+        self.engine = build_engine(conf, memory_budget)
         self.memory = MemoryAccount(memory_budget.account)
         self.watch = build_watch(conf, self.engine, self.memory)
         self.clients = build_client_table(memory_budget, conf.sockets, self.memory)
--- a/stoatrouter/net/engine.py
+++ b/stoatrouter/net/engine.py
@@ -52,12 +52,18 @@
         # called before a request is admitted: waits for what it needs, and returns whether it waited
         self.prepare: Callable[[model.Request], Awaitable[bool]] | None = None
         self.preparing = 0
+        # Set while another process of this head serves too: called with an id before a node may run it, and
+        # awaited before a request that may not be repeated is admitted.
+        self.on_spent: Callable[[str], None] | None = None
+        self.hear_other_process: Callable[[], Awaitable[None]] | None = None
 
     # -- for fronts ---------------------------------------------------------------------------------------
     async def serve(self, request: model.Request) -> model.Answer:
         """Return the final answer to a request; cancellation is reported as the client having left."""
         if self.prepare is not None:
             request = await self.prepared(request)
+        if self.hear_other_process is not None and not self.reducer.is_safe(request.request_class):
+            await self.hear_other_process()
         now = self.clock.now()
         if self.answer_deadline is not None:
             # A stopping head cannot answer after its end, so the deadlines of new requests are capped.
@@ -215,6 +221,8 @@
 
     def start_attempt(self, effect: model.SendAttempt) -> None:
         """Start an attempt in a task of its own."""
+        if self.on_spent is not None and not self.reducer.is_safe(effect.request.request_class):
+            self.on_spent(effect.request.id)
         task = self.loop.create_task(
             self.nodes.attempt(effect, partial(self.may_begin, effect), partial(self.attempt_stalled, effect))
         )
--- a/stoatrouter/net/handover.py
+++ b/stoatrouter/net/handover.py
@@ -6,6 +6,7 @@
 import json
 from collections import Counter
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from datetime import timedelta
 
 from loguru import logger
@@ -21,6 +22,7 @@
     HandoverSocket,
     Predecessor,
     send_line,
+    write_line,
 )
 from stoatrouter.net.listener import Drain
 from stoatrouter.net.state_format import (
@@ -29,11 +31,13 @@
     read_administrative_state,
     read_node,
     read_open_resources,
+    read_spent,
     write_administrative_state,
     write_node,
     write_open_resources,
 )
 
+TURNS_TO_HEAR = 4  # of the loop, until lines that are in the socket have been handled
 RESUME_INTERVAL = timedelta(seconds=1)  # between two tries to accept clients again
 # Fewer open requests are admitted for this time after each message of the other process: all clients move at
 # once, to a process that has to open all of its connections.
@@ -78,6 +82,7 @@
         self.max_node_connections = engine.nodes.pool.max_connections
         self.predecessor: Predecessor | None = None
         self.takeover_tasks: set[asyncio.Task[None]] = set()
+        self.spent_listeners: list[Callable[[str], None]] = []  # one for each other process that serves
 
     # -- the new process ----------------------------------------------------------------------------------
     async def take_over(self) -> bool:
@@ -95,6 +100,7 @@
                 error=repr(error),
             )
             return False
+        self.share_ids(self.predecessor.report_spent)
         logger.info(
             "upgrade: taken over; still open in the old process: {holds}",
             event="upgrade.taken_over",
@@ -111,7 +117,14 @@
         offset = self.clock_offset(state)
         administrative_state = read_administrative_state(state["by_hand"]).shifted(offset)
         self.engine.dispatch(
-            model.TakenOver(self.engine.clock.now(), nodes, administrative_state, state["module"], offset)
+            model.TakenOver(
+                self.engine.clock.now(),
+                nodes,
+                administrative_state,
+                state["module"],
+                offset,
+                state.get("spent", []),
+            )
         )
         self.watch.generation = state["generation"]
         if state["out_of_service"]:
@@ -132,11 +145,38 @@
     async def follow(self) -> None:
         """Apply the open resources of the previous process until it ends; returns at once without one."""
         if self.predecessor is not None:
+            report_spent = self.predecessor.report_spent
             await self.predecessor.follow(self.apply_open_resources)
             self.predecessor = None
+            self.stop_sharing_ids(report_spent)
+
+    # -- ids that both processes know ---------------------------------------------------------------------
+    def share_ids(self, tell: Callable[[str], None]) -> None:
+        """Tell another process of each id before a node may run it, and hear of its own before admission."""
+        self.spent_listeners.append(tell)
+        self.engine.on_spent = self.tell_spent
+        self.engine.hear_other_process = hear_other_process
+
+    def stop_sharing_ids(self, tell: Callable[[str], None]) -> None:
+        """Stop telling a process that has ended."""
+        if tell in self.spent_listeners:
+            self.spent_listeners.remove(tell)
+        if not self.spent_listeners:
+            self.engine.on_spent = self.engine.hear_other_process = None
+
+    def tell_spent(self, request: str) -> None:
+        """Tell all other processes of this head that nodes are about to run a request."""
+        for tell in self.spent_listeners:
+            tell(request)
+
+    def learn_spent(self, requests: tuple[str, ...]) -> None:
+        """Remember ids that another process has told of."""
+        if requests:
+            self.engine.dispatch(model.SpentElsewhere(self.engine.clock.now(), requests))
 
     def apply_open_resources(self, open_resources: OpenResources) -> None:
         """Reduce this process's limits by the open resources of the previous one, as both are one head."""
+        self.learn_spent(open_resources.spent)
         self.clients.max_connections = max(1, self.max_clients - open_resources.clients)
         self.clients.busy_at_predecessor = open_resources.busy
         self.clients.tighten_busy_limit(SETTLING_TIME)
@@ -179,8 +219,14 @@
         self.drain.handed_over = True
         self.clients.tighten_busy_limit(SETTLING_TIME)
         await self.stop_accepting()
+
+        def tell(request: str) -> None:
+            write_line(writer, write_open_resources(replace(self.open_resources(), spent=(request,))))
+
         try:
-            await send_line(writer, self.state())
+            write_line(writer, self.state())
+            self.share_ids(tell)  # what is spent from now on is no part of that state
+            await writer.drain()
             await self.report_open_resources(reader, writer)
         except OSError as error:
             logger.warning(
@@ -189,6 +235,8 @@
         except Exception:
             # After an unexpected error in the handover, no process would accept clients without this.
             logger.exception("upgrade: handover failed with an unexpected error", event="upgrade.fault")
+        finally:
+            self.stop_sharing_ids(tell)
         await self.take_back()
 
     def state(self) -> JsonObject:
@@ -203,6 +251,7 @@
             "nodes": [write_node(node) for node in state.nodes],
             "by_hand": write_administrative_state(state.administrative_state),
             "module": state.module,
+            "spent": state.spent,
             "holds": write_open_resources(self.open_resources()),
         }
 
@@ -211,7 +260,7 @@
 
         Raises OSError if the connection breaks.
         """
-        ended = asyncio.ensure_future(reader.read())
+        ended = asyncio.ensure_future(self.read_spent(reader))
         try:
             while not ended.done():
                 await asyncio.wait([ended], timeout=OPEN_RESOURCES_INTERVAL.total_seconds())
@@ -219,6 +268,18 @@
         finally:
             ended.cancel()
 
+    async def read_spent(self, reader: asyncio.StreamReader) -> None:
+        """Learn the ids that the new process tells of, until it closes the connection."""
+        while line := await reader.readline():
+            try:
+                self.learn_spent(read_spent(json.loads(line)))
+            except (ValueError, TypeError, AttributeError) as error:
+                logger.warning(
+                    "upgrade: the new process sent a malformed line: {error}",
+                    event="upgrade.malformed",
+                    error=repr(error),
+                )
+
     async def take_back(self) -> None:
         """Accept clients again, as the new process has ended."""
         logger.warning("upgrade: the new process has ended; resuming service", event="upgrade.taken_back")
@@ -248,3 +309,13 @@
         for task in list(self.takeover_tasks):
             task.cancel()
         await asyncio.gather(*self.takeover_tasks, return_exceptions=True)
+
+
+async def hear_other_process() -> None:
+    """Let the loop read what the other process has written so far.
+
+    What it wrote is in this process's socket at once. The loop reads it in its next turn, wakes the reader
+    in the one after, and that one handles the lines.
+    """
+    for _ in range(TURNS_TO_HEAR):
+        await asyncio.sleep(0)
--- a/stoatrouter/net/handover_socket.py
+++ b/stoatrouter/net/handover_socket.py
@@ -49,6 +49,10 @@
         state, self._state = self._state, {}
         return state
 
+    def report_spent(self, request: str) -> None:
+        """Tell the previous process that nodes are about to run a request, before they are sent it."""
+        write_line(self.writer, {"spent": [request]})
+
     async def follow(self, on_open_resources: Callable[[OpenResources], None]) -> None:
         """Report the open resources of the previous process as they change, and none once it has ended."""
         try:
@@ -134,7 +138,12 @@
             self.server = None
 
 
+def write_line(writer: asyncio.StreamWriter, data: JsonObject) -> None:
+    """Write one line of JSON: it is in the other process's socket at once, unless that is full."""
+    writer.write(json.dumps(data).encode() + b"\n")
+
+
 async def send_line(writer: asyncio.StreamWriter, state: JsonObject) -> None:
     """Send a state as one line of JSON; raises OSError if the other process has ended."""
-    writer.write(json.dumps(state).encode() + b"\n")
+    write_line(writer, state)
     await writer.drain()
--- a/stoatrouter/net/state_format.py
+++ b/stoatrouter/net/state_format.py
@@ -23,6 +23,7 @@
     connections: int = 0  # connections to nodes
     attempts: dict[str, int] = field(default_factory=dict)  # attempts in flight, by node
     busy: int = 0  # client connections with an open request
+    spent: tuple[str, ...] = ()  # ids that nodes are about to run
 
 
 def write_open_resources(open_resources: OpenResources) -> JsonObject:
@@ -32,7 +33,7 @@
         "connections": open_resources.connections,
         "out": open_resources.attempts,
         "busy": open_resources.busy,
-    }
+    } | ({"spent": list(open_resources.spent)} if open_resources.spent else {})
 
 
 def read_open_resources(data: Any) -> OpenResources:
@@ -45,9 +46,15 @@
         connections=int(data.get("connections", 0)),
         attempts=dict(data.get("out", {})),
         busy=int(data.get("busy", 0)),
+        spent=read_spent(data),
     )
 
 
+def read_spent(data: Any) -> tuple[str, ...]:
+    """Return the ids that the other process is about to have run; raises as read_open_resources does."""
+    return tuple(str(request) for request in data.get("spent", ()))
+
+
 def write_administrative_state(administrative_state: AdministrativeState) -> JsonObject:
     """Return the administrative state as plain data; times are in microseconds since the Unix epoch."""
     return {
--- a/tests/test_race_conditions.py
+++ b/tests/test_race_conditions.py
@@ -323,7 +323,9 @@
 
     async def scenario():
         clock = SimpleNamespace(now=lambda: START + timedelta(seconds=asyncio.get_running_loop().time()))
-        unanswering_nodes = SimpleNamespace(attempt=lambda effect, may_begin: asyncio.Event().wait())
+        unanswering_nodes = SimpleNamespace(
+            attempt=lambda effect, may_begin, on_stall: asyncio.Event().wait()
+        )
         engine = Engine(reducer(node()), clock, unanswering_nodes, AdministrativeStateFile(None))
         first = asyncio.create_task(engine.serve(request()))
         await asyncio.sleep(0)
