--- a/stoatrouter/fronts/exchange.py
+++ b/stoatrouter/fronts/exchange.py
@@ -13,6 +13,7 @@
 from stoatrouter.core import model
 from stoatrouter.net.answer_stream import AnswerStream
 from stoatrouter.net.bodies import Body, BodyCapacity, StoredBody, read_body
+from stoatrouter.net.client_table import CloseReason
 from stoatrouter.net.clients import request_memory
 from stoatrouter.net.engine import Engine
 from stoatrouter.net.errors import IncompleteAnswer, NoCapacity, TooLarge, TooSlow
@@ -73,6 +74,7 @@
         except TooLarge:
             raise BadRequest("the body is too large", 413) from None
         except TooSlow:
+            self.drain.clients.closes[CloseReason.BODY_TIMEOUT] += 1
             raise BadRequest("the body did not come in time", 408) from None
         except web.RequestPayloadError:
             raise BadRequest("the body cannot be read") from None
--- a/stoatrouter/net/bodies.py
+++ b/stoatrouter/net/bodies.py
@@ -81,6 +81,7 @@
             elif not reservation.granted.cancelled():
                 self.release(size)  # it was granted just as the wait ended
             if isinstance(error, TimeoutError):
+                self.memory.refused[MemoryKind.BODIES] += 1
                 waited = CAPACITY_TIMEOUT.total_seconds()
                 raise NoCapacity(f"no {size} bytes became free in {waited:g} s") from None
             raise
--- a/stoatrouter/net/client_table.py
+++ b/stoatrouter/net/client_table.py
@@ -4,8 +4,9 @@
 
 import asyncio
 import sys
+from collections import Counter
 from datetime import timedelta
-from enum import Enum
+from enum import Enum, StrEnum
 from typing import Protocol
 
 from stoatrouter.net.input_turns import InputTurns
@@ -41,6 +42,23 @@
     READING_HEAD = 7  # part of a request head has arrived; ordered by the arrival of the latest bytes
 
 
+class CloseReason(StrEnum):
+    """Why this head closed a client's connection, or ended its request; counted in the log."""
+
+    EVICTED_IDLE = "evicted_idle"  # for a new connection, at the limit
+    EVICTED_HALTING = "evicted_halting"  # the same; part of its request was missing
+    OVER_LIMIT = "over_limit"  # new, and all others have an open request
+    IDLE = "idle"
+    HEAD_TIMEOUT = "head_timeout"
+    HEAD_TOO_LARGE = "head_too_large"
+    NO_MEMORY = "no_memory"
+    FRAMING = "framing"  # a chunked body that consists of framing in the main
+    MALFORMED = "malformed"
+    BODY_TIMEOUT = "body_timeout"
+    NOT_READING = "not_reading"  # its answer
+    DRAINED = "drained"
+
+
 class TrackedConnection(Protocol):
     """The interface of a client connection that the table uses."""
 
@@ -91,6 +109,7 @@
         self.streaming: set[TrackedConnection] = set()  # connections whose answer is streamed
         self.memory = memory if memory is not None else MemoryAccount(sys.maxsize)
         self.turns = InputTurns()
+        self.closes: Counter[CloseReason] = Counter()  # since they were last taken
         self.max_connections = max_connections
         self.max_idle = max_idle
         self.max_busy = max_busy
@@ -117,7 +136,7 @@
             # The connections of all clients share one limit, and clients that send one request and stay
             # connected would exhaust it. Connections with more requests stay: at a high rate, opening new
             # ones would use a whole core.
-            next(iter(after_first)).close_now()
+            self._close(next(iter(after_first)), CloseReason.EVICTED_IDLE)
 
     def remove(self, connection: TrackedConnection) -> None:
         """Remove a connection from the table."""
@@ -140,9 +159,24 @@
         """
         self.set_state(connection, State.NEW)
         if len(self) > self.max_connections and (evicted := self.eviction_candidate(connection)) is not None:
-            return evicted.close_now()
+            halting = evicted.state in (State.READING_HEAD, State.RECEIVING)
+            return self._close(evicted, CloseReason.EVICTED_HALTING if halting else CloseReason.EVICTED_IDLE)
         if len(self) > self.max_connections + SPARE_CONNECTIONS:
-            connection.close_now()  # all others have an open request
+            self._close(connection, CloseReason.OVER_LIMIT)  # all others have an open request
+
+    def _close(self, connection: TrackedConnection, reason: CloseReason) -> None:
+        self.closes[reason] += 1
+        connection.close_now()
+
+    def _close_unless_unread(self, connection: TrackedConnection, reason: CloseReason) -> None:
+        connection.close_unless_unread()
+        if connection not in self.by_state[connection.state]:
+            self.closes[reason] += 1
+
+    def take_closes(self) -> dict[str, int]:
+        """Return how often connections were closed since the last call, by reason, and reset the counts."""
+        closes, self.closes = self.closes, Counter()
+        return {reason.value: count for reason, count in closes.items()}
 
     def eviction_candidate(self, newest: TrackedConnection) -> TrackedConnection | None:
         """Return the connection to evict for a new one; None if all others have an open request.
@@ -200,10 +234,10 @@
         """Close connections that exceed a timeout: idle, new, reading a head, or not reading their answer."""
         for connection in list(self.by_state[State.READING_HEAD]):
             if connection.loop.time() - connection.head_since > HEAD_TIMEOUT.total_seconds():
-                connection.close_now()
+                self._close(connection, CloseReason.HEAD_TIMEOUT)
         for connection in [*self.by_state[State.BUSY], *self.by_state[State.ANSWERING]]:
             if connection.seconds_stalled() > WRITE_STALL_TIMEOUT.total_seconds():
-                connection.close_now()
+                self._close(connection, CloseReason.NOT_READING)
         for state in (State.NEW, State.IDLE_AFTER_FIRST, State.IDLE, State.LINGERING):
             if state in (State.IDLE_AFTER_FIRST, State.IDLE) and self.keep_idle:
                 continue
@@ -214,7 +248,7 @@
                 if state is State.LINGERING:
                     connection.close_now()
                 else:
-                    connection.close_unless_unread()
+                    self._close_unless_unread(connection, CloseReason.IDLE)
 
     async def sweep_periodically(self) -> None:
         """Sweep every SWEEP_INTERVAL, until cancelled."""
@@ -235,13 +269,13 @@
         ):
             for connection in list(self.by_state[state]):
                 if state is not State.NEW or connection.seconds_in_state() > JUST_CONNECTED.total_seconds():
-                    connection.close_unless_unread()
+                    self._close_unless_unread(connection, CloseReason.DRAINED)
 
     def close_stale_receiving(self) -> None:
         """Close connections of whose incomplete request nothing has arrived for STALE_AFTER."""
         for connection in list(self.by_state[State.RECEIVING]):
             if if_stale(connection) is not None:
-                connection.close_unless_unread()
+                self._close_unless_unread(connection, CloseReason.DRAINED)
 
     def any_just_connected(self) -> bool:
         """Return whether any connection is so new that its first request may still be in transit."""
--- a/stoatrouter/net/clients.py
+++ b/stoatrouter/net/clients.py
@@ -15,7 +15,7 @@
 
 from stoatrouter.core.memory import REQUEST_BYTES
 from stoatrouter.net import client_table
-from stoatrouter.net.client_table import LINGER_TIMEOUT, ClientTable, State
+from stoatrouter.net.client_table import LINGER_TIMEOUT, ClientTable, CloseReason, State
 from stoatrouter.net.disconnects import has_unread_bytes
 from stoatrouter.net.input_turns import UNDIVIDED_STEPS, DividedInput, count_steps
 from stoatrouter.net.memory import MemoryCharge, MemoryKind
@@ -217,7 +217,9 @@
             if was_open or queued or len(self._messages) > 1:
                 # The error answer to malformed input after an open request would have to wait for that
                 # request's answer. The input may also be the rest of a body with too small a Content-Length.
+                self.clients.closes[CloseReason.MALFORMED] += 1
                 return self.close_now()
+            self.clients.closes[CloseReason.MALFORMED] += 1
             return self.clients.set_state(self, State.LINGERING)
         self.framing_bytes = 0
         self.body = None if body.is_eof() else body
@@ -229,6 +231,7 @@
         if body.is_eof():
             self.body = None
         elif self.framing_bytes > MAX_FRAMING_BYTES + body.total_bytes:
+            self.clients.closes[CloseReason.FRAMING] += body.exception() is None
             body.set_exception(web.RequestPayloadError("the chunks of the body are too small"))
         self._set_open_state()
 
@@ -241,9 +244,10 @@
         """Record that part of a request head has arrived, which must not become too large."""
         self.head_bytes += len(data)
         too_large = self.head_bytes > MAX_HEAD_BYTES
-        if too_large and was_open:
-            return self.close_now()
         if too_large or not was_open and not self.head_memory.grow(head_cost(data)):
+            self.clients.closes[CloseReason.HEAD_TOO_LARGE if too_large else CloseReason.NO_MEMORY] += 1
+            if was_open:
+                return self.close_now()
             return self._reject((HEAD_TOO_LARGE if too_large else NO_MEMORY) + LAST_ANSWER)
         if not was_open:
             self._record_head_started()
--- a/stoatrouter/net/loop_monitor.py
+++ b/stoatrouter/net/loop_monitor.py
@@ -42,10 +42,31 @@
             logger.warning("loop: lagged by {lag_ms:.0f} ms", event="loop.lagged", lag_ms=lag * 1000)
         if checks % CHECKS_PER_TALLY == 0:
             log_tally(engine, worst_lag)
+            log_clients(clients)
             engine.nodes.pool.reuse_delays.forget_old(loop.time())
             worst_lag = 0.0
 
 
+def log_clients(clients: ClientTable) -> None:
+    """Log why connections were closed since the last call, and the memory held if some was refused."""
+    if closes := clients.take_closes():
+        logger.info(
+            "clients: closed {said}",
+            event="clients.closed",
+            counts=closes,
+            said=" ".join(f"{reason}={count}" for reason, count in sorted(closes.items())),
+        )
+    if refused := clients.memory.take_refusals():
+        logger.warning(
+            "memory: {held} of {limit} bytes held ({kinds}); not allowed more: {said}",
+            event="memory.refused",
+            held=clients.memory.total,
+            limit=clients.memory.limit,
+            kinds=" ".join(f"{kind.value}={size}" for kind, size in clients.memory.held.items()),
+            said=" ".join(f"{kind}={count}" for kind, count in sorted(refused.items())),
+        )
+
+
 def log_tally(engine: Engine, worst_lag: float) -> None:
     """Log the counts since the last call, if there are any; `worst_lag` is in seconds."""
     counts = engine.reducer.tally.take()
--- a/stoatrouter/net/memory.py
+++ b/stoatrouter/net/memory.py
@@ -37,6 +37,11 @@
         """The bytes held for all kinds."""
         return sum(self.held.values())
 
+    def take_refusals(self) -> dict[str, int]:
+        """Return how often the limit did not allow more since the last call, by kind, and reset that."""
+        refused, self.refused = self.refused, dict.fromkeys(MemoryKind, 0)
+        return {kind.value: count for kind, count in refused.items() if count}
+
     def allows(self, size: int, complete: bool = True) -> bool:
         """Return whether `size` more bytes may be held, for a request that is `complete` or not."""
         return self.total + size <= self.limit * (1 if complete else INCOMPLETE_FRACTION)
--- a/tests/test_pressure.py
+++ b/tests/test_pressure.py
@@ -55,7 +55,8 @@
     assert receiving.grow(25) and not receiving.grow(1)
     receiving.release()
     receiving.release()
-    assert account.total == 0 and account.refused[MemoryKind.REQUESTS] == 2
+    assert account.total == 0
+    assert account.take_refusals() == {"requests": 2} and not account.take_refusals()
 
 
 def test_a_crowd_that_halts_in_its_bodies_does_not_make_the_head_refuse_others(monkeypatch):
@@ -160,19 +161,28 @@
 
 
 @pytest.mark.parametrize(
-    ("sent", "status"),
+    ("sent", "status", "closes"),
     [
-        (b"Transfer-Encoding: chunked\r\n\r\n" + b"1\r\nx\r\n" * 60_000 + b"0\r\n\r\n", 400),
-        (b"Transfer-Encoding: chunked\r\n\r\n" + b"10\r\n0123456789abcdef\r\n" * 2_000 + b"0\r\n\r\n", 200),
-        (b"".join(b"A%d: %s\r\n" % (number, b"x" * 800) for number in range(60)) + b"\r\n", 431),
+        (b"Transfer-Encoding: chunked\r\n\r\n" + b"1\r\nx\r\n" * 60_000 + b"0\r\n\r\n", 400, {"framing": 1}),
+        (
+            b"Transfer-Encoding: chunked\r\n\r\n" + b"10\r\n0123456789abcdef\r\n" * 2_000 + b"0\r\n\r\n",
+            200,
+            {},
+        ),
+        (
+            b"".join(b"A%d: %s\r\n" % (number, b"x" * 800) for number in range(60)) + b"\r\n",
+            431,
+            {"head_too_large": 1},
+        ),
     ],
     ids=["one-byte chunks", "small chunks", "a head of 48 KB"],
 )
-def test_only_input_far_from_a_real_clients_is_ended(sent, status):
+def test_only_input_far_from_a_real_clients_is_ended(sent, status, closes):
     async def scenario():
         async with started(Node("a", 0)) as (head, _):
             answer = await exchange(head, f"{PUT}Connection: close\r\n".encode() + sent)
             assert answer.startswith(b"HTTP/1.1 %d " % status)
+            assert head.clients.take_closes() == closes
             assert not head.memory.total
 
     run(scenario())
