The place of an object's record does not depend on how many shards there are later

Cause: the shard of a manifest was a number of its name modulo the present number of shards. Change: a jump consistent hash; a record that is not at its present place is looked for at those it had among fewer shards, newest first, then at those of older versions.

--- a/stoatrouter/fronts/objects/record_store.py
+++ b/stoatrouter/fronts/objects/record_store.py
@@ -22,44 +22,46 @@
 
         Args:
             tokens: Checks upload ids and derives addresses.
-            shards: The number of shards that records are spread over.
+            shards: The number of shards that records are spread over; a record that was written while there
+                were fewer is found too.
         """
         self.tokens = tokens
         self.shards = shards
 
     async def read_manifest(self, store: PieceStore, key: str) -> Manifest:
         """Read an object's manifest; raises ObjectError (NoSuchKey if there is none)."""
-        payload = await store.read_piece(self._object_address(store, key))
-        if payload is None:
-            raise ObjectError(ErrorCode.NO_SUCH_KEY, "there is no such object")
-        manifest = load_record(Manifest.load, payload)
-        # The addresses of two names may collide; one object must never be returned for the other.
-        if (manifest.bucket, manifest.key) != (store.bucket.name, key):
-            raise ObjectError(ErrorCode.NO_SUCH_KEY, "there is no such object")
-        return manifest
+        for address in self._object_addresses(store, key):
+            payload = await store.read_piece(address)
+            if payload is None:
+                continue  # it may have been written while there were fewer shards
+            manifest = load_record(Manifest.load, payload)
+            # The addresses of two names may collide; one object must never be returned for the other.
+            if (manifest.bucket, manifest.key) == (store.bucket.name, key):
+                return manifest
+        raise ObjectError(ErrorCode.NO_SUCH_KEY, "there is no such object")
 
     async def write_manifest(self, store: PieceStore, manifest: Manifest) -> None:
         """Write the manifest, as the last write of an object: it makes the new content visible to readers."""
-        await store.write_piece(manifest.dump(), self._object_address(store, manifest.key))
+        await store.write_piece(manifest.dump(), self._object_addresses(store, manifest.key)[0])
 
     async def read_upload(self, store: PieceStore, key: str, upload_id: str) -> Upload:
         """Read an upload's record; raises ObjectError (NoSuchUpload if the id is not for this object)."""
         if not self.tokens.is_upload_id(store.bucket.name, key, upload_id):
             raise ObjectError(ErrorCode.NO_SUCH_UPLOAD, "there is no such upload")
-        payload = await store.read_piece(self._upload_address(upload_id))
-        if payload is None:
-            raise ObjectError(ErrorCode.NO_SUCH_UPLOAD, "there is no such upload")
-        return load_record(Upload.load, payload)
+        for address in self._upload_addresses(upload_id):
+            if (payload := await store.read_piece(address)) is not None:
+                return load_record(Upload.load, payload)
+        raise ObjectError(ErrorCode.NO_SUCH_UPLOAD, "there is no such upload")
 
     async def write_upload(self, store: PieceStore, upload_id: str, upload: Upload) -> None:
         """Write an upload's record; raises ObjectError."""
-        await store.write_piece(upload.dump(), self._upload_address(upload_id))
+        await store.write_piece(upload.dump(), self._upload_addresses(upload_id)[0])
 
-    def _object_address(self, store: PieceStore, key: str) -> PieceAddress:
-        return self.tokens.derive_address("object", self.shards, store.bucket.name, key)
+    def _object_addresses(self, store: PieceStore, key: str) -> list[PieceAddress]:
+        return self.tokens.derive_addresses("object", self.shards, store.bucket.name, key)
 
-    def _upload_address(self, upload_id: str) -> PieceAddress:
-        return self.tokens.derive_address("upload-state", self.shards, upload_id)
+    def _upload_addresses(self, upload_id: str) -> list[PieceAddress]:
+        return self.tokens.derive_addresses("upload-state", self.shards, upload_id)
 
 
 def load_record(load: Callable[[bytes], Record], payload: bytes) -> Record:
--- a/stoatrouter/fronts/objects/tokens.py
+++ b/stoatrouter/fronts/objects/tokens.py
@@ -10,6 +10,7 @@
 import binascii
 import hashlib
 import hmac
+import math
 import secrets
 import struct
 from dataclasses import dataclass
@@ -18,6 +19,12 @@
 
 MAC_BYTES = 16  # of HMAC-SHA256 (RFC 2104), truncated
 NONCE_BYTES = 16
+# Of the present number of shards: a record of an older version is looked for as if there had been no fewer.
+FEWEST_SHARDS = 0.5
+# Of the linear congruential generator of jump_places.
+JUMP_FACTOR = 2862933555777941757
+MAX_KEY = (1 << 64) - 1
+JUMP_SCALE = float(1 << 31)
 PART_FORMAT = struct.Struct(">H16sB")  # number, MD5, whether a reference follows (not for an empty part)
 
 
@@ -78,10 +85,35 @@
         ref = Ref.unpack(content[PART_FORMAT.size : PART_FORMAT.size + REF_FORMAT.size]) if has_ref else None
         return Part(number, md5, ref)
 
-    def derive_address(self, purpose: str, shards: int, *fields: str) -> PieceAddress:
-        """Derive the address of a piece from names alone, identically on all heads."""
+    def derive_addresses(self, purpose: str, shards: int, *fields: str) -> list[PieceAddress]:
+        """Derive the addresses of a piece from names alone, identically on all heads.
+
+        The first is that of a piece written now. The others, newest first, are those that it may have been
+        written to while there were fewer shards. Last come those of older versions, which took the place
+        modulo the number of shards, down to the fraction FEWEST_SHARDS.
+        """
         mac = self.compute_mac(purpose, *(field.encode() for field in fields))
-        return PieceAddress(mac[:8].hex(), int.from_bytes(mac[8:16], "big") % shards)
+        piece, place = mac[:8].hex(), int.from_bytes(mac[8:16], "big")
+        fewest = max(1, math.floor(shards * FEWEST_SHARDS))
+        by_modulo = [place % count for count in range(shards, fewest - 1, -1)]
+        places = dict.fromkeys([*jump_places(place, shards), *by_modulo])
+        return [PieceAddress(piece, shard) for shard in places]
+
+
+def jump_places(key: int, shards: int) -> list[int]:
+    """Return the shard of a 64-bit key among `shards`, and before it those it had among fewer, newest first.
+
+    Jump consistent hash (Lamping, Veach, 2014): with each further shard a key stays where it is or moves to
+    that one, so an older place is never taken for a newer one.
+    """
+    places = []
+    shard, following = -1, 0
+    while following < shards:
+        shard = following
+        places.append(shard)
+        key = (key * JUMP_FACTOR + 1) & MAX_KEY
+        following = int((shard + 1) * (JUMP_SCALE / ((key >> 33) + 1)))
+    return places[::-1]
 
 
 def encode(data: bytes) -> str:
