Ever new volumes are bounded, and dropping one grants no limit again

Callers could make memory grow with names alone: each volume was remembered for 66 s (19 MB in 45 s of pipelined reads of ever new ones, 96 MB). Change: a number from memory_mb; beyond it an old volume without open requests and with a full limit is dropped, and where there is none the newest request is rejected.

--- a/benchmarks/pressure/trial.py
+++ b/benchmarks/pressure/trial.py
@@ -60,6 +60,11 @@
     management: int
     folder: Path
 
+    def end_now(self) -> None:
+        """Kill the process, and wait for its end."""
+        self.process.kill()
+        self.process.wait()
+
     def files(self) -> int:
         """Return the bytes in its unnamed files, and in those of its temporary folder."""
         total = 0
--- a/stoatrouter/core/memory.py
+++ b/stoatrouter/core/memory.py
@@ -28,6 +28,8 @@
 STREAMS_CONNECTIONS_FRACTION = 0.5
 SPENT_IDS_FRACTION = 0.05  # of what the program leaves
 SPENT_ID_BYTES = 220  # an id with its time
+VOLUMES_FRACTION = 0.08  # of what the program leaves
+VOLUME_BYTES = 640  # a volume's record, and what parts of the decision module remember under its name
 MIN_LEFT_BYTES = 2_000_000  # beside the program; with less, nothing could be served
 
 
@@ -41,6 +43,7 @@
     max_nodes: int  # the number of connections to nodes
     max_streams: int  # the number of answers that are streamed at once
     max_spent_ids: int  # the number of ids that are remembered (spent_ids.py)
+    max_volumes: int  # the number of volumes with a record (policy/state.py)
 
 
 def divide_memory(memory_mb: int, descriptors: Descriptors) -> MemoryBudget:
@@ -49,7 +52,8 @@
     clients = max(1, min(descriptors.clients, int(left * MAX_CLIENTS_FRACTION / CLIENT_CONNECTION_BYTES)))
     nodes = max(1, min(descriptors.nodes, int(left * MAX_NODES_FRACTION / NODE_CONNECTION_BYTES)))
     spent_ids = int(left * SPENT_IDS_FRACTION)
-    account = left - spent_ids - clients * CLIENT_CONNECTION_BYTES - nodes * NODE_CONNECTION_BYTES
+    volumes = int(left * VOLUMES_FRACTION)
+    account = left - spent_ids - volumes - clients * CLIENT_CONNECTION_BYTES - nodes * NODE_CONNECTION_BYTES
     streams = min(nodes * STREAMS_CONNECTIONS_FRACTION, account * STREAMS_MEMORY_FRACTION / REQUEST_BYTES)
     return MemoryBudget(
         account,
@@ -58,4 +62,5 @@
         nodes,
         max_streams=max(1, int(streams)),
         max_spent_ids=spent_ids // SPENT_ID_BYTES,
+        max_volumes=volumes // VOLUME_BYTES,
     )
--- a/stoatrouter/core/reducer.py
+++ b/stoatrouter/core/reducer.py
@@ -37,8 +37,7 @@
                 determine the number of counters; their `max_retry_after` (microseconds; taken as 0 unless
                 `accepts_retry_after`) is the Retry-After of requests rejected by fronts.
             seed: the decision module's random seed, which makes a run reproducible.
-            max_open: the maximum number of unanswered requests; further ones are rejected before the
-                decision module sees them.
+            max_open: the maximum number of unanswered requests; further ones are rejected at once.
             max_spent: the maximum number of ids that are remembered as spent.
         """
         self.spent = SpentIds(retention_of(settings.classes), max_spent)
--- a/stoatrouter/head.py
+++ b/stoatrouter/head.py
@@ -83,12 +83,9 @@
         budget.max_nodes,
         from_microseconds(min(request_class.latency_objective for request_class in conf.settings.classes)),
     )
-    return Engine(
-        Reducer(conf.settings, conf.seed, conf.max_open, budget.max_spent_ids),
-        Clock(),
-        nodes,
-        AdministrativeStateFile(conf.folder),
-    )
+    reducer = Reducer(conf.settings, conf.seed, conf.max_open, budget.max_spent_ids)
+    reducer.scheduler.state.max_volumes = budget.max_volumes
+    return Engine(reducer, Clock(), nodes, AdministrativeStateFile(conf.folder))
 
 
 def build_watch(conf: config.Config, engine: Engine, memory: MemoryAccount) -> Watch:
--- a/stoatrouter/policy/lifecycle.py
+++ b/stoatrouter/policy/lifecycle.py
@@ -72,7 +72,8 @@
             request.node.pending.pop(request.id, None)
         if request.in_flight():
             return
-        self.state.requests.pop(request.id, None)
+        if self.state.requests.pop(request.id, None) is not None:
+            request.volume.open_requests -= 1
         next_in_order = self.key_order.dequeue(request)
         if next_in_order is not None and request.key is not None:
             self.set_timer(self.key_order.hold_down_until[request.key], next_in_order, now)
--- a/stoatrouter/policy/scheduler.py
+++ b/stoatrouter/policy/scheduler.py
@@ -144,6 +144,9 @@
         requests = self.state.requests
         if event.request in requests:
             return
+        if event.volume not in self.volumes and not self.state.make_room_for_volume(now):
+            self.state.actions.append(api.Reject(event.request, self.lifecycle.max_retry_after))
+            return
         request = requests[event.request] = self._new_request(event, now)
         self.retry_budget.note_arrival(now)
         if event.shard != ANY_SHARD:
@@ -165,6 +168,7 @@
         state = self.state
         request_class = state.settings.classes[event.request_class]
         volume = self._volume_of(event, now)
+        volume.open_requests += 1
         time_left = max(0, event.time_left)
         write = event.write or request_class.writes
         return Request(
--- a/stoatrouter/policy/state.py
+++ b/stoatrouter/policy/state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import sys
 from operator import methodcaller
 
 from stoatrouter.policy import interface as api
@@ -13,6 +14,7 @@
 from stoatrouter.policy.volume import Volume
 
 IDLE_LATENCY_FRACTION = 0.25  # of the tightest objective: the expected latency of an idle node
+MAX_EXAMINED = 16  # volumes in the search for one to drop
 RETENTION = 60 * SECOND  # beyond the longest deadline: how long unused volumes and gone nodes are retained
 
 
@@ -34,6 +36,7 @@
         self.nodes: NodeIndex[Node] = NodeIndex(self.rules.warm_up_time, methodcaller("load"))
         self.requests: dict[str, Request] = {}
         self.volumes: dict[str, Volume] = {}
+        self.max_volumes = sys.maxsize
         self.started_at = -1  # the time of the first event; -1: none yet
         # Since when this host knows what it spends and sends; -1: since the first event. What another process
         # of it did before is not known after that one has died.
@@ -47,6 +50,20 @@
         """From when the limits of volumes that are seen for the first time fill up (microseconds)."""
         return max(self.started_at, self.spending_known_since)
 
+    def make_room_for_volume(self, now: int) -> bool:
+        """Return whether one more volume may be recorded, after dropping old ones that this does no harm to.
+
+        Only those without open requests and with a full limit are dropped, of MAX_EXAMINED old ones.
+        """
+        for _ in range(MAX_EXAMINED):
+            if len(self.volumes) < self.max_volumes:
+                return True
+            name = next(iter(self.volumes))
+            volume = self.volumes.pop(name)
+            if volume.open_requests or not volume.is_full(now):
+                self.volumes[name] = volume  # at the end of the order
+        return len(self.volumes) < self.max_volumes
+
     def jitter(self, span: float) -> int:
         """Return a time span (microseconds) scaled by a random factor from 0.5 to 1.5."""
         return int(span * (0.5 + self.random.random()))
--- a/stoatrouter/policy/volume.py
+++ b/stoatrouter/policy/volume.py
@@ -17,6 +17,19 @@
     host's share.
     """
 
+    __slots__ = (
+        "plan",
+        "hosts",
+        "refilled_at",
+        "excess",
+        "reserve_capacity",
+        "reserve",
+        "limit_floor",
+        "limit_tokens",
+        "limit_refills",
+        "open_requests",
+    )
+
     def __init__(self, now: int, plan: api.Plan, hosts: int, max_request_units: float) -> None:
         """Start with a full reserve, and this host's share of the limit at its lowest possible level.
 
@@ -28,6 +41,7 @@
         """
         self.plan = plan
         self.hosts = max(1, hosts)
+        self.open_requests = 0
         self.refilled_at = now
         self.excess = 0.0  # units recently served beyond the reserve
         self.reserve_capacity = plan.reserve + max_request_units if plan.reserve else 0.0
@@ -77,8 +91,10 @@
 
     def may_be_forgotten(self, now: int, span: int) -> bool:
         """Return whether it is unused for `span` and its limit is full, so that dropping refills nothing."""
-        if now - self.refilled_at <= span:
-            return False
+        return now - self.refilled_at > span and self.is_full(now)
+
+    def is_full(self, now: int) -> bool:
+        """Return whether its limit is full, or it has none: a new record of it would allow no more."""
         return not self.plan.limit or self.refill(now).limit_tokens >= self.plan.burst / self.hosts
 
     def charge(self, units: float) -> None:
--- a/tests/test_pressure.py
+++ b/tests/test_pressure.py
@@ -20,6 +20,8 @@
 from stoatrouter.net.client_table import ClientTable, State
 from stoatrouter.net.input_turns import SLICE_STEPS, TURN_STEPS, DividedInput, InputTurns, count_steps
 from stoatrouter.net.memory import MemoryAccount, MemoryCharge, MemoryKind
+from stoatrouter.policy import Scheduler
+from stoatrouter.policy import interface as api
 from tests.peers import Node, run
 from tests.platform_client import started
 from tests.test_clients import GOOD, PUT, exchange
@@ -205,3 +207,34 @@
             assert not head.memory.total
 
     run(scenario())
+
+
+def test_ever_new_volumes_are_bounded_and_no_limit_is_granted_twice():
+    plans = (api.Plan("free", 7), api.Plan("limited", 7, limit=10, burst=15))
+    settings = api.Settings((api.RequestClass("c", 1, 400_000, 2_000_000),), plans)
+    scheduler = Scheduler(settings, 1)
+    scheduler.state.max_volumes = 50
+    scheduler.handle(1_000_000, api.EndpointList(api.ListKind.FULL, (api.NodeEntry("n0", 0),)))
+
+    def ask(at: int, volume: str, plan: int) -> str:
+        """Send and answer one request; returns what became of it."""
+        name = f"{volume}-{at}"
+        actions = scheduler.handle(
+            at, api.RequestArrived(name, volume, plan, 0, 0, 2_000_000, 10.0 * plan or 1.0)
+        )
+        if any(isinstance(action, api.Send) for action in actions):
+            scheduler.handle(at, api.AttemptEnded(name, 0, "n0", api.Outcome.OK, 1_000, True))
+            return "sent"
+        rejected = any(isinstance(action, api.Reject) for action in actions)
+        scheduler.handle(at, api.ClientGone(name))
+        return "rejected" if rejected else "waits"
+
+    start = 100_000_000
+    assert all(ask(start + number, f"free{number}", 0) == "sent" for number in range(500))
+    assert len(scheduler.volumes) == 50
+    # limits that were just spent are kept, and further volumes rejected, until they are full again
+    spent = [ask(start + 1_000 + number, f"limited{number}", 1) for number in range(60)]
+    assert spent[:50] == ["sent"] * 50 and set(spent[50:]) == {"rejected"}
+    assert ask(start + 2_000, "limited3", 1) != "sent"
+    assert ask(start + 3_000_000, "other", 1) == "sent"
+    assert len(scheduler.volumes) == 50
--- a/tests/test_spent_ids.py
+++ b/tests/test_spent_ids.py
@@ -210,8 +210,7 @@
                         await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 5)
                         again.close()
                     names = await crossings(new.port, new.port)
-                    new.process.kill()
-                    new.process.wait()
+                    new.end_now()
                 for name in names:
                     with contextlib.suppress(OSError, asyncio.IncompleteReadError):
                         reader, writer = await connect_again(old.port)
