Long answers leave memory to small requests; bodies of 32 MB fit 128 MB again

Quiet clients got 503 beside a mixture of halting bodies and slow readers (474 of 758 at 128 MB): the bodies took the part of incomplete requests, and streams all the rest. Change: no answer is streamed while over 0.85 of the account is held (it is refused where it may be repeated). The part of incomplete requests is 0.85 of the account, so that a body of 32 MB fits 128 MB and 1,024 descriptors. The account keeps its total.

--- a/stoatrouter/core/memory.py
+++ b/stoatrouter/core/memory.py
@@ -20,7 +20,7 @@
 MAX_CLIENTS_FRACTION = 0.4
 MAX_NODES_FRACTION = 0.1
 # Of the account; the rest stays for requests beside large bodies.
-LARGE_BODIES_FRACTION = 0.75
+LARGE_BODIES_FRACTION = 0.85
 # An open request: its records, an answer that is checked as a whole, and what a slow reader leaves of it.
 REQUEST_BYTES = 112 * 1024
 # Of the account, and of the connections to nodes: a stream occupies one until its client has read it.
--- a/stoatrouter/net/client_table.py
+++ b/stoatrouter/net/client_table.py
@@ -144,8 +144,8 @@
         self.streaming.discard(connection)
 
     def may_stream(self) -> bool:
-        """Return whether one more answer may be streamed."""
-        return len(self.streaming) < self.max_streams
+        """Return whether one more answer may be streamed, which may take long and leaves memory to others."""
+        return len(self.streaming) < self.max_streams and self.memory.allows(0, complete=False)
 
     def begin_stream(self, connection: TrackedConnection) -> None:
         """Record that a connection's answer is streamed, until it enters another state."""
--- a/stoatrouter/net/memory.py
+++ b/stoatrouter/net/memory.py
@@ -15,7 +15,7 @@
     LISTS = "lists"  # endpoint lists that are being read
 
 
-INCOMPLETE_FRACTION = 0.75  # of the account that requests which have not arrived completely may use
+INCOMPLETE_FRACTION = 0.85  # of the account that requests which have not arrived completely may use
 
 
 class MemoryAccount:
@@ -30,13 +30,9 @@
         self.limit = limit
         self.held = dict.fromkeys(MemoryKind, 0)  # bytes
         self.refused = dict.fromkeys(MemoryKind, 0)  # how often the limit did not allow more
+        self.total = 0  # bytes held for all kinds
         self.on_release: list[Callable[[], None]] = []  # called when memory has become free
 
-    @property
-    def total(self) -> int:
-        """The bytes held for all kinds."""
-        return sum(self.held.values())
-
     def take_refusals(self) -> dict[str, int]:
         """Return how often the limit did not allow more since the last call, by kind, and reset that."""
         refused, self.refused = self.refused, dict.fromkeys(MemoryKind, 0)
@@ -51,16 +47,18 @@
         if not self.allows(size, complete):
             self.refused[kind] += 1
             return False
-        self.held[kind] += size
+        self.take_always(kind, size)
         return True
 
     def take_always(self, kind: MemoryKind, size: int) -> None:
         """Charge `size` bytes whatever the limit: for what the head cannot do without."""
         self.held[kind] += size
+        self.total += size
 
     def release(self, kind: MemoryKind, size: int) -> None:
         """Release `size` bytes."""
         self.held[kind] -= size
+        self.total -= size
         for notify in self.on_release:
             notify()
 
