--- a/tests/peers.py
+++ b/tests/peers.py
@@ -114,6 +114,8 @@
 }
 
 
+PARALLEL_ATTEMPTS = bool(SETTINGS["Limits"]["ParallelTries"])
+
 # Steps of a node's script that answer without running the request: status and headers.
 FAULTS: dict[str, tuple[int, dict[str, str]]] = {
     "decline": (503, {"Srv-Declined": "1"}),
--- a/tests/test_request_histories.py
+++ b/tests/test_request_histories.py
@@ -49,6 +49,23 @@
 LATER_REQUEST = (sent(at=2.0), attempt(first=2.0), done(at=2.1), ANSWER)
 
 
+@pytest.mark.parametrize(
+    ("lines", "found"),
+    [
+        ([sent(), attempt(), attempt("b", 0.12), done(), done("b"), ANSWER], None),
+        ([sent("note"), attempt(), attempt("b", 0.12), done(), done("b"), ANSWER], None),
+        ([sent("lend"), attempt(), attempt("b", 0.12), done(), done("b"), ANSWER], "two attempts at once"),
+        (
+            [sent(), attempt(), attempt("b", 0.11), attempt("c", 0.12), done(), done("b"), done("c"), ANSWER],
+            "two attempts at once",
+        ),
+    ],
+)
+def test_two_attempts_at_once_are_no_finding_only_where_settings_and_class_allow_them(lines, found):
+    violations = find_violations(lines, replace(TERMS, parallel_attempts=True))
+    assert any(found in violation for violation in violations) if found else violations == []
+
+
 @pytest.mark.parametrize(
     ("lines", "found"),
     [
