--- a/tests/departure_story.py
+++ b/tests/departure_story.py
@@ -10,8 +10,8 @@
 
 from stoatrouter.lab.histories.requests import Guarantees
 from tests.fleet_stand_ins import FaultyNode, History
-from tests.fleet_story import CLASSES_BY_NAME, GRACE, Client, ScenarioHead, recorded, stand_ins
-from tests.peers import PARALLEL_ATTEMPTS, until
+from tests.fleet_story import Client, ScenarioHead, guarantees_of, recorded, stand_ins
+from tests.peers import until
 from tests.process_signals import kill
 
 DEPARTURES = 4
@@ -66,13 +66,7 @@
             await head.process.wait()
         now = time.monotonic()
     lines = [line for line in history.lines if line["at"] <= now] + recorded([head])
-    return lines, Guarantees(
-        CLASSES_BY_NAME,
-        {node.name: node.cell for node in nodes},
-        GRACE,
-        slack=0.4,
-        parallel_attempts=PARALLEL_ATTEMPTS,
-    )
+    return lines, guarantees_of(nodes, slack=0.4)
 
 
 async def depart(client: Client, name: str, nodes: list[HoldingNode]) -> None:
--- a/tests/fleet_story.py
+++ b/tests/fleet_story.py
@@ -270,13 +270,13 @@
         now = time.monotonic()
     lines = [line for line in history.lines if line["at"] <= now]
     lines += recorded(fleet)
-    return lines, Guarantees(
-        CLASSES_BY_NAME,
-        {node.name: node.cell for node in nodes},
-        GRACE,
-        slack=0.4,
-        parallel_attempts=PARALLEL_ATTEMPTS,
-    )
+    return lines, guarantees_of(nodes, slack=0.4)
+
+
+def guarantees_of(nodes: Sequence[FaultyNode], slack: float) -> Guarantees:
+    """Return the terms of this story's classes and nodes, with a tolerance in seconds."""
+    cells = {node.name: node.cell for node in nodes}
+    return Guarantees(CLASSES_BY_NAME, cells, GRACE, slack=slack, parallel_attempts=PARALLEL_ATTEMPTS)
 
 
 def recorded(fleet: Sequence[ScenarioHead]) -> list[dict[str, Any]]:
--- a/tests/stall_story.py
+++ b/tests/stall_story.py
@@ -10,8 +10,7 @@
 
 from stoatrouter.lab.histories.requests import Guarantees
 from tests.fleet_stand_ins import FaultyNode, History
-from tests.fleet_story import CLASSES_BY_NAME, GRACE, Client, ScenarioHead, read_answer, recorded, stand_ins
-from tests.peers import PARALLEL_ATTEMPTS
+from tests.fleet_story import Client, ScenarioHead, guarantees_of, read_answer, recorded, stand_ins
 from tests.process_signals import kill
 
 REQUESTS = 4
@@ -93,13 +92,7 @@
             kill(head.process)
             await head.process.wait()
     lines = [*history.lines, *recorded([head])]
-    return lines, Guarantees(
-        CLASSES_BY_NAME,
-        {node.name: node.cell for node in nodes},
-        GRACE,
-        slack=slack,
-        parallel_attempts=PARALLEL_ATTEMPTS,
-    )
+    return lines, guarantees_of(nodes, slack=slack)
 
 
 async def send_request(client: Client, name: str, stall: float) -> None:
