Soak: a head without a ledger is asked for a customer that it does not know

Cause: the requests went to volumes drawn by chance. A run found nothing where no customer was created while a head was cut off: the volumes that it served had no owner, so serving them was right. Change: a head is cut off, then a customer is created whose call is acknowledged, then the head is started and asked for that customer's volume until it serves one; no other task changes customers.

--- a/tests/heads/ledger_chaos.py
+++ b/tests/heads/ledger_chaos.py
@@ -90,20 +90,25 @@
         await head.call("DELETE", f"/control/credit/customers/{customer}", {"by": "chaos", "why": "run"})
         self.write("customer", at, until=time.time(), customer=customer, volumes=[], status=OUTCOME_UNKNOWN)
 
-    async def put(self, head: HeadProcess, customer: str, *volumes: str) -> None:
-        """Create a customer, or replace its volumes, and record the call."""
+    async def put(self, head: HeadProcess, customer: str, *volumes: str) -> int:
+        """Create a customer, or replace its volumes, record the call, and return its status."""
         if customer not in self.customers:
             self.customers.append(customer)
         at = time.time()
         record = {"volumes": list(volumes), "by": "chaos", "why": "run", "low_water": 10 * PRICE}
         status, _ = await head.call("PUT", f"/control/credit/customers/{customer}", record)
         self.write("customer", at, until=time.time(), customer=customer, volumes=volumes, status=status)
+        return status
 
     async def request(self, head: HeadProcess) -> None:
         """Send one request for a volume that has a customer, that moves, or that may get a customer."""
         volume = self.draws.choice(
             [*VOLUMES.values(), MOVED_VOLUME, MOVED_VOLUME, *FREE_VOLUMES[: self.customers_made + 2]]
         )
+        await self.request_volume(head, volume)
+
+    async def request_volume(self, head: HeadProcess, volume: str) -> int:
+        """Send one request for a volume, record it, and return its status."""
         units = self.draws.randint(1, 4)
         id = self.new_id("r")
         at = time.time()
@@ -111,6 +116,7 @@
         charge = units * PRICE
         line = {"id": id, "customer": "", "volume": volume, "charge": charge, "head": head.name}
         self.write("request", at, until=time.time(), status=status, **line)
+        return status
 
     # -- faults ------------------------------------------------------------------------------------------
     async def inject(self, fault: str, head: HeadProcess | None, duration: float) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,7 +15,8 @@
 
 from benchmarks.soak import EXIT_FINDINGS, EXIT_UNJUDGED, exit_status, run_seeds
 from stoatrouter.lab.histories.requests import CheckResult
-from tests.heads.ledger_chaos import LEDGER_CHAOS_SETTINGS
+from tests.heads.history_clients import OK
+from tests.heads.ledger_chaos import FREE_VOLUMES, LEDGER_CHAOS_SETTINGS
 from tests.heads.processes import HeadProcess
 from tests.soak import ends, story
 from tests.soak.credit_story import SERIES, SeriesChaos, play_credit
@@ -30,7 +31,7 @@
 SEEDS = (*range(10, 14), 204)  # one of each kind, and one with a finding under load
 EXTRA_SEEDS = 2  # tried in place of one that was not judged
 MAX_SEEDS = 5  # tried until a broken program is caught
-ASKED_CUT_OFF_SECONDS = 4.0  # a head that starts cut off waits for others for 1 s, then serves
+UNKNOWN_CUSTOMER = "unknown"  # created while a head is cut off
 
 
 def test_seeds_in_a_row_are_of_all_kinds():
@@ -206,25 +207,38 @@
     asyncio.run(story())
 
 
-async def start_cut_off_and_ask(chaos: SeriesChaos, head: HeadProcess, duration: float) -> None:
-    """Start a head while it is cut off, and send it requests before it is in touch again."""
-    if len(chaos.fleet.up) <= 2:
+async def serve_without_ledger(chaos: SeriesChaos, head: HeadProcess, duration: float) -> None:
+    """Cut a head off, create a customer, and send the head requests of the customer until it serves one."""
+    if UNKNOWN_CUSTOMER in chaos.customers:
         return
     await head.kill()
     chaos.cut_off(head)
+    other = next(each for each in chaos.fleet.up if each is not head)
+    volume = FREE_VOLUMES[0]
+
+    async def is_created() -> bool:
+        return await chaos.put(other, UNKNOWN_CUSTOMER, volume) == OK
+
+    async def is_served() -> bool:
+        return await chaos.request_volume(head, volume) == OK
+
+    await chaos.fleet.until(is_created, "a customer is created")
     await head.start(ready=False)
-    asked_until = time.monotonic() + ASKED_CUT_OFF_SECONDS
-    while time.monotonic() < asked_until:
-        await chaos.request(head)
+    await chaos.fleet.until(is_served, f"{head.name} serves without a ledger")
+
+
+async def leave_customers(chaos: SeriesChaos) -> None:
+    """Change no customers."""
 
 
 def test_heads_that_serve_without_a_ledger_are_found(tmp_path, monkeypatch):
     """The operator's setting that serves unknown volumes stands in for a program with this fault.
 
-    The crossing is forced: requests reach a head that has started cut off, and so without a ledger.
+    The crossing is forced: a head that starts cut off is sent requests of a customer created after its end.
     """
     monkeypatch.setattr(SeriesChaos, "fault_kinds", ["start_cut_off"])
-    monkeypatch.setattr(SeriesChaos, "start_cut_off", start_cut_off_and_ask)
+    monkeypatch.setattr(SeriesChaos, "start_cut_off", serve_without_ledger)
+    monkeypatch.setattr(SeriesChaos, "change_owners", leave_customers)
     serving = LEDGER_CHAOS_SETTINGS.replace('lease: "2s"', 'lease: "2s", unknown_volumes: "serve"')
     assert serving != LEDGER_CHAOS_SETTINGS
     report = SeedReport(1, Kind.CREDIT)
