--- a/stoatrouter/agreement/leading.py
+++ b/stoatrouter/agreement/leading.py
@@ -13,17 +13,24 @@
     Effect,
     Entry,
     InstallSnapshot,
+    InstallSnapshotPart,
+    InstallSnapshotPartReply,
+    LeaderMessage,
     Propose,
     ReadConfirmed,
     Rejected,
     RejectReason,
     Send,
+    SnapshotPosition,
     Voter,
     Write,
 )
+from stoatrouter.agreement.snapshot_transfer import START
 from stoatrouter.agreement.state import MAX_UNCOMMITTED, Peer, PendingRead, RaftState, Role
 
-RESEND_AFTER_HEARTBEATS = 3  # heartbeat intervals after which an unanswered batch is sent again
+# Heartbeat intervals after which unanswered entries, or an unanswered snapshot, are sent again.
+RESEND_AFTER_HEARTBEATS = 3
+RESEND_SNAPSHOT_AFTER_HEARTBEATS = 10
 
 
 class Leading(RaftState):
@@ -34,6 +41,7 @@
     def _become_leader(self) -> list[Effect]:
         self.role = Role.LEADER
         self.leader = self.me
+        self.incoming.clear()
         self.round_starts = RoundStarts()
         others = [voter for voter in self.voters if voter != self.me]
         self.peers = {voter.identity: Peer(self.log.last + 1, heard_at=self.now) for voter in others}
@@ -88,38 +96,83 @@
         peer = self.peers[voter.identity]
         prev_term = self.log.term_at(peer.next_index - 1)
         if prev_term is None:
-            return Send(voter, InstallSnapshot(self.term, self.log.snapshot, self.round))
-        append = AppendEntries(
+            return Send(voter, self._snapshot_message(peer))
+        return Send(voter, self._append_entries(peer, peer.next_index - 1, prev_term, self._next_batch(peer)))
+
+    def _append_entries(
+        self, peer: Peer, prev_index: int, prev_term: int, entries: tuple[Entry, ...]
+    ) -> AppendEntries:
+        return AppendEntries(
             self.term,
-            peer.next_index - 1,
+            prev_index,
             prev_term,
-            self._next_batch(peer),
+            entries,
             self.commit_index,
             self.round,
             peer.match_index,
             self.contact.age(self.now) if self.settled else None,
             peer.answered_at,
         )
-        return Send(voter, append)
 
     def _next_batch(self, peer: Peer) -> tuple[Entry, ...]:
         """Return the entries to send to a voter; none while an earlier batch is in flight and not overdue."""
-        overdue = RESEND_AFTER_HEARTBEATS * self.timing.heartbeat
-        under_way = peer.sent_at is not None and self.now < peer.sent_at + overdue
-        if peer.next_index > self.log.last or under_way:
+        if peer.next_index > self.log.last or self._in_flight(peer, RESEND_AFTER_HEARTBEATS):
             return ()
         peer.sent_at = self.now
         return self.log.entries_from(peer.next_index)
 
-    def _receive_append_reply(self, sender: Voter, reply: AppendEntriesReply) -> list[Effect]:
+    def _in_flight(self, peer: Peer, heartbeats: int) -> bool:
+        """Return whether an answer is awaited that is not overdue after this many heartbeat intervals."""
+        return peer.sent_at is not None and self.now < peer.sent_at + heartbeats * self.timing.heartbeat
+
+    # -- snapshots ----------------------------------------------------------------------------------------
+    def _needs_snapshot(self, peer: Peer) -> bool:
+        """Return whether the log no longer holds the entries that a voter needs next."""
+        return self.log.term_at(peer.next_index - 1) is None
+
+    def _snapshot_message(self, peer: Peer) -> LeaderMessage:
+        """Return the snapshot or its next part; while one is in flight and not overdue, a heartbeat."""
+        snapshot = self.log.snapshot
+        if self._in_flight(peer, RESEND_SNAPSHOT_AFTER_HEARTBEATS):
+            return self._append_entries(peer, snapshot.index, snapshot.term, ())
+        peer.sent_at = self.now
+        if self.sends_snapshot_whole:
+            return InstallSnapshot(self.term, snapshot, self.round)
+        part = self.snapshot_part(peer.position)
+        peer.awaited = SnapshotPosition(part.index, part.offset + len(part.data))
+        return InstallSnapshotPart(self.term, part, self.round)
+
+    def _receive_part_reply(self, sender: Voter, reply: InstallSnapshotPartReply) -> list[Effect]:
+        """Send the next part once the one in flight has arrived; after a lost part, once that is overdue."""
         peer = self.peers.get(sender.identity)
         if not self.leads or peer is None or reply.term != self.term:
             return []
+        self._record_reply(peer, reply)
+        peer.position = reply.position
+        self._record_majority_contact()
+        effects = self._confirm_reads()
+        if self.leads and reply.position == peer.awaited and self._needs_snapshot(peer):
+            peer.sent_at = None
+            effects.append(self._append_entries_to(sender))
+        return effects
+
+    def _record_reply(self, peer: Peer, reply: AppendEntriesReply | InstallSnapshotPartReply) -> None:
+        """Record that a voter has answered a message of this term."""
         peer.heard_at = self.now
-        peer.sent_at = None
         peer.round = max(peer.round, reply.round)
         peer.answered_at = reply.sent_at
+
+    # -- replies ------------------------------------------------------------------------------------------
+
+    def _receive_append_reply(self, sender: Voter, reply: AppendEntriesReply) -> list[Effect]:
+        peer = self.peers.get(sender.identity)
+        if not self.leads or peer is None or reply.term != self.term:
+            return []
+        self._record_reply(peer, reply)
+        if reply.ok or not self._needs_snapshot(peer):  # a snapshot in flight is answered by ok alone
+            peer.sent_at = None
         if reply.ok:
+            peer.position = START
             peer.match_index = max(peer.match_index, reply.match_index)
             peer.next_index = max(peer.next_index, peer.match_index + 1)
         else:
@@ -127,7 +180,8 @@
             peer.next_index = max(peer.match_index + 1, back_to)
         self._record_majority_contact()
         effects = self._advance_commit_index() + self._confirm_reads()
-        if self.leads and (peer.next_index <= self.log.last or not reply.ok):
+        snapshot_in_flight = self._needs_snapshot(peer) and peer.sent_at is not None
+        if self.leads and (peer.next_index <= self.log.last or not reply.ok) and not snapshot_in_flight:
             effects.append(self._append_entries_to(sender))
         return effects
 
--- a/stoatrouter/agreement/raft.py
+++ b/stoatrouter/agreement/raft.py
@@ -22,6 +22,8 @@
     Effect,
     Event,
     InstallSnapshot,
+    InstallSnapshotPart,
+    InstallSnapshotPartReply,
     LeaderChanged,
     Propose,
     Read,
@@ -38,6 +40,8 @@
 from stoatrouter.agreement.replication import Replication
 from stoatrouter.agreement.state import RETAINED_ENTRIES, Role, Timing
 
+REPLIES = RequestVoteReply | AppendEntriesReply | InstallSnapshotPartReply
+
 
 class Raft(Replication):
     """The Raft state of one head; all changes go through `reduce`."""
@@ -75,7 +79,7 @@
 
     def _receive(self, sender: Voter, message: AnyMessage) -> list[Effect]:
         # Replies of removed heads, or of heads with a lost disk (a new identity), must not be counted.
-        if sender not in self.voters and isinstance(message, RequestVoteReply | AppendEntriesReply):
+        if sender not in self.voters and isinstance(message, REPLIES):
             return []
         match message:
             case RequestVote():
@@ -86,11 +90,17 @@
                 if message.term > self.term:
                     return self._enter_term_durably(message.term)
                 return self._receive_append_reply(sender, message)
-            case AppendEntries() | InstallSnapshot():
+            case InstallSnapshotPartReply():
+                if message.term > self.term:
+                    return self._enter_term_durably(message.term)
+                return self._receive_part_reply(sender, message)
+            case AppendEntries() | InstallSnapshot() | InstallSnapshotPart():
                 return self._receive_from_leader(sender, message)
 
     # -- time ---------------------------------------------------------------------------------------------
     def _tick(self) -> list[Effect]:
+        self.outgoing.release_idle(self.now)
+        self.incoming.clear_idle(self.now)
         if self.leads:
             return self._tick_as_leader()
         election_at = self.election_at
--- a/stoatrouter/agreement/records.py
+++ b/stoatrouter/agreement/records.py
@@ -45,6 +45,24 @@
     state: bytes
 
 
+class SnapshotPosition(msgspec.Struct, frozen=True, array_like=True):
+    """How much of a snapshot a receiver holds; index 0: of none."""
+
+    index: int = 0
+    offset: int = 0  # bytes of the state
+
+
+class SnapshotPart(msgspec.Struct, frozen=True, array_like=True):
+    """A part of a snapshot's state, with what describes the snapshot."""
+
+    index: int
+    term: int
+    voters: tuple[Voter, ...]
+    size: int  # bytes of the whole state
+    offset: int  # of `data` in the state
+    data: bytes
+
+
 # -- messages -----------------------------------------------------------------------------------------------
 class Message(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """A message between voters, sent in a term."""
@@ -96,7 +114,31 @@
     round: int
 
 
-AnyMessage = RequestVote | RequestVoteReply | AppendEntries | AppendEntriesReply | InstallSnapshot
+class InstallSnapshotPart(Message, frozen=True, array_like=True, tag="part"):
+    """A part of a snapshot that does not fit into one message; a release before it drops its batch."""
+
+    part: SnapshotPart
+    round: int
+
+
+class InstallSnapshotPartReply(Message, frozen=True, array_like=True, tag="parted"):
+    """A follower's reply to a part other than the last one, which is answered like a whole snapshot."""
+
+    position: SnapshotPosition
+    round: int
+    sent_at: timedelta | None = None  # on the sender's clock; the leader echoes it
+
+
+AnyMessage = (
+    RequestVote
+    | RequestVoteReply
+    | AppendEntries
+    | AppendEntriesReply
+    | InstallSnapshot
+    | InstallSnapshotPart
+    | InstallSnapshotPartReply
+)
+LeaderMessage = AppendEntries | InstallSnapshot | InstallSnapshotPart
 
 
 # -- persistent state -------------------------------------------------------------------------------------
--- a/stoatrouter/agreement/replication.py
+++ b/stoatrouter/agreement/replication.py
@@ -15,14 +15,18 @@
     Effect,
     Entry,
     InstallSnapshot,
+    InstallSnapshotPart,
+    InstallSnapshotPartReply,
+    LeaderMessage,
     LogLost,
+    Persist,
     Restore,
     Send,
     Snapshot,
     Voter,
     Write,
 )
-from stoatrouter.agreement.state import NO_TIME
+from stoatrouter.agreement.snapshot_transfer import NO_TIME
 from stoatrouter.agreement.voting import Voting
 
 
@@ -48,7 +52,7 @@
     __slots__ = ()
 
     # -- from the leader ----------------------------------------------------------------------------------
-    def _receive_from_leader(self, sender: Voter, message: AppendEntries | InstallSnapshot) -> list[Effect]:
+    def _receive_from_leader(self, sender: Voter, message: LeaderMessage) -> list[Effect]:
         if self.abstains:
             return []
         if message.term < self.term:
@@ -61,7 +65,9 @@
         self._become_follower(sender)
         self.leader_heard_at = self.now
         if isinstance(message, InstallSnapshot):
-            return effects + self._install_snapshot(sender, message, new_term)
+            return effects + self._install_snapshot(sender, message.snapshot, message.round, new_term)
+        if isinstance(message, InstallSnapshotPart):
+            return effects + self._receive_part(sender, message, new_term)
         return effects + self._receive_entries(sender, message, new_term)
 
     def _receive_entries(self, sender: Voter, message: AppendEntries, new_term: int | None) -> list[Effect]:
@@ -129,16 +135,33 @@
 
     # -- snapshots ----------------------------------------------------------------------------------------
     def _install_snapshot(
-        self, sender: Voter, message: InstallSnapshot, new_term: int | None
+        self, sender: Voter, snapshot: Snapshot, message_round: int, new_term: int | None
     ) -> list[Effect]:
-        snapshot = message.snapshot
-        effects: list[Effect] = []
-        write = Write(new_term, self.voted_for)
-        if snapshot.index > self.commit_index:
-            write = self._replace_log(snapshot, new_term)
-            effects.append(Restore(snapshot))
-        reply = AppendEntriesReply(self.term, True, snapshot.index, message.round, self.now)
-        return [self._persist(write, (Send(sender, reply),)), *effects]
+        if snapshot.index <= self.commit_index:
+            return [self._acknowledge_snapshot(sender, snapshot.index, message_round, new_term)]
+        write = self._replace_log(snapshot, new_term)
+        reply = AppendEntriesReply(self.term, True, snapshot.index, message_round, self.now)
+        return [self._persist(write, (Send(sender, reply),)), Restore(snapshot)]
+
+    def _acknowledge_snapshot(
+        self, sender: Voter, index: int, message_round: int, new_term: int | None
+    ) -> Persist:
+        """Report that this head holds all entries up to a snapshot's index."""
+        reply = AppendEntriesReply(self.term, True, index, message_round, self.now)
+        return self._persist(Write(new_term, self.voted_for), (Send(sender, reply),))
+
+    def _receive_part(
+        self, sender: Voter, message: InstallSnapshotPart, new_term: int | None
+    ) -> list[Effect]:
+        """Collect the parts of a snapshot, and install it once it is complete."""
+        if message.part.index <= self.commit_index:
+            return [self._acknowledge_snapshot(sender, message.part.index, message.round, new_term)]
+        snapshot = self.incoming.add(sender, message.part, self.now)
+        if snapshot is not None:
+            return self._install_snapshot(sender, snapshot, message.round, new_term)
+        position = self.incoming.position_for(sender)
+        reply = InstallSnapshotPartReply(self.term, position, message.round, self.now)
+        return [self._persist(Write(new_term, self.voted_for), (Send(sender, reply),))]
 
     def _replace_log(self, snapshot: Snapshot, new_term: int | None) -> Write:
         """Replace the log by a snapshot beyond this head's commit index; return the write."""
--- a/stoatrouter/agreement/state.py
+++ b/stoatrouter/agreement/state.py
@@ -19,11 +19,19 @@
     Rejected,
     RejectReason,
     Send,
+    SnapshotPart,
+    SnapshotPosition,
     Voter,
     Write,
 )
+from stoatrouter.agreement.snapshot_transfer import (
+    NO_TIME,
+    SNAPSHOT_PART_BYTES,
+    START,
+    IncomingSnapshot,
+    OutgoingSnapshot,
+)
 
-NO_TIME = timedelta(0)
 MAX_UNCOMMITTED = 4_096  # uncommitted entries; at this number, proposals are rejected
 RETAINED_ENTRIES = 512  # entries retained before a snapshot, for followers slightly behind
 
@@ -58,7 +66,9 @@
     match_index: int = 0  # the last entry known to be on its disk
     round: int = 0  # the latest heartbeat round that it has answered
     heard_at: timedelta = NO_TIME
-    sent_at: timedelta | None = None  # when the unanswered batch of entries was sent; None: no such batch
+    sent_at: timedelta | None = None  # when the unanswered entries or snapshot were sent; None: no such
+    position: SnapshotPosition = START  # what it holds of the snapshot that is sent in parts
+    awaited: SnapshotPosition = START  # its position once it has received the part in flight
     answered_at: timedelta | None = None  # `sent_at` of its latest reply, on its own clock
 
 
@@ -86,6 +96,7 @@
     seed: int
     timing: Timing = field(default_factory=Timing)
     now: timedelta = NO_TIME
+    part_size: int = SNAPSHOT_PART_BYTES  # bytes; a snapshot with a larger state is sent in parts
 
     term: int = 0
     voted_for: str | None = None
@@ -111,6 +122,8 @@
     heartbeat_at: timedelta = NO_TIME
     announced_leader: LeaderChanged | None = None  # the latest LeaderChanged effect
     rng: random.Random = field(init=False)
+    outgoing: OutgoingSnapshot = field(default_factory=OutgoingSnapshot)
+    incoming: IncomingSnapshot = field(default_factory=IncomingSnapshot)
 
     def __post_init__(self) -> None:
         """Load the persistent state and seed the random election timeouts."""
@@ -129,6 +142,15 @@
         """Return the committed entries after the snapshot on disk, which the caller applies at start."""
         return self.log.entries_between(self.disk.snapshot.index, self.commit_index)
 
+    def snapshot_part(self, position: SnapshotPosition) -> SnapshotPart:
+        """Return the part of a snapshot that follows a receiver's position."""
+        return self.outgoing.part_at(position, self.log, self.part_size, self.now)
+
+    @property
+    def sends_snapshot_whole(self) -> bool:
+        """Return whether the present snapshot fits into one message."""
+        return len(self.log.snapshot.state) <= self.part_size
+
     @property
     def durable_commit_index(self) -> int:
         """Return the last index that is both committed and on this head's disk.
--- a/stoatrouter/lab/fleet/voters.py
+++ b/stoatrouter/lab/fleet/voters.py
@@ -43,6 +43,7 @@
 POLL_INTERVAL = timedelta(milliseconds=150)  # interval at which a follower polls others
 MIN_DISK_DELAY = timedelta(milliseconds=1)
 MAX_DISK_DELAY = timedelta(milliseconds=12)
+SNAPSHOT_PART_BYTES = 100  # so that a snapshot takes several messages
 
 
 @dataclass
@@ -93,7 +94,9 @@
         """Start a head with the contents of its disk."""
         world = self.world
         seed = world.seed * 1000 + world.machines[name].incarnation
-        raft = self.make_raft(voter, disk, seed, self.timing, now=world.clock(name))
+        raft = self.make_raft(
+            voter, disk, seed, self.timing, now=world.clock(name), part_size=SNAPSHOT_PART_BYTES
+        )
         values = decode_values(disk.snapshot.state)
         head = self.heads[name] = VoterHead(voter, raft, disk, values, disk.snapshot.index)
         for entry in raft.restored_entries():
--- a/stoatrouter/peering/calls.py
+++ b/stoatrouter/peering/calls.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from stoatrouter.agreement.records import AnyMessage, Entry, Snapshot, Voter
+from stoatrouter.agreement.records import AnyMessage, Entry, Snapshot, SnapshotPart, SnapshotPosition, Voter
 
 # The kinds of sealed messages, as sent on the wire.
 AGREE = "agree"  # a Batch of the agreement's messages, not answered
@@ -29,6 +29,7 @@
 
     after: int
     after_term: int
+    position: SnapshotPosition | None = None  # in a snapshot that comes in parts; None: it is sent whole
 
 
 class Fetched(msgspec.Struct, frozen=True, array_like=True):
@@ -46,6 +47,7 @@
     majority_age: timedelta | None = None  # since the last contact with a majority, at this answer
     waited: timedelta = timedelta(0)  # from the arrival of the poll to this answer
     behind: int = 0  # entries committed by that contact that the answering head lacks
+    part: SnapshotPart | None = None  # in place of a snapshot that does not fit into one message
 
 
 class Progress(msgspec.Struct, frozen=True, array_like=True):
--- a/stoatrouter/peering/follower.py
+++ b/stoatrouter/peering/follower.py
@@ -15,6 +15,8 @@
 import msgspec
 
 from stoatrouter.agreement.contact import MajorityContact
+from stoatrouter.agreement.records import SnapshotPart, SnapshotPosition
+from stoatrouter.agreement.snapshot_transfer import IncomingSnapshot
 from stoatrouter.peering import calls
 from stoatrouter.peering.availability import AvailabilityMonitor
 from stoatrouter.peering.backoff import Backoff
@@ -69,6 +71,7 @@
         self._monitor = monitor
         self._now = now
         self._backoff = Backoff(FIRST_BACKOFF, MAX_BACKOFF, rng)
+        self._incoming = IncomingSnapshot()
 
     async def run_forever(self) -> None:
         """Poll the voters one after the other, unless this head leads or is in contact with its leader."""
@@ -136,12 +139,18 @@
         """Poll one voter; return whether it answered and is connected to a majority."""
         machine = self._replication.machine
         asked_at = self._now()
-        fetch = calls.Fetch(machine.index, self._replication.raft.log.term_at(machine.index) or 0)
+        after_term = self._replication.raft.log.term_at(machine.index) or 0
+        fetch = calls.Fetch(machine.index, after_term, self._incoming.position_at(name))
         try:
             reply = await self._streams.request(name, calls.FETCH, msgspec.msgpack.encode(fetch))
             fetched = msgspec.msgpack.decode(reply.body, type=calls.Fetched)
         except (PeerUnreachable, msgspec.MsgspecError):
             return False
+        if fetched.part is not None:
+            snapshot = self._incoming.add(reply.sender, fetched.part, self._now())
+            if snapshot is None:
+                return self._continue_snapshot(name, fetched.part)
+            fetched = msgspec.structs.replace(fetched, snapshot=snapshot, part=None)
         if not self._bootstrap.accepts_entries_of(fetched.origin) or self._bootstrap.adopt_missed_founding(
             fetched
         ):
@@ -149,6 +158,14 @@
         self._learn(fetched, asked_at)
         return fetched.majority_connected
 
+    def _continue_snapshot(self, name: str, part: SnapshotPart) -> bool:
+        """Poll the same voter for the next part; return False if it sent another part than was asked for."""
+        if self._incoming.position_at(name) != SnapshotPosition(part.index, part.offset + len(part.data)):
+            self._incoming.clear()
+            return False
+        self._voter_cursor -= 1
+        return True
+
     def _learn(self, fetched: calls.Fetched, asked_at: timedelta) -> None:
         """Process the answer to a poll that was sent at `asked_at`."""
         self._bootstrap.join(fetched.origin)
--- a/stoatrouter/peering/follower_feed.py
+++ b/stoatrouter/peering/follower_feed.py
@@ -62,9 +62,16 @@
                 fetched, prev_index=fetch.after, prev_term=fetch.after_term, entries=entries
             )
         elif origin:
-            fetched = msgspec.structs.replace(fetched, snapshot=raft.log.snapshot)
+            fetched = self._with_snapshot(fetched, fetch)
         return msgspec.msgpack.encode(fetched)
 
+    def _with_snapshot(self, fetched: calls.Fetched, fetch: calls.Fetch) -> calls.Fetched:
+        """Add the snapshot to an answer, or the part that follows the follower's position."""
+        raft = self._replication.raft
+        if raft.sends_snapshot_whole or fetch.position is None:
+            return msgspec.structs.replace(fetched, snapshot=raft.log.snapshot)
+        return msgspec.structs.replace(fetched, part=raft.snapshot_part(fetch.position))
+
     async def _wait_for_commit(self, after: int) -> None:
         """Wait until entries after this index are committed, up to LONG_POLL_TIMEOUT."""
         raft = self._replication.raft
