Agreement: entries in flight are not repeated with each answer, batches hold 16 MiB

Change: entries are answered by an answer that reaches them, or known to be lost by an answer to a later heartbeat round, as messages arrive in order; a batch takes further messages up to 16 MiB.

--- a/stoatrouter/agreement/leading.py
+++ b/stoatrouter/agreement/leading.py
@@ -118,8 +118,11 @@
         """Return the entries to send to a voter; none while an earlier batch is in flight and not overdue."""
         if peer.next_index > self.log.last or self._in_flight(peer, RESEND_AFTER_HEARTBEATS):
             return ()
+        entries = self.log.entries_from(peer.next_index)
         peer.sent_at = self.now
-        return self.log.entries_from(peer.next_index)
+        peer.sent_round = self.round
+        peer.awaited_match = entries[-1].index
+        return entries
 
     def _in_flight(self, peer: Peer, heartbeats: int) -> bool:
         """Return whether an answer is awaited that is not overdue after this many heartbeat intervals."""
@@ -169,7 +172,7 @@
         if not self.leads or peer is None or reply.term != self.term:
             return []
         self._record_reply(peer, reply)
-        if reply.ok or not self._needs_snapshot(peer):  # a snapshot in flight is answered by ok alone
+        if self._answers_batch(peer, reply):
             peer.sent_at = None
         if reply.ok:
             peer.position = START
@@ -180,11 +183,21 @@
             peer.next_index = max(peer.match_index + 1, back_to)
         self._record_majority_contact()
         effects = self._advance_commit_index() + self._confirm_reads()
-        snapshot_in_flight = self._needs_snapshot(peer) and peer.sent_at is not None
-        if self.leads and (peer.next_index <= self.log.last or not reply.ok) and not snapshot_in_flight:
+        lacks_entries = peer.next_index <= self.log.last or not reply.ok
+        if self.leads and lacks_entries and peer.sent_at is None:
             effects.append(self._append_entries_to(sender))
         return effects
 
+    def _answers_batch(self, peer: Peer, reply: AppendEntriesReply) -> bool:
+        """Return whether a reply answers the entries or the snapshot in flight, or shows that they were lost.
+
+        Messages arrive in order: an answer to a later round shows that an unanswered batch was lost.
+        """
+        if self._needs_snapshot(peer):
+            return reply.ok
+        arrived = reply.match_index >= peer.awaited_match
+        return not reply.ok or arrived or reply.round > peer.sent_round
+
     def _advance_commit_index(self) -> list[Effect]:
         """Commit what a majority has on disk; only an entry of the current term can be counted (3.6.2)."""
         if not self.leads:
--- a/stoatrouter/agreement/state.py
+++ b/stoatrouter/agreement/state.py
@@ -67,6 +67,8 @@
     round: int = 0  # the latest heartbeat round that it has answered
     heard_at: timedelta = NO_TIME
     sent_at: timedelta | None = None  # when the unanswered entries or snapshot were sent; None: no such
+    sent_round: int = 0  # the heartbeat round in which the unanswered entries were sent
+    awaited_match: int = 0  # its match index once the unanswered entries are on its disk
     position: SnapshotPosition = START  # what it holds of the snapshot that is sent in parts
     awaited: SnapshotPosition = START  # its position once it has received the part in flight
     answered_at: timedelta | None = None  # `sent_at` of its latest reply, on its own clock
--- a/stoatrouter/peering/streams.py
+++ b/stoatrouter/peering/streams.py
@@ -35,6 +35,7 @@
 MAX_CONNECTIONS_PER_HEAD = 8
 MAX_QUEUED_MESSAGES = 256  # for one head; beyond, the oldest are dropped: the agreement sends all again
 MAX_BATCH_MESSAGES = 32
+MAX_BATCH_BYTES = 16 * 1024 * 1024  # of all messages but the first of a batch; well below MAX_MESSAGE_SIZE
 CONNECT_TIMEOUT = timedelta(milliseconds=500)
 REQUEST_TIMEOUT = timedelta(seconds=3)
 BATCH_TIMEOUT = timedelta(seconds=1)
@@ -270,11 +271,23 @@
         """Send the messages queued for a head, in batches, until the queue is empty."""
         queue = self._queues[name]
         while queue:
-            batch = queue[:MAX_BATCH_MESSAGES]
-            del queue[:MAX_BATCH_MESSAGES]
             try:
-                await self.request(name, calls.AGREE, msgspec.msgpack.encode(batch), BATCH_TIMEOUT)
+                await self.request(name, calls.AGREE, take_batch(queue), BATCH_TIMEOUT)
             except PeerUnreachable as error:
                 self.counters.add("streams.unreachable")
                 logger.debug("heads: {error}", event="heads.unreachable", error=str(error))
                 await asyncio.sleep(BATCH_RETRY_PAUSE.total_seconds())
+
+
+def take_batch(queue: calls.Batch) -> bytes:
+    """Remove the first messages of a queue that fit into one batch, at least one; return them encoded."""
+    batch: list[msgspec.Raw] = []
+    size = 0
+    while queue and len(batch) < MAX_BATCH_MESSAGES:
+        message = msgspec.msgpack.encode(queue[0])
+        size += len(message)
+        if batch and size > MAX_BATCH_BYTES:
+            break
+        batch.append(msgspec.Raw(message))
+        del queue[0]
+    return msgspec.msgpack.encode(batch)
--- a/tests/heads/test_snapshot_parts.py
+++ b/tests/heads/test_snapshot_parts.py
@@ -19,6 +19,7 @@
     InstallSnapshotPart,
     Persist,
     PersistentState,
+    Propose,
     Received,
     Send,
     Snapshot,
@@ -34,10 +35,12 @@
     START,
     IncomingSnapshot,
 )
+from stoatrouter.agreement.state import Peer
 from stoatrouter.peering import calls
 from stoatrouter.peering.errors import PeerUnreachable
 from stoatrouter.peering.follower import Follower
 from stoatrouter.peering.follower_feed import FollowerFeed
+from stoatrouter.peering.streams import MAX_BATCH_BYTES, take_batch
 from tests.heads.test_agreement import GENESIS, MS, THREE, elect_leader, voter
 from tests.peers import run
 
@@ -201,6 +204,41 @@
     assert receiver.incoming.first is None and not receiver.incoming.data
 
 
+# -- entries ---------------------------------------------------------------------------------------------
+def entries_sent(leader: Raft, effects: list) -> int:
+    """Count the entries that a leader sends to the voter h1."""
+    sent = [send.message for send in complete_writes(leader, effects) if send.to == voter(1)]
+    return sum(len(message.entries) for message in sent if isinstance(message, AppendEntries))
+
+
+def test_answers_to_earlier_heartbeats_do_not_repeat_entries_in_flight():
+    # Guards against large entries that are sent again with each answer, and batches that grow with them.
+    leader = leading_raft()
+    last = leader.log.last
+    leader.peers[voter(1).identity] = Peer(last + 1, last, heard_at=leader.now)
+    assert entries_sent(leader, leader.reduce(Propose(leader.now, "p1", b"body"))) == 1
+    earlier = AppendEntriesReply(leader.term, True, last, leader.round - 1)
+    for _ in range(5):
+        assert entries_sent(leader, leader.reduce(Received(leader.now, voter(1), earlier))) == 0
+    assert entries_sent(leader, leader.reduce(Tick(leader.now + HEARTBEAT))) == 0
+    later = AppendEntriesReply(leader.term, True, last, leader.round)
+    assert entries_sent(leader, leader.reduce(Received(leader.now, voter(1), later))) == 1
+
+
+def test_a_batch_of_messages_fits_into_one_message():
+    # Guards against waiting messages that together are larger than a message, which no head accepts.
+    entry = Entry(1, 1, "c", bytes(MAX_BATCH_BYTES // 3))
+    large = AppendEntries(1, 0, 0, (entry,), 0, 1, 0)
+    queue = [("h1/0", large)] * 7
+    batches = []
+    while queue:
+        batches.append(take_batch(queue))
+    assert [len(msgspec.msgpack.decode(batch, type=calls.Batch)) for batch in batches] == [2, 2, 2, 1]
+    assert msgspec.msgpack.decode(batches[0], type=calls.Batch) == [("h1/0", large)] * 2
+    alone = [("h1/0", AppendEntries(1, 0, 0, (entry, entry, entry, entry), 0, 1, 0))]
+    assert take_batch(alone) and not alone
+
+
 # -- heads without a vote --------------------------------------------------------------------------------
 class Voters:
     """Voters that answer polls, each with its own encoding of the state."""
