Credit: calls on customers wait for heads that followed a voter now removed or restarted

Cause: the call asks the voters and those who polled them, but a removed voter has polled nobody, and what a removed or restarted voter knew of its pollers is lost. Change: after a removal, and after a start other than a founding, a voter reports for as long as a copy counts as current that followers may be missing; the call waits that out.

--- a/stoatrouter/peering/bootstrap.py
+++ b/stoatrouter/peering/bootstrap.py
@@ -31,6 +31,7 @@
 
     Attributes:
         durable: Whether the membership of the fleet is on this head's disk.
+        was_founded: Whether the fleet was founded while this process runs, so that nobody had followed it.
     """
 
     def __init__(
@@ -53,6 +54,7 @@
             on_joined: Called once this head's membership of a fleet is on the disk.
         """
         self.durable = bool(stored.origin)
+        self.was_founded = False
         self._me = me
         self._settings = settings
         self._replication = replication
@@ -135,6 +137,7 @@
         """Join a fleet by a founding that names this head; ignored unless this head promised to join it."""
         if not self._founding.adopt(founded):
             return
+        self.was_founded = True
         logger.info(
             "heads: fleet {origin} founded with voters {voters}",
             event="heads.founded",
@@ -168,6 +171,7 @@
             term: The first term of its log, above that of the old fleet.
         """
         self._founding.origin = origin
+        self.was_founded = False
         self._replication.start_from(snapshot, term, origin, self._on_founding_durable)
 
     def _on_founding_durable(self) -> None:
--- a/stoatrouter/peering/calls.py
+++ b/stoatrouter/peering/calls.py
@@ -54,7 +54,7 @@
     """What a head has applied, and what its recent pollers had applied."""
 
     applied: int
-    polls: tuple[tuple[str, int, int], ...] | None  # name, incarnation, applied; None: some were evicted
+    polls: tuple[tuple[str, int, int], ...] | None  # name, incarnation, applied; None: some may be missing
 
 
 class Answer(msgspec.Struct, frozen=True, array_like=True):
--- a/stoatrouter/peering/fleet.py
+++ b/stoatrouter/peering/fleet.py
@@ -90,6 +90,8 @@
         self.propagation = ChangePropagation(
             settings.name, settings.cut_off_after, self.replication, self.streams, self.now
         )
+        # What an earlier process of this head knew of its pollers is lost.
+        self.propagation.polls.mark_incomplete(self.now())
         service = LeaderService(self.replication)
         self._leader_client = LeaderClient(
             settings, self.replication, self.streams, self.follower, service, self.now, rng
@@ -265,10 +267,14 @@
 
     def _on_fleet_joined(self) -> None:
         """Update the availability after this head joined a fleet, or a different one."""
+        if self.bootstrap.was_founded:
+            self.propagation.polls.mark_complete()
+        self.propagation.note_voters()
         self.monitor.reset_followed()
         self.monitor.refresh()
 
     def _refresh(self) -> None:
+        self.propagation.note_voters()
         self.monitor.refresh()
 
     def _on_status_change(self, name: str, status: Status) -> None:
--- a/stoatrouter/peering/propagation.py
+++ b/stoatrouter/peering/propagation.py
@@ -3,7 +3,8 @@
 A head's copy counts as current only while it has followed a voter within `cut_off_after`. The voters
 therefore know all heads that matter: themselves, and their recent pollers with the index polled from. If a
 voter cannot be asked, the call waits for that time to pass: afterwards, a head that has not applied the
-change knows that it is cut off.
+change knows that it is cut off. The same holds for that time after a voter was removed or restarted: nobody
+knows any more which heads followed through it, and a removed voter followed without polling.
 """
 
 from __future__ import annotations
@@ -38,7 +39,7 @@
         """
         self._retention = retention
         self._polls: OrderedDict[tuple[str, int], tuple[timedelta, int]] = OrderedDict()
-        self._evicted_at: timedelta | None = None  # when a poll that still counted was evicted
+        self._incomplete_at: timedelta | None = None  # when a head that follows may have become unknown
 
     def note(self, name: str, incarnation: int, applied: int, now: timedelta) -> None:
         """Record a poll; called when it arrives and when it is answered."""
@@ -49,12 +50,20 @@
         self.drop_expired(now)
         if len(self._polls) > MAX_POLLERS:
             self._polls.popitem(last=False)
-            self._evicted_at = now
+            self.mark_incomplete(now)
+
+    def mark_incomplete(self, now: timedelta) -> None:
+        """Record that heads whose copies count as current may be missing here."""
+        self._incomplete_at = now
+
+    def mark_complete(self) -> None:
+        """Record that there was no head before that is missing here."""
+        self._incomplete_at = None
 
     def progress(self, now: timedelta) -> tuple[tuple[str, int, int], ...] | None:
-        """Return name, incarnation and applied index of each poller; None if one was evicted too early."""
+        """Return name, incarnation and applied index of each poller; None if some may be missing."""
         self.drop_expired(now)
-        if self._evicted_at is not None and now - self._evicted_at <= self._retention:
+        if self._incomplete_at is not None and now - self._incomplete_at <= self._retention:
             return None
         return tuple((*process, applied) for process, (_, applied) in self._polls.items())
 
@@ -93,6 +102,14 @@
         self._replication = replication
         self._streams = streams
         self._now = now
+        self._voters = tuple(replication.raft.voters)
+
+    def note_voters(self) -> None:
+        """Record it if a voter was removed: its copy, and those of its pollers, may count as current."""
+        voters = tuple(self._replication.raft.voters)
+        if any(voter not in voters for voter in self._voters):
+            self.polls.mark_incomplete(self._now())
+        self._voters = voters
 
     async def run_forever(self) -> None:
         """Drop old polls periodically: it may be long until the next poll or request arrives."""
@@ -123,6 +140,7 @@
         return msgspec.msgpack.encode(self._own_progress())
 
     def _own_progress(self) -> calls.Progress:
+        self.note_voters()
         return calls.Progress(self._replication.machine.index, self.polls.progress(self._now()))
 
     async def _is_applied_everywhere(self, index: int, timeout: timedelta) -> bool:
--- a/tests/heads/test_propagation.py
+++ b/tests/heads/test_propagation.py
@@ -41,6 +41,19 @@
     assert polls.progress(4 * SECOND) == ()
 
 
+def test_after_a_voter_was_removed_nothing_is_confirmed_for_as_long_as_its_copy_counts():
+    voters = VotersStub(UP_TO_DATE, UP_TO_DATE)
+    left = voters.replication.raft.voters.pop()
+    voters.propagation.note_voters()
+    voters.propagation.note_voters()
+    assert voters.propagation.polls.progress(voters.now()) is None
+    voters.time += CUT_OFF_AFTER * MAX_CLOCK_DRIFT
+    assert voters.propagation.polls.progress(voters.now()) == ()
+    voters.replication.raft.voters = [*voters.replication.raft.voters, left]  # a further voter hides nobody
+    voters.propagation.note_voters()
+    assert voters.propagation.polls.progress(voters.now()) == ()
+
+
 class VotersStub:
     """A stub of three voters, of which this head is one; the others give preset answers."""
 
@@ -49,8 +62,8 @@
         self.request_count = 0
         self.time = timedelta(0)
         raft = SimpleNamespace(voters=[SimpleNamespace(name=f"v{n}") for n in range(3)])
-        replication = SimpleNamespace(raft=raft, machine=SimpleNamespace(index=INDEX))
-        self.propagation = ChangePropagation("v0", CUT_OFF_AFTER, replication, self, self.now)
+        self.replication = SimpleNamespace(raft=raft, machine=SimpleNamespace(index=INDEX))
+        self.propagation = ChangePropagation("v0", CUT_OFF_AFTER, self.replication, self, self.now)
 
     def now(self) -> timedelta:
         self.time += timedelta(milliseconds=1)  # each reading takes 1 ms
