Followers: calls that fail do not move the voter that is polled next

What callers saw: a head that reached one voter of three stayed cut off for up to 36 s. Cause: polls and calls shared one position in the order of the voters; each failed call moved it by two, so with one a poll each poll met the same voter again. Change: calls have their own position, and a failed call has the polls skip a voter only where that voter had named the leader.

--- a/stoatrouter/peering/follower.py
+++ b/stoatrouter/peering/follower.py
@@ -62,6 +62,7 @@
             rng: Source of the backoff's jitter.
         """
         self.leader: str | None = None
+        self._call_cursor = 0  # as _voter_cursor, for calls: they must not have the polls skip a voter
         self._voter_cursor = 0  # position in the order of voters, before the offset by name
         self._away_from_preferred_since: timedelta | None = None  # since when another voter is polled
         self._settings = settings
@@ -91,9 +92,17 @@
 
     def next_voter(self) -> str:
         """Return the next voter to poll; taken from the settings until the current voters are known."""
-        names = self._voters()
         self._voter_cursor += 1
-        return names[(self._voter_cursor + voter_offset(self._settings.name)) % len(names)]
+        return self._voter_at(self._voter_cursor)
+
+    def next_voter_to_call(self) -> str:
+        """Return the next voter to send a call to while no leader is known."""
+        self._call_cursor += 1
+        return self._voter_at(self._call_cursor)
+
+    def _voter_at(self, cursor: int) -> str:
+        names = self._voters()
+        return names[(cursor + voter_offset(self._settings.name)) % len(names)]
 
     def _voters(self) -> list[str]:
         """Return the voters that may be polled, in an order that is the same at all heads."""
@@ -114,8 +123,7 @@
         if now - self._away_from_preferred_since < RETURN_INTERVAL:
             return
         self._away_from_preferred_since = now
-        names = self._voters()
-        preferred = names[(1 + voter_offset(self._settings.name)) % len(names)]
+        preferred = self._voter_at(1)
         # Checks with a short timeout first: a poll of a hung voter would outlast the time for which a contact
         # with a majority counts, and this head would be cut off.
         if await self._answers(preferred):
@@ -131,9 +139,10 @@
         return progress.applied >= self._replication.machine.index
 
     def forget_leader(self) -> None:
-        """Forget the known leader, and skip one voter in the order."""
-        self.leader = None
-        self._voter_cursor += 1
+        """Forget the known leader; the voter that named it is no longer polled."""
+        if self.leader is not None:
+            self.leader = None
+            self._voter_cursor += 1
 
     async def _poll(self, name: str) -> bool:
         """Poll one voter; return whether it answered and is connected to a majority."""
--- a/stoatrouter/peering/leader_client.py
+++ b/stoatrouter/peering/leader_client.py
@@ -136,7 +136,9 @@
 
     def _choose_head(self, hint: str | None) -> str:
         """Return the leader, from the most reliable source that knows it, or else the next voter."""
-        return self._replicated_leader() or hint or self._follower.leader or self._follower.next_voter()
+        return (
+            self._replicated_leader() or hint or self._follower.leader or self._follower.next_voter_to_call()
+        )
 
     def _replicated_leader(self) -> str | None:
         leader = self._replication.raft.leader
--- a/tests/heads/test_follower_return.py
+++ b/tests/heads/test_follower_return.py
@@ -75,6 +75,21 @@
     return Counter(follower.current_voter for follower in followers)
 
 
+@pytest.mark.parametrize("failed_calls", range(4))
+@pytest.mark.parametrize("reached", VOTERS)
+def test_the_only_voter_in_reach_is_polled_soon_however_many_calls_fail_meanwhile(reached, failed_calls):
+    # Guards against a head that stays cut off as each poll is followed by failed calls that skip the voter.
+    follower = PollingFollower("f1", StubFleet())
+    follower.leader = "v1"
+    polled = []
+    while reached not in polled:
+        polled.append(follower.next_voter())
+        assert len(polled) <= len(VOTERS) + 1, polled  # the voter that named the leader is skipped once
+        for _ in range(failed_calls):
+            follower.forget_leader()
+            follower.next_voter_to_call()
+
+
 @pytest.mark.parametrize("lost", VOTERS)
 def test_followers_of_a_voter_that_returned_come_back(lost):
     async def story():
