--- a/stoatrouter/agreement/availability.py
+++ b/stoatrouter/agreement/availability.py
@@ -51,7 +51,8 @@
     """Return the operations that a head may perform.
 
     A head that restarts catches up before it serves, because its stored rules may be outdated. If no other
-    head answers, it serves with the stored rules after `wait_at_start`.
+    head answers, it serves with the stored rules after `wait_at_start`; so does a head that belongs to no
+    fleet, as it may have lost its disk.
 
     Args:
         facts: What the head knows about its own state.
@@ -65,8 +66,9 @@
     """
     votes = facts.votes and facts.disk_writable
     if not facts.founded:
+        waited = uptime >= wait_at_start
         return Availability(
-            HeadState.UNFOUNDED, serves=True, changes=False, draws=False, votes=False, ready=True
+            HeadState.UNFOUNDED, serves=waited, changes=False, draws=False, votes=False, ready=waited
         )
     if facts.majority_age is None or facts.majority_age > cut_off_after:
         starting = facts.majority_age is None and uptime < wait_at_start
--- a/stoatrouter/peering/heads.py
+++ b/stoatrouter/peering/heads.py
@@ -60,6 +60,7 @@
         self.calls: list[Call] = [HeadCalls(self.fleet).call]
         self.credit = add_credit(settings, head, self.fleet, parts, self.calls)
         self.rules = add_rules(settings, head, self.fleet, parts, self.calls, starting_version)
+        self._rules_loaded = False  # once, while a majority was heard
         self.fleet.restore_stored()
 
     async def start(self) -> None:
@@ -74,8 +75,7 @@
         if self.rules is not None:
             self.tasks.append(start_task("rules", self.rules.run))
         await poll_until(lambda: self.fleet.availability.serves)
-        # A restarted head serves by the version in force, however long its table takes to compile.
-        await poll_until(lambda: self.rules is None or self.rules.caught_up)
+        await poll_until(self._has_loaded_rules)
         deadline = self.fleet.now() + self.settings.wait_at_start
         await poll_until(lambda: self._credit_ready() or self.fleet.now() >= deadline)
 
@@ -86,7 +86,18 @@
     @property
     def ready(self) -> bool:
         """Whether this head may be sent requests."""
-        return self.fleet.availability.ready
+        return self.fleet.availability.ready and self._has_loaded_rules()
+
+    def _has_loaded_rules(self) -> bool:
+        """Return whether this head has loaded the version in force since its start, as far as it knows one.
+
+        However long its table takes to compile: a restarted head serves by that version. Later versions
+        are loaded while it is ready.
+        """
+        if self.rules is None or self._rules_loaded:
+            return True
+        self._rules_loaded = self.rules.caught_up and self.fleet.availability.changes
+        return self.rules.caught_up
 
     async def call(self, method: str, path: str, body: bytes) -> web.Response | None:
         """Answer a management call about the heads; None if it is about something else."""
--- a/tests/heads/test_rules_processes.py
+++ b/tests/heads/test_rules_processes.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import shutil
 import signal
 import time
 
@@ -27,6 +28,14 @@
 from tests.peers import run
 
 STORY_TIMEOUT = 150.0  # seconds
+MANY = 700  # rules
+
+
+def slow_rules(mark: str) -> str:
+    """Return rules that take a second or more to compile."""
+    rule = '{{name: "r{0}", when: #"request.path == "/r{0}""#, refuse: {{status: 451, reason: "r"}}}},'
+    many = "".join(rule.format(number) for number in range(MANY))
+    return rules(mark).replace("rules: [", f"rules: [{many}")
 
 
 def test_edits_and_undo_come_in_force_on_every_head(tmp_path):
@@ -232,6 +241,23 @@
     run(story(), STORY_TIMEOUT)
 
 
+def test_a_head_back_without_its_disk_is_ready_once_it_has_the_version_in_force(tmp_path):
+    # Guards against a head that serves by its own files, as it knows no version and no fleet yet.
+    async def story():
+        own = rules("own")
+        async with running_heads(tmp_path, count=4, extra_settings=RULES_SETTINGS, http=own) as fleet:
+            status, answer = await edit(fleet["h0"], "e1", 0, slow_rules("one"))
+            assert status == 202, answer
+            await until_all_marked(fleet, "one")
+            head = fleet["h3"]
+            await head.kill()
+            shutil.rmtree(head.disk)
+            await head.start()
+            assert await active_mark(head) == "one"
+
+    run(story(), STORY_TIMEOUT)
+
+
 @pytest.mark.parametrize(
     ("spoilt", "log_lost"), [(False, False), (True, False), (True, True)], ids=["kept", "spoilt", "all lost"]
 )
