--- a/benchmarks/capacity/followers.py
+++ b/benchmarks/capacity/followers.py
@@ -28,8 +28,7 @@
 from stoatrouter.peering.envelope import Envelope, EnvelopeSealer
 from stoatrouter.peering.errors import MessageRejected, PeerUnreachable
 from stoatrouter.peering.follower import FIRST_BACKOFF, MAX_BACKOFF, voter_offset
-from stoatrouter.peering.rule_rollout import PART as RULES
-from stoatrouter.peering.rule_rollout import HeadReport
+from stoatrouter.peering.rule_rollout import REPORT, HeadReport
 from stoatrouter.peering.streams import Streams
 from tests.process_signals import kill
 
@@ -177,7 +176,7 @@
             if self.leader is not None:
                 self.totals.reports += 1
                 try:
-                    await self.streams.request(self.leader, RULES, body)
+                    await self.streams.request(self.leader, REPORT, body)
                 except PeerUnreachable:
                     self.totals.reports_refused += 1
             await asyncio.sleep(every)
--- a/benchmarks/capacity/voter_load.py
+++ b/benchmarks/capacity/voter_load.py
@@ -28,9 +28,9 @@
 from stoatrouter.credit.records import BookEntry, PutCustomer
 from stoatrouter.peering import calls
 from stoatrouter.peering.counters import MessageCounters
-from stoatrouter.peering.credit import PART as CREDIT
 from stoatrouter.peering.envelope import Envelope, EnvelopeSealer
 from stoatrouter.peering.errors import PeerUnreachable
+from stoatrouter.peering.parts import CREDIT
 from stoatrouter.peering.streams import Streams
 from tests.heads.processes import HeadProcess, ProcessFleet
 from tests.heads.rules_clients import edit
--- a/stoatrouter/peering/credit.py
+++ b/stoatrouter/peering/credit.py
@@ -33,11 +33,11 @@
 from stoatrouter.peering.errors import ReplicationError
 from stoatrouter.peering.fleet import Fleet
 from stoatrouter.peering.ledger_monitor import LedgerMonitor
+from stoatrouter.peering.parts import CREDIT
 from stoatrouter.peering.settings import CreditSettings
 from stoatrouter.peering.spent_journal import SpentJournal
 from stoatrouter.policy import interface as api
 
-PART = "credit"  # the name of the ledger's part of the state machine
 SPENT_FILE = "spent.book"
 EXCHANGE_INTERVAL = timedelta(milliseconds=50)  # when no request waits; a waiting one triggers it at once
 COMMAND_TIMEOUT = timedelta(seconds=3)
@@ -172,7 +172,7 @@
         id = f"credit/{self.fleet.me.identity}/{self._command_number}"
         while True:
             try:
-                return await self.fleet.command(PART, body, id, COMMAND_TIMEOUT)
+                return await self.fleet.command(CREDIT, body, id, COMMAND_TIMEOUT)
             except ReplicationError:
                 if self._closing:
                     return b""
@@ -223,7 +223,7 @@
             body = msgspec.msgpack.encode(Expired(expired))
             command_id = f"expired/{self.fleet.me.identity}/{now.total_seconds()}"
             with contextlib.suppress(ReplicationError):
-                await self.fleet.command(PART, body, command_id, COMMAND_TIMEOUT)
+                await self.fleet.command(CREDIT, body, command_id, COMMAND_TIMEOUT)
 
     async def close(self) -> None:
         """Settle a last time, so that unspent credit is returned at once; then close the journal."""
@@ -256,4 +256,4 @@
             ReplicationError: No leader confirmed it in time; it may still be applied.
         """
         body = msgspec.msgpack.encode(command)
-        return msgspec.msgpack.decode(await self.fleet.command(PART, body, id, timeout), type=CommandResult)
+        return msgspec.msgpack.decode(await self.fleet.command(CREDIT, body, id, timeout), type=CommandResult)
--- a/stoatrouter/peering/heads.py
+++ b/stoatrouter/peering/heads.py
@@ -9,7 +9,6 @@
 from collections.abc import Callable
 from datetime import timedelta
 from pathlib import Path
-from typing import TYPE_CHECKING
 
 from aiohttp import web
 
@@ -17,13 +16,11 @@
 from stoatrouter.net.background import start_task
 from stoatrouter.peering.fleet import Fleet
 from stoatrouter.peering.head_calls import HeadCalls
+from stoatrouter.peering.parts import ReplicatedParts
 from stoatrouter.peering.services import Call, ServingHead, add_credit, add_rules, persisted_version
 from stoatrouter.peering.settings import HeadsSettings, load_heads
 from stoatrouter.peering.tasks import cancel_tasks
 
-if TYPE_CHECKING:
-    from stoatrouter.agreement.machine import Part
-
 __all__ = ["Heads", "load", "persisted_version"]
 
 POLL_INTERVAL = timedelta(milliseconds=20)  # between two checks whether this head may serve
@@ -55,11 +52,11 @@
         """
         self.settings = settings
         self.tasks: list[asyncio.Task[None]] = []
-        parts: dict[str, Part] = {}
-        self.fleet = Fleet(settings, head.conf.seed, parts)
+        parts = ReplicatedParts()
+        self.fleet = Fleet(settings, head.conf.seed, parts.by_name())
         self.calls: list[Call] = [HeadCalls(self.fleet).call]
-        self.credit = add_credit(settings, head, self.fleet, parts, self.calls)
-        self.rules = add_rules(settings, head, self.fleet, parts, self.calls, starting_version)
+        self.credit = add_credit(settings, head, self.fleet, parts.ledger, self.calls)
+        self.rules = add_rules(settings, head, self.fleet, parts.history, self.calls, starting_version)
         self._rules_loaded = False  # once, while a majority was heard
         self.fleet.restore_stored()
 
--- a/stoatrouter/peering/rule_rollout.py
+++ b/stoatrouter/peering/rule_rollout.py
@@ -19,9 +19,10 @@
 from stoatrouter.peering.envelope import Envelope
 from stoatrouter.peering.errors import PeerUnreachable, ReplicationError
 from stoatrouter.peering.fleet import Fleet
+from stoatrouter.peering.parts import RULES
 from stoatrouter.peering.settings import RulesSettings
 
-PART = "rules"  # the name of the history's part of the state machine, and the kind of a HeadReport on streams
+REPORT = "rules"  # the kind of a HeadReport on streams
 STATUS = "rules-status"  # the kind of a request for the RolloutStatus
 REPORT_INTERVAL = timedelta(seconds=2)
 REPORT_INTERVAL_PENDING = timedelta(milliseconds=300)  # while a version is pending
@@ -78,7 +79,7 @@
         self._sent_at = timedelta(0)
         self._pending_number = 0  # the pending version seen while leading; 0: none
         self._pending_since = timedelta(0)
-        fleet.handlers[PART] = self.receive_report
+        fleet.handlers[REPORT] = self.receive_report
         fleet.handlers[STATUS] = self.answer_status
 
     # -- reports ------------------------------------------------------------------------------------------
@@ -94,7 +95,9 @@
             self._received[leader] = ReceivedReport(report, now)
         elif leader is not None:
             with contextlib.suppress(PeerUnreachable):
-                await self.fleet.streams.request(leader, PART, msgspec.msgpack.encode(report), STREAM_TIMEOUT)
+                await self.fleet.streams.request(
+                    leader, REPORT, msgspec.msgpack.encode(report), STREAM_TIMEOUT
+                )
 
     async def receive_report(self, envelope: Envelope) -> bytes:
         """Store another head's report, at the leader; return an empty answer."""
@@ -159,7 +162,7 @@
             ReplicationError: No leader confirmed it in time; it may still be applied.
         """
         body = msgspec.msgpack.encode(command)
-        answer = await self.fleet.command(PART, body, id, COMMAND_TIMEOUT)
+        answer = await self.fleet.command(RULES, body, id, COMMAND_TIMEOUT)
         return msgspec.msgpack.decode(answer, type=CommandResult)
 
     # -- status -------------------------------------------------------------------------------------------
--- a/stoatrouter/peering/services.py
+++ b/stoatrouter/peering/services.py
@@ -12,9 +12,10 @@
 from stoatrouter.peering.settings import HeadsSettings
 
 if TYPE_CHECKING:
-    from stoatrouter.agreement.machine import Part
     from stoatrouter.config import Config
+    from stoatrouter.credit.ledger import Ledger
     from stoatrouter.fronts.http.settings import HttpSettings
+    from stoatrouter.history.rule_history import RuleHistory
     from stoatrouter.net.engine import Engine
     from stoatrouter.net.tables import TableService
     from stoatrouter.peering.credit import CreditService
@@ -50,7 +51,7 @@
 
 
 def add_credit(
-    settings: HeadsSettings, head: ServingHead, fleet: Fleet, parts: dict[str, Part], calls: list[Call]
+    settings: HeadsSettings, head: ServingHead, fleet: Fleet, ledger: Ledger, calls: list[Call]
 ) -> CreditService | None:
     """Set up prepaid credit, which the core consults for the requests of every front.
 
@@ -58,7 +59,7 @@
         settings: The settings of the heads.
         head: The head whose engine consults it.
         fleet: The fleet of this head.
-        parts: Receives its part of the state machine.
+        ledger: The replicated accounts.
         calls: Receives its management calls.
 
     Returns:
@@ -66,11 +67,9 @@
     """
     if settings.credit is None:
         return None
-    from stoatrouter.credit.ledger import Ledger
-    from stoatrouter.peering.credit import PART, CreditService
+    from stoatrouter.peering.credit import CreditService
     from stoatrouter.peering.credit_calls import CreditCalls
 
-    ledger = parts[PART] = Ledger()
     scheduler = head.engine.reducer.scheduler
     service = CreditService(
         settings.credit,
@@ -90,7 +89,7 @@
     settings: HeadsSettings,
     head: ServingHead,
     fleet: Fleet,
-    parts: dict[str, Part],
+    history: RuleHistory,
     calls: list[Call],
     starting_version: int,
 ) -> RulesService | None:
@@ -100,7 +99,7 @@
         settings: The settings of the heads.
         head: The head whose rule tables follow the history.
         fleet: The fleet of this head.
-        parts: Receives its part of the state machine.
+        history: The replicated history.
         calls: Receives its management calls.
         starting_version: The version that the head started with (`persisted_version`).
 
@@ -109,12 +108,9 @@
     """
     if settings.rules is None or head.http_tables is None:
         return None
-    from stoatrouter.history.rule_history import RuleHistory
     from stoatrouter.peering.rule_calls import RuleCalls
-    from stoatrouter.peering.rule_rollout import PART
     from stoatrouter.peering.rules import RulesService
 
-    history = parts[PART] = RuleHistory()
     service = RulesService(settings.rules, fleet, history, head.http_tables, starting_version)
     calls.append(RuleCalls(service).call)
     return service
