Shutdown: bodies that are not complete in time get 503, and no longer hold up the end

Cause: a stopping head waits for requests whose bodies still arrive; after the last answer it waited up to 2 s for clients that had not read theirs. Change: a body that is incomplete when all requests must be answered gets 503 and its connection is closed; readers are waited for for 0.1 s.

--- a/stoatrouter/fronts/exchange.py
+++ b/stoatrouter/fronts/exchange.py
@@ -58,11 +58,16 @@
 
         Raises:
             BadRequest: The body is too large, too slow or malformed.
-            NoCapacity: Too many requests are open, or there is no memory for another one.
+            NoCapacity: Too many requests are open, there is no memory for another one, or this head ends
+                before the body is complete.
         """
         if not self.drain.may_receive(request):
             raise NoCapacity("too much is being received")
-        body = await self._receive_body(request)
+        try:
+            async with self.drain.receiving():
+                body = await self._receive_body(request)
+        except TimeoutError:
+            raise NoCapacity("the head ends before the body is complete") from None
         if not self.drain.may_serve(request):
             release_body(body)
             raise NoCapacity("too many requests are open")
--- a/stoatrouter/head.py
+++ b/stoatrouter/head.py
@@ -293,6 +293,7 @@
         max_class_deadline = max(request_class.deadline for request_class in self.conf.settings.classes)
         deadlines = shutdown_deadlines(from_microseconds(max_class_deadline))
         self.engine.answer_deadline = self.engine.clock.now() + deadlines.answer_within
+        self.drain.end_receiving(deadlines.answer_within)
         await asyncio.gather(
             *(listener.stop(lambda: self.engine.busy, deadlines.accept_for) for listener in self.listeners)
         )
--- a/stoatrouter/net/listener.py
+++ b/stoatrouter/net/listener.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
 import socket
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any, TypeVar
@@ -29,6 +30,7 @@
 BIND_TIMEOUT = timedelta(seconds=3)
 BIND_INTERVAL = timedelta(milliseconds=20)
 ANSWER_MARGIN = timedelta(milliseconds=350)  # all accepted requests are answered this long before the kill
+CLOSE_TIMEOUT = timedelta(milliseconds=50)  # for clients that still read an answer; waited for up to twice
 # Requests are accepted until this long before that time; later ones would have too little time left.
 ACCEPT_MARGIN = timedelta(milliseconds=400)
 MAX_ACCEPT_TIME = timedelta(seconds=3)
@@ -73,6 +75,8 @@
         self.out = False  # an operator took this head out of service
         self.handed_over = False  # a new process of this head accepts clients
         self.closing_idle: asyncio.Task[None] | None = None
+        self.receive_until: float | None = None  # of the loop's clock; set during shutdown
+        self.receive_limits: set[asyncio.Timeout] = set()  # one for each body that is being received
 
     @property
     def open(self) -> bool:
@@ -142,6 +146,22 @@
             not isinstance(connection, ClientConnection) or connection.charge_receiving()
         )
 
+    @contextlib.asynccontextmanager
+    async def receiving(self) -> AsyncIterator[None]:
+        """Receive a body within the time that a shutdown leaves; raises TimeoutError after it."""
+        async with asyncio.timeout_at(self.receive_until) as limit:
+            self.receive_limits.add(limit)
+            try:
+                yield
+            finally:
+                self.receive_limits.discard(limit)
+
+    def end_receiving(self, within: timedelta) -> None:
+        """Let bodies that are not complete after this time raise TimeoutError where they are received."""
+        self.receive_until = asyncio.get_running_loop().time() + within.total_seconds()
+        for limit in self.receive_limits:
+            limit.reschedule(self.receive_until)
+
     def may_serve(self, request: web.BaseRequest) -> bool:
         """Return whether a request that has been read may be served; charges what it holds, as above."""
         connection = request.protocol
@@ -287,4 +307,4 @@
     async def close(self) -> None:
         """Stop listening and close every connection."""
         self.stop_accepting()
-        await self.server.shutdown(1.0)
+        await self.server.shutdown(CLOSE_TIMEOUT.total_seconds())
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -8,18 +8,21 @@
 
 import aiohttp
 import pytest
+from yarl import URL
 
 from stoatrouter.net import disconnects
 from tests.addresses import free_port
 from tests.agent import Agent, agent_up
 from tests.object_client import BODY, gateway
 from tests.peers import HOST, Node, config_data, node_list, nodes_up, run, until
-from tests.platform_client import HEADERS, PATH
+from tests.platform_client import HEADERS, PATH, WRITE
 from tests.process_signals import send_signal
 from tests.program_process import program_environ, start_program
 from tests.test_program import program, read
 
 LARGE_BODY_BYTES = 3 * 1024 * 1024
+SLOW_PIECE_BYTES = 6_000
+SLOW_PIECE_INTERVAL = 0.05  # seconds; faster than bodies have to be
 
 
 def test_a_signal_while_the_head_waits_for_its_first_answer_ends_it_in_order(tmp_path):
@@ -67,6 +70,32 @@
     run(scenario())
 
 
+def test_a_client_that_writes_slowly_does_not_hold_up_the_end(tmp_path):
+    # Guards against a head that is killed with all it holds, as bodies that come slowly keep it from its end.
+    async def scenario():
+        node = Node("a", 0)
+        async with program(tmp_path, node) as (process, _, base, _):
+            address = URL(base)
+            reader, writer = await asyncio.open_connection(address.host, address.port)
+            fields = "".join(f"{name}: {value}\r\n" for name, value in HEADERS.items())
+            length = f"Content-Length: {LARGE_BODY_BYTES}\r\n"
+            writer.write(f"PUT {WRITE} HTTP/1.1\r\nHost: x\r\n{fields}{length}\r\n".encode())
+            answer = asyncio.create_task(reader.readuntil(b"\r\n\r\n"))
+            sent = 0
+            while not answer.done():
+                writer.write(bytes(SLOW_PIECE_BYTES))
+                sent += SLOW_PIECE_BYTES
+                await asyncio.sleep(SLOW_PIECE_INTERVAL)
+                if sent == SLOW_PIECE_BYTES:
+                    send_signal(process, signal.SIGTERM)
+            assert answer.result().startswith(b"HTTP/1.1 503") and sent < LARGE_BODY_BYTES
+            assert await process.wait() == 0
+            writer.close()
+        assert not node.seen
+
+    run(scenario())
+
+
 def test_a_head_that_is_out_of_service_still_answers_what_it_took_before_it_ends(tmp_path):
     async def scenario():
         node = Node("a", 0)
