Soak: pressing clients, stepped clocks, failing accepts, and memory as a judged figure

Change: each seed without credit has a pressure by its number (halting writers, slow writers, long heads, one-byte chunks, none), each process of a head starts with its wall clock off by 2 s, an hour or nothing, one accept in a hundred fails, and the most that a process held (resident, and unnamed files) is a finding over 0.9 of memory_mb. A program that holds 200 MB is found. None of the pressing clients' requests is ever complete, so the judge of requests need not know of them.

--- a/tests/fleet_story.py
+++ b/tests/fleet_story.py
@@ -24,6 +24,7 @@
 
 DEADLINE = 1.2  # seconds
 WINDOW = 0.5  # seconds in which an idempotent request may be retried
+MEMORY_MB = 192
 GRACE = 0.5  # seconds of the drain grace
 CLASSES_BY_NAME = {
     "look": RequestClass(Effect.SAFE),
@@ -91,7 +92,7 @@
             "listen": f"{self.host}:{self.port}",
             "discovery": f"{self.host}:{self.at}",
             "seed": "1",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": 1024},
             "known": node_list(1, *(n.entry() for n in self.nodes)),
             "settings": settings(heads),
         }
--- a/tests/soak/ends.py
+++ b/tests/soak/ends.py
@@ -18,6 +18,7 @@
 from tests.soak.node_questions import NodeQuestions
 from tests.soak.plan import TERM, EndMode, draw_series
 from tests.soak.report import Finding, SeedReport
+from tests.soak.shims import SHIMS, ShimEnvironment
 from tests.soak.stand_ins import HeadAddress, SoakClient, SoakNode, open_connections
 
 KILL_TIMEOUT = DEADLINE + 0.7  # seconds after SIGTERM: the earliest kill by the platform's page
@@ -34,9 +35,17 @@
     """A head of the soak, with an address of its own or a socket that its processes inherit."""
 
     def __init__(
-        self, name: str, folder: Path, nodes: list[SoakNode], history: History, prelude: str, inherits: bool
+        self,
+        name: str,
+        folder: Path,
+        nodes: list[SoakNode],
+        history: History,
+        prelude: str,
+        inherits: bool,
+        seed: int,
     ) -> None:
-        super().__init__(name, folder, nodes, history, prelude)
+        super().__init__(name, folder, nodes, history, SHIMS + prelude)
+        self.shims = ShimEnvironment(seed, name)
         self.socket = socket.create_server((self.host, self.port), backlog=1024) if inherits else None
         temporary = folder / f"{name}-tmp"
         temporary.mkdir()
@@ -46,6 +55,7 @@
     async def spawn(self, configuration: Path) -> asyncio.subprocess.Process:
         """Start a process without waiting until it is ready."""
         more: dict[str, Any] = {}
+        self.environ |= self.shims.next()
         if self.socket is not None:
             self.management = f"127.0.0.1:{free_port()}"
             inherited = self.socket.fileno()
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -32,6 +32,23 @@
     return KINDS[seed % len(KINDS)]
 
 
+class Pressure(StrEnum):
+    """What many clients make the heads of a seed hold, beside its other load."""
+
+    NONE = "none"
+    HALTING_WRITERS = "halting writers"
+    SLOW_WRITERS = "slow writers"
+    LONG_HEADS = "long heads"
+    ONE_BYTE_CHUNKS = "one-byte chunks"
+
+
+def pressure_of(seed: int) -> Pressure:
+    """Return the pressure of a seed; heads with credit have none."""
+    if kind_of(seed) is Kind.CREDIT:
+        return Pressure.NONE
+    return list(Pressure)[(seed // len(KINDS) + seed) % len(Pressure)]
+
+
 class Disturbance(StrEnum):
     """A disturbance at the same time as the end of a head."""
 
--- a/tests/soak/report.py
+++ b/tests/soak/report.py
@@ -3,16 +3,20 @@
 from __future__ import annotations
 
 import math
+import stat
 from collections import Counter, defaultdict
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import StrEnum
 from pathlib import Path
 
+from tests.fleet_story import MEMORY_MB
 from tests.soak.lag import Lag
-from tests.soak.plan import JUDGE_SLACK, EndMode, Kind
+from tests.soak.plan import JUDGE_SLACK, EndMode, Kind, pressure_of
 
 MEGABYTE = 1 << 20
+PAGE_SIZE = 4096
+MAX_MEMORY = 9 * MEMORY_MB * MEGABYTE // 10  # of the limit in the settings of the heads
 NOT_JUDGED = "NOT JUDGED (a loop of the soak lagged {:.2f} s, {} violations withheld)"
 
 
@@ -29,6 +33,7 @@
     TRACEBACK = "traceback"
     CRASHED = "crashed"
     NOT_READY = "not ready"
+    OVER_MEMORY = "over its memory"
     MISRECORDED = "seen before it was written"
     UNKNOWN = "another rule"
     STORY_FAILED = "the story failed"
@@ -71,7 +76,7 @@
 class Usage:
     """The resource usage of a process."""
 
-    memory: int  # bytes, resident
+    memory: int  # bytes, resident or in unnamed files
     descriptors: int
 
     @staticmethod
@@ -79,9 +84,20 @@
         """Read the usage of a process; zeros if it has ended."""
         try:
             pages = int(Path(f"/proc/{process}/statm").read_text().split()[1])
-            return Usage(pages * 4096, len(list(Path(f"/proc/{process}/fd").iterdir())))
+            descriptors = list(Path(f"/proc/{process}/fd").iterdir())
         except OSError:
             return Usage(0, 0)
+        files = sum(unnamed_file_size(descriptor) for descriptor in descriptors)
+        return Usage(pages * PAGE_SIZE + files, len(descriptors))
+
+
+def unnamed_file_size(descriptor: Path) -> int:
+    """Return the bytes on disk of the file behind a descriptor if it has no name, else 0."""
+    try:
+        status = descriptor.stat()
+    except OSError:
+        return 0
+    return status.st_blocks * 512 if stat.S_ISREG(status.st_mode) and not status.st_nlink else 0
 
 
 @dataclass(slots=True)
@@ -99,6 +115,7 @@
     second_answers: int = 0  # second answers that nodes wrote
     before: list[Usage] = field(default_factory=list)  # of each head, once all are ready
     after: list[Usage] = field(default_factory=list)  # of the heads that run at the end
+    max_memory: int = 0  # bytes that a process of a head held
     max_descriptors: int = 0  # of a head at the begin of a disturbance
     lags: dict[str, Lag] = field(default_factory=dict)  # of the event loops whose times are judged
     withheld: list[str] = field(default_factory=list)  # violations by times of a loop that lagged
@@ -116,6 +133,16 @@
         else:
             self.add(classify(text), text)
 
+    def note_memory(self, memory: int) -> None:
+        """Record what a process of a head holds, in bytes."""
+        self.max_memory = max(self.max_memory, memory)
+
+    def judge_memory(self) -> None:
+        """Check that no process held more than its part of `memory_mb`."""
+        if self.max_memory > MAX_MEMORY:
+            text = f"{self.max_memory // MEGABYTE} MB, allowed {MAX_MEMORY // MEGABYTE}"
+            self.add(Finding.OVER_MEMORY, text)
+
     def add_end(self, mode: EndMode, seconds: float) -> None:
         """Add the duration of an end."""
         self.end_durations.setdefault(mode, []).append(seconds)
@@ -152,10 +179,12 @@
     def line(self) -> str:
         """Return the report in one line."""
         return (
-            f"seed {self.seed} {self.kind}: {self.ends} ends (slowest {self.slowest_end:.1f} s, "
+            f"seed {self.seed} {self.kind}, pressure {pressure_of(self.seed)}: {self.ends} ends "
+            f"(slowest {self.slowest_end:.1f} s, "
             f"{self.killed_after_timeout} killed), {sum(self.answers.values())} answers "
             f"{dict(sorted(self.answers.items()))}, {self.second_answers} second answers, "
-            f"{usage_text(self.before)} before, {self.max_descriptors} descriptors between, "
+            f"{usage_text(self.before)} before, {self.max_memory // MEGABYTE} MB at most, "
+            f"{self.max_descriptors} descriptors between, "
             f"{usage_text(self.after)} after, lag {self.worst_lag:.2f} s "
             f"({sum(lag.long for lag in self.lags.values())} over 50 ms), "
             f"{len(self.read_late)} read late: {self.verdict()}"
--- a/tests/soak/story.py
+++ b/tests/soak/story.py
@@ -20,7 +20,7 @@
 from tests.soak.ends import HeadRestarter, SoakHead, stop_all
 from tests.soak.lag import measured
 from tests.soak.node_questions import NodeQuestions
-from tests.soak.plan import JUDGE_SLACK, Disturbance, Kind
+from tests.soak.plan import JUDGE_SLACK, Disturbance, Kind, Pressure, pressure_of
 from tests.soak.report import Finding, SeedReport, Usage
 from tests.soak.stand_ins import SoakNode
 
@@ -31,9 +31,12 @@
 CLIENTS_PER_HEAD = 8  # unless a run sets another number
 CLIENT_PROCESSES = 2
 CROWD_NAME = "crowd"
+PRESSURE_NAME = "pressure"
+UNJUDGED_CHILDREN = (CROWD_NAME, PRESSURE_NAME)  # those whose clocks the judge does not use
 CROWD_SIZE = 1_100  # idle clients of each head, whose limit is 1,024 descriptors
 DRAIN_SECONDS = GRACE + 1.0
 OUTAGE_SECONDS = 1.5
+MEMORY_INTERVAL = 0.25  # seconds between two samples
 QUIET_SECONDS = 1.0  # without clients, at the end
 
 
@@ -53,6 +56,7 @@
         self.seconds = seconds
         self.folder = folder
         self.kind = report.kind
+        self.pressure = pressure_of(seed)
         self.report = report
         self.clients = clients
         self.history = History()
@@ -60,7 +64,7 @@
         self.nodes = [SoakNode(f"n{i}", i % 2, seed, self.history) for i in range(NODES)]
         inherits = self.kind is Kind.UPGRADE
         self.heads = [
-            SoakHead(f"h{i}", folder, self.nodes, self.history, prelude, inherits) for i in range(HEADS)
+            SoakHead(f"h{i}", folder, self.nodes, self.history, prelude, inherits, seed) for i in range(HEADS)
         ]
         self.children: list[Child] = []
         self.stalls: dict[str, float] = {}  # seconds by child; stalls that a test forces
@@ -111,10 +115,14 @@
         if self.kind is Kind.CROWD:
             started[CROWD_NAME] = await self.child("tests.soak.crowd_process")
             await started[CROWD_NAME].begin(heads=heads, size=CROWD_SIZE)
+        if self.pressure is not Pressure.NONE:
+            started[PRESSURE_NAME] = await self.child("tests.soak.pressure_process")
+            await started[PRESSURE_NAME].begin(heads=heads, pressure=self.pressure)
         return started
 
     async def run_load(self) -> None:
         """Run clients with disturbances and ends; at the end wait until their requests are done."""
+        sampling = asyncio.create_task(self.sample_memory())
         clients = await self.start_clients()
         ends = time.monotonic() + self.seconds
         while time.monotonic() < ends and not self.report.found()[Finding.NOT_READY]:
@@ -122,6 +130,16 @@
         await asyncio.gather(*(self.end_child(name, child) for name, child in clients.items()))
         await asyncio.sleep(QUIET_SECONDS)
         self.report.after = self.usage()
+        sampling.cancel()
+
+    async def sample_memory(self) -> None:
+        """Record the most memory that any process of a head holds, until cancelled."""
+        while True:
+            for head in self.heads:
+                for process in head.spawned:
+                    if process.returncode is None:
+                        self.report.note_memory(Usage.of(process.pid).memory)
+            await asyncio.sleep(MEMORY_INTERVAL)
 
     async def child(self, module: str) -> Child:
         """Start a child process, which is ended with the run."""
@@ -132,7 +150,7 @@
         """End a child, and add its history and lag to the results."""
         result = await child.end()
         self.history.lines += result.get("lines", [])
-        if name != CROWD_NAME:
+        if name not in UNJUDGED_CHILDREN:
             self.report.lags[name] = result["lag"]
         return result
 
@@ -218,6 +236,7 @@
         self.report.read_late = verdict.read_late
         for violation in verdict.violations:
             self.report.add_violation(violation)
+        self.report.judge_memory()
         add_tracebacks(self.report, list(self.folder.glob("h*.log")))
         answered = (line["status"] for line in self.history.lines if line["what"] == "answered")
         self.report.answers = Counter(str(status) for status in answered)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -155,6 +155,7 @@
     "from stoatrouter.net import answer_identity, reuse_delays\n"
     "answer_identity.RecentAnswers.is_duplicate = lambda *_: False\n"
     "reuse_delays.REUSE_DELAY = reuse_delays.SUSPECT_REUSE_DELAY = timedelta(0)\n",
+    Finding.OVER_MEMORY: "hold = bytearray(b'x') * (200 << 20)\n",
     Finding.TRACEBACK: "import threading\nthreading.Thread(target=lambda: 1 / 0).start()\n",
     Finding.CRASHED: "import atexit, os\natexit.register(os._exit, 3)\n",
 }
