Shutdown: lingering connections are closed before the server's shutdown

Change: clients that still read are waited for for 80 ms, then closed, and their handlers end before the server is shut down.

--- a/stoatrouter/net/client_table.py
+++ b/stoatrouter/net/client_table.py
@@ -277,6 +277,15 @@
             if if_stale(connection) is not None:
                 self._close_unless_unread(connection, CloseReason.DRAINED)
 
+    def any_lingering(self) -> bool:
+        """Return whether any client has not closed its connection after the last answer."""
+        return bool(self.by_state[State.LINGERING])
+
+    def close_lingering(self) -> None:
+        """Close the connections whose last answer has been sent."""
+        for connection in list(self.by_state[State.LINGERING]):
+            connection.close_now()
+
     def any_just_connected(self) -> bool:
         """Return whether any connection is so new that its first request may still be in transit."""
         return any(
--- a/stoatrouter/net/listener.py
+++ b/stoatrouter/net/listener.py
@@ -30,7 +30,8 @@
 BIND_TIMEOUT = timedelta(seconds=3)
 BIND_INTERVAL = timedelta(milliseconds=20)
 ANSWER_MARGIN = timedelta(milliseconds=350)  # all accepted requests are answered this long before the kill
-CLOSE_TIMEOUT = timedelta(milliseconds=50)  # for clients that still read an answer; waited for up to twice
+CLOSE_TIMEOUT = timedelta(milliseconds=80)  # for clients that still read their last answer
+HANDLER_END_TIME = timedelta(milliseconds=10)  # in which the handler of a closed connection ends
 # Requests are accepted until this long before that time; later ones would have too little time left.
 ACCEPT_MARGIN = timedelta(milliseconds=400)
 MAX_ACCEPT_TIME = timedelta(seconds=3)
@@ -307,4 +308,12 @@
     async def close(self) -> None:
         """Stop listening and close every connection."""
         self.stop_accepting()
+        clients = self.drain.clients
+        loop = asyncio.get_running_loop()
+        until = loop.time() + CLOSE_TIMEOUT.total_seconds()
+        while clients.any_lingering() and loop.time() < until:
+            await asyncio.sleep(HANDLER_END_TIME.total_seconds())
+        # before the server's shutdown, whose time limit must not meet the end of a handler
+        clients.close_lingering()
+        await asyncio.sleep(HANDLER_END_TIME.total_seconds())
         await self.server.shutdown(CLOSE_TIMEOUT.total_seconds())
