Upgrade: an accept that fails for a moment does not keep the new process waiting

Cause: the socket between two processes of a head was accepted from by asyncio's server, which logs a traceback and pauses for 1 s where accept fails with ENFILE or ENOBUFS. Change: it has the acceptor of the fronts.

--- a/stoatrouter/net/handover_socket.py
+++ b/stoatrouter/net/handover_socket.py
@@ -19,6 +19,7 @@
 
 from loguru import logger
 
+from stoatrouter.net.acceptor import Acceptor
 from stoatrouter.net.startup_notification import SOCKET_NAME, short_path
 from stoatrouter.net.state_format import JsonObject, OpenResources, read_open_resources
 
@@ -80,7 +81,7 @@
             folder: The folder of the socket ($TMPDIR); None: there is no handover.
         """
         self.folder = folder
-        self.server: asyncio.Server | None = None
+        self.acceptor: Acceptor | None = None
 
     async def take_over(self) -> Predecessor | None:
         """Request the state of the previous process; None if there is none or it does not answer."""
@@ -114,14 +115,15 @@
         try:
             with (
                 short_path(self.folder) as short,
-                contextlib.closing(socket.socket(socket.AF_UNIX)) as listening_socket,
+                contextlib.closing(socket.socket(socket.AF_UNIX)) as bound_socket,
             ):
                 temporary = Path(short) / (SOCKET_NAME + ".new")
                 temporary.unlink(missing_ok=True)
-                listening_socket.bind(str(temporary))
-                self.server = await asyncio.start_unix_server(
-                    on_connection, sock=listening_socket.dup(), limit=MAX_LINE_BYTES
-                )
+                bound_socket.bind(str(temporary))
+                bound_socket.listen()
+                listening_socket = bound_socket.dup()
+                listening_socket.setblocking(False)
+                self.acceptor = Acceptor(listening_socket, lambda: stream_protocol(on_connection))
                 # the previous socket is replaced atomically, so that there is always one that answers
                 os.replace(temporary, Path(short) / SOCKET_NAME)
         except OSError as error:
@@ -133,9 +135,17 @@
 
     async def close(self) -> None:
         """Stop listening for the next process."""
-        if self.server is not None:
-            self.server.close()
-            self.server = None
+        if self.acceptor is not None:
+            self.acceptor.stop()
+            self.acceptor.listening_socket.close()
+            self.acceptor = None
+
+
+def stream_protocol(
+    on_connection: Callable[[asyncio.StreamReader, asyncio.StreamWriter], Any],
+) -> asyncio.StreamReaderProtocol:
+    """Return the protocol of a new connection, which is passed on as a pair of streams."""
+    return asyncio.StreamReaderProtocol(asyncio.StreamReader(limit=MAX_LINE_BYTES), on_connection)
 
 
 def write_line(writer: asyncio.StreamWriter, data: JsonObject) -> None:
--- a/tests/test_failing_system_calls.py
+++ b/tests/test_failing_system_calls.py
@@ -15,6 +15,7 @@
 from stoatrouter.net import acceptor
 from stoatrouter.net.bodies import BodyCapacity, StoredBody
 from stoatrouter.net.errors import NoCapacity
+from stoatrouter.net.handover_socket import PROTOCOL_VERSION, HandoverSocket, write_line
 from stoatrouter.net.listener import Listener
 from stoatrouter.net.state_file import AdministrativeStateFile
 from stoatrouter.policy.interface import Outcome
@@ -60,6 +61,28 @@
     run(scenario(), limit=5)
 
 
+@pytest.mark.parametrize("number", OF_ONE_CONNECTION + SHORTAGES, ids=errno.errorcode.get)
+def test_a_new_process_is_accepted_though_an_accept_fails(tmp_path, monkeypatch, number):
+    # Guards against a takeover that waits for 1 s, and a traceback in the log.
+    monkeypatch.setattr(acceptor, "SHORTAGE_PAUSE", timedelta(0))
+
+    async def hand_over(reader, writer):
+        await reader.readline()
+        write_line(writer, {"v": PROTOCOL_VERSION})
+
+    async def scenario():
+        old, new = HandoverSocket(str(tmp_path)), HandoverSocket(str(tmp_path))
+        await old.listen(hand_over)
+        old.acceptor.listening_socket = FailingSocket(old.acceptor.listening_socket, [number] * 3)
+        predecessor = await new.take_over()
+        assert predecessor.take_state() == {"v": PROTOCOL_VERSION}
+        assert not old.acceptor.listening_socket.failures
+        predecessor.writer.close()
+        await old.close()
+
+    run(scenario(), limit=5)
+
+
 @pytest.mark.parametrize("number", OF_ONE_CONNECTION + SHORTAGES, ids=errno.errorcode.get)
 def test_connections_that_wait_as_a_front_stops_are_served_though_an_accept_fails(number):
     async def scenario():
