--- a/review/support_2.py
+++ b/review/support_2.py
@@ -560,9 +560,11 @@
             for head in heads:
                 await head.end()
 
+    # a script that is told to end still ends what it started: asyncio cancels the play on SIGINT
+    signal.signal(signal.SIGTERM, lambda *_: signal.raise_signal(signal.SIGINT))
     try:
         verdict = asyncio.run(whole())
-    except (CannotRun, TimeoutError, OSError) as error:
+    except (CannotRun, TimeoutError, OSError, KeyboardInterrupt) as error:
         record.note("case", "cannot run", error=repr(error))
         print(f"cannot run: {error!r}", file=sys.stderr)
         verdict = NOT_RUN
