--- a/review/support_2.py
+++ b/review/support_2.py
@@ -554,17 +554,20 @@
 
     async def whole() -> int:
         heads: list[Head] = []
+        playing = asyncio.current_task()
+        assert playing is not None
+        # a script that is told to end still ends what it started
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, playing.cancel)
         try:
             return await asyncio.wait_for(play(record, heads), TIME_LIMIT)
         finally:
             for head in heads:
                 await head.end()
 
-    # a script that is told to end still ends what it started: asyncio cancels the play on SIGINT
-    signal.signal(signal.SIGTERM, lambda *_: signal.raise_signal(signal.SIGINT))
     try:
         verdict = asyncio.run(whole())
-    except (CannotRun, TimeoutError, OSError, KeyboardInterrupt) as error:
+    except (CannotRun, TimeoutError, OSError, asyncio.CancelledError) as error:
         record.note("case", "cannot run", error=repr(error))
         print(f"cannot run: {error!r}", file=sys.stderr)
         verdict = NOT_RUN
